--- /dev/null
+++ b/cmd/gypsumreel/main.go
@@ -0,0 +1,4 @@
+// Command gypsumreel is a cluster scheduler for services, batch work and gangs.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/domain/capacity/capacity_test.go
@@ -0,0 +1,34 @@
+package capacity_test
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"gypsumreel/internal/domain/capacity"
+)
+
+func sizes(t *rapid.T, name string) capacity.Size {
+	n := rapid.Int64Range(0, 1_000)
+	return capacity.Size{CPU: n.Draw(t, name+"cpu"), Memory: n.Draw(t, name+"memory"), Accel: n.Draw(t, name+"accel"), Slots: n.Draw(t, name+"slots")}
+}
+
+// What fits into a room leaves a valid rest, and what does not fit leaves none.
+func TestFitsMeansNothingGoesNegative(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		need, room := sizes(t, "need"), sizes(t, "room")
+		if got, want := need.Fits(room), room.Sub(need).Valid(); got != want {
+			t.Fatalf("Fits = %v, rest %v", got, room.Sub(need))
+		}
+	})
+}
+
+func TestWithinIgnoresUnlimitedFields(t *testing.T) {
+	limit := capacity.Size{CPU: 10, Memory: capacity.Unlimited, Accel: 0, Slots: 1}
+	if !(capacity.Size{CPU: 10, Memory: 1 << 40}).Within(limit) {
+		t.Error("an unlimited field binds")
+	}
+	if (capacity.Size{Accel: 1}).Within(limit) {
+		t.Error("a limit of nothing binds nothing")
+	}
+}
