--- /dev/null
+++ b/internal/replica/quorum/entry.go
@@ -0,0 +1,41 @@
+// Package quorum is the consensus core of the control group: a pure state
+// machine without goroutines, clocks or I/O.
+package quorum
+
+// Kind says what an entry of the log carries.
+type Kind uint8
+
+// The kinds of entry.
+const (
+	// Command is a decision of the control thread; quorum does not look into it.
+	Command Kind = iota + 1
+	// Empty is what a new leader commits before it decides anything.
+	Empty
+	// Change is a change of membership.
+	Change
+)
+
+// Entry is one record of the replicated log.
+type Entry struct {
+	// Index counts from 1 without gaps.
+	Index uint64
+	Term  uint64
+	Kind  Kind
+	Data  []byte
+}
+
+// Hard is what a replica must have synced before it acts on it.
+type Hard struct {
+	Term uint64
+	// Vote is the replica voted for in Term; empty for none.
+	Vote string
+}
+
+// Member is one replica of the control group.
+type Member struct {
+	// ID is NAME/NONCE: a replica whose disk was replaced has a new one.
+	ID      string
+	Address string
+	// Learner replicas receive the log and do not count.
+	Learner bool
+}
