Add the ledger's state machine, leases, answers and mailboxes

One command is one decision; the state checks again every promise that the planner is trusted with (capacity, limit, whole gangs, sessions), because every placement passes here. The digest is kept record by record, so that replicas can be compared while running at the cost of one hash a change.

--- /dev/null
+++ b/internal/control/mailbox/mailbox.go
@@ -0,0 +1,135 @@
+// Package mailbox holds the replies that the leader has for an entry until the
+// entry has fetched and acknowledged them.
+package mailbox
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"gypsumreel/internal/api/inner"
+)
+
+// Bounds of a mailbox.
+const (
+	// MaxReplies bounds what is kept for one entry; an entry that fetches
+	// nothing for so long is dead, and its items are asked again elsewhere.
+	MaxReplies = 1 << 17
+	// MaxBatch bounds the replies of one Pull.
+	MaxBatch = 1024
+	// maxBytes bounds the bytes of one Pull, roughly.
+	maxBytes = 8 << 20
+)
+
+// Name names a mailbox: one run of one entry.
+type Name struct {
+	Entry   string
+	Session uint64
+}
+
+// Mailbox queues replies with numbers from 1. It is safe for use by the control
+// thread and traffic threads at once.
+type Mailbox struct {
+	mu     sync.Mutex
+	epoch  uint64
+	first  uint64
+	queue  []*inner.Reply
+	wake   chan struct{}
+	closed bool
+	seen   time.Time
+}
+
+// New returns an empty mailbox of an epoch. Numbers of different epochs are not comparable.
+func New(epoch uint64) *Mailbox {
+	return &Mailbox{epoch: epoch, first: 1, wake: make(chan struct{}), seen: time.Now()}
+}
+
+// Put adds a reply. It is dropped when the mailbox is closed or full.
+func (m *Mailbox) Put(r *inner.Reply) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed || len(m.queue) >= MaxReplies {
+		return
+	}
+	m.queue = append(m.queue, r)
+	m.signal()
+}
+
+func (m *Mailbox) signal() {
+	close(m.wake)
+	m.wake = make(chan struct{})
+}
+
+// Close ends the mailbox: waiting fetches return at once.
+func (m *Mailbox) Close() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.closed {
+		m.closed = true
+		m.signal()
+	}
+}
+
+// Idle returns how long nobody fetched.
+func (m *Mailbox) Idle() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return time.Since(m.seen)
+}
+
+// Batch is what one fetch returns.
+type Batch struct {
+	Epoch   uint64
+	First   uint64
+	Replies []*inner.Reply
+	Closed  bool
+}
+
+// Pull drops what was acknowledged and returns what is queued; it waits for a
+// first reply until ctx ends. Replies stay until acknowledged, so a lost answer
+// to Pull loses none of them. An ack of another epoch counts for nothing.
+func (m *Mailbox) Pull(ctx context.Context, epoch, ack uint64) Batch {
+	for {
+		b, wake := m.take(epoch, ack)
+		if b.Closed || len(b.Replies) > 0 {
+			return b
+		}
+		select {
+		case <-wake:
+		case <-ctx.Done():
+			return b
+		}
+	}
+}
+
+func (m *Mailbox) take(epoch, ack uint64) (Batch, <-chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.seen = time.Now()
+	if epoch == m.epoch && ack >= m.first {
+		n := min(int(ack-m.first)+1, len(m.queue))
+		clear(m.queue[:n])
+		m.queue = m.queue[n:]
+		m.first += uint64(n)
+	}
+	b := Batch{Epoch: m.epoch, First: m.first, Closed: m.closed}
+	size := 0
+	for _, r := range m.queue[:min(len(m.queue), MaxBatch)] {
+		size += weigh(r)
+		if size > maxBytes && len(b.Replies) > 0 {
+			break
+		}
+		b.Replies = append(b.Replies, r)
+	}
+	return b, m.wake
+}
+
+// weigh returns roughly the bytes of the replies that can be large.
+func weigh(r *inner.Reply) int {
+	n := 256
+	n += len(r.GetWait().GetChunk().GetData())
+	for _, o := range r.GetSync().GetOrders() {
+		n += len(o.GetInput()) + len(o.GetCheckpoint())
+	}
+	return n
+}
--- /dev/null
+++ b/internal/domain/answer/answer.go
@@ -0,0 +1,88 @@
+// Package answer cuts answers into numbered chunks and puts them together again.
+package answer
+
+import (
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	v1 "gypsumreel/internal/api/v1"
+)
+
+// Bounds of answers, in bytes.
+const (
+	// ChunkSize is the size of all chunks but the last.
+	ChunkSize = 128 << 10
+	// MaxTotal bounds a task's whole answer.
+	MaxTotal = 1 << 20
+	// maxChunks is how many chunks an answer of MaxTotal may be cut into.
+	maxChunks = MaxTotal/1024 + 1
+)
+
+// ErrMixed is returned for a chunk that belongs to another answer, or is damaged.
+var ErrMixed = errors.New("chunk of another answer")
+
+// Count returns the number of chunks of an answer; an empty one has one.
+func Count(total int) uint32 {
+	return uint32(max(1, (total+ChunkSize-1)/ChunkSize))
+}
+
+// Cut returns one chunk of an answer; nil when there is none of that number.
+func Cut(data []byte, number uint32) *v1.Chunk {
+	count := Count(len(data))
+	if number >= count {
+		return nil
+	}
+	from := int(number) * ChunkSize
+	to := min(from+ChunkSize, len(data))
+	return &v1.Chunk{Number: number, Count: count, Total: uint64(len(data)), Sum: xxhash.Sum64(data), Data: data[from:to]}
+}
+
+// Split returns all chunks of an answer.
+func Split(data []byte) []*v1.Chunk {
+	out := make([]*v1.Chunk, 0, Count(len(data)))
+	for n := range Count(len(data)) {
+		out = append(out, Cut(data, n))
+	}
+	return out
+}
+
+// Parts collects the chunks of one answer in any order. The zero value is empty.
+type Parts struct {
+	head *v1.Chunk
+	data map[uint32][]byte
+}
+
+// Add takes a chunk; one that came before is dropped. It returns ErrMixed for a
+// chunk of another answer: parts of two answers never make one.
+func (p *Parts) Add(c *v1.Chunk) error {
+	if c.GetCount() == 0 || c.GetCount() > maxChunks || c.GetNumber() >= c.GetCount() || c.GetTotal() > MaxTotal {
+		return errors.Wrap(ErrMixed, "numbers out of bounds")
+	}
+	if p.head == nil {
+		p.head, p.data = c, map[uint32][]byte{}
+	}
+	h := p.head
+	if c.GetCount() != h.GetCount() || c.GetTotal() != h.GetTotal() || c.GetSum() != h.GetSum() {
+		return ErrMixed
+	}
+	if _, ok := p.data[c.GetNumber()]; !ok {
+		p.data[c.GetNumber()] = c.GetData()
+	}
+	return nil
+}
+
+// Whole returns the answer once every chunk is there and length and sum agree;
+// false while chunks are missing, ErrMixed when what came does not add up.
+func (p *Parts) Whole() ([]byte, bool, error) {
+	if p.head == nil || uint32(len(p.data)) < p.head.GetCount() {
+		return nil, false, nil
+	}
+	data := make([]byte, 0, p.head.GetTotal())
+	for n := range p.head.GetCount() {
+		data = append(data, p.data[n]...)
+	}
+	if uint64(len(data)) != p.head.GetTotal() || xxhash.Sum64(data) != p.head.GetSum() {
+		return nil, false, errors.Wrap(ErrMixed, "length or sum differs")
+	}
+	return data, true, nil
+}
--- /dev/null
+++ b/internal/domain/lease/lease.go
@@ -0,0 +1,70 @@
+// Package lease holds the rules of leases: how long a backend server may run
+// what it was given without hearing from the leader, and how long the leader
+// waits before it treats a lease as over. Renewals are not logged.
+package lease
+
+import "time"
+
+// Defaults of a lease.
+const (
+	// DefaultLength is how long a server may go on after its last confirmed renewal.
+	DefaultLength = 6 * time.Second
+	// DefaultDrift bounds how much two clocks' rates differ, as a fraction.
+	DefaultDrift = 0.01
+)
+
+// Terms are what leader and backend servers agree on.
+type Terms struct {
+	// Length of a lease, counted from the start of a confirmed heartbeat round.
+	Length time.Duration
+	// Drift bounds the difference of two clocks' rates, as a fraction of 1.
+	Drift float64
+}
+
+// Wait returns how long the leader waits on its own clock until a lease of full
+// length is over on any server's clock.
+func (t Terms) Wait() time.Duration {
+	return t.Length + time.Duration(float64(t.Length)*t.Drift)
+}
+
+// Grant returns the lease of a renewal, counted by the server from when it sent
+// its request. start is the start of the latest heartbeat round that a quorum
+// confirmed, received when the request came. Since the send is not after
+// received, the lease ends by start+Length whatever the answer's delay. A plain
+// Length from the send would be wrong: with a round that began before the send
+// it would reach past the wait of a leader elected in between, and a task would
+// run in two places.
+func (t Terms) Grant(start, received time.Duration) time.Duration {
+	return max(0, start+t.Length-received)
+}
+
+// Book notes until when each server's lease may reach, on the leader's clock.
+type Book struct {
+	terms   Terms
+	elected time.Duration
+	ends    map[string]time.Duration
+}
+
+// NewBook returns the book of a leader elected at the time given. Its
+// predecessor may have renewed any lease until then, so none is over before a
+// full wait has passed.
+func NewBook(terms Terms, elected time.Duration) *Book {
+	return &Book{terms: terms, elected: elected, ends: map[string]time.Duration{}}
+}
+
+// Renew notes a renewal before its answer leaves, and returns what to grant.
+func (b *Book) Renew(server string, start, received time.Duration) time.Duration {
+	grant := b.terms.Grant(start, received)
+	if grant > 0 {
+		b.ends[server] = max(b.ends[server], start+b.terms.Wait())
+	}
+	return grant
+}
+
+// Over tells whether the server's lease is over on every clock.
+func (b *Book) Over(server string, now time.Duration) bool {
+	return now > b.elected+b.terms.Wait() && now > b.ends[server]
+}
+
+// Forget drops a server's line; its session must be closed before.
+func (b *Book) Forget(server string) { delete(b.ends, server) }
--- /dev/null
+++ b/internal/ledger/state/attempt.go
@@ -0,0 +1,234 @@
+package state
+
+import (
+	"gypsumreel/internal/api/record"
+	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/domain/backend"
+	"gypsumreel/internal/domain/capacity"
+	"gypsumreel/internal/domain/job"
+	"gypsumreel/internal/domain/task"
+)
+
+// place starts attempts, all or none. It checks again what the planner checked,
+// in the one place where every placement passes: capacity, the team's limit,
+// the server's state and session, and that gangs are whole.
+func (s *State) place(p *record.Place) Result {
+	j, ok := s.jobs[p.GetJob()]
+	if !ok || j.Final() || j.Cancelled || j.Given != code.OK {
+		return refused(code.Unknown, "job")
+	}
+	if j.Spec.Whole() && uint32(len(p.GetSpots())) != j.Spec.Count {
+		return refused(code.Internal, "part of a gang")
+	}
+	if r := s.room(j, p.GetSpots()); r.Code != code.OK {
+		return r
+	}
+	for _, spot := range p.GetSpots() {
+		t := *s.tasks[task.ID{Job: j.Number, Index: spot.GetIndex()}]
+		t.Phase = Placed
+		t.Attempt++
+		t.Server = spot.GetServer()
+		t.Incarnation = spot.GetIncarnation()
+		t.Since = s.at
+		s.putTask(&t)
+		s.watch().Hold(s.jobs[j.Number], &t)
+	}
+	s.conclude(j.Number)
+	return Result{}
+}
+
+// room tells whether all spots fit at once.
+func (s *State) room(j *Job, spots []*record.Spot) Result {
+	more := map[string]capacity.Size{}
+	seen := map[uint32]bool{}
+	for _, spot := range spots {
+		t, ok := s.tasks[task.ID{Job: j.Number, Index: spot.GetIndex()}]
+		if !ok || t.Phase != Queued || seen[t.ID.Index] {
+			return refused(code.Internal, "task does not wait")
+		}
+		seen[t.ID.Index] = true
+		b, ok := s.servers[spot.GetServer()]
+		if !ok || b.Incarnation != spot.GetIncarnation() || !b.Takes() {
+			return refused(code.Stale, spot.GetServer())
+		}
+		more[b.ID] = more[b.ID].Add(j.Spec.Size)
+		if !b.Held.Add(more[b.ID]).Fits(b.Capacity) {
+			return refused(code.NeverFits, b.ID)
+		}
+	}
+	row, ok := s.table.Row(j.Spec.Team)
+	total := s.Held(j.Spec.Team).Add(j.Spec.Size.Times(int64(len(spots))))
+	if !ok || !total.Within(row.Limit) {
+		return refused(code.NeverFits, "limit of the team")
+	}
+	return Result{}
+}
+
+// Takes tells whether the server may be given new work. Quarantined servers
+// take the policy's probes.
+func (b Server) Takes() bool {
+	if b.Drain {
+		return false
+	}
+	return b.Server.State == backend.Ready || b.Server.State == backend.Quarantined
+}
+
+// end takes an attempt's end as its server reported it.
+func (s *State) end(e *record.End) Result {
+	t, ok := s.tasks[task.ID{Job: e.GetJob(), Index: e.GetIndex()}]
+	if !ok || t.Attempt != e.GetAttempt() || !t.Phase.Holds() {
+		return refused(code.Unknown, "attempt")
+	}
+	j := s.jobs[t.ID.Job]
+	next := *t
+	next.Started = t.Started || e.GetStarted()
+	if len(e.GetCheckpoint()) > 0 {
+		next.Checkpoint = e.GetCheckpoint()
+	}
+	how := End{Ran: e.GetStarted(), Failed: e.GetEnded() && e.GetExit() != 0}
+	if e.GetEnded() {
+		next.Exit, next.Answer = e.GetExit(), e.GetAnswer()
+	}
+	s.release(j, &next, how, e.GetEnded() && s.endsFor(j, &next))
+	return Result{}
+}
+
+// endsFor tells whether a task that ended by itself is done for good: it
+// succeeded, it may not be repeated, or nobody wants it any more.
+func (s *State) endsFor(j *Job, t *Task) bool {
+	if j.Spec.Kind == job.Service {
+		return j.Spec.Once || j.Cancelled
+	}
+	return t.Exit == 0 || j.Spec.Once || j.Cancelled || j.Given != code.OK
+}
+
+// End says how an attempt ended.
+type End struct {
+	// Ran is false when the program was never started.
+	Ran bool
+	// Failed tells that it ended by itself with an error.
+	Failed bool
+	// Lost tells that its server went away under it.
+	Lost bool
+}
+
+// release gives an attempt's capacity back and decides what becomes of its task.
+func (s *State) release(j *Job, t *Task, how End, done bool) {
+	id := t.ID
+	t.Since, t.Save = s.at, false
+	switch {
+	case done:
+		t.Phase = Done
+	case how.Lost && j.Spec.Once:
+		// The order may have left and the program may have run: a second
+		// attempt could repeat it, and "not run" might be false.
+		t.Phase = Unknown
+	case j.Spec.Once && t.Started && !j.Cancelled:
+		// Stopped in the middle by its server: it must not start again, and
+		// what it did so far is not known here.
+		t.Phase = Unknown
+	case j.Cancelled || j.Given != code.OK:
+		t.Phase = NotRun
+		if t.Started || how.Lost {
+			t.Phase, t.Started = Done, true
+		}
+	case j.Spec.Whole():
+		t.Phase = Resting
+	default:
+		t.Phase = Queued
+	}
+	s.putTask(t)
+	s.watch().Release(j, s.tasks[id], how)
+	if t.Phase == Queued {
+		s.watch().Queue(s.jobs[id.Job], s.tasks[id])
+	}
+	if j.Spec.Whole() && t.Phase != Done {
+		s.unite(id.Job)
+	}
+	s.conclude(id.Job)
+}
+
+// unite keeps a gang whole after one of its attempts ended early: the others
+// are halted, and once none holds capacity all of them wait again together.
+func (s *State) unite(number uint64) {
+	j := s.jobs[number]
+	for i := range j.Spec.Count {
+		if t := s.tasks[task.ID{Job: number, Index: i}]; t.Phase == Placed {
+			s.stopping(t, true)
+		}
+	}
+	j = s.jobs[number]
+	if j.Held > 0 || j.Cancelled || j.Given != code.OK {
+		return
+	}
+	if j.Spec.Once {
+		s.settle(j)
+		return
+	}
+	for i := range j.Spec.Count {
+		t := *s.tasks[task.ID{Job: number, Index: i}]
+		if t.Phase.Final() && t.Phase != Done {
+			continue
+		}
+		t.Phase, t.Exit, t.Answer, t.Since = Queued, 0, nil, s.at
+		s.putTask(&t)
+	}
+	for i := range j.Spec.Count {
+		s.watch().Queue(s.jobs[number], s.tasks[task.ID{Job: number, Index: i}])
+	}
+}
+
+// settle ends a gang that may not be repeated and lost a task: those that never
+// started could only run without the others. If none started, the gang waits again.
+func (s *State) settle(j *Job) {
+	fresh := true
+	for i := range j.Spec.Count {
+		t := s.tasks[task.ID{Job: j.Number, Index: i}]
+		fresh = fresh && t.Phase == Resting && !t.Started
+	}
+	for i := range j.Spec.Count {
+		t := *s.tasks[task.ID{Job: j.Number, Index: i}]
+		if t.Phase != Resting {
+			continue
+		}
+		t.Phase, t.Since = NotRun, s.at
+		if fresh {
+			t.Phase = Queued
+		}
+		s.putTask(&t)
+		if fresh {
+			s.watch().Queue(s.jobs[j.Number], s.tasks[t.ID])
+		}
+	}
+}
+
+// halt marks attempts to be stopped. A gang is halted whole.
+func (s *State) halt(h *record.Halt) Result {
+	j, ok := s.jobs[h.GetJob()]
+	if !ok {
+		return refused(code.Unknown, "job")
+	}
+	if j.Spec.Once && !j.Cancelled {
+		return refused(code.InUse, "may not be repeated")
+	}
+	indexes := h.GetIndexes()
+	if j.Spec.Whole() {
+		indexes = nil
+		for i := range j.Spec.Count {
+			indexes = append(indexes, i)
+		}
+	}
+	for _, i := range indexes {
+		if t, ok := s.tasks[task.ID{Job: j.Number, Index: i}]; ok && t.Phase == Placed {
+			s.stopping(t, h.GetCheckpoint())
+		}
+	}
+	return Result{}
+}
+
+func (s *State) stopping(t *Task, save bool) {
+	next := *t
+	next.Phase, next.Save, next.Since = Stopping, save, s.at
+	s.putTask(&next)
+	s.watch().Stopping(s.jobs[t.ID.Job], &next)
+}
--- /dev/null
+++ b/internal/ledger/state/job.go
@@ -0,0 +1,292 @@
+package state
+
+import (
+	"time"
+
+	"gypsumreel/internal/api/record"
+	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/domain/job"
+	"gypsumreel/internal/domain/task"
+	"gypsumreel/internal/ledger/command"
+)
+
+// Phase is where a task stands in the ledger.
+type Phase uint8
+
+// The phases of a task. Placed and Stopping hold capacity.
+const (
+	// Queued tasks wait for a placement.
+	Queued Phase = iota + 1
+	// Placed tasks have an attempt that may be running.
+	Placed
+	// Stopping tasks have an attempt that is ordered to stop.
+	Stopping
+	// Resting tasks of a gang wait for its other tasks to stop.
+	Resting
+	// Done tasks ended by themselves, or were stopped for good.
+	Done
+	// NotRun tasks never started and never will.
+	NotRun
+	// Unknown tasks may not be repeated and were lost with their server.
+	Unknown
+)
+
+var phaseNames = [...]string{"none", "queued", "placed", "stopping", "resting", "done", "notrun", "unknown"}
+
+// String returns the phase's name in lower case.
+func (p Phase) String() string {
+	if int(p) >= len(phaseNames) {
+		return phaseNames[0]
+	}
+	return phaseNames[p]
+}
+
+// Holds tells whether a task in this phase counts as running.
+func (p Phase) Holds() bool { return p == Placed || p == Stopping }
+
+// Final tells whether a task in this phase never changes again.
+func (p Phase) Final() bool { return p >= Done }
+
+// Job is one accepted or refused job. It is immutable.
+type Job struct {
+	Number uint64
+	Spec   *job.Spec
+	// Sum is the hash of the request, to tell a resend from other content.
+	Sum      uint64
+	Accepted time.Duration
+	Outcome  v1.Outcome
+	Code     code.Code
+	// Given is the reason for which the job was given up; code.OK when it was not.
+	Given     code.Code
+	Cancelled bool
+	// Ended is when the outcome became final.
+	Ended time.Duration
+
+	// Tasks by phase, derived from the tasks.
+	Waiting uint32
+	Held    uint32
+	Finals  uint32
+
+	hash uint64
+}
+
+// Final tells whether the outcome never changes again.
+func (j *Job) Final() bool { return j.Outcome >= v1.Outcome_OUTCOME_DONE }
+
+// Request returns the job's name as its caller knows it.
+func (j *Job) Request() RequestID { return RequestID{Team: j.Spec.Team, ID: j.Spec.ID} }
+
+// Task is one task of a job. It is immutable.
+type Task struct {
+	ID    task.ID
+	Phase Phase
+	// Attempt is the number of the latest attempt, 0 before the first.
+	Attempt     uint32
+	Server      string
+	Incarnation uint64
+	// Since is when the phase was entered.
+	Since time.Duration
+	Exit  int32
+	// Started tells that the program ran in some attempt.
+	Started bool
+	// Save tells that a stopping task is to leave a checkpoint and run again.
+	Save       bool
+	Answer     []byte
+	Checkpoint []byte
+
+	hash uint64
+}
+
+// Current returns the name of the latest attempt.
+func (t *Task) Current() task.Attempt { return task.Attempt{ID: t.ID, Number: t.Attempt} }
+
+func (s *State) accept(a *record.Accept) Result {
+	if j, ok := s.known(a.GetTeam(), a.GetSpec()); ok {
+		return s.again(j, a.GetSpec())
+	}
+	k, ok := s.keys[a.GetKey()]
+	if !ok || k.Withdrawn || k.Team != a.GetTeam() {
+		return refused(code.BadKey, "")
+	}
+	j := s.newJob(a.GetTeam(), a.GetSpec())
+	j.Outcome = v1.Outcome_OUTCOME_QUEUED
+	s.putJob(j)
+	for i := range j.Spec.Count {
+		id := task.ID{Job: j.Number, Index: i}
+		s.putTask(&Task{ID: id, Phase: Queued, Since: s.at})
+		s.watch().Queue(s.jobs[j.Number], s.tasks[id])
+	}
+	return Result{Job: s.jobs[j.Number]}
+}
+
+// refuse keeps the id as not run for good. Without the record a copy of the
+// request that was delayed in a connection could be accepted after its caller
+// was told "not run".
+func (s *State) refuse(r *record.Refuse) Result {
+	if j, ok := s.known(r.GetTeam(), r.GetSpec()); ok {
+		return s.again(j, r.GetSpec())
+	}
+	j := s.newJob(r.GetTeam(), r.GetSpec())
+	j.Outcome = v1.Outcome_OUTCOME_NOT_RUN
+	j.Code = code.Code(r.GetCode())
+	j.Ended = s.at
+	s.putJob(j)
+	return Result{Job: s.jobs[j.Number]}
+}
+
+func (s *State) known(team string, spec *v1.Spec) (*Job, bool) {
+	return s.Find(RequestID{Team: team, ID: spec.GetId()})
+}
+
+// again answers a resend with the first outcome. The same id with other content
+// is a caller's mistake that must not be answered with a stranger's outcome.
+func (s *State) again(j *Job, spec *v1.Spec) Result {
+	if j.Sum != sumSpec(j.Spec.Team, spec) {
+		return refused(code.IDReused, j.Spec.ID)
+	}
+	return Result{Job: j}
+}
+
+func (s *State) newJob(team string, spec *v1.Spec) *Job {
+	j := &Job{Number: s.next, Spec: command.Spec(team, spec), Sum: sumSpec(team, spec), Accepted: s.at}
+	s.next++
+	return j
+}
+
+func (s *State) cancel(c *record.Cancel) Result {
+	for _, number := range c.GetJobs() {
+		j, ok := s.jobs[number]
+		if !ok || j.Final() || j.Cancelled {
+			continue
+		}
+		next := *j
+		next.Cancelled = true
+		s.putJob(&next)
+		s.giveUp(number)
+	}
+	return Result{}
+}
+
+// drop ends a job for a reason of the policy. A deadline is no reason once a
+// task of the job was placed: "not run" would not be true.
+func (s *State) drop(d *record.Drop) Result {
+	j, ok := s.jobs[d.GetJob()]
+	if !ok || j.Final() || j.Given != code.OK {
+		return refused(code.Unknown, "")
+	}
+	given := code.Code(d.GetCode())
+	if given == code.DeadlinePassed && !s.untouched(j) {
+		return refused(code.InUse, "a task was placed")
+	}
+	next := *j
+	next.Given = given
+	s.putJob(&next)
+	s.giveUp(d.GetJob())
+	return Result{}
+}
+
+func (s *State) untouched(j *Job) bool {
+	for i := range j.Spec.Count {
+		if s.tasks[task.ID{Job: j.Number, Index: i}].Attempt > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// giveUp ends the waiting tasks of a job and halts those that hold capacity.
+func (s *State) giveUp(number uint64) {
+	j := s.jobs[number]
+	for i := range j.Spec.Count {
+		t := s.tasks[task.ID{Job: number, Index: i}]
+		switch t.Phase {
+		case Queued:
+			s.watch().Unqueue(t.ID)
+			s.finish(t)
+		case Resting:
+			s.finish(t)
+		case Placed:
+			s.stopping(t, false)
+		}
+	}
+	s.conclude(number)
+}
+
+// finish ends a task that will not be placed (again) because its job was given up.
+func (s *State) finish(t *Task) {
+	next := *t
+	next.Phase = NotRun
+	if t.Started {
+		next.Phase = Done
+	}
+	next.Since = s.at
+	s.putTask(&next)
+}
+
+// conclude gives a job its outcome once all of its tasks are final.
+func (s *State) conclude(number uint64) {
+	j := s.jobs[number]
+	if j.Final() {
+		return
+	}
+	next := *j
+	if j.Finals < j.Spec.Count {
+		next.Outcome = v1.Outcome_OUTCOME_QUEUED
+		if j.Held > 0 {
+			next.Outcome = v1.Outcome_OUTCOME_RUNNING
+		}
+		if next.Outcome != j.Outcome {
+			s.putJob(&next)
+		}
+		return
+	}
+	next.Outcome, next.Code = s.outcome(j)
+	next.Ended = s.at
+	s.putJob(&next)
+	s.watch().Ended(s.jobs[number])
+}
+
+// outcome sums up the final phases of a job's tasks.
+func (s *State) outcome(j *Job) (v1.Outcome, code.Code) {
+	ran, failed := false, false
+	for i := range j.Spec.Count {
+		t := s.tasks[task.ID{Job: j.Number, Index: i}]
+		if t.Phase == Unknown {
+			return v1.Outcome_OUTCOME_UNKNOWN, code.Lost
+		}
+		ran = ran || t.Phase == Done
+		failed = failed || t.Exit != 0
+	}
+	switch {
+	case !ran && j.Cancelled:
+		return v1.Outcome_OUTCOME_NOT_RUN, code.Cancelled
+	case !ran:
+		return v1.Outcome_OUTCOME_NOT_RUN, j.Given
+	case j.Cancelled:
+		return v1.Outcome_OUTCOME_DONE, code.Stopped
+	case j.Given != code.OK:
+		return v1.Outcome_OUTCOME_DONE, j.Given
+	case failed:
+		return v1.Outcome_OUTCOME_DONE, code.TaskFailed
+	}
+	return v1.Outcome_OUTCOME_DONE, code.OK
+}
+
+// forget drops ended jobs, old answers and servers that are gone and empty.
+func (s *State) forget(f *record.Forget) Result {
+	for _, number := range f.GetJobs() {
+		if j, ok := s.jobs[number]; ok && j.Final() {
+			s.removeJob(j)
+		}
+	}
+	for _, id := range f.GetChanges() {
+		s.removeAnswer(id)
+	}
+	for _, id := range f.GetServers() {
+		if b, ok := s.servers[id]; ok && len(s.placed[id]) == 0 && b.Server.State == gone {
+			s.removeServer(id)
+		}
+	}
+	return Result{}
+}
--- /dev/null
+++ b/internal/ledger/state/state.go
@@ -0,0 +1,218 @@
+// Package state is the ledger: teams, keys, the table, jobs, tasks, backend
+// servers and the answers given to changes. It is a deterministic state
+// machine: the same commands give the same state on every replica. It has no
+// clock and does no I/O; time comes in with each command.
+package state
+
+import (
+	"time"
+
+	"gypsumreel/internal/api/record"
+	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/domain/backend"
+	"gypsumreel/internal/domain/capacity"
+	"gypsumreel/internal/domain/key"
+	"gypsumreel/internal/domain/table"
+	"gypsumreel/internal/domain/task"
+)
+
+// RequestID names a job as its caller does.
+type RequestID struct {
+	Team string
+	ID   string
+}
+
+// State is the ledger. Its values are immutable and replaced whole, so that a
+// shallow copy is a consistent picture.
+type State struct {
+	// Watch is told of every change; nil on replicas that only follow.
+	Watch Watch
+
+	at      time.Duration
+	next    uint64
+	digest  uint64
+	table   table.Table
+	keys    map[string]key.Key
+	answers map[string]Answer
+	servers map[string]Server
+	jobs    map[uint64]*Job
+	tasks   map[task.ID]*Task
+	ids     map[RequestID]uint64
+
+	// Derived, not part of the digest.
+	teams  map[string]*usage
+	placed map[string]map[task.ID]*Task
+}
+
+// usage is what a team has in the ledger.
+type usage struct {
+	held    capacity.Size
+	waiting int
+	active  int
+	jobs    map[uint64]*Job
+}
+
+// Server is a backend server with what the ledger adds to it.
+type Server struct {
+	backend.Server
+	// Held is the declared size of everything that is not proved stopped on it.
+	Held capacity.Size
+	// Drain tells that an operator or the server itself asked for no new work.
+	Drain bool
+}
+
+// Answer is what an operator's change was told.
+type Answer struct {
+	// Sum is the hash of the change, to tell a resend from other content.
+	Sum      uint64
+	Code     code.Code
+	Detail   string
+	Revision uint64
+	At       time.Duration
+}
+
+// Result is what the one who asked for a command is told.
+type Result struct {
+	// Code is code.OK when the command took effect (or had before).
+	Code   code.Code
+	Detail string
+	// Job is the job accepted or found by Accept and Refuse.
+	Job *Job
+	// Incarnation is the one given by Announce.
+	Incarnation uint64
+	// Revision is the table's revision after a Change.
+	Revision uint64
+}
+
+// New returns an empty ledger.
+func New() *State {
+	return &State{
+		next:    1,
+		keys:    map[string]key.Key{},
+		answers: map[string]Answer{},
+		servers: map[string]Server{},
+		jobs:    map[uint64]*Job{},
+		tasks:   map[task.ID]*Task{},
+		ids:     map[RequestID]uint64{},
+		teams:   map[string]*usage{},
+		placed:  map[string]map[task.ID]*Task{},
+	}
+}
+
+// Apply makes one command take effect. A command that the state does not allow
+// changes nothing and says why: a planner's fault never breaks a promise.
+func (s *State) Apply(c *record.Command) Result {
+	// A leader's clock may be behind its predecessor's; the ledger's never goes back.
+	s.at = max(s.at, time.Duration(c.GetAt()))
+	switch w := c.GetWhat().(type) {
+	case *record.Command_Accept:
+		return s.accept(w.Accept)
+	case *record.Command_Refuse:
+		return s.refuse(w.Refuse)
+	case *record.Command_Place:
+		return s.place(w.Place)
+	case *record.Command_End:
+		return s.end(w.End)
+	case *record.Command_Halt:
+		return s.halt(w.Halt)
+	case *record.Command_Cancel:
+		return s.cancel(w.Cancel)
+	case *record.Command_Drop:
+		return s.drop(w.Drop)
+	case *record.Command_Announce:
+		return s.announce(w.Announce)
+	case *record.Command_Mark:
+		return s.mark(w.Mark)
+	case *record.Command_Fence:
+		return s.fence(w.Fence)
+	case *record.Command_Change:
+		return s.change(w.Change)
+	case *record.Command_Forget:
+		return s.forget(w.Forget)
+	case *record.Command_Check:
+		return s.check(w.Check)
+	}
+	return refused(code.Internal, "empty command")
+}
+
+func refused(c code.Code, detail string) Result { return Result{Code: c, Detail: detail} }
+
+// check compares the leader's digest of the state with this replica's own. A
+// replica whose state differs (a fault in memory, on disk or in this program)
+// must not go on: it would lead with a ledger that nobody agreed on.
+func (s *State) check(c *record.Check) Result {
+	if c.GetDigest() != s.digest {
+		return refused(code.Internal, "digest differs")
+	}
+	return Result{}
+}
+
+// Digest returns a hash over all records, the same on replicas in the same state.
+func (s *State) Digest() uint64 { return s.digest }
+
+// At returns the time of the latest command.
+func (s *State) At() time.Duration { return s.at }
+
+// Table returns the table in force.
+func (s *State) Table() table.Table { return s.table }
+
+// Key returns a key by its id.
+func (s *State) Key(id string) (key.Key, bool) {
+	k, ok := s.keys[id]
+	return k, ok
+}
+
+// Job returns a job by its number.
+func (s *State) Job(number uint64) (*Job, bool) {
+	j, ok := s.jobs[number]
+	return j, ok
+}
+
+// Find returns a job by its caller's id.
+func (s *State) Find(id RequestID) (*Job, bool) {
+	return s.Job(s.ids[id])
+}
+
+// Task returns a task by its id.
+func (s *State) Task(id task.ID) (*Task, bool) {
+	t, ok := s.tasks[id]
+	return t, ok
+}
+
+// Server returns a backend server by its id.
+func (s *State) Server(id string) (Server, bool) {
+	b, ok := s.servers[id]
+	return b, ok
+}
+
+// Held returns the declared size of everything of a team that is not proved stopped.
+func (s *State) Held(team string) capacity.Size {
+	if u := s.teams[team]; u != nil {
+		return u.held
+	}
+	return capacity.Size{}
+}
+
+// Waiting returns the number of a team's jobs that have a task waiting.
+func (s *State) Waiting(team string) int {
+	if u := s.teams[team]; u != nil {
+		return u.waiting
+	}
+	return 0
+}
+
+// Placed calls fn for each task held on a server, in no fixed order.
+func (s *State) Placed(server string, fn func(*Task)) {
+	for _, t := range s.placed[server] {
+		fn(t)
+	}
+}
+
+func (s *State) usage(team string) *usage {
+	u := s.teams[team]
+	if u == nil {
+		u = &usage{jobs: map[uint64]*Job{}}
+		s.teams[team] = u
+	}
+	return u
+}
--- /dev/null
+++ b/internal/ledger/state/store.go
@@ -0,0 +1,208 @@
+package state
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"gypsumreel/internal/api/record"
+	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/domain/key"
+	"gypsumreel/internal/domain/table"
+	"gypsumreel/internal/domain/task"
+	"gypsumreel/internal/ledger/command"
+)
+
+// The functions below are the only ones that write the state. Each keeps the
+// digest (the exclusive or of the hashes of all records, so that one change
+// costs one hash) and the derived counts in step.
+
+// sumOf returns the hash of a message.
+func sumOf(m proto.Message) uint64 { return xxhash.Sum64(command.Encode(m)) }
+
+// sumSpec returns the hash that tells a resend of a job from other content
+// under the same id. It is taken over the form that a snapshot keeps: a field
+// that is absent in one encoding and zero in another must not make a difference.
+func sumSpec(owner string, m *v1.Spec) uint64 {
+	return sumOf(command.SpecMessage(command.Spec(owner, m)))
+}
+
+// swap replaces a record's hash in the digest.
+func (s *State) swap(old, fresh uint64) { s.digest ^= old ^ fresh }
+
+func (s *State) putJob(j *Job) {
+	old := s.jobs[j.Number]
+	j.hash = sumOf(jobRecord(j))
+	if old != nil {
+		s.swap(old.hash, j.hash)
+	} else {
+		s.swap(0, j.hash)
+		s.ids[j.Request()] = j.Number
+		u := s.usage(j.Spec.Team)
+		u.jobs[j.Number] = j
+	}
+	s.storeJob(old, j)
+}
+
+// storeJob stores a job and keeps the team's count of waiting jobs.
+func (s *State) storeJob(old, j *Job) {
+	u := s.usage(j.Spec.Team)
+	if old != nil {
+		u.count(old, -1)
+	}
+	u.count(j, 1)
+	u.jobs[j.Number] = j
+	s.jobs[j.Number] = j
+}
+
+func (u *usage) count(j *Job, n int) {
+	if j.Final() {
+		return
+	}
+	u.active += n
+	if j.Waiting > 0 {
+		u.waiting += n
+	}
+}
+
+func (s *State) removeJob(j *Job) {
+	for i := range j.Spec.Count {
+		if t, ok := s.tasks[task.ID{Job: j.Number, Index: i}]; ok {
+			s.swap(t.hash, 0)
+			delete(s.tasks, t.ID)
+		}
+	}
+	s.swap(j.hash, 0)
+	delete(s.jobs, j.Number)
+	delete(s.ids, j.Request())
+	u := s.usage(j.Spec.Team)
+	u.count(j, -1)
+	delete(u.jobs, j.Number)
+}
+
+func (s *State) putTask(t *Task) {
+	old := s.tasks[t.ID]
+	t.hash = sumOf(taskRecord(t))
+	j := *s.jobs[t.ID.Job]
+	if old != nil {
+		s.swap(old.hash, t.hash)
+		s.tally(&j, old, -1)
+	} else {
+		s.swap(0, t.hash)
+	}
+	s.tasks[t.ID] = t
+	s.tally(&j, t, 1)
+	s.storeJob(s.jobs[j.Number], &j)
+}
+
+// tally adds (n = 1) or takes away (n = -1) a task in all derived counts.
+func (s *State) tally(j *Job, t *Task, n int) {
+	d := uint32(n) // wraps for -1, as meant
+	switch {
+	case t.Phase.Holds():
+		j.Held += d
+		s.hold(j, t, n)
+	case t.Phase.Final():
+		j.Finals += d
+	default:
+		j.Waiting += d
+	}
+}
+
+func (s *State) hold(j *Job, t *Task, n int) {
+	size := j.Spec.Size.Times(int64(n))
+	u := s.usage(j.Spec.Team)
+	u.held = u.held.Add(size)
+	b := s.servers[t.Server]
+	b.Held = b.Held.Add(size)
+	s.servers[t.Server] = b
+	if n < 0 {
+		delete(s.placed[t.Server], t.ID)
+		return
+	}
+	if s.placed[t.Server] == nil {
+		s.placed[t.Server] = map[task.ID]*Task{}
+	}
+	s.placed[t.Server][t.ID] = t
+}
+
+func (s *State) putServer(b Server) {
+	if old, ok := s.servers[b.ID]; ok && old.ID != "" {
+		s.swap(sumOf(serverRecord(old)), 0)
+	}
+	s.swap(0, sumOf(serverRecord(b)))
+	s.servers[b.ID] = b
+}
+
+func (s *State) removeServer(id string) {
+	s.swap(sumOf(serverRecord(s.servers[id])), 0)
+	delete(s.servers, id)
+	delete(s.placed, id)
+}
+
+func (s *State) putKey(k key.Key) {
+	if old, ok := s.keys[k.ID]; ok {
+		s.swap(sumOf(keyRecord(old)), 0)
+	}
+	s.swap(0, sumOf(keyRecord(k)))
+	s.keys[k.ID] = k
+}
+
+func (s *State) putAnswer(id string, a Answer) {
+	s.swap(0, sumOf(answerRecord(id, a)))
+	s.answers[id] = a
+}
+
+func (s *State) removeAnswer(id string) {
+	if a, ok := s.answers[id]; ok {
+		s.swap(sumOf(answerRecord(id, a)), 0)
+		delete(s.answers, id)
+	}
+}
+
+func (s *State) putTable(t table.Table) {
+	s.swap(sumOf(tableRecord(s.table)), sumOf(tableRecord(t)))
+	s.table = t
+}
+
+// sorted returns the keys of a map in a fixed order.
+func sorted[K ~string | ~uint64, V any](m map[K]V) []K {
+	ks := make([]K, 0, len(m))
+	for k := range m {
+		ks = append(ks, k)
+	}
+	slices.Sort(ks)
+	return ks
+}
+
+// Copy returns a picture of the state that later commands do not change. Values
+// are shared, since they are immutable; only the maps are copied.
+func (s *State) Copy() *State {
+	c := New()
+	c.at, c.next, c.digest, c.table = s.at, s.next, s.digest, s.table
+	for k, v := range s.keys {
+		c.keys[k] = v
+	}
+	for k, v := range s.answers {
+		c.answers[k] = v
+	}
+	for k, v := range s.servers {
+		c.servers[k] = v
+	}
+	for k, v := range s.jobs {
+		c.jobs[k] = v
+	}
+	for k, v := range s.tasks {
+		c.tasks[k] = v
+	}
+	return c
+}
+
+func tableRecord(t table.Table) *record.Header {
+	h := &record.Header{Revision: t.Revision()}
+	for _, r := range t.Rows() {
+		h.Rows = append(h.Rows, command.RowMessage(r))
+	}
+	return h
+}
