--- /dev/null
+++ b/internal/control/entry/entry.go
@@ -0,0 +1,152 @@
+// Package entry serves the entries: it takes their items to the control thread
+// and hands them the replies.
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"gypsumreel/internal/api/inner"
+	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/control/leader"
+	"gypsumreel/internal/control/mailbox"
+)
+
+// Bounds of the service.
+const (
+	// pullWait bounds one Pull, so that a silent connection shows.
+	pullWait = 2 * time.Second
+	// idleBox is after how long without a Pull a mailbox is dropped.
+	idleBox = 30 * time.Second
+	// maxItems bounds the items of one Push.
+	maxItems = 4096
+)
+
+// Server implements inner.Control. The exported fields are set before use.
+type Server struct {
+	Cell   string
+	Leader *leader.Leader
+	// Now is the group's monotonic clock.
+	Now func() time.Duration
+	// Dumper returns the state of the process for a person to read.
+	Dumper func() any
+
+	mu    sync.Mutex
+	term  uint64
+	boxes map[mailbox.Name]*mailbox.Mailbox
+}
+
+var _ inner.Control = (*Server)(nil)
+
+// Handler returns the HTTP handler of the service.
+func (s *Server) Handler() http.Handler { return inner.NewControlServer(s) }
+
+// Push hands items to the control thread.
+func (s *Server) Push(_ context.Context, req *inner.PushRequest) (*inner.PushReply, error) {
+	if err := s.check(req.GetCell()); err != nil {
+		return nil, err
+	}
+	if len(req.GetItems()) > maxItems {
+		return nil, twirp.InvalidArgumentError("items", "too many")
+	}
+	st := s.Leader.Status()
+	if !st.Leads {
+		return &inner.PushReply{Redirect: redirect(st)}, nil
+	}
+	box := s.box(st.Term, mailbox.Name{Entry: req.GetEntry(), Session: req.GetSession()})
+	if s.Leader.Push(leader.Batch{Box: box, Received: s.Now(), Items: req.GetItems()}) {
+		return &inner.PushReply{}, nil
+	}
+	rep := &inner.PushReply{}
+	for _, it := range req.GetItems() {
+		rep.Refused = append(rep.Refused, it.GetSeq())
+	}
+	return rep, nil
+}
+
+// Pull returns the replies that wait for the entry.
+func (s *Server) Pull(ctx context.Context, req *inner.PullRequest) (*inner.PullReply, error) {
+	if err := s.check(req.GetCell()); err != nil {
+		return nil, err
+	}
+	st := s.Leader.Status()
+	if !st.Leads {
+		return &inner.PullReply{Redirect: redirect(st)}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, pullWait)
+	defer cancel()
+	box := s.box(st.Term, mailbox.Name{Entry: req.GetEntry(), Session: req.GetSession()})
+	b := box.Pull(ctx, req.GetEpoch(), req.GetAck())
+	st = s.Leader.Status()
+	if b.Closed || !st.Leads {
+		return &inner.PullReply{Redirect: redirect(st)}, nil
+	}
+	return &inner.PullReply{First: b.First, Replies: b.Replies, Revision: st.Revision, Epoch: b.Epoch}, nil
+}
+
+// Dump returns the state of this process.
+func (s *Server) Dump(context.Context, *v1.DumpRequest) (*v1.DumpReply, error) {
+	if s.Dumper == nil {
+		return &v1.DumpReply{Status: &v1.Status{}}, nil
+	}
+	text, err := json.MarshalIndent(s.Dumper(), "", "  ")
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &v1.DumpReply{Status: &v1.Status{}, Text: string(text)}, nil
+}
+
+// check refuses a process of another cell: a wrong address in the settings
+// must not mix two cells' work.
+func (s *Server) check(cell string) error {
+	if cell != s.Cell {
+		return twirp.NewError(twirp.PermissionDenied, "this is cell "+s.Cell)
+	}
+	return nil
+}
+
+func redirect(st leader.Status) *inner.Redirect {
+	return &inner.Redirect{Leader: st.Leader, Address: st.Address}
+}
+
+// box returns the mailbox of an entry's run in a term. Those of other terms
+// are closed, so that what waits at them is asked of the leader anew.
+func (s *Server) box(term uint64, name mailbox.Name) *mailbox.Mailbox {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.boxes == nil || s.term != term {
+		s.closeAll()
+		s.term, s.boxes = term, map[mailbox.Name]*mailbox.Mailbox{}
+	}
+	for n, b := range s.boxes {
+		if n != name && b.Idle() > idleBox {
+			b.Close()
+			delete(s.boxes, n)
+		}
+	}
+	b := s.boxes[name]
+	if b == nil {
+		b = mailbox.New(term<<32 ^ name.Session)
+		s.boxes[name] = b
+	}
+	return b
+}
+
+// CloseAll ends all mailboxes; the control process calls it when it stops to lead.
+func (s *Server) CloseAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closeAll()
+	s.boxes = nil
+}
+
+func (s *Server) closeAll() {
+	for _, b := range s.boxes {
+		b.Close()
+	}
+}
--- /dev/null
+++ b/internal/control/leader/ask.go
@@ -0,0 +1,357 @@
+package leader
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"gypsumreel/internal/api/inner"
+	"gypsumreel/internal/api/record"
+	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/domain/answer"
+	"gypsumreel/internal/domain/backend"
+	"gypsumreel/internal/domain/key"
+	"gypsumreel/internal/ledger/command"
+	"gypsumreel/internal/ledger/state"
+)
+
+// batch handles the items of one Push. Items that come while this replica does
+// not lead are dropped: the entry's Pull is redirected and asks the leader.
+func (l *Leader) batch(b Batch) {
+	if l.lead == nil {
+		return
+	}
+	for _, it := range b.Items {
+		to := Ticket{Box: b.Box, Seq: it.GetSeq(), Received: b.Received}
+		if n := it.GetBudget(); n > 0 {
+			to.Until = b.Received + time.Duration(n)*time.Millisecond
+		}
+		l.item(to, it)
+	}
+}
+
+// item handles one item. The order of the checks matters: nothing is read or
+// changed before the key that came with it is known to be good now.
+func (l *Leader) item(to Ticket, it *inner.Item) {
+	if !l.current() {
+		l.refuse(to, code.New(code.NoLeader, "try again"))
+		return
+	}
+	switch ask := it.GetAsk().(type) {
+	case *inner.Item_Announce:
+		l.announce(to, ask.Announce)
+		return
+	case *inner.Item_Sync:
+		l.sync(to, ask.Sync)
+		return
+	case *inner.Item_Leave:
+		l.leave(to, ask.Leave)
+		return
+	}
+	k, err := l.authorize(it.GetCredential())
+	if err != nil {
+		l.refuse(to, err)
+		return
+	}
+	switch ask := it.GetAsk().(type) {
+	case *inner.Item_Change:
+		l.operator(to, k, func() { l.change(to, k, ask.Change) })
+	case *inner.Item_Show:
+		l.operator(to, k, func() { l.show(to, ask.Show) })
+	default:
+		l.caller(to, k, it)
+	}
+}
+
+// current tells whether a quorum confirmed lately that this replica leads. One
+// that is cut off silently must stop to answer before long: it does not hear of
+// keys that are withdrawn elsewhere.
+func (l *Leader) current() bool {
+	return l.lead.proved && l.Now()-l.lead.confirmed <= l.Fresh
+}
+
+func (l *Leader) authorize(c *inner.Credential) (key.Key, *code.Error) {
+	k, ok := l.st.Key(c.GetId())
+	if !ok || !k.Matches(c.GetDigest()) || k.Withdrawn {
+		return key.Key{}, code.New(code.BadKey, "")
+	}
+	return k, nil
+}
+
+func (l *Leader) operator(to Ticket, k key.Key, fn func()) {
+	if !k.Operator {
+		l.refuse(to, code.New(code.Forbidden, "an operator's key is needed"))
+		return
+	}
+	fn()
+}
+
+func (l *Leader) caller(to Ticket, k key.Key, it *inner.Item) {
+	if k.Operator {
+		l.refuse(to, code.New(code.Forbidden, "a team's key is needed"))
+		return
+	}
+	switch ask := it.GetAsk().(type) {
+	case *inner.Item_Submit:
+		l.submit(to, k, ask.Submit)
+	case *inner.Item_Wait:
+		l.wait(to, k, ask.Wait)
+	case *inner.Item_Cancel:
+		l.cancel(to, k, ask.Cancel)
+	case *inner.Item_List:
+		l.read(to, func() { l.list(to, k, ask.List) })
+	case *inner.Item_Acknowledge:
+		l.acknowledge(to, k, ask.Acknowledge)
+	default:
+		l.refuse(to, code.New(code.Malformed, "empty item"))
+	}
+}
+
+func (l *Leader) submit(to Ticket, k key.Key, req *v1.SubmitRequest) {
+	rep := &v1.SubmitReply{}
+	for _, spec := range req.GetJobs() {
+		rep.Jobs = append(rep.Jobs, l.accept(k, spec))
+	}
+	l.lead.dirty = true
+	l.reply(to, &inner.Reply{Answer: &inner.Reply_Submit{Submit: rep}})
+}
+
+func (l *Leader) accept(k key.Key, spec *v1.Spec) *v1.Accepted {
+	c := &record.Command{What: &record.Command_Accept{Accept: &record.Accept{Team: k.Team, Key: k.ID, Spec: spec}}}
+	var retry time.Duration
+	if _, ok := l.st.Find(state.RequestID{Team: k.Team, ID: spec.GetId()}); !ok {
+		var why code.Code
+		if why, retry = l.admit(k.Team, spec); why != code.OK {
+			c = &record.Command{What: &record.Command_Refuse{Refuse: &record.Refuse{Team: k.Team, Spec: spec, Code: uint32(why)}}}
+		}
+	}
+	r := l.do(c)
+	if r.Code != code.OK {
+		return &v1.Accepted{Id: spec.GetId(), Status: status(&code.Error{Code: r.Code, Detail: r.Detail})}
+	}
+	st := status(&code.Error{Code: r.Job.Code})
+	st.Retry = uint64(retry / time.Millisecond)
+	return &v1.Accepted{Id: spec.GetId(), Status: st, Outcome: r.Job.Outcome}
+}
+
+// admit says whether new work is taken, and when to come back if not.
+func (l *Leader) admit(owner string, spec *v1.Spec) (code.Code, time.Duration) {
+	row, ok := l.st.Table().Row(owner)
+	if !ok {
+		return code.Forbidden, 0
+	}
+	if l.full {
+		return code.DiskFull, hint(time.Minute)
+	}
+	if l.st.Waiting(owner) >= int(row.Queue) {
+		return code.QueueFull, hint(time.Second)
+	}
+	size := command.Size(spec.GetSize())
+	need := size
+	if spec.GetKind() == v1.Kind_KIND_GANG {
+		need = size.Times(int64(spec.GetCount()))
+	}
+	if !need.Within(row.Limit) {
+		return code.NeverFits, 0
+	}
+	if !l.fits(func(b state.Server) bool { return size.Fits(b.Capacity) }) {
+		return code.NeverFits, 0
+	}
+	return code.OK, 0
+}
+
+// hint spreads the return of refused callers, so that they do not come at once.
+func hint(d time.Duration) time.Duration {
+	return d + time.Duration(rand.Int64N(int64(d)))
+}
+
+func (l *Leader) fits(fn func(state.Server) bool) bool {
+	known := false
+	for _, b := range l.st.Servers() {
+		if b.Server.State == backend.Gone {
+			continue
+		}
+		known = true
+		if fn(b) {
+			return true
+		}
+	}
+	return !known
+}
+
+// waiter is a Wait that is parked until the job ends.
+type waiter struct {
+	to    Ticket
+	chunk uint32
+	done  bool
+}
+
+func (l *Leader) wait(to Ticket, k key.Key, req *v1.WaitRequest) {
+	id := state.RequestID{Team: k.Team, ID: req.GetId()}
+	j, ok := l.st.Find(id)
+	if !ok {
+		l.read(to, func() { l.missing(to, id) })
+		return
+	}
+	if j.Final() {
+		l.answer(to, j, req.GetChunk())
+		return
+	}
+	w := &waiter{to: to, chunk: req.GetChunk()}
+	l.lead.waits[id] = append(l.lead.waits[id], w)
+	l.at(l.until(to, req.GetPatience()), func() { l.tired(id, w) })
+}
+
+// missing answers that a job is not known, after the proof that this is current.
+func (l *Leader) missing(to Ticket, id state.RequestID) {
+	if j, ok := l.st.Find(id); ok {
+		l.answer(to, j, 0)
+		return
+	}
+	l.refuse(to, code.New(code.Unknown, "%s", id.ID))
+}
+
+// until returns when a long poll ends: after the patience asked for, the bound
+// on patience, or the caller's own deadline, whichever is first.
+func (l *Leader) until(to Ticket, patience uint64) time.Duration {
+	d := time.Duration(min(patience, uint64(l.Patience/time.Millisecond))) * time.Millisecond
+	end := to.Received + d
+	if to.Until > 0 {
+		end = min(end, to.Until)
+	}
+	return end
+}
+
+// tired answers a wait whose patience has ended with how the job stands.
+func (l *Leader) tired(id state.RequestID, w *waiter) {
+	if w.done {
+		return
+	}
+	w.done = true
+	ws := l.lead.waits[id]
+	for i, o := range ws {
+		if o == w {
+			l.lead.waits[id] = append(ws[:i:i], ws[i+1:]...)
+			break
+		}
+	}
+	if len(l.lead.waits[id]) == 0 {
+		delete(l.lead.waits, id)
+	}
+	if j, ok := l.st.Find(id); ok {
+		l.answer(w.to, j, w.chunk)
+		return
+	}
+	l.refuse(w.to, code.New(code.Unknown, "%s", id.ID))
+}
+
+// wake answers the waits for a job that has ended.
+func (l *Leader) wake(j *state.Job) {
+	id := j.Request()
+	for _, w := range l.lead.waits[id] {
+		if !w.done {
+			w.done = true
+			l.answer(w.to, j, w.chunk)
+		}
+	}
+	delete(l.lead.waits, id)
+}
+
+func (l *Leader) answer(to Ticket, j *state.Job, chunk uint32) {
+	rep := &v1.WaitReply{Id: j.Spec.ID, Outcome: j.Outcome, Status: status(&code.Error{Code: j.Code})}
+	if j.Outcome == v1.Outcome_OUTCOME_DONE {
+		rep.Chunk = answer.Cut(l.st.Answer(j), chunk)
+		if rep.Chunk == nil {
+			l.refuse(to, code.New(code.Malformed, "the answer has no chunk %d", chunk))
+			return
+		}
+	}
+	l.reply(to, &inner.Reply{Answer: &inner.Reply_Wait{Wait: rep}})
+}
+
+func (l *Leader) cancel(to Ticket, k key.Key, req *v1.CancelRequest) {
+	c := &record.Cancel{}
+	for _, id := range req.GetIds() {
+		if j, ok := l.st.Find(state.RequestID{Team: k.Team, ID: id}); ok && !j.Final() {
+			c.Jobs = append(c.Jobs, j.Number)
+		}
+	}
+	if len(req.GetLabels()) > 0 {
+		for _, j := range l.st.Jobs(k.Team) {
+			if !j.Final() && carries(j.Spec.Labels, req.GetLabels()) {
+				c.Jobs = append(c.Jobs, j.Number)
+			}
+		}
+	}
+	if len(c.Jobs) > 0 {
+		l.do(&record.Command{What: &record.Command_Cancel{Cancel: c}})
+	}
+	l.reply(to, &inner.Reply{Answer: &inner.Reply_Cancel{Cancel: &v1.CancelReply{Status: &v1.Status{}, Count: uint32(len(c.Jobs))}}})
+}
+
+func carries(have, want map[string]string) bool {
+	for k, v := range want {
+		if have[k] != v {
+			return false
+		}
+	}
+	return true
+}
+
+// Bounds of a list.
+const (
+	defaultLines = 100
+	maxLines     = 1000
+)
+
+func (l *Leader) list(to Ticket, k key.Key, req *v1.ListRequest) {
+	rep := &v1.ListReply{Status: &v1.Status{}}
+	if len(req.GetIds()) > 0 {
+		for _, id := range req.GetIds() {
+			if j, ok := l.st.Find(state.RequestID{Team: k.Team, ID: id}); ok {
+				rep.Jobs = append(rep.Jobs, summary(j))
+			}
+		}
+	} else {
+		rep.Jobs = l.page(k.Team, req.GetAfter(), req.GetLimit())
+	}
+	l.reply(to, &inner.Reply{Answer: &inner.Reply_List{List: rep}})
+}
+
+// page returns a team's jobs after the one named, in the order of acceptance.
+func (l *Leader) page(owner, after string, limit uint32) []*v1.Summary {
+	if limit == 0 {
+		limit = defaultLines
+	}
+	var from uint64
+	if j, ok := l.st.Find(state.RequestID{Team: owner, ID: after}); ok {
+		from = j.Number
+	}
+	var out []*v1.Summary
+	for _, j := range l.st.Jobs(owner) {
+		if j.Number > from && uint32(len(out)) < min(limit, maxLines) {
+			out = append(out, summary(j))
+		}
+	}
+	return out
+}
+
+func summary(j *state.Job) *v1.Summary {
+	return &v1.Summary{
+		Id: j.Spec.ID, Team: j.Spec.Team, Kind: v1.Kind(j.Spec.Kind), Name: j.Spec.Name, Outcome: j.Outcome,
+		Status: status(&code.Error{Code: j.Code}), Tasks: j.Spec.Count, Running: j.Held, Ended: j.Finals,
+	}
+}
+
+func (l *Leader) acknowledge(to Ticket, k key.Key, req *v1.AcknowledgeRequest) {
+	f := &record.Forget{}
+	for _, id := range req.GetIds() {
+		if j, ok := l.st.Find(state.RequestID{Team: k.Team, ID: id}); ok && j.Final() {
+			f.Jobs = append(f.Jobs, j.Number)
+		}
+	}
+	if len(f.Jobs) > 0 {
+		l.do(&record.Command{What: &record.Command_Forget{Forget: f}})
+	}
+	l.reply(to, &inner.Reply{Answer: &inner.Reply_Acknowledge{Acknowledge: &v1.AcknowledgeReply{Status: &v1.Status{}}}})
+}
--- /dev/null
+++ b/internal/control/leader/decide.go
@@ -0,0 +1,168 @@
+package leader
+
+import (
+	"time"
+
+	"gypsumreel/internal/api/record"
+	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/domain/backend"
+	"gypsumreel/internal/domain/table"
+	"gypsumreel/internal/domain/task"
+	"gypsumreel/internal/ledger/state"
+	"gypsumreel/internal/policy/plan"
+)
+
+// Bounds of one turn's decisions.
+const (
+	// decisions bounds what one call of the planner may decide.
+	decisions = 512
+	// rounds bounds the calls in one turn, so that items are not kept waiting.
+	rounds = 4
+)
+
+// decide asks the planner and commits what it says.
+func (l *Leader) decide() {
+	if !l.lead.dirty || len(l.lead.pending) > maxPending {
+		return
+	}
+	for range rounds {
+		ds := l.lead.planner.Decide(l.clock(), decisions)
+		for _, d := range ds {
+			l.carryOut(d)
+		}
+		if len(ds) == 0 {
+			l.lead.dirty = false
+			return
+		}
+	}
+}
+
+// carryOut turns a decision into a command.
+func (l *Leader) carryOut(d plan.Decision) {
+	var r state.Result
+	switch d.Verb {
+	case plan.Place:
+		r = l.place(d)
+	case plan.Preempt:
+		r = l.halt(d.Task, true)
+	case plan.Stop:
+		r = l.halt(d.Task, false)
+	case plan.Throttle:
+		l.throttle(d.Task)
+	case plan.Drop:
+		r = l.drop(d.Job, code.DeadlinePassed)
+	case plan.Park:
+		r = l.drop(d.Job, code.Parked)
+	case plan.Quarantine:
+		r = l.mark(d.Server, backend.Quarantined)
+	case plan.Restore:
+		r = l.mark(d.Server, backend.Ready)
+	}
+	if r.Code != code.OK {
+		// The ledger refused what the planner decided: the promise held, and
+		// the planner's picture is wrong. It is told the truth again.
+		l.Log.Info("decision refused", "verb", d.Verb, "job", d.Job, "code", uint32(r.Code), "detail", r.Detail)
+	}
+}
+
+func (l *Leader) place(d plan.Decision) state.Result {
+	p := &record.Place{Job: d.Job}
+	for _, s := range d.Places {
+		b, _ := l.st.Server(s.Server)
+		p.Spots = append(p.Spots, &record.Spot{Index: s.Index, Server: s.Server, Incarnation: b.Incarnation})
+	}
+	return l.do(&record.Command{What: &record.Command_Place{Place: p}})
+}
+
+func (l *Leader) halt(id task.ID, save bool) state.Result {
+	return l.do(&record.Command{What: &record.Command_Halt{Halt: &record.Halt{Job: id.Job, Indexes: []uint32{id.Index}, Checkpoint: save}}})
+}
+
+func (l *Leader) drop(job uint64, c code.Code) state.Result {
+	return l.do(&record.Command{What: &record.Command_Drop{Drop: &record.Drop{Job: job, Code: uint32(c)}}})
+}
+
+func (l *Leader) mark(server string, s backend.State) state.Result {
+	b, _ := l.st.Server(server)
+	return l.do(&record.Command{What: &record.Command_Mark{Mark: &record.Mark{Server: server, Incarnation: b.Incarnation, State: uint32(s)}}})
+}
+
+// watch tells planner, sessions and waiters what a command changed.
+type watch struct{ l *Leader }
+
+var _ state.Watch = watch{}
+
+// Table passes a new revision on.
+func (w watch) Table(t table.Table) {
+	w.l.lead.planner.SetTable(t)
+	w.l.lead.dirty = true
+}
+
+// Server passes a changed server on; a drained one shows as draining.
+func (w watch) Server(b state.Server) {
+	s := b.Server
+	if b.Drain && s.State != backend.Gone {
+		s.State = backend.Draining
+	}
+	w.l.lead.planner.SetServer(s)
+	w.l.lead.dirty = true
+}
+
+// Queue passes a waiting task on.
+func (w watch) Queue(j *state.Job, t *state.Task) {
+	w.l.lead.planner.Queue(plan.Queued{ID: t.ID, Job: j.Spec, Accepted: j.Accepted, Attempts: t.Attempt})
+	w.l.lead.dirty = true
+}
+
+// Unqueue passes on that a task waits no more.
+func (w watch) Unqueue(id task.ID) { w.l.lead.planner.Unqueue(id) }
+
+// Hold passes a placement on and lets its server's session know.
+func (w watch) Hold(j *state.Job, t *state.Task) {
+	w.l.lead.planner.Hold(heldOf(j, t))
+	w.l.lead.news[t.Server] = true
+}
+
+// Stopping passes on that a task is to stop and lets its server's session know.
+func (w watch) Stopping(j *state.Job, t *state.Task) {
+	w.l.lead.planner.Hold(heldOf(j, t))
+	w.l.lead.news[t.Server] = true
+}
+
+func heldOf(j *state.Job, t *state.Task) plan.Held {
+	return plan.Held{ID: t.ID, Job: j.Spec, Accepted: j.Accepted, Server: t.Server, Since: t.Since, Stopping: t.Phase == state.Stopping}
+}
+
+// Release passes on that an attempt runs no more.
+func (w watch) Release(_ *state.Job, t *state.Task, how state.End) {
+	w.l.lead.planner.Release(t.ID, plan.End{At: w.l.st.At(), Ran: how.Ran, Failed: how.Failed, Lost: how.Lost})
+	w.l.lead.dirty = true
+}
+
+// Ended wakes who waits for the job's outcome.
+func (w watch) Ended(j *state.Job) { w.l.wake(j) }
+
+// watchServers marks servers that went silent and ends sessions whose lease is over.
+func (l *Leader) watchServers(now time.Duration) {
+	ld := l.lead
+	if !ld.proved || now-ld.confirmed > l.Fresh {
+		return // a leader that cannot prove to lead gives up nobody
+	}
+	for _, b := range l.st.Servers() {
+		if b.Server.State == backend.Gone {
+			continue
+		}
+		s := l.session(b)
+		if now-s.heard > l.Silence && (b.Server.State == backend.Ready || b.Server.State == backend.Quarantined) {
+			// Unschedulable before the wait for its lease begins: a server
+			// that comes back halfway is not given new work on a lease that
+			// is about to be declared over.
+			l.mark(b.ID, backend.Suspect)
+		}
+		if now-s.heard > l.Silence && ld.book.Over(b.ID, now) {
+			l.do(&record.Command{What: &record.Command_Fence{Fence: &record.Fence{Server: b.ID, Incarnation: b.Incarnation}}})
+			delete(ld.servers, b.ID)
+			ld.book.Forget(b.ID)
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/leader/lead.go
@@ -0,0 +1,258 @@
+package leader
+
+import (
+	"container/heap"
+	"time"
+
+	"gypsumreel/internal/api/inner"
+	"gypsumreel/internal/api/record"
+	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/domain/lease"
+	"gypsumreel/internal/ledger/command"
+	"gypsumreel/internal/ledger/state"
+	"gypsumreel/internal/policy/plan"
+	"gypsumreel/internal/replica/group"
+)
+
+// lead is what a replica has only while it leads; it is dropped whole when deposed.
+type lead struct {
+	term uint64
+	// last is the index of the latest command applied to the working ledger.
+	last      uint64
+	committed uint64
+	// confirmed is the start of the latest heartbeat round that a quorum confirmed.
+	confirmed time.Duration
+	proved    bool
+	planner   plan.Planner
+	book      *lease.Book
+	// pending are the commands that the group has not taken yet.
+	pending [][]byte
+	held    []heldReply
+	reads   []heldRead
+	waits   map[state.RequestID][]*waiter
+	servers map[string]*session
+	news    map[string]bool
+	due     dueHeap
+	checked time.Duration
+	swept   time.Duration
+	dirty   bool
+}
+
+// heldReply is a reply whose cause is not committed yet.
+type heldReply struct {
+	index uint64
+	to    Ticket
+	reply *inner.Reply
+}
+
+// heldRead is a read that waits for proof that this replica still leads.
+type heldRead struct {
+	received time.Duration
+	run      func()
+}
+
+// due is something that happens at a time unless it was settled before.
+type due struct {
+	at  time.Duration
+	run func()
+}
+
+type dueHeap []due
+
+func (h dueHeap) Len() int           { return len(h) }
+func (h dueHeap) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h dueHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push adds an element for container/heap.
+func (h *dueHeap) Push(x any) { *h = append(*h, x.(due)) }
+
+// Pop removes the last element for container/heap.
+func (h *dueHeap) Pop() any {
+	old := *h
+	n := len(old) - 1
+	x := old[n]
+	old[n] = due{}
+	*h = old[:n]
+	return x
+}
+
+// elected starts to lead: a planner and a lease book are built from the ledger.
+func (l *Leader) elected(n group.Lead) {
+	l.lead = &lead{
+		term:      n.Term,
+		last:      n.Last,
+		committed: n.Last,
+		planner:   l.Planner(),
+		book:      lease.NewBook(l.Terms, n.Elected),
+		waits:     map[state.RequestID][]*waiter{},
+		servers:   map[string]*session{},
+		news:      map[string]bool{},
+		checked:   n.Elected,
+		dirty:     true,
+	}
+	l.applied = n.Last
+	l.st.Watch = watch{l}
+	l.replay()
+	if l.Root != nil && len(l.st.Keys()) == 0 {
+		l.do(&record.Command{What: &record.Command_Change{Change: &record.Change{
+			By:      "settings",
+			Request: &v1.ChangeRequest{Id: "settings", Change: &v1.ChangeRequest_Grant{Grant: l.Root}},
+		}}})
+	}
+	l.status.Store(&Status{Leads: true, Term: n.Term})
+}
+
+// replay tells a new planner everything that the ledger holds.
+func (l *Leader) replay() {
+	p := l.lead.planner
+	p.SetTable(l.st.Table())
+	for _, b := range l.st.Servers() {
+		watch{l}.Server(b)
+	}
+	for _, j := range l.st.Jobs("") {
+		if j.Final() {
+			continue
+		}
+		l.st.Tasks(j, func(t *state.Task) {
+			switch {
+			case t.Phase.Holds():
+				watch{l}.Hold(j, t)
+			case t.Phase == state.Queued:
+				watch{l}.Queue(j, t)
+			}
+		})
+	}
+}
+
+// follow stops to lead. What the working ledger had ahead of the committed log
+// is dropped, and with it every held effect: nobody was told of them.
+func (l *Leader) follow(n group.Follow) {
+	if ld := l.lead; ld != nil {
+		l.lead = nil
+		l.st.Watch = nil
+		if l.applied > ld.committed {
+			l.Group.Reload()
+		}
+	}
+	if l.Deposed != nil {
+		defer l.Deposed()
+	}
+	l.status.Store(&Status{Term: n.Term, Leader: n.Leader, Address: n.Address, Revision: l.st.Table().Revision(), Full: l.full})
+}
+
+// clock returns the ledger's time: the time of day, never going back.
+func (l *Leader) clock() time.Duration {
+	return max(l.st.At(), time.Duration(l.Wall().UnixNano()))
+}
+
+// do applies a command to the working ledger and queues it for the log.
+func (l *Leader) do(c *record.Command) state.Result {
+	c.At = int64(l.clock())
+	r := l.st.Apply(c)
+	l.lead.pending = append(l.lead.pending, command.Encode(c))
+	l.lead.last++
+	l.applied = l.lead.last
+	return r
+}
+
+// propose hands pending commands to the group; what it has no room for stays.
+func (l *Leader) propose() {
+	ld := l.lead
+	if len(ld.pending) == 0 {
+		return
+	}
+	first := ld.last + 1 - uint64(len(ld.pending))
+	if l.Group.Propose(group.Proposal{Term: ld.term, First: first, Commands: ld.pending}) {
+		ld.pending = nil
+	}
+}
+
+// reply answers an item once everything that the answer rests on is committed.
+func (l *Leader) reply(to Ticket, r *inner.Reply) {
+	r.Seq = to.Seq
+	l.lead.held = append(l.lead.held, heldReply{index: l.lead.last, to: to, reply: r})
+}
+
+// refuse answers an item with a code alone.
+func (l *Leader) refuse(to Ticket, err *code.Error) {
+	l.reply(to, &inner.Reply{Status: status(err)})
+}
+
+func status(err *code.Error) *v1.Status {
+	if err == nil {
+		return &v1.Status{}
+	}
+	return &v1.Status{Code: uint32(err.Code), Text: err.Error()}
+}
+
+// deliver lets the replies go whose cause is committed.
+func (l *Leader) deliver() {
+	ld := l.lead
+	n := 0
+	for n < len(ld.held) && ld.held[n].index <= ld.committed {
+		h := ld.held[n]
+		h.to.Box.Put(h.reply)
+		n++
+	}
+	if n > 0 {
+		clear(ld.held[:n])
+		ld.held = ld.held[n:]
+	}
+}
+
+// read runs fn once a heartbeat round that began after the read came in is
+// confirmed. A leader that was deposed without noticing would otherwise tell
+// of a state that is no longer the current one.
+func (l *Leader) read(to Ticket, fn func()) {
+	l.lead.reads = append(l.lead.reads, heldRead{received: to.Received, run: fn})
+}
+
+func (l *Leader) serveReads() {
+	ld := l.lead
+	n := 0
+	for n < len(ld.reads) && ld.proved && ld.reads[n].received <= ld.confirmed {
+		ld.reads[n].run()
+		n++
+	}
+	ld.reads = ld.reads[n:]
+	if len(ld.reads) > 0 {
+		l.Group.Confirm()
+	}
+}
+
+// at runs fn at a time on the clock of Now, while this replica still leads.
+func (l *Leader) at(when time.Duration, fn func()) {
+	heap.Push(&l.lead.due, due{at: when, run: fn})
+}
+
+// timers runs what is due.
+func (l *Leader) timers() {
+	ld := l.lead
+	if ld == nil {
+		return
+	}
+	now := l.Now()
+	for len(ld.due) > 0 && ld.due[0].at <= now {
+		heap.Pop(&ld.due).(due).run()
+	}
+	ld.dirty = true
+	l.watchServers(now)
+	if now-ld.checked >= checkEvery {
+		ld.checked = now
+		l.do(&record.Command{What: &record.Command_Check{Check: &record.Check{Digest: l.st.Digest()}}})
+	}
+	if now-ld.swept >= time.Second {
+		ld.swept = now
+		l.sweep()
+	}
+}
+
+// sweep forgets what retention lets go.
+func (l *Leader) sweep() {
+	const most = 1000
+	f := l.st.EndedBefore(int64(l.clock()-l.Retention), most)
+	if len(f.Jobs)+len(f.Changes)+len(f.Servers) > 0 {
+		l.do(&record.Command{What: &record.Command_Forget{Forget: f}})
+	}
+}
--- /dev/null
+++ b/internal/control/leader/leader.go
@@ -0,0 +1,346 @@
+// Package leader is the control thread of a replica. While the replica leads,
+// this one goroutine decides everything: it applies its own commands to the
+// ledger at once and holds back their effects (answers, orders) until the
+// group has committed them. While it follows, it applies what is committed.
+package leader
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"gypsumreel/internal/api/inner"
+	"gypsumreel/internal/api/record"
+	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/control/mailbox"
+	"gypsumreel/internal/domain/lease"
+	"gypsumreel/internal/ledger/command"
+	"gypsumreel/internal/ledger/state"
+	"gypsumreel/internal/policy/plan"
+	"gypsumreel/internal/replica/group"
+	"gypsumreel/internal/replica/quorum"
+)
+
+// Defaults and bounds of the control thread.
+const (
+	// DefaultSilence is after how long without a sync a server gets no new work.
+	DefaultSilence = 3 * time.Second
+	// DefaultRetention is how long ended jobs and answers to changes are kept.
+	DefaultRetention = time.Hour
+	// DefaultPatience bounds every long poll.
+	DefaultPatience = 2 * time.Second
+	// DefaultSnapshot is the number of commands between snapshots.
+	DefaultSnapshot = 20_000
+	// DefaultFresh is the greatest age of the last confirmed heartbeat round at
+	// which this leader still answers; it bounds how long a withdrawn key works
+	// at a leader that was cut off.
+	DefaultFresh = time.Second
+
+	// inboxLength bounds the batches that wait for the control thread.
+	inboxLength = 1024
+	// turn bounds the batches handled before decisions are made and proposed.
+	turn = 64
+	// tick is how often timers are looked at.
+	tick = 20 * time.Millisecond
+	// checkEvery is how often the replicas compare the digests of their states.
+	checkEvery = 10 * time.Second
+	// maxPending bounds the commands that the group has not taken yet.
+	maxPending = 100_000
+)
+
+// Group is the replicated log as the control thread uses it.
+type Group interface {
+	Propose(p group.Proposal) bool
+	Notes() <-chan group.Note
+	Confirm()
+	Compact(index uint64, state []byte)
+	Reload()
+}
+
+// Ticket is where the reply to an item goes.
+type Ticket struct {
+	Box *mailbox.Mailbox
+	Seq uint64
+	// Received is when the item came, on the clock of Now.
+	Received time.Duration
+	// Until is when whoever asked gives up; 0 for never.
+	Until time.Duration
+}
+
+// Batch is what one Push brought.
+type Batch struct {
+	Box      *mailbox.Mailbox
+	Received time.Duration
+	Items    []*inner.Item
+}
+
+// Status is what traffic threads may know of this replica.
+type Status struct {
+	Leads   bool
+	Term    uint64
+	Leader  string
+	Address string
+	// Revision of the table in force.
+	Revision uint64
+	// Full tells that the journal's disk has too little room for new work.
+	Full bool
+}
+
+// Leader is the control thread. The exported fields are set before Run.
+type Leader struct {
+	Group Group
+	// Now is the group's monotonic clock.
+	Now func() time.Duration
+	// Wall is the time of day, for the ledger's clock.
+	Wall func() time.Time
+	// Planner makes the planner of a new leader.
+	Planner func() plan.Planner
+	Terms   lease.Terms
+	// Root is the first operator's key, granted when the ledger has none.
+	Root      *v1.KeyGrant
+	Silence   time.Duration
+	Retention time.Duration
+	Patience  time.Duration
+	Fresh     time.Duration
+	Snapshot  uint64
+	// Deposed is called when this replica stops to lead; it must not block.
+	Deposed func()
+	Log     logr.Logger
+
+	inbox  chan func()
+	done   chan struct{}
+	status atomic.Pointer[Status]
+
+	// Owned by the control thread.
+	st      *state.State
+	applied uint64
+	saved   uint64
+	saving  bool
+	lead    *lead
+	members group.Members
+	full    bool
+}
+
+// ErrDiverged ends a replica whose state differs from the leader's.
+var ErrDiverged = errors.New("this replica's state differs from the leader's; remove its data and add it anew")
+
+// New returns a control thread with the defaults.
+func New() *Leader {
+	l := &Leader{
+		Terms:     lease.Terms{Length: lease.DefaultLength, Drift: lease.DefaultDrift},
+		Silence:   DefaultSilence,
+		Retention: DefaultRetention,
+		Patience:  DefaultPatience,
+		Fresh:     DefaultFresh,
+		Snapshot:  DefaultSnapshot,
+		Log:       logr.Discard(),
+		Wall:      time.Now,
+		inbox:     make(chan func(), inboxLength),
+		done:      make(chan struct{}),
+		st:        state.New(),
+	}
+	l.status.Store(&Status{})
+	return l
+}
+
+// Status returns what is known now; it is safe for any goroutine.
+func (l *Leader) Status() Status { return *l.status.Load() }
+
+// Done is closed when Run has returned.
+func (l *Leader) Done() <-chan struct{} { return l.done }
+
+// Push hands a batch to the control thread; false when there is no room, and
+// then nothing of it was looked at.
+func (l *Leader) Push(b Batch) bool {
+	return l.try(func() { l.batch(b) })
+}
+
+func (l *Leader) try(fn func()) bool {
+	select {
+	case l.inbox <- fn:
+		return true
+	default:
+		return false
+	}
+}
+
+// Do runs fn on the control thread, for dumps and tests.
+func (l *Leader) Do(ctx context.Context, fn func(*state.State)) error {
+	ran := make(chan struct{})
+	select {
+	case l.inbox <- func() { fn(l.st); close(ran) }:
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-l.done:
+		return errors.New("the control thread has ended")
+	}
+	select {
+	case <-ran:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-l.done:
+		return errors.New("the control thread has ended")
+	}
+}
+
+// Run is the control thread; it returns when ctx ends or the replica must not go on.
+func (l *Leader) Run(ctx context.Context) error {
+	defer close(l.done)
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			l.follow(group.Follow{})
+			return nil
+		case n, ok := <-l.Group.Notes():
+			if !ok {
+				return errors.New("the group has ended")
+			}
+			if err := l.note(n); err != nil {
+				return err
+			}
+		case fn := <-l.inbox:
+			fn()
+			l.drain()
+		case <-ticker.C:
+			l.timers()
+		}
+		l.finish()
+	}
+}
+
+// drain takes more batches that wait already, so that they share one commit.
+func (l *Leader) drain() {
+	for range turn {
+		select {
+		case fn := <-l.inbox:
+			fn()
+		default:
+			return
+		}
+	}
+}
+
+// finish ends a turn: decide, propose, and let reads and sessions go on.
+func (l *Leader) finish() {
+	if l.lead != nil {
+		l.decide()
+		l.serveServers()
+		l.serveReads()
+		l.propose()
+		l.deliver()
+	}
+	l.publish()
+	l.snapshot()
+}
+
+func (l *Leader) publish() {
+	old := l.status.Load()
+	s := *old
+	s.Revision = l.st.Table().Revision()
+	s.Full = l.full
+	if s != *old {
+		l.status.Store(&s)
+	}
+}
+
+// note handles one note of the group.
+func (l *Leader) note(n group.Note) error {
+	switch n := n.(type) {
+	case group.Lead:
+		l.elected(n)
+	case group.Follow:
+		l.follow(n)
+	case group.Apply:
+		return l.apply(n.Entries)
+	case group.Commit:
+		if l.lead != nil {
+			l.lead.committed = max(l.lead.committed, n.Index)
+		}
+	case group.Confirmed:
+		if l.lead != nil && n.Term == l.lead.term {
+			l.lead.confirmed = max(l.lead.confirmed, n.Start)
+			l.lead.proved = true
+		}
+	case group.Restore:
+		return l.restore(n)
+	case group.Members:
+		l.members = n
+	case group.Full:
+		l.full = n.Full
+	}
+	return nil
+}
+
+// apply takes committed entries while following.
+func (l *Leader) apply(entries []quorum.Entry) error {
+	for _, e := range entries {
+		if e.Index <= l.applied {
+			continue
+		}
+		if e.Index != l.applied+1 {
+			return errors.Newf("the log jumps from %d to %d", l.applied, e.Index)
+		}
+		l.applied = e.Index
+		if e.Kind != quorum.Command {
+			continue
+		}
+		c, err := command.Decode(e.Data)
+		if err != nil {
+			return err
+		}
+		r := l.st.Apply(c)
+		if _, ok := c.GetWhat().(*record.Command_Check); ok && r.Code != 0 {
+			return ErrDiverged
+		}
+	}
+	return nil
+}
+
+func (l *Leader) restore(n group.Restore) error {
+	st, err := state.Decode(n.State)
+	if err != nil {
+		return err
+	}
+	l.st, l.applied, l.saved = st, n.Index, n.Index
+	return nil
+}
+
+// snapshot starts to write the state out when enough commands have come since
+// the last one. The copy is taken here; the encoding, which takes long, is not.
+func (l *Leader) snapshot() {
+	if l.saving || l.applied < l.saved+l.Snapshot {
+		return
+	}
+	l.saving = true
+	index, st := l.applied, l.st.Copy()
+	go func() {
+		data, err := st.Encode()
+		l.inbox <- func() { l.encoded(index, data, err) }
+	}()
+}
+
+// encoded hands a snapshot to the group. A leader's state is ahead of what is
+// committed; such a snapshot waits, or a deposed leader's would hold commands
+// that nobody agreed on.
+func (l *Leader) encoded(index uint64, data []byte, err error) {
+	if err != nil {
+		l.Log.Error(err, "snapshot")
+		l.saving = false
+		return
+	}
+	if l.lead != nil && l.lead.committed < index {
+		time.AfterFunc(tick, func() { l.try(func() { l.encoded(index, data, nil) }) })
+		return
+	}
+	if index <= l.applied {
+		l.Group.Compact(index, data)
+		l.saved = index
+	}
+	l.saving = false
+}
--- /dev/null
+++ b/internal/control/leader/operator.go
@@ -0,0 +1,89 @@
+package leader
+
+import (
+	"gypsumreel/internal/api/inner"
+	"gypsumreel/internal/api/record"
+	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/domain/key"
+	"gypsumreel/internal/ledger/command"
+)
+
+// change commits an operator's change and answers with what it came to.
+func (l *Leader) change(to Ticket, k key.Key, req *v1.ChangeRequest) {
+	if req.GetId() == "" {
+		l.refuse(to, code.New(code.Malformed, "a change needs an id"))
+		return
+	}
+	r := l.do(&record.Command{What: &record.Command_Change{Change: &record.Change{By: k.ID, Request: req}}})
+	l.lead.dirty = true
+	rep := &v1.ChangeReply{Status: status(&code.Error{Code: r.Code, Detail: r.Detail}), Revision: l.st.Table().Revision()}
+	if r.Revision > 0 {
+		rep.Revision = r.Revision
+	}
+	l.reply(to, &inner.Reply{Answer: &inner.Reply_Change{Change: rep}})
+}
+
+// show answers a read once it is proved current.
+func (l *Leader) show(to Ticket, req *v1.ShowRequest) {
+	l.read(to, func() {
+		l.reply(to, &inner.Reply{Answer: &inner.Reply_Show{Show: l.shown(req)}})
+	})
+}
+
+func (l *Leader) shown(req *v1.ShowRequest) *v1.ShowReply {
+	rep := &v1.ShowReply{Status: &v1.Status{}, Revision: l.st.Table().Revision()}
+	switch req.GetPart() {
+	case v1.Part_PART_TABLE:
+		for _, r := range l.st.Table().Rows() {
+			rep.Rows = append(rep.Rows, command.RowMessage(r))
+			rep.Held = append(rep.Held, command.SizeMessage(l.st.Held(r.Name)))
+		}
+	case v1.Part_PART_KEYS:
+		for _, k := range l.st.Keys() {
+			rep.Keys = append(rep.Keys, &v1.KeyLine{Id: k.ID, Team: k.Team, Operator: k.Operator, Withdrawn: k.Withdrawn})
+		}
+	case v1.Part_PART_SERVERS:
+		rep.Servers = l.serverLines(req.GetAfter(), req.GetLimit())
+	case v1.Part_PART_MEMBERS:
+		rep.Members = l.memberLines()
+	case v1.Part_PART_JOBS:
+		rep.Jobs = l.page("", req.GetAfter(), req.GetLimit())
+	default:
+		rep.Status = status(code.New(code.Malformed, "no such part"))
+	}
+	return rep
+}
+
+func (l *Leader) serverLines(after string, limit uint32) []*v1.ServerLine {
+	if limit == 0 {
+		limit = maxLines
+	}
+	var out []*v1.ServerLine
+	for _, b := range l.st.Servers() {
+		if b.ID <= after || uint32(len(out)) >= limit {
+			continue
+		}
+		shown := b.Server.State.String()
+		if b.Drain {
+			shown = "draining"
+		}
+		out = append(out, &v1.ServerLine{
+			Server: b.ID, Incarnation: b.Incarnation, State: shown, Rack: b.Rack, Zone: b.Zone,
+			Capacity: command.SizeMessage(b.Capacity), Held: command.SizeMessage(b.Held), Tasks: uint32(l.st.Count(b.ID)),
+		})
+	}
+	return out
+}
+
+func (l *Leader) memberLines() []*v1.MemberLine {
+	var out []*v1.MemberLine
+	for _, m := range l.members.Members {
+		line := &v1.MemberLine{Name: m.ID, Role: "control", Address: m.Address, State: "voter", Leader: m.ID == l.members.Self}
+		if m.Learner {
+			line.State = "learner"
+		}
+		out = append(out, line)
+	}
+	return out
+}
--- a/internal/ledger/state/state.go
+++ b/internal/ledger/state/state.go
@@ -216,3 +216,25 @@
 	}
 	return u
 }
+
+// Count returns the number of tasks held on a server.
+func (s *State) Count(server string) int { return len(s.placed[server]) }
+
+// Tasks calls fn for each task of a job, in the order of their indexes.
+func (s *State) Tasks(j *Job, fn func(*Task)) {
+	for i := range j.Spec.Count {
+		if t, ok := s.tasks[task.ID{Job: j.Number, Index: i}]; ok {
+			fn(t)
+		}
+	}
+}
+
+// Answer returns a job's whole answer: its tasks' answers in the order of their indexes.
+func (s *State) Answer(j *Job) []byte {
+	if j.Spec.Count == 1 {
+		return s.tasks[task.ID{Job: j.Number}].Answer
+	}
+	var out []byte
+	s.Tasks(j, func(t *Task) { out = append(out, t.Answer...) })
+	return out
+}
--- /dev/null
+++ b/internal/ledger/state/state_test.go
@@ -0,0 +1,215 @@
+package state_test
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"gypsumreel/internal/api/record"
+	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/domain/capacity"
+	"gypsumreel/internal/domain/task"
+	"gypsumreel/internal/ledger/command"
+	"gypsumreel/internal/ledger/state"
+)
+
+// world drives two ledgers with the same commands, as two replicas would.
+type world struct {
+	a, b *state.State
+	now  int64
+	sent []*record.Command
+}
+
+func newWorld() *world {
+	w := &world{a: state.New(), b: state.New()}
+	limit := &v1.Size{Cpu: 40, Memory: -1, Accel: -1, Slots: -1}
+	w.change("table", &v1.ChangeRequest{Change: &v1.ChangeRequest_Table{Table: &v1.TableChange{Edits: []*v1.Edit{
+		{Row: &v1.Row{Team: "t0", Weight: 1, Limit: limit, Queue: 100}},
+		{Row: &v1.Row{Team: "t1", Weight: 2, Limit: limit, Queue: 100}},
+	}}}})
+	for _, name := range []string{"t0", "t1"} {
+		w.change("grant"+name, &v1.ChangeRequest{Change: &v1.ChangeRequest_Grant{Grant: &v1.KeyGrant{Id: "k" + name, Team: name, Digest: make([]byte, 32)}}})
+	}
+	return w
+}
+
+func (w *world) do(c *record.Command) state.Result {
+	w.now += 1000
+	c.At = w.now
+	w.sent = append(w.sent, c)
+	// The second replica reads the command from its bytes, as from the log.
+	d, err := command.Decode(command.Encode(c))
+	if err != nil {
+		panic(err)
+	}
+	r := w.a.Apply(c)
+	w.b.Apply(d)
+	return r
+}
+
+func (w *world) change(id string, req *v1.ChangeRequest) state.Result {
+	req.Id = id
+	return w.do(&record.Command{What: &record.Command_Change{Change: &record.Change{By: "op", Request: req}}})
+}
+
+func (w *world) accept(team, id string, kind v1.Kind, count uint32, cpu int64, once bool) state.Result {
+	spec := &v1.Spec{Id: id, Kind: kind, Count: count, Size: &v1.Size{Cpu: cpu}, Once: once}
+	return w.do(&record.Command{What: &record.Command_Accept{Accept: &record.Accept{Team: team, Key: "k" + team, Spec: spec}}})
+}
+
+func (w *world) announce(server string, nonce uint64, cpu int64) state.Result {
+	return w.do(&record.Command{What: &record.Command_Announce{Announce: &record.Announce{Server: server, Nonce: nonce, Capacity: &v1.Size{Cpu: cpu}}}})
+}
+
+func (w *world) place(job uint64, server string, indexes ...uint32) state.Result {
+	b, _ := w.a.Server(server)
+	p := &record.Place{Job: job}
+	for _, i := range indexes {
+		p.Spots = append(p.Spots, &record.Spot{Index: i, Server: server, Incarnation: b.Incarnation})
+	}
+	return w.do(&record.Command{What: &record.Command_Place{Place: p}})
+}
+
+func (w *world) end(t *state.Task, e *record.End) state.Result {
+	e.Job, e.Index, e.Attempt = t.ID.Job, t.ID.Index, t.Attempt
+	return w.do(&record.Command{What: &record.Command_End{End: e}})
+}
+
+func (w *world) fence(server string) state.Result {
+	b, _ := w.a.Server(server)
+	return w.do(&record.Command{What: &record.Command_Fence{Fence: &record.Fence{Server: server, Incarnation: b.Incarnation}}})
+}
+
+// check holds the promises that rest on the ledger alone against it.
+func (w *world) check(t interface{ Fatalf(string, ...any) }, runs map[task.Attempt]bool) {
+	held := map[string]capacity.Size{}
+	teams := map[string]capacity.Size{}
+	for _, j := range w.a.Jobs("") {
+		holds, begun := uint32(0), uint32(0)
+		w.a.Tasks(j, func(k *state.Task) {
+			if k.Phase.Holds() {
+				held[k.Server] = held[k.Server].Add(j.Spec.Size)
+				teams[j.Spec.Team] = teams[j.Spec.Team].Add(j.Spec.Size)
+				holds++
+			}
+			if k.Started {
+				begun++
+			}
+			if k.Phase == state.NotRun && k.Started {
+				t.Fatalf("job %d says not run of a task that ran", j.Number)
+			}
+		})
+		if j.Outcome == v1.Outcome_OUTCOME_NOT_RUN && begun > 0 {
+			t.Fatalf("job %d says not run and %d tasks ran", j.Number, begun)
+		}
+		if j.Held != holds {
+			t.Fatalf("job %d counts %d held, has %d", j.Number, j.Held, holds)
+		}
+	}
+	for _, b := range w.a.Servers() {
+		if !b.Held.Fits(b.Capacity) || b.Held != held[b.ID] {
+			t.Fatalf("server %s holds %v (counted %v) of %v", b.ID, b.Held, held[b.ID], b.Capacity)
+		}
+	}
+	for _, r := range w.a.Table().Rows() {
+		if !teams[r.Name].Within(r.Limit) || w.a.Held(r.Name) != teams[r.Name] {
+			t.Fatalf("team %s holds %v, limit %v", r.Name, teams[r.Name], r.Limit)
+		}
+	}
+	if w.a.Digest() != w.b.Digest() {
+		t.Fatalf("replicas differ after %v", w.sent[len(w.sent)-1])
+	}
+	_ = runs
+}
+
+// Whatever order commands come in, also ones that a faulty planner would give,
+// no server is overcommitted, no team is over its limit, "not run" is true,
+// a task that may not be repeated starts at most once, and both replicas agree.
+func TestPromisesHoldForAnyCommands(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld()
+		starts := map[task.ID]int{}
+		pick := func(name string, n int) int { return rapid.IntRange(0, n-1).Draw(t, name) }
+		tasks := func() (out []*state.Task) {
+			for _, j := range w.a.Jobs("") {
+				w.a.Tasks(j, func(k *state.Task) { out = append(out, k) })
+			}
+			return out
+		}
+		server := func() string { return []string{"s0", "s1", "s2"}[pick("server", 3)] }
+		t.Repeat(map[string]func(*rapid.T){
+			"accept": func(t *rapid.T) {
+				team := []string{"t0", "t1"}[pick("team", 2)]
+				id := []string{"a", "b", "c", "d", "e", "f"}[pick("id", 6)]
+				kind := []v1.Kind{v1.Kind_KIND_BATCH, v1.Kind_KIND_GANG, v1.Kind_KIND_SERVICE}[pick("kind", 3)]
+				w.accept(team, id, kind, uint32(1+pick("count", 3)), int64(1+pick("cpu", 12)), pick("once", 2) == 0)
+			},
+			"announce": func(*rapid.T) { w.announce(server(), uint64(pick("nonce", 3)), 20) },
+			"place": func(*rapid.T) {
+				if ts := tasks(); len(ts) > 0 {
+					k := ts[pick("task", len(ts))]
+					j, _ := w.a.Job(k.ID.Job)
+					indexes := []uint32{k.ID.Index}
+					if j.Spec.Whole() && pick("whole", 4) > 0 {
+						indexes = nil
+						for i := range j.Spec.Count {
+							indexes = append(indexes, i)
+						}
+					}
+					w.place(k.ID.Job, server(), indexes...)
+				}
+			},
+			"end": func(t *rapid.T) {
+				ts := tasks()
+				if len(ts) == 0 {
+					return
+				}
+				k := ts[pick("task", len(ts))]
+				started := pick("started", 2) == 0
+				ended := started && pick("ended", 2) == 0
+				r := w.end(k, &record.End{Started: started, Ended: ended, Exit: int32(pick("exit", 2))})
+				if r.Code != code.OK || !started {
+					return
+				}
+				starts[k.ID]++
+				if j, _ := w.a.Job(k.ID.Job); j.Spec.Once && starts[k.ID] > 1 {
+					t.Fatalf("task %v may not be repeated and ran %d times", k.ID, starts[k.ID])
+				}
+			},
+			"halt": func(*rapid.T) {
+				if ts := tasks(); len(ts) > 0 {
+					k := ts[pick("task", len(ts))]
+					w.do(&record.Command{What: &record.Command_Halt{Halt: &record.Halt{Job: k.ID.Job, Indexes: []uint32{k.ID.Index}, Checkpoint: pick("save", 2) == 0}}})
+				}
+			},
+			"cancel": func(*rapid.T) {
+				if ts := tasks(); len(ts) > 0 {
+					w.do(&record.Command{What: &record.Command_Cancel{Cancel: &record.Cancel{Jobs: []uint64{ts[pick("task", len(ts))].ID.Job}}}})
+				}
+			},
+			"drop": func(*rapid.T) {
+				if ts := tasks(); len(ts) > 0 {
+					c := []code.Code{code.DeadlinePassed, code.Parked}[pick("why", 2)]
+					w.do(&record.Command{What: &record.Command_Drop{Drop: &record.Drop{Job: ts[pick("task", len(ts))].ID.Job, Code: uint32(c)}}})
+				}
+			},
+			"fence": func(*rapid.T) { w.fence(server()) },
+			"restore": func(t *rapid.T) {
+				data, err := w.b.Encode()
+				if err != nil {
+					t.Fatal(err)
+				}
+				if w.b, err = state.Decode(data); err != nil {
+					t.Fatal(err)
+				}
+				again, _ := w.b.Encode()
+				if diff := cmp.Diff(data, again); diff != "" {
+					t.Fatalf("a snapshot read and written again differs: %s", diff)
+				}
+			},
+			"": func(t *rapid.T) { w.check(t, nil) },
+		})
+	})
+}
