--- /dev/null
+++ b/internal/replica/journal/journal.go
@@ -0,0 +1,386 @@
+// Package journal keeps the log of a replica on its disk: checksummed frames in
+// segments, synced in groups, cut back to the last whole frame after a crash.
+package journal
+
+import (
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"gypsumreel/internal/replica/disk"
+	"gypsumreel/internal/replica/quorum"
+)
+
+// Sizes in bytes.
+const (
+	// SegmentSize is the size from which on a new segment is begun.
+	SegmentSize = 16 << 20
+	// MaxEntry bounds the data of one entry.
+	MaxEntry = 16 << 20
+	// maxBatch is the size from which on entries go into a further frame.
+	maxBatch = 1 << 20
+)
+
+// Config holds what may differ from the defaults; its zero value is usable.
+type Config struct {
+	// Disk is the disk to use; the operating system's when nil.
+	Disk disk.Disk
+	// SegmentSize in bytes; the constant of that name when 0.
+	SegmentSize int64
+}
+
+// Journal is an open journal. Append and Sync may be called at the same time
+// from two goroutines, so that one batch gathers while another is synced.
+type Journal struct {
+	disk  disk.Disk
+	dir   string
+	limit int64
+
+	// syncing is held while a file is synced or replaced; taken before mu.
+	syncing sync.Mutex
+	mu      sync.Mutex
+	// broken is set for good by the first failure that leaves the disk unknown.
+	broken   error
+	segments segments
+	file     disk.File
+	size     int64
+	synced   int64
+	hard     quorum.Hard
+	last     uint64
+	buf      []byte
+}
+
+// Open opens the journal in dir with the defaults, making it when there is none.
+func Open(dir string) (*Journal, Recovered, error) { return Config{}.Open(dir) }
+
+// Open reads the journal in dir and makes it ready for appending. A torn tail is
+// cut off; damage before it is a DamageError.
+func (c Config) Open(dir string) (*Journal, Recovered, error) {
+	j := &Journal{disk: c.Disk, dir: dir, limit: c.SegmentSize}
+	if j.disk == nil {
+		j.disk = disk.System{}
+	}
+	if j.limit == 0 {
+		j.limit = SegmentSize
+	}
+	r, err := j.recover()
+	if err != nil {
+		return nil, Recovered{}, errors.Wrap(err, "open the journal")
+	}
+	return j, r, nil
+}
+
+// recover reads all segments and opens the newest.
+func (j *Journal) recover() (Recovered, error) {
+	if err := j.disk.Folder(j.dir); err != nil {
+		return Recovered{}, err
+	}
+	names, err := j.disk.List(j.dir)
+	if err != nil {
+		return Recovered{}, err
+	}
+	numbers := segmentNumbers(names)
+	var r reader
+	var end scan
+	for i, number := range numbers {
+		name := segmentName(j.dir, number)
+		if i > 0 && number != numbers[i-1]+1 {
+			return Recovered{}, &DamageError{File: name, Why: "a segment before it is missing"}
+		}
+		b, err := j.disk.Read(name)
+		if err != nil {
+			return Recovered{}, err
+		}
+		if end, err = r.read(name, number, b, i == len(numbers)-1); err != nil {
+			return Recovered{}, err
+		}
+	}
+	j.segments, j.hard = r.segments, r.Hard
+	if n := len(r.Entries); n > 0 {
+		j.last = r.Entries[n-1].Index
+	}
+	return r.Recovered, j.reopen(end)
+}
+
+// reopen opens the newest segment for appending, without its torn tail.
+func (j *Journal) reopen(end scan) error {
+	if len(j.segments) == 0 {
+		return j.begin(1)
+	}
+	number := j.segments.newest().number
+	name := segmentName(j.dir, number)
+	if end.good == 0 {
+		// The crash came before the segment was in use; it is made anew.
+		j.segments = j.segments[:len(j.segments)-1]
+		return j.begin(number)
+	}
+	f, err := j.disk.Open(name)
+	if err != nil {
+		return err
+	}
+	if end.torn {
+		err = f.Truncate(end.good)
+	}
+	// What was read may have been in memory only: a process that died and left
+	// it to the system unsynced. It is shown as recovered, so it must last.
+	err = errors.CombineErrors(err, f.Sync())
+	if err = errors.CombineErrors(err, j.disk.SyncFolder(j.dir)); err != nil {
+		return errors.CombineErrors(err, f.Close())
+	}
+	j.file, j.size, j.synced = f, end.good, end.good
+	return nil
+}
+
+// begin makes a segment that opens with the hard state, and turns to it. On
+// failure the journal stays with the segment it had.
+func (j *Journal) begin(number uint64) error {
+	name := segmentName(j.dir, number)
+	f, err := j.disk.Create(name)
+	if err != nil {
+		return err
+	}
+	b := appendFrame(header(), number, headerBytes, record{hard: &j.hard})
+	if _, err = f.WriteAt(b, 0); err == nil {
+		err = f.Sync()
+	}
+	if err == nil {
+		err = j.disk.SyncFolder(j.dir)
+	}
+	if err != nil {
+		return j.discard(f, name, err)
+	}
+	if j.file != nil {
+		// Its data is synced; nothing hangs on the outcome.
+		_ = j.file.Close()
+	}
+	j.file, j.size, j.synced = f, int64(len(b)), int64(len(b))
+	j.segments = j.segments.with(number)
+	return nil
+}
+
+// discard removes a segment that could not be begun. Its predecessor is appended
+// to again, so the removal must last: after a crash the file would otherwise
+// make a torn tail of the predecessor look like damage.
+func (j *Journal) discard(f disk.File, name string, cause error) error {
+	err := errors.CombineErrors(f.Close(), j.disk.Remove(name))
+	if err == nil {
+		err = j.disk.SyncFolder(j.dir)
+	}
+	if err != nil {
+		return errors.Newf("%v, and then: %v", cause, err)
+	}
+	return cause
+}
+
+// Append writes a changed hard state and entries; they last once Sync returned.
+// An entry whose index is already present ends everything from it on. ErrFull,
+// ErrGap and ErrTooLarge leave the journal as it was; other errors break it.
+func (j *Journal) Append(hard *quorum.Hard, entries []quorum.Entry) error {
+	if hard == nil && len(entries) == 0 {
+		return nil
+	}
+	if err := j.roll(); err != nil {
+		return err
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if err := j.check(entries); err != nil {
+		return err
+	}
+	j.buf = j.encode(j.buf[:0], hard, entries)
+	if err := j.write(j.buf); err != nil {
+		return err
+	}
+	if hard != nil {
+		j.hard = *hard
+	}
+	for i := range entries {
+		j.segments.note(entries[i].Index)
+	}
+	if n := len(entries); n > 0 {
+		j.last = entries[n-1].Index
+	}
+	return nil
+}
+
+// check refuses entries that recovery could not accept.
+func (j *Journal) check(entries []quorum.Entry) error {
+	if j.broken != nil {
+		return j.broken
+	}
+	next := j.last + 1
+	for i := range entries {
+		e := &entries[i]
+		if e.Index == 0 || e.Index > next && (i > 0 || j.last > 0) || i > 0 && e.Index != next {
+			return errors.Wrapf(ErrGap, "entry %d after %d", e.Index, next-1)
+		}
+		if len(e.Data) > MaxEntry {
+			return errors.Wrapf(ErrTooLarge, "entry %d has %d bytes, at most %d", e.Index, len(e.Data), MaxEntry)
+		}
+		next = e.Index + 1
+	}
+	return nil
+}
+
+// encode adds the frames of an append to b.
+func (j *Journal) encode(b []byte, hard *quorum.Hard, entries []quorum.Entry) []byte {
+	for first := true; first || len(entries) > 0; first = false {
+		n, size := 0, 0
+		for n < len(entries) && (n == 0 || size+len(entries[n].Data) <= maxBatch) {
+			size += len(entries[n].Data)
+			n++
+		}
+		r := record{mark: uint64(j.synced), hard: hard, entries: entries[:n]}
+		b = appendFrame(b, j.segments.newest().number, j.size+int64(len(b)), r)
+		hard, entries = nil, entries[n:]
+	}
+	return b
+}
+
+// write adds b to the newest segment. A full disk leaves part of it behind,
+// which is cut off, so that the next append stands where this one would have.
+func (j *Journal) write(b []byte) error {
+	_, err := j.file.WriteAt(b, j.size)
+	if err == nil {
+		j.size += int64(len(b))
+		return nil
+	}
+	if !errors.Is(err, ErrFull) {
+		return j.fail("write", err)
+	}
+	if cut := j.file.Truncate(j.size); cut != nil {
+		return j.fail("cut off a partial write", cut)
+	}
+	return errors.Wrap(err, "append to the journal")
+}
+
+// fail breaks the journal for good.
+func (j *Journal) fail(what string, err error) error {
+	// The cause is told but not wrapped: a sync that failed for lack of room must
+	// not pass for ErrFull, which leaves the journal usable.
+	j.broken = errors.Mark(errors.Newf("journal is broken: %s: %v", what, err), ErrBroken)
+	return j.broken
+}
+
+// roll begins a new segment when the newest has reached its size.
+func (j *Journal) roll() error {
+	j.mu.Lock()
+	due := j.size >= j.limit
+	j.mu.Unlock()
+	if !due {
+		return nil
+	}
+	j.syncing.Lock()
+	defer j.syncing.Unlock()
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.turn()
+}
+
+// turn syncs the newest segment and begins the one after it. Only a completed,
+// synced segment gets a successor, so damage in it is never a torn tail.
+func (j *Journal) turn() error {
+	if j.broken != nil {
+		return j.broken
+	}
+	if j.synced < j.size {
+		if err := j.file.Sync(); err != nil {
+			return j.fail("sync", err)
+		}
+		j.synced = j.size
+	}
+	err := j.begin(j.segments.newest().number + 1)
+	if err != nil && !errors.Is(err, ErrFull) {
+		return j.fail("begin a segment", err)
+	}
+	return errors.Wrap(err, "begin a segment")
+}
+
+// Sync returns once everything appended before the call lasts. An error is
+// final: the process must end.
+func (j *Journal) Sync() error {
+	j.syncing.Lock()
+	defer j.syncing.Unlock()
+	j.mu.Lock()
+	f, size, broken := j.file, j.size, j.broken
+	clean := j.synced == j.size
+	j.mu.Unlock()
+	if broken != nil || clean {
+		return broken
+	}
+	err := f.Sync()
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if err != nil {
+		return j.fail("sync", err)
+	}
+	j.synced = max(j.synced, size)
+	return nil
+}
+
+// Compact drops the segments whose entries are all at or below index: those
+// that a lasting snapshot of that index replaces. It never drops an entry above.
+// When the journal ends at or below index it is empty afterwards, and the next
+// entry may have any index.
+func (j *Journal) Compact(index uint64) error {
+	j.syncing.Lock()
+	defer j.syncing.Unlock()
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.broken != nil {
+		return j.broken
+	}
+	if err := j.drop(index); err != nil {
+		return err
+	}
+	if j.last == 0 || j.last > index {
+		return nil
+	}
+	if err := j.turn(); err != nil {
+		return err
+	}
+	return j.drop(index)
+}
+
+// drop removes the oldest segments up to index, never the newest. Each removal
+// lasts before the next: a gap in the numbers would read as damage.
+func (j *Journal) drop(index uint64) error {
+	for len(j.segments) > 1 && j.segments[0].last <= index {
+		err := j.disk.Remove(segmentName(j.dir, j.segments[0].number))
+		if err == nil {
+			err = j.disk.SyncFolder(j.dir)
+		}
+		if err != nil {
+			return j.fail("remove a segment", err)
+		}
+		j.segments = j.segments[1:]
+	}
+	if j.segments.empty() {
+		j.last = 0
+	}
+	return nil
+}
+
+// Close syncs what was appended and closes the files. It ends with a frame that
+// vouches for everything before it, so that damage done while the process is
+// down is not taken for a torn tail.
+func (j *Journal) Close() error {
+	err := j.Sync()
+	if err == nil && !errors.Is(j.Append(&j.hard, nil), ErrBroken) {
+		err = j.Sync()
+	}
+	j.syncing.Lock()
+	defer j.syncing.Unlock()
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.file == nil {
+		return err
+	}
+	err = errors.CombineErrors(err, j.file.Close())
+	j.file = nil
+	j.broken = errors.Mark(errors.New("journal is closed"), ErrBroken)
+	return err
+}
+
+// Free returns the free space on the disk of the journal, in bytes.
+func (j *Journal) Free() (uint64, error) { return j.disk.Free(j.dir) }
