--- /dev/null
+++ b/internal/ledger/chart/names.go
@@ -0,0 +1,90 @@
+package chart
+
+// The charts that are built in.
+const (
+	Task    Name = "task"
+	Attempt Name = "attempt"
+	Lease   Name = "lease"
+	Backend Name = "backend"
+	Member  Name = "member"
+)
+
+// The states of a task.
+const (
+	Queued   State = "queued"
+	Placed   State = "placed"
+	Running  State = "running"
+	Stopping State = "stopping"
+	Backoff  State = "backoff"
+	Done     State = "done"
+	NotRun   State = "notrun"
+	Unknown  State = "unknown"
+)
+
+// The states of an attempt, besides Placed, Running and Stopping.
+const (
+	Ordered State = "ordered"
+	Ended   State = "ended"
+	Never   State = "never"
+	Lost    State = "lost"
+)
+
+// The states of a lease.
+const (
+	Held     State = "held"
+	Doubtful State = "doubtful"
+	Expired  State = "expired"
+	Released State = "released"
+)
+
+// The states of a backend server's session.
+const (
+	Ready       State = "ready"
+	Draining    State = "draining"
+	Suspect     State = "suspect"
+	Quarantined State = "quarantined"
+	Gone        State = "gone"
+)
+
+// The states of a member of the control group.
+const (
+	Learner State = "learner"
+	Synced  State = "synced"
+	Voter   State = "voter"
+	Removed State = "removed"
+)
+
+// The events of tasks and attempts.
+const (
+	Place    Event = "place"
+	Refuse   Event = "refuse"
+	Start    Event = "start"
+	Decline  Event = "decline"
+	Stop     Event = "stop"
+	Finish   Event = "finish"
+	Fail     Event = "fail"
+	Requeue  Event = "requeue"
+	Forfeit  Event = "forfeit"
+	Retry    Event = "retry"
+	Quit     Event = "quit"
+	Order    Event = "order"
+	Withdraw Event = "withdraw"
+	End      Event = "end"
+)
+
+// The events of leases, backend servers and members; Expire is one of attempts too.
+const (
+	Renew      Event = "renew"
+	Miss       Event = "miss"
+	Expire     Event = "expire"
+	Release    Event = "release"
+	Drain      Event = "drain"
+	Hear       Event = "hear"
+	Quarantine Event = "quarantine"
+	Acquit     Event = "acquit"
+	Leave      Event = "leave"
+	Sync       Event = "sync"
+	Lag        Event = "lag"
+	Promote    Event = "promote"
+	Remove     Event = "remove"
+)
