--- /dev/null
+++ b/internal/replica/member/identity_test.go
@@ -0,0 +1,63 @@
+package member_test
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+
+	"gypsumreel/internal/replica/member"
+)
+
+func TestIdentity(t *testing.T) {
+	s := member.Store{Dir: filepath.Join(t.TempDir(), "data")}
+	if _, err := s.Load("cell", "a"); !errors.Is(err, member.ErrNone) {
+		t.Fatal(err)
+	}
+	id, err := s.Make("cell", "a", bytes.NewReader([]byte("12345678")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := member.Identity{Cell: "cell", Name: "a", Nonce: "3132333435363738"}
+	got, err := s.Load("cell", "a")
+	if diff := cmp.Diff([]member.Identity{want, want}, []member.Identity{id, got}); diff != "" || err != nil {
+		t.Fatal(diff, err)
+	}
+	for _, other := range [][2]string{{"cell", "b"}, {"other", "a"}} {
+		if _, err := s.Load(other[0], other[1]); !errors.Is(err, member.ErrForeign) {
+			t.Errorf("%v: %v", other, err)
+		}
+	}
+	if _, err := s.Make("cell", "a", bytes.NewReader([]byte("abcdefgh"))); !errors.Is(err, member.ErrExists) {
+		t.Error(err)
+	}
+	if err := os.Truncate(filepath.Join(s.Dir, member.File), 9); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.Load("cell", "a"); err == nil || errors.Is(err, member.ErrNone) {
+		t.Error("a damaged identity must be a refusal of its own:", err)
+	}
+}
+
+// An operator starts a replica twice by mistake. Two processes that append to one
+// journal would destroy it, so the second must not start.
+func TestLock(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "data")
+	l, err := member.Take(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := member.Take(dir); !errors.Is(err, member.ErrLocked) {
+		t.Fatal(err)
+	}
+	if err := l.Release(); err != nil {
+		t.Fatal(err)
+	}
+	if l, err = member.Take(dir); err != nil {
+		t.Fatal(err)
+	}
+	_ = l.Release()
+}
