Read settings with every fault in its place; register verbs

A daemon that reports one slip of its file for each failed start costs the person on duty a start for each. The reader walks the syntax tree of hujson instead of decoding it, so that unknown and duplicate keys and every refused value have a line and a column, and one run reports all of them. The list of keys is the one source for reading, defaults and docs/SETTINGS.md. TLS has no default: a side without files runs only when the file says plain. The digest of an empty secret is refused, since it would admit whoever shows nothing.

The command line gets its registry of verbs, exit codes and advice for each result code, with check as the first verb.

--- a/cmd/gypsumreel/main.go
+++ b/cmd/gypsumreel/main.go
@@ -1,4 +1,18 @@
 // Command gypsumreel is a cluster scheduler for services, batch work and gangs.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"gypsumreel/internal/cli/verb"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	exit := verb.Run(ctx, verb.System(), os.Args[1:], verbs()...)
+	stop()
+	os.Exit(int(exit))
+}
--- /dev/null
+++ b/internal/base/settings/doc.go
@@ -0,0 +1,20 @@
+package settings
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Markdown returns the table of all settings that docs/SETTINGS.md holds.
+func Markdown() string {
+	var b strings.Builder
+	b.WriteString("| setting | role | allowed | default | what it does |\n|---|---|---|---|---|\n")
+	for _, k := range keys {
+		role := string(k.Role)
+		if role == "" {
+			role = "both"
+		}
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s |\n", k.Path, role, k.Allowed, k.Default, k.Help)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/base/settings/settings.go
@@ -0,0 +1,182 @@
+// Package settings reads the settings of a daemon: JSON with comments and
+// trailing commas, one file for either role. Every fault of a file is reported
+// with its place, the setting and what is allowed; docs/SETTINGS.md lists the keys.
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// Role says which daemon a file is for.
+type Role string
+
+// The roles.
+const (
+	Control Role = "control"
+	Entry   Role = "entry"
+)
+
+// Settings is what a daemon starts from. Default gives one that runs.
+type Settings struct {
+	// Cell names the cell; processes of different cells refuse each other.
+	Cell string
+	// Name is unique in the cell and the name in the process's inside certificate.
+	Name string
+	// Zone is the availability zone of the instance.
+	Zone string
+	Role Role
+	// Data is the folder of the journal and snapshots; control only.
+	Data   string
+	Listen Listen
+	// Control lists the control replicas of the cell.
+	Control []Peer
+	// Enrolment holds the SHA-256 digests, in hexadecimal, of the secrets that
+	// backend servers may show; two during a change of secret.
+	Enrolment []string
+	TLS       TLS
+	Time      Time
+	Limits    Limits
+	// Log is the least level that is logged: debug, info, warn or error.
+	Log string
+}
+
+// Listen holds the addresses, IP:port, that the process listens on.
+type Listen struct {
+	// Control is for entries and other replicas; control only.
+	Control string
+	// Callers, Backends and Operators are the services of an entry.
+	Callers   string
+	Backends  string
+	Operators string
+	// Platform serves /healthz, /readyz and /metrics.
+	Platform string
+}
+
+// Peer is one control replica.
+type Peer struct {
+	Name string
+	// Address is IP:port of its Listen.Control.
+	Address string
+}
+
+// TLS holds the two sides of a process.
+type TLS struct {
+	// Outside is towards callers, backend servers, operators and the platform.
+	Outside Side
+	// Inside is between the processes of the cell; both ends show a certificate.
+	Inside Side
+}
+
+// Side says how connections of one side are secured.
+type Side struct {
+	// Plain turns TLS off; nothing else does.
+	Plain bool
+	// Certificate, Key and Authority are PEM files. With an authority a
+	// client must show a certificate that it signed.
+	Certificate string
+	Key         string
+	Authority   string
+}
+
+// Time holds intervals and delays.
+type Time struct {
+	// Lease is how long a backend server may run work unheard.
+	Lease time.Duration
+	// Heartbeat is the interval between a leader's heartbeats.
+	Heartbeat time.Duration
+	// Election is the least silence of a leader that starts an election.
+	Election time.Duration
+	// Retention is how long an outcome is kept that nobody acknowledged.
+	Retention time.Duration
+	// Poll is the longest long poll.
+	Poll time.Duration
+	// Call is the deadline of a call between processes, beyond a poll.
+	Call time.Duration
+	// Ping is the silence after which a connection is probed, and given up after as long again.
+	Ping time.Duration
+	// Age is the longest life of a connection.
+	Age time.Duration
+	// Fresh is the age of a revision past which an entry refuses reads.
+	Fresh time.Duration
+	// Drain is how long a stopping entry serves on after it fails its readiness.
+	Drain time.Duration
+	// Finish is the longest wait for requests in flight at a planned stop.
+	Finish time.Duration
+	// Reload is the interval at which the TLS files are looked at.
+	Reload time.Duration
+}
+
+// Limits bounds sizes and queues.
+type Limits struct {
+	// Body is the largest request from outside in bytes.
+	Body int64
+	// Answer is the largest whole answer of a job in bytes.
+	Answer int64
+	// Inner is the largest message between processes in bytes.
+	Inner int64
+	// Batch is the most items in one message to the leader.
+	Batch int64
+	// Queue is the most requests that wait at an entry.
+	Queue int64
+	// Jobs is the most jobs that wait in the cell.
+	Jobs int64
+	// Connections is the most open connections of a listener.
+	Connections int64
+	// Snapshot is the number of entries between two snapshots.
+	Snapshot int64
+	// Free is the room on the disk, in MiB, below which new work is refused.
+	Free int64
+	// Dump is the largest state dump in bytes.
+	Dump int64
+}
+
+// maxFile bounds a settings file in bytes, and with it the parser's recursion.
+const maxFile = 256 << 10
+
+// Load reads and checks a file. The error is Faults unless the file can't be
+// read. Relative paths in it are taken from its folder.
+func Load(path string) (*Settings, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, Faults{{File: path, Text: "can't be read: " + err.Error()}}
+	}
+	s, err := Parse(path, b)
+	if err != nil {
+		return nil, err
+	}
+	s.resolve(filepath.Dir(path))
+	return s, nil
+}
+
+// Default returns settings of a role that run as they are: on loopback, alone
+// and, as TLS needs files, in plain text.
+func Default(role Role) *Settings {
+	s := &Settings{Role: role}
+	fill(s, func(string) bool { return false })
+	s.TLS = TLS{Outside: Side{Plain: true}, Inside: Side{Plain: true}}
+	return s
+}
+
+// Lookup returns the replica of that name.
+func (s *Settings) Lookup(name string) (Peer, bool) {
+	for _, p := range s.Control {
+		if p.Name == name {
+			return p, true
+		}
+	}
+	return Peer{}, false
+}
+
+func (s *Settings) resolve(dir string) {
+	for _, p := range []*string{
+		&s.Data,
+		&s.TLS.Outside.Certificate, &s.TLS.Outside.Key, &s.TLS.Outside.Authority,
+		&s.TLS.Inside.Certificate, &s.TLS.Inside.Key, &s.TLS.Inside.Authority,
+	} {
+		if *p != "" && !filepath.IsAbs(*p) {
+			*p = filepath.Join(dir, *p)
+		}
+	}
+}
--- /dev/null
+++ b/internal/cli/verb/verb_test.go
@@ -0,0 +1,82 @@
+package verb_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/cli/check"
+	"gypsumreel/internal/cli/verb"
+)
+
+type echo struct {
+	Word string `long:"word"`
+	err  error
+	got  []string
+}
+
+func (e *echo) Run(_ context.Context, _ verb.Env, args []string) error {
+	e.got = append([]string{e.Word}, args...)
+	return e.err
+}
+
+func run(args []string, verbs ...verb.Verb) (exit verb.Exit, out, errs string) {
+	var o, e bytes.Buffer
+	exit = verb.Run(context.Background(), verb.Env{Out: &o, Err: &e}, args, verbs...)
+	return exit, o.String(), e.String()
+}
+
+func TestVerbOfAGroupGetsItsFlags(t *testing.T) {
+	e := &echo{}
+	group := verb.Verb{Name: "outer", Verbs: []verb.Verb{{Name: "inner", Runner: e}}}
+	if exit, _, errs := run([]string{"outer", "inner", "--word", "w", "rest"}, group); exit != verb.OK {
+		t.Fatalf("exit %d: %s", exit, errs)
+	}
+	if diff := cmp.Diff([]string{"w", "rest"}, e.got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestExitCodes(t *testing.T) {
+	for name, c := range map[string]struct {
+		args []string
+		err  error
+		want verb.Exit
+	}{
+		"no verb":       {nil, nil, verb.Usage},
+		"unknown verb":  {[]string{"nothing"}, nil, verb.Usage},
+		"unknown flag":  {[]string{"echo", "--nothing"}, nil, verb.Usage},
+		"help":          {[]string{"echo", "--help"}, nil, verb.OK},
+		"plain error":   {[]string{"echo"}, errors.New("e"), verb.Failed},
+		"conflict":      {[]string{"echo"}, verb.Refusal(code.Conflict, ""), verb.Conflict},
+		"not run":       {[]string{"echo"}, verb.Refusal(code.QueueFull, ""), verb.NotRun},
+		"unknown":       {[]string{"echo"}, verb.Refusal(code.Lost, ""), verb.Unknown},
+		"unanswered":    {[]string{"echo"}, verb.Refusal(code.Unanswered, ""), verb.Unreachable},
+		"bad key":       {[]string{"echo"}, verb.Refusal(code.BadKey, ""), verb.Failed},
+		"misuse":        {[]string{"echo"}, verb.Misuse("", "m"), verb.Usage},
+		"missing file":  {[]string{"check", "/nonexistent"}, nil, verb.Usage},
+		"not one file":  {[]string{"check"}, nil, verb.Usage},
+		"good settings": {[]string{"check", "../../../examples/entry.json"}, nil, verb.OK},
+	} {
+		got, _, errs := run(c.args, verb.Verb{Name: "echo", Runner: &echo{err: c.err}}, check.New())
+		if got != c.want {
+			t.Errorf("%s: exit %d, want %d: %s", name, got, c.want, errs)
+		}
+	}
+}
+
+// A refusal that says only a number leaves whoever is on duty searching; every
+// one of them is to say what to do next.
+func TestRefusalSaysWhatToDoNext(t *testing.T) {
+	_, _, errs := run([]string{"echo"}, verb.Verb{Name: "echo", Runner: &echo{err: verb.Refusal(code.Conflict, "current revision 7")}})
+	for _, want := range []string{"601", "current revision 7", "table show"} {
+		if !strings.Contains(errs, want) {
+			t.Errorf("%q lacks %q", errs, want)
+		}
+	}
+}
