Number the log events and list the result codes

A line of the log, an alarm and the handbook need one name for one thing: each event has a number that keeps its meaning, a name, a level and an advice.

logr knows no warning, so warnings go through its slog bridge, which keeps slog's level.

--- a/internal/base/code/code.go
+++ b/internal/base/code/code.go
@@ -2,7 +2,12 @@
 // see. docs/CODES.md lists them; a test keeps the two the same.
 package code
 
-import "fmt"
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+)
 
 // Code is the number of a result. The hundreds tell the class.
 type Code uint32
@@ -129,3 +134,28 @@
 func New(c Code, format string, args ...any) *Error {
 	return &Error{Code: c, Detail: fmt.Sprintf(format, args...)}
 }
+
+// All returns every code in the order of numbers.
+func All() []Code { return slices.Sorted(maps.Keys(texts)) }
+
+// classes names the hundreds.
+var classes = [...]string{"success", "done", "not run", "unknown", "proof", "request", "change", "cell"}
+
+// Class returns the name of the code's class.
+func (c Code) Class() string {
+	const size = 100
+	if n := int(c / size); n < len(classes) {
+		return classes[n]
+	}
+	return "unclassed"
+}
+
+// Markdown returns the table that docs/CODES.md holds.
+func Markdown() string {
+	var b strings.Builder
+	b.WriteString("| code | class | text |\n|---|---|---|\n")
+	for _, c := range All() {
+		fmt.Fprintf(&b, "| %d | %s | %s |\n", uint32(c), c.Class(), c)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/base/event/event.go
@@ -0,0 +1,102 @@
+// Package event numbers what the processes log, so that an alarm, a handbook
+// page and a line of the log name the same thing. Events go through logr to a
+// slog handler; docs/EVENTS.md lists the catalogue.
+package event
+
+import (
+	"io"
+	"log/slog"
+
+	"github.com/go-logr/logr"
+)
+
+// Level says who has to look at an event.
+type Level int8
+
+// The levels.
+const (
+	// Debug is for developers.
+	Debug Level = iota
+	// Info is the ordinary course of things.
+	Info
+	// Warn is a fault that the cell copes with; look at it when it repeats.
+	Warn
+	// Error needs a person.
+	Error
+)
+
+var levelNames = [...]string{"debug", "info", "warn", "error"}
+
+// String returns the level's name in lower case.
+func (l Level) String() string {
+	if l < 0 || int(l) >= len(levelNames) {
+		return levelNames[Info]
+	}
+	return levelNames[l]
+}
+
+// ID is one kind of event. The number never changes its meaning; the hundreds
+// tell the area.
+type ID struct {
+	Number uint32
+	// Name is short and hyphenated; metrics and alarms use it.
+	Name  string
+	Level Level
+	// Text says what has happened.
+	Text string
+	// Advice says what whoever is on duty should do; the handbook tells more.
+	Advice string
+}
+
+// Keys of the values that every event carries.
+const (
+	NumberKey = "event"
+	NameKey   = "name"
+)
+
+// Log logs an event with further keys and values, as logr takes them. Secrets
+// never belong in them.
+func Log(logger logr.Logger, id ID, kv ...any) {
+	all := append([]any{NumberKey, id.Number, NameKey, id.Name}, kv...)
+	switch id.Level {
+	case Debug:
+		logger.V(1).Info(id.Text, all...)
+	case Info:
+		logger.Info(id.Text, all...)
+	case Warn:
+		// logr has no warning of its own; a negative slog verbosity is one.
+		warn(logger, id.Text, all)
+	case Error:
+		logger.Error(nil, id.Text, all...)
+	}
+}
+
+// Fail logs an event with the error behind it.
+func Fail(logger logr.Logger, id ID, err error, kv ...any) {
+	Log(logger, id, append([]any{"err", err}, kv...)...)
+}
+
+// warn reaches slog's warning level where the logger is backed by slog.
+func warn(logger logr.Logger, text string, kv []any) {
+	slog.New(logr.ToSlogHandler(logger)).Warn(text, kv...)
+}
+
+// New returns a logger that writes one JSON object a line. The level is one of
+// the names of levels; others stand for info.
+func New(w io.Writer, level string) logr.Logger {
+	h := slog.NewJSONHandler(w, &slog.HandlerOptions{Level: slogLevel(level)})
+	return logr.FromSlogHandler(h)
+}
+
+func slogLevel(name string) slog.Level {
+	switch name {
+	case Debug.String():
+		// logr's V(1) is one below slog's info.
+		return slog.LevelDebug
+	case Warn.String():
+		return slog.LevelWarn
+	case Error.String():
+		return slog.LevelError
+	}
+	return slog.LevelInfo
+}
--- /dev/null
+++ b/internal/base/event/registry.go
@@ -0,0 +1,33 @@
+package event
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+var catalogue []ID
+
+func def(number uint32, name string, level Level, text, advice string) ID {
+	id := ID{Number: number, Name: name, Level: level, Text: text, Advice: advice}
+	catalogue = append(catalogue, id)
+	return id
+}
+
+// All returns the catalogue in the order of numbers.
+func All() []ID {
+	all := slices.Clone(catalogue)
+	slices.SortFunc(all, func(a, b ID) int { return cmp.Compare(a.Number, b.Number) })
+	return all
+}
+
+// Markdown returns the table that docs/EVENTS.md holds.
+func Markdown() string {
+	var b strings.Builder
+	b.WriteString("| event | name | level | what happened | what to do |\n|---|---|---|---|---|\n")
+	for _, id := range All() {
+		fmt.Fprintf(&b, "| %d | %s | %s | %s | %s |\n", id.Number, id.Name, id.Level, id.Text, id.Advice)
+	}
+	return b.String()
+}
