--- /dev/null
+++ b/internal/replica/group/group.go
@@ -0,0 +1,234 @@
+package group
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"gypsumreel/internal/replica/quorum"
+)
+
+// Defaults and bounds of a group.
+const (
+	// DefaultTick is the resolution of the timers.
+	DefaultTick = 10 * time.Millisecond
+	// DefaultFree is the room on the journal's disk below which the group is
+	// full, in bytes.
+	DefaultFree = 256 << 20
+	// maxProposals is how many proposals wait for the group.
+	maxProposals = 256
+	// maxInbox is how many messages of other replicas wait for the group.
+	maxInbox = 256
+	// maxBatch is how many events are handled before their effects leave.
+	maxBatch = 64
+	// maxUncommitted is how many bytes of entries may wait for a quorum.
+	maxUncommitted = 32 << 20
+	// freeInterval is the time between two looks at the room on the disk.
+	freeInterval = time.Second
+)
+
+// Errors of a group.
+var (
+	// ErrStopped tells that the group no longer runs.
+	ErrStopped = errors.New("group stopped")
+	// ErrAlone tells that there is no other voter to hand over to.
+	ErrAlone = errors.New("no other voter to hand over to")
+)
+
+// Journal is the log on the disk.
+type Journal interface {
+	// Append writes without syncing. An entry with an index that is present
+	// replaces it and everything after it.
+	Append(hard *quorum.Hard, entries []quorum.Entry) error
+	Sync() error
+	// Compact may forget entries up to index.
+	Compact(index uint64) error
+	Close() error
+	// Free gives the room on the disk in bytes.
+	Free() (uint64, error)
+}
+
+// Snapshots stores snapshots.
+type Snapshots interface {
+	// Save returns once the snapshot is synced.
+	Save(s quorum.Snapshot) error
+}
+
+// Peer carries messages to the other replicas.
+type Peer interface {
+	// Send never blocks; messages that find no room are dropped.
+	Send(to, address string, data [][]byte)
+}
+
+// Group runs one replica. Set the exported fields before Run.
+type Group struct {
+	// Config is that of the core: identity, address, timeouts, seed, bootstrap.
+	Config quorum.Config
+	// Saved is what the journal and the snapshots held at the start.
+	Saved     quorum.Saved
+	Journal   Journal
+	Snapshots Snapshots
+	Peer      Peer
+	// Now is a monotonic clock.
+	Now  func() time.Duration
+	Tick time.Duration
+	// Free is the room on the disk that the group wants left, in bytes.
+	Free uint64
+	Log  logr.Logger
+
+	once      sync.Once
+	proposals chan Proposal
+	inbox     chan quorum.Message
+	asks      chan ask
+	confirms  chan struct{}
+	synced    chan outcome
+	writes    chan quorum.Write
+	drops     chan uint64
+	saves     chan quorum.Snapshot
+	full      chan bool
+	done      chan struct{}
+	notes     *outbox
+
+	core      *quorum.Core
+	transfers []chan<- error
+}
+
+// ask is a rare request to the loop.
+type ask interface{ ask() }
+
+type (
+	compactAsk  struct{ ev quorum.Compact }
+	reloadAsk   struct{}
+	transferAsk struct{ done chan<- error }
+	dumpAsk     struct{ reply chan<- Dump }
+)
+
+func (compactAsk) ask()  {}
+func (reloadAsk) ask()   {}
+func (transferAsk) ask() {}
+func (dumpAsk) ask()     {}
+
+func (g *Group) init() {
+	g.once.Do(func() {
+		g.proposals = make(chan Proposal, maxProposals)
+		g.inbox = make(chan quorum.Message, maxInbox)
+		g.asks = make(chan ask)
+		g.confirms = make(chan struct{}, 1)
+		g.synced = make(chan outcome, 4)
+		g.writes = make(chan quorum.Write, 1)
+		g.drops = make(chan uint64, 1)
+		g.saves = make(chan quorum.Snapshot, 1)
+		g.full = make(chan bool, 1)
+		g.done = make(chan struct{})
+		g.notes = newOutbox()
+	})
+}
+
+// Done is closed when Run has returned.
+func (g *Group) Done() <-chan struct{} {
+	g.init()
+	return g.done
+}
+
+// Notes are what the control thread has to know, in order.
+func (g *Group) Notes() <-chan Note {
+	g.init()
+	return g.notes.out
+}
+
+// Propose hands over a proposal without blocking; false tells that there was no
+// room and that the same proposal has to come again.
+func (g *Group) Propose(p Proposal) bool {
+	g.init()
+	select {
+	case g.proposals <- p:
+		return true
+	default:
+		return false
+	}
+}
+
+// Confirm asks for a heartbeat round that begins now or later.
+func (g *Group) Confirm() {
+	g.init()
+	select {
+	case g.confirms <- struct{}{}:
+	default:
+	}
+}
+
+// Receive takes a message from another replica; from is proved by the caller.
+// Messages that find no room are dropped, as if the network had lost them.
+func (g *Group) Receive(from string, data []byte) {
+	g.init()
+	m, err := quorum.Decode(g.Config.ID, from, data)
+	if err != nil {
+		g.Log.V(1).Info("message dropped", "from", from, "error", err.Error())
+		return
+	}
+	select {
+	case g.inbox <- m:
+	default:
+	}
+}
+
+// Compact gives the state after the committed entry at index; the group saves it
+// as a snapshot and forgets the log behind it. The caller leaves state alone.
+func (g *Group) Compact(index uint64, state []byte) {
+	g.put(compactAsk{quorum.Compact{Index: index, State: state}})
+}
+
+// Reload asks for a Restore and the Apply notes after it.
+func (g *Group) Reload() { g.put(reloadAsk{}) }
+
+// Transfer returns when this replica does not lead any more, or with an error.
+func (g *Group) Transfer(ctx context.Context) error {
+	done := make(chan error, 1)
+	if !g.put(transferAsk{done}) {
+		return ErrStopped
+	}
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-g.done:
+		return ErrStopped
+	}
+}
+
+// Dump gives the state of the replica.
+func (g *Group) Dump() Dump {
+	reply := make(chan Dump, 1)
+	if !g.put(dumpAsk{reply}) {
+		return Dump{Stopped: true}
+	}
+	select {
+	case d := <-reply:
+		return d
+	case <-g.done:
+		return Dump{Stopped: true}
+	}
+}
+
+// put hands a request to the loop, which never waits for the control thread.
+func (g *Group) put(a ask) bool {
+	g.init()
+	select {
+	case g.asks <- a:
+		return true
+	case <-g.done:
+		return false
+	}
+}
+
+// Dump is the state of a replica for operators.
+type Dump struct {
+	Stopped bool
+	quorum.Status
+	// Queued is the number of notes that the control thread has not taken.
+	Queued int
+}
--- /dev/null
+++ b/internal/replica/group/group_test.go
@@ -0,0 +1,172 @@
+package group_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"gypsumreel/internal/replica/group"
+	"gypsumreel/internal/replica/quorum"
+)
+
+func three() []quorum.Member {
+	return []quorum.Member{{ID: "a/1", Address: "a/1"}, {ID: "b/1", Address: "b/1"}, {ID: "c/1", Address: "c/1"}}
+}
+
+func newNetwork() *network {
+	return &network{groups: map[string]*group.Group{}, silent: map[string]bool{}}
+}
+
+func roomy() *memory { return &memory{free: 1 << 40} }
+
+func TestSingleVoter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, disk := newNetwork(), roomy()
+		self := quorum.Member{ID: "a/1", Address: "a/1"}
+		r := run(t, n, "a/1", disk, self)
+		leaderOf(t, r)
+		want := commands("x", 500)
+		for i := range want {
+			r.propose(want[i])
+			synctest.Wait()
+		}
+		time.Sleep(200 * time.Millisecond)
+		got, _ := r.view()
+		if d := cmp.Diff(want, got); d != "" {
+			t.Fatal(d)
+		}
+		if r.confirm == 0 {
+			t.Error("no round was confirmed")
+		}
+		r.g.Compact(100, []byte("first hundred"))
+		time.Sleep(50 * time.Millisecond)
+		r.cancel()
+		<-r.g.Done()
+		again := run(t, n, "a/1", disk, self)
+		leaderOf(t, again)
+		got, _ = again.view()
+		// Index 1 is the bootstrap, 2 the leader's empty entry.
+		if d := cmp.Diff(append([]string{"first hundred"}, want[98:]...), got); d != "" {
+			t.Fatal(d)
+		}
+	})
+}
+
+func TestThreeReplicas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		var rs []*replica
+		for _, m := range three() {
+			rs = append(rs, run(t, n, m.ID, roomy(), three()...))
+		}
+		l := leaderOf(t, rs...)
+		want := commands("x", 100)
+		if !l.propose(want...) {
+			t.Fatal("refused")
+		}
+		time.Sleep(time.Second)
+		for _, r := range rs {
+			got, _ := r.view()
+			if d := cmp.Diff(want, got); d != "" {
+				t.Error(r.g.Config.ID, d)
+			}
+		}
+	})
+}
+
+// A leader is cut off silently while it has work in flight.
+// Callers of that work must not be told that it is done: the others elect a
+// leader and go on. When the old one is back, it drops what nobody committed
+// and ends in the state of the others.
+func TestLeaderCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		var rs []*replica
+		for _, m := range three() {
+			rs = append(rs, run(t, n, m.ID, roomy(), three()...))
+		}
+		old := leaderOf(t, rs...)
+		old.propose(commands("x", 10)...)
+		time.Sleep(time.Second)
+		n.mu.Lock()
+		n.silent[old.g.Config.ID] = true
+		n.mu.Unlock()
+		old.propose(commands("lost", 10)...)
+		time.Sleep(620 * time.Millisecond)
+		if got, leading := old.view(); leading || len(got) != 10 {
+			t.Errorf("cut off for longer than an election timeout: leading %v with %d commands", leading, len(got))
+		}
+		var others []*replica
+		for _, r := range rs {
+			if r != old {
+				others = append(others, r)
+			}
+		}
+		l := leaderOf(t, others...)
+		l.propose(commands("y", 10)...)
+		time.Sleep(time.Second)
+		n.mu.Lock()
+		n.silent = map[string]bool{}
+		n.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		want := append(commands("x", 10), commands("y", 10)...)
+		for _, r := range rs {
+			got, _ := r.view()
+			if d := cmp.Diff(want, got); d != "" {
+				t.Error(r.g.Config.ID, d)
+			}
+		}
+	})
+}
+
+func TestTransfer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		var rs []*replica
+		for _, m := range three() {
+			rs = append(rs, run(t, n, m.ID, roomy(), three()...))
+		}
+		l := leaderOf(t, rs...)
+		l.propose(commands("x", 10)...)
+		time.Sleep(300 * time.Millisecond)
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		began := time.Now()
+		if err := l.g.Transfer(ctx); err != nil {
+			t.Fatal(err)
+		}
+		if took := time.Since(began); took > 100*time.Millisecond {
+			t.Errorf("took %v", took)
+		}
+		synctest.Wait()
+		if next := leaderOf(t, rs...); next == l {
+			t.Error("the leader did not change")
+		}
+	})
+}
+
+// A disk reports a failed fsync once and succeeds the next time, as Linux does,
+// though the pages are lost. A group that tried again would acknowledge entries
+// that are on no disk; so it ends.
+func TestFailedSync(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, disk := newNetwork(), roomy()
+		r := run(t, n, "a/1", disk, quorum.Member{ID: "a/1", Address: "a/1"})
+		leaderOf(t, r)
+		broken := errors.New("input/output error")
+		disk.mu.Lock()
+		disk.broken = broken
+		disk.mu.Unlock()
+		r.propose("x")
+		if err := <-r.err; !errors.Is(err, broken) {
+			t.Errorf("Run returned %v", err)
+		}
+		if got, _ := r.view(); len(got) != 0 {
+			t.Errorf("committed %v", got)
+		}
+	})
+}
--- /dev/null
+++ b/internal/replica/group/run.go
@@ -0,0 +1,214 @@
+package group
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"gypsumreel/internal/replica/quorum"
+)
+
+// outcome is what a disk goroutine answers.
+type outcome struct {
+	ev  quorum.Event
+	err error
+}
+
+// Run drives the replica until ctx ends or its disk fails. It closes the journal.
+func (g *Group) Run(ctx context.Context) error {
+	g.init()
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	defer close(g.done)
+	defer wg.Wait()
+	defer cancel()
+	wg.Go(func() { g.notes.run(ctx) })
+	wg.Go(func() { g.journal(ctx) })
+	wg.Go(func() { g.snapshot(ctx) })
+	g.core = quorum.New(g.Config, g.Saved)
+	g.Saved = quorum.Saved{}
+	g.step(quorum.Reload{})
+	return g.loop(ctx)
+}
+
+func (g *Group) loop(ctx context.Context) error {
+	tick := g.Tick
+	if tick == 0 {
+		tick = DefaultTick
+	}
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			g.step(quorum.Tick{})
+			g.transfer()
+		case m := <-g.inbox:
+			g.step(quorum.Receive{Message: m})
+		case p := <-g.acceptable():
+			g.propose(p)
+		case o := <-g.synced:
+			if o.err != nil {
+				return o.err
+			}
+			g.step(o.ev)
+		case <-g.confirms:
+			g.step(quorum.Confirm{})
+		case full := <-g.full:
+			g.notes.put(Full{Full: full})
+		case a := <-g.asks:
+			g.answer(a)
+		}
+	}
+}
+
+// acceptable is the queue of proposals, or nil while they have to wait: during a
+// transfer, and when too much waits for a quorum.
+func (g *Group) acceptable() <-chan Proposal {
+	if g.core.Transferring() || g.core.Uncommitted() > maxUncommitted {
+		return nil
+	}
+	return g.proposals
+}
+
+// propose hands on a proposal together with those that follow it without a gap.
+func (g *Group) propose(p Proposal) {
+	if p.Change != nil {
+		g.step(quorum.Alter{Term: p.Term, First: p.First, Member: *p.Change, Remove: p.Remove})
+		return
+	}
+	ev := quorum.Propose{Term: p.Term, First: p.First, Commands: p.Commands}
+	for range maxBatch {
+		next, ok := g.next()
+		if !ok {
+			break
+		}
+		if next.Change != nil || next.Term != ev.Term || next.First != ev.First+uint64(len(ev.Commands)) {
+			g.step(ev)
+			g.propose(next)
+			return
+		}
+		ev.Commands = append(ev.Commands[:len(ev.Commands):len(ev.Commands)], next.Commands...)
+	}
+	g.step(ev)
+}
+
+func (g *Group) next() (Proposal, bool) {
+	select {
+	case p := <-g.proposals:
+		return p, true
+	default:
+		return Proposal{}, false
+	}
+}
+
+func (g *Group) answer(a ask) {
+	switch a := a.(type) {
+	case compactAsk:
+		g.step(a.ev)
+	case reloadAsk:
+		g.step(quorum.Reload{})
+	case transferAsk:
+		g.transfers = append(g.transfers, a.done)
+		g.transfer()
+	case dumpAsk:
+		a.reply <- Dump{Status: g.core.Status(), Queued: g.notes.len()}
+	}
+}
+
+// transfer goes on with a transfer until this replica does not lead any more.
+func (g *Group) transfer() {
+	if len(g.transfers) == 0 {
+		return
+	}
+	s := g.core.Status()
+	switch {
+	case !s.Leading:
+		g.transferred(nil)
+	case s.Voters == 1:
+		g.transferred(ErrAlone)
+	case !g.core.Transferring():
+		g.step(quorum.Transfer{})
+	}
+}
+
+func (g *Group) transferred(err error) {
+	for _, done := range g.transfers {
+		done <- err
+	}
+	g.transfers = nil
+}
+
+// step lets the core take one event and carries out the effects.
+func (g *Group) step(ev quorum.Event) {
+	fx := g.core.Step(g.Now(), ev)
+	if fx.Write != nil {
+		g.writes <- *fx.Write
+	}
+	if fx.Save != nil {
+		g.saves <- *fx.Save
+	}
+	if fx.Drop > 0 {
+		g.drop(fx.Drop)
+	}
+	g.send(fx.Out)
+	for _, r := range fx.Reports {
+		g.notes.put(g.note(r))
+	}
+}
+
+// drop leaves the newest index for the journal's goroutine.
+func (g *Group) drop(index uint64) {
+	select {
+	case <-g.drops:
+	default:
+	}
+	g.drops <- index
+}
+
+// send hands the messages to the peers, those for one replica together.
+func (g *Group) send(out []quorum.Outgoing) {
+	for len(out) > 0 {
+		to, address := out[0].Message.To, out[0].Address
+		var data [][]byte
+		n := 0
+		for _, o := range out {
+			if o.Message.To != to {
+				out[n] = o
+				n++
+				continue
+			}
+			if b, err := quorum.Encode(o.Message); err == nil {
+				data = append(data, b)
+			}
+		}
+		out = out[:n]
+		if address != "" {
+			g.Peer.Send(to, address, data)
+		}
+	}
+}
+
+func (g *Group) note(r quorum.Report) Note {
+	switch r := r.(type) {
+	case quorum.Led:
+		return Lead{Term: r.Term, Last: r.Last, Elected: r.Elected}
+	case quorum.Followed:
+		return Follow{Term: r.Term, Leader: r.Leader, Address: r.Address}
+	case quorum.Applied:
+		return Apply{Entries: r.Entries}
+	case quorum.Committed:
+		return Commit{Index: r.Index}
+	case quorum.RoundConfirmed:
+		return Confirmed{Term: r.Term, Start: r.Start}
+	case quorum.Restored:
+		return Restore{Index: r.Index, State: r.State}
+	case quorum.MembersChanged:
+		return Members{Members: r.Members, Self: g.Config.ID}
+	}
+	panic(errors.Newf("group: report %T", r))
+}
--- /dev/null
+++ b/internal/replica/quorum/core.go
@@ -0,0 +1,335 @@
+package quorum
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+type role uint8
+
+const (
+	follower role = iota
+	precandidate
+	candidate
+	leader
+)
+
+// held is a message that may leave once the write seq is synced.
+type held struct {
+	seq uint64
+	m   Message
+}
+
+// Core is the consensus state of one replica. It is not safe for concurrent use.
+type Core struct {
+	cfg Config
+	rng *rand.Rand
+	now time.Duration
+	fx  Effects
+
+	// What the disk holds, or will.
+	hard     Hard
+	log      log
+	history  history
+	snapshot Snapshot
+
+	disk disk
+	held []held
+
+	role   role
+	leader string
+	// stranger is a sender that the membership known here does not name.
+	stranger Member
+	// heard is when the leader was last heard; it counts while leader is set.
+	heard    time.Duration
+	deadline time.Duration
+	votes    map[string]bool
+
+	commit uint64
+	// applied is how far entries were reported.
+	applied uint64
+	// announced is the index of the membership reported last.
+	announced uint64
+	report    standing
+	// verified is how far the log is known to match that of the leader.
+	verified uint64
+	// acked is the last index acknowledged to the leader; ackDue asks for one more.
+	acked  uint64
+	ackDue bool
+
+	saving   *Snapshot
+	incoming *incoming
+
+	lead leadership
+}
+
+// standing is what the control thread was told last.
+type standing struct {
+	told    bool
+	leading bool
+	term    uint64
+	leader  string
+}
+
+// New makes a core from what the disk holds.
+func New(cfg Config, saved Saved) *Core {
+	cfg = cfg.withDefaults()
+	c := &Core{
+		cfg:      cfg,
+		rng:      rand.New(rand.NewPCG(cfg.Seed, 1)),
+		hard:     saved.Hard,
+		snapshot: saved.Snapshot,
+		log:      log{base: saved.Snapshot.Index, baseTerm: saved.Snapshot.Term},
+		commit:   saved.Snapshot.Index,
+		applied:  saved.Snapshot.Index,
+	}
+	if saved.Snapshot.Index > 0 {
+		c.history = history{{index: saved.Snapshot.Index, members: saved.Snapshot.Members}}
+	}
+	for _, e := range tail(saved) {
+		c.append(e)
+	}
+	// Entries are written after the hard state of their term, so this only
+	// matters for a journal that lost its hard state; then no vote is given twice.
+	if c.log.lastTerm() > c.hard.Term {
+		c.hard = Hard{Term: c.log.lastTerm()}
+	}
+	c.disk.stable, c.disk.saved = c.log.last(), c.log.last()
+	// Without entries behind the snapshot the journal may hold stale ones, or
+	// none near it; the anchor makes it go on from the snapshot.
+	if c.log.base > 0 && len(c.log.entries) == 0 {
+		c.disk.replace(&c.snapshot)
+	}
+	if c.blank() && len(cfg.Bootstrap) > 0 {
+		c.bootstrap()
+	}
+	c.resetDeadline()
+	if c.alone() {
+		c.deadline = 0
+	}
+	return c
+}
+
+// tail gives the saved entries that go on after the snapshot.
+func tail(saved Saved) []Entry {
+	next := saved.Snapshot.Index + 1
+	var entries []Entry
+	for _, e := range saved.Entries {
+		// A crash between the save of a snapshot from the leader and the write
+		// that anchors it leaves entries behind the snapshot that the leader
+		// never had. Their forerunner has another term than the snapshot.
+		if e.Index == saved.Snapshot.Index && e.Term != saved.Snapshot.Term {
+			return nil
+		}
+		if e.Index == next {
+			entries = append(entries, e)
+			next++
+		}
+	}
+	return entries
+}
+
+func (c *Core) blank() bool {
+	return c.hard == (Hard{}) && c.log.last() == 0
+}
+
+// bootstrap seeds the log with the first membership, which every replica that
+// is given it writes alike, as if a leader of term 1 had.
+func (c *Core) bootstrap() {
+	c.hard, c.disk.hardDirty = Hard{Term: 1}, true
+	members := membership{}
+	for _, m := range c.cfg.Bootstrap {
+		members.members = members.with(m)
+	}
+	c.append(Entry{Index: 1, Term: 1, Kind: Change, Data: EncodeMembers(members.members)})
+}
+
+// append adds an entry to the log and takes over the membership that it carries.
+func (c *Core) append(e Entry) {
+	c.log.append(e)
+	if e.Kind != Change {
+		return
+	}
+	if members, err := DecodeMembers(e.Data); err == nil {
+		c.history = append(c.history, membership{index: e.Index, members: members})
+	}
+}
+
+// members is the membership in force.
+func (c *Core) members() membership { return c.history.latest() }
+
+// Step lets ev happen at now, which never goes back.
+func (c *Core) Step(now time.Duration, ev Event) Effects {
+	c.now = max(c.now, now)
+	c.expire()
+	switch ev := ev.(type) {
+	case Tick:
+		c.tick()
+	case Receive:
+		c.receive(ev.Message)
+	case Propose:
+		c.propose(ev)
+	case Alter:
+		c.alter(ev)
+	case Synced:
+		c.synced(ev.Seq)
+	case SnapshotSaved:
+		c.snapshotSaved(ev.Index)
+	case Compact:
+		c.compact(ev)
+	case Confirm:
+		c.confirm()
+	case Transfer:
+		c.transfer()
+	case Reload:
+		c.reload()
+	}
+	c.finish()
+	fx := c.fx
+	c.fx = Effects{}
+	return fx
+}
+
+func (c *Core) tick() {
+	switch {
+	case c.role == leader:
+		c.leaderTick()
+	case c.now >= c.deadline:
+		c.campaign()
+	}
+}
+
+// finish gives out what the step made due.
+func (c *Core) finish() {
+	c.reportFollowed()
+	c.advance()
+	c.apply()
+	c.announce()
+	c.reportLed()
+	c.acknowledge()
+	c.replicate()
+	c.write()
+}
+
+func (c *Core) say(r Report) { c.fx.Reports = append(c.fx.Reports, r) }
+
+// send lets a message leave now.
+func (c *Core) send(m Message) {
+	m.From = c.cfg.ID
+	if c.maybeStranger(m) {
+		m.Address = c.cfg.Address
+	}
+	c.fx.Out = append(c.fx.Out, Outgoing{Address: c.addressOf(m.To), Message: m})
+}
+
+// maybeStranger tells that the receiver may know no membership with this
+// replica, and so no way back: it is new, or was away while all others changed.
+func (c *Core) maybeStranger(m Message) bool {
+	switch m.Kind {
+	case PreVote, Vote:
+		return true
+	case Append, Heartbeat, Chunk:
+		return c.role == leader && c.peer(m.To).match < c.members().index
+	}
+	return false
+}
+
+// hold lets a message leave when everything that this replica decided so far is synced.
+func (c *Core) hold(m Message) {
+	m.From = c.cfg.ID
+	c.held = append(c.held, held{seq: c.disk.covering(), m: m})
+	c.release()
+}
+
+// release sends the held messages whose write is synced. One to this replica
+// itself is its own vote.
+func (c *Core) release() {
+	for len(c.held) > 0 && c.held[0].seq <= c.disk.synced {
+		m := c.held[0].m
+		c.held = c.held[1:]
+		if m.To == c.cfg.ID {
+			c.receive(m)
+			continue
+		}
+		c.send(m)
+	}
+}
+
+// reportFollowed tells of lost leadership before anything that follows from it.
+func (c *Core) reportFollowed() {
+	leading := c.role == leader
+	if leading && (!c.report.leading || c.report.term == c.hard.Term) {
+		return
+	}
+	now := standing{told: true, term: c.hard.Term, leader: c.leader}
+	if leading {
+		now.leader = ""
+	}
+	if c.report == now {
+		return
+	}
+	c.report = now
+	c.say(Followed{Term: now.term, Leader: now.leader, Address: c.addressOf(now.leader)})
+}
+
+func (c *Core) addressOf(id string) string {
+	if m, ok := c.members().find(id); ok {
+		return m.Address
+	}
+	if id == c.stranger.ID {
+		return c.stranger.Address
+	}
+	return ""
+}
+
+// led tells whether the control thread was told that this replica leads in this term.
+func (c *Core) led() bool {
+	return c.role == leader && c.report.leading && c.report.term == c.hard.Term
+}
+
+// apply reports what was committed.
+func (c *Core) apply() {
+	if c.applied >= c.commit {
+		return
+	}
+	if c.led() {
+		c.say(Committed{Index: c.commit})
+	} else {
+		c.say(Applied{Entries: slices.Clone(c.log.slice(c.applied, c.commit))})
+	}
+	c.applied = c.commit
+}
+
+// announce reports the committed membership when it is a new one.
+func (c *Core) announce() {
+	m := c.history.at(c.commit)
+	if m.index == c.announced {
+		return
+	}
+	c.announced = m.index
+	c.say(MembersChanged{Members: m.members})
+}
+
+// reportLed waits until everything in the log is committed: the entry of its
+// own term too, without which a leader can't know what is.
+func (c *Core) reportLed() {
+	if c.role != leader || c.led() || c.commit < c.lead.empty || c.commit < c.log.last() {
+		return
+	}
+	c.report = standing{told: true, leading: true, term: c.hard.Term, leader: c.cfg.ID}
+	c.say(Led{Term: c.hard.Term, Last: c.log.last(), Elected: c.lead.elected})
+}
+
+// reload gives the state again to a control thread that has to drop its own.
+func (c *Core) reload() {
+	c.say(Restored{Index: c.snapshot.Index, State: c.snapshot.State})
+	c.applied = c.snapshot.Index
+	c.report.leading = c.report.leading && c.role != leader
+}
+
+// resetDeadline draws a new election timeout.
+func (c *Core) resetDeadline() {
+	jitter := time.Duration(c.rng.Int64N(int64(c.cfg.Election)))
+	c.deadline = c.now + c.cfg.Election + jitter
+}
--- /dev/null
+++ b/internal/replica/quorum/follow.go
@@ -0,0 +1,105 @@
+package quorum
+
+// takeAppend takes entries of the leader.
+func (c *Core) takeAppend(m Message) {
+	// Everything committed here is in the leader's log too.
+	if m.Index < c.commit {
+		m = c.skip(m)
+	}
+	if term, ok := c.log.term(m.Index); !ok || term != m.LogTerm {
+		hint, hintTerm := c.log.conflict(m.Index, m.LogTerm)
+		c.send(Message{
+			Kind: AppendReply, To: m.From, Term: c.hard.Term, Reject: true,
+			Index: m.Index, Hint: hint, LogTerm: hintTerm,
+		})
+		return
+	}
+	c.merge(m.Entries)
+	c.verified = max(c.verified, m.Index+uint64(len(m.Entries)))
+	c.ackDue = true
+	c.commitTo(m.Commit)
+}
+
+// skip drops what is committed from the front of an append.
+func (c *Core) skip(m Message) Message {
+	n := min(uint64(len(m.Entries)), c.commit-m.Index)
+	m.Entries = m.Entries[n:]
+	m.Index = c.commit
+	m.LogTerm, _ = c.log.term(c.commit)
+	return m
+}
+
+// merge appends what the log lacks and replaces what differs. Entries that it
+// has already stay: a late copy of an older append must not cut off later ones.
+func (c *Core) merge(entries []Entry) {
+	for i, e := range entries {
+		term, ok := c.log.term(e.Index)
+		if ok && term == e.Term {
+			continue
+		}
+		if ok {
+			c.truncate(e.Index)
+		}
+		for _, e := range entries[i:] {
+			c.append(e)
+		}
+		return
+	}
+}
+
+func (c *Core) truncate(index uint64) {
+	if index <= c.commit {
+		panic("quorum: a leader replaces a committed entry")
+	}
+	c.log.truncate(index)
+	c.history = c.history.truncate(index)
+	c.disk.truncate(index)
+}
+
+// commitTo takes the leader's commit index as far as the logs are known to match.
+func (c *Core) commitTo(index uint64) {
+	c.commitUpTo(min(index, c.verified))
+}
+
+// commitUpTo commits entries that the log holds.
+func (c *Core) commitUpTo(index uint64) {
+	if index <= c.commit {
+		return
+	}
+	c.log.committed += size(c.log.slice(c.commit, index))
+	c.commit = index
+}
+
+func (c *Core) takeHeartbeat(m Message) {
+	c.commitTo(m.Commit)
+	c.send(Message{
+		Kind: HeartbeatReply, To: m.From, Term: c.hard.Term,
+		Round: m.Round, Index: c.durable(),
+	})
+}
+
+// durable is how far the log is synced and known to match the leader's. It is 0
+// until the term is synced: a replica that forgot the term after a crash could
+// take other entries from an earlier leader in the place of these.
+func (c *Core) durable() uint64 {
+	if !c.disk.hardSynced() {
+		return 0
+	}
+	return min(c.disk.stable, c.verified)
+}
+
+// acknowledge tells the leader what is synced, once for all that one sync covers.
+func (c *Core) acknowledge() {
+	if c.role != follower || c.leader == "" {
+		return
+	}
+	n := c.durable()
+	if n == 0 && c.verified > 0 {
+		return
+	}
+	if n <= c.acked && !(c.ackDue && c.disk.stable >= c.verified) {
+		return
+	}
+	c.acked, c.ackDue = n, false
+	c.send(Message{Kind: AppendReply, To: c.leader, Term: c.hard.Term, Index: n})
+}
