--- a/internal/replica/group/fake_test.go
+++ b/internal/replica/group/fake_test.go
@@ -11,6 +11,7 @@
 
 	"gypsumreel/internal/replica/group"
 	"gypsumreel/internal/replica/quorum"
+	"gypsumreel/internal/replica/snapshot"
 )
 
 // memory is a journal and a snapshot store that survive their group.
@@ -64,10 +65,10 @@
 	return m.free, nil
 }
 
-func (m *memory) Save(s quorum.Snapshot) error {
+func (m *memory) Save(meta snapshot.Meta, state []byte) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.snapshot = s
+	m.snapshot = quorum.Snapshot{Index: meta.Index, Term: meta.Term, Members: meta.Members, State: state}
 	return nil
 }
 
--- a/internal/replica/group/group.go
+++ b/internal/replica/group/group.go
@@ -9,6 +9,7 @@
 	"github.com/go-logr/logr"
 
 	"gypsumreel/internal/replica/quorum"
+	"gypsumreel/internal/replica/snapshot"
 )
 
 // Defaults and bounds of a group.
@@ -28,6 +29,8 @@
 	maxUncommitted = 32 << 20
 	// freeInterval is the time between two looks at the room on the disk.
 	freeInterval = time.Second
+	// fullInterval is the time between two tries to write to a full disk.
+	fullInterval = 100 * time.Millisecond
 )
 
 // Errors of a group.
@@ -41,10 +44,11 @@
 // Journal is the log on the disk.
 type Journal interface {
 	// Append writes without syncing. An entry with an index that is present
-	// replaces it and everything after it.
+	// replaces it and everything after it. disk.ErrFull leaves the journal as it was.
 	Append(hard *quorum.Hard, entries []quorum.Entry) error
 	Sync() error
-	// Compact may forget entries up to index.
+	// Compact may forget entries up to index. A journal that ends there is empty
+	// afterwards and goes on with any index.
 	Compact(index uint64) error
 	Close() error
 	// Free gives the room on the disk in bytes.
@@ -54,7 +58,7 @@
 // Snapshots stores snapshots.
 type Snapshots interface {
 	// Save returns once the snapshot is synced.
-	Save(s quorum.Snapshot) error
+	Save(meta snapshot.Meta, state []byte) error
 }
 
 // Peer carries messages to the other replicas.
--- a/internal/replica/group/run.go
+++ b/internal/replica/group/run.go
@@ -25,7 +25,8 @@
 	defer wg.Wait()
 	defer cancel()
 	wg.Go(func() { g.notes.run(ctx) })
-	wg.Go(func() { g.journal(ctx) })
+	j := journalist{Group: g, last: last(g.Saved.Entries)}
+	wg.Go(func() { j.run(ctx) })
 	wg.Go(func() { g.snapshot(ctx) })
 	g.core = quorum.New(g.Config, g.Saved)
 	g.Saved = quorum.Saved{}
--- a/internal/replica/group/store.go
+++ b/internal/replica/group/store.go
@@ -6,75 +6,143 @@
 
 	"github.com/cockroachdb/errors"
 
+	"gypsumreel/internal/replica/disk"
 	"gypsumreel/internal/replica/quorum"
+	"gypsumreel/internal/replica/snapshot"
 )
 
-// journal writes and syncs on a goroutine of its own, so that a slow disk delays
-// no heartbeat. The core has at most one write on its way.
-func (g *Group) journal(ctx context.Context) {
-	defer g.close()
+// journalist writes and syncs on a goroutine of its own, so that a slow disk
+// delays no heartbeat. The core has at most one write on its way.
+type journalist struct {
+	*Group
+	// last is the index that the journal ends with, 0 while it is empty.
+	last uint64
+	full bool
+}
+
+func last(entries []quorum.Entry) uint64 {
+	if len(entries) == 0 {
+		return 0
+	}
+	return entries[len(entries)-1].Index
+}
+
+func (j *journalist) run(ctx context.Context) {
+	defer j.close()
 	look := time.NewTicker(freeInterval)
 	defer look.Stop()
-	full := g.look(false)
+	j.look()
 	for {
+		var err error
 		select {
 		case <-ctx.Done():
 			return
-		case w := <-g.writes:
-			if !g.settle(quorum.Synced{Seq: w.Seq}, g.write(w)) {
-				return
-			}
-		case index := <-g.drops:
-			if err := g.Journal.Compact(index); err != nil {
-				g.settle(nil, errors.Wrap(err, "compact the journal"))
-				return
+		case w := <-j.writes:
+			if err = j.write(ctx, w); err == nil {
+				j.synced <- outcome{ev: quorum.Synced{Seq: w.Seq}}
 			}
+		case index := <-j.drops:
+			err = j.compact(index)
 		case <-look.C:
-			full = g.look(full)
+			j.look()
+		}
+		if err != nil {
+			j.synced <- outcome{err: err}
+			return
 		}
 	}
 }
 
-func (g *Group) close() {
-	if err := g.Journal.Close(); err != nil {
-		g.Log.Error(err, "close the journal")
+func (j *journalist) close() {
+	if err := j.Journal.Close(); err != nil {
+		j.Log.Error(err, "close the journal")
 	}
 }
 
 // write writes and syncs once. After a failed sync nobody knows what the disk
 // holds, and a second try may pass without having written: the group ends.
-func (g *Group) write(w quorum.Write) error {
-	if err := g.Journal.Append(w.Hard, w.Entries); err != nil {
-		return errors.Wrap(err, "append to the journal")
+func (j *journalist) write(ctx context.Context, w quorum.Write) error {
+	if err := j.rebase(w.Entries); err != nil {
+		return err
+	}
+	for {
+		err := j.Journal.Append(w.Hard, w.Entries)
+		if err == nil {
+			break
+		}
+		if !errors.Is(err, disk.ErrFull) {
+			return errors.Wrap(err, "append to the journal")
+		}
+		if err := j.wait(ctx); err != nil {
+			return err
+		}
+	}
+	if n := last(w.Entries); n > 0 {
+		j.last = n
+	}
+	return errors.Wrap(j.Journal.Sync(), "sync the journal")
+}
+
+// rebase empties a journal that ends before the snapshot from which the entries
+// go on.
+func (j *journalist) rebase(entries []quorum.Entry) error {
+	if len(entries) == 0 || j.last == 0 || entries[0].Index <= j.last+1 {
+		return nil
 	}
-	return errors.Wrap(g.Journal.Sync(), "sync the journal")
+	return j.compact(entries[0].Index - 1)
 }
 
-// settle gives the outcome to the loop. The queue holds one of each goroutine.
-func (g *Group) settle(ev quorum.Event, err error) bool {
-	g.synced <- outcome{ev: ev, err: err}
-	return err == nil
+func (j *journalist) compact(index uint64) error {
+	err := j.Journal.Compact(index)
+	if errors.Is(err, disk.ErrFull) {
+		// Nothing hangs on it: the next snapshot tries again.
+		return nil
+	}
+	if err != nil {
+		return errors.Wrap(err, "compact the journal")
+	}
+	if j.last <= index {
+		j.last = 0
+	}
+	return nil
+}
+
+// wait holds a write back while the disk is full: the replica acknowledges
+// nothing meanwhile, and goes on when there is room, or a snapshot made some.
+func (j *journalist) wait(ctx context.Context) error {
+	j.tell(true)
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case index := <-j.drops:
+		return j.compact(index)
+	case <-time.After(fullInterval):
+		return nil
+	}
 }
 
 // look tells the loop when the disk got full, or got room again.
-func (g *Group) look(was bool) bool {
-	free, err := g.Journal.Free()
+func (j *journalist) look() {
+	free, err := j.Journal.Free()
 	if err != nil {
-		return was
+		return
 	}
-	want := g.Free
+	want := j.Free
 	if want == 0 {
 		want = DefaultFree
 	}
-	now := free < want
-	if now != was {
-		select {
-		case g.full <- now:
-		default:
-			return was
-		}
+	j.tell(free < want)
+}
+
+func (j *journalist) tell(full bool) {
+	if full == j.full {
+		return
+	}
+	select {
+	case j.Group.full <- full:
+		j.full = full
+	default:
 	}
-	return now
 }
 
 // snapshot saves snapshots on a goroutine of its own: they take long.
@@ -84,10 +152,21 @@
 		case <-ctx.Done():
 			return
 		case s := <-g.saves:
-			err := errors.Wrap(g.Snapshots.Save(s), "save a snapshot")
-			if !g.settle(quorum.SnapshotSaved{Index: s.Index}, err) {
+			ev, err := g.save(s)
+			g.synced <- outcome{ev: ev, err: err}
+			if err != nil {
 				return
 			}
 		}
 	}
 }
+
+// save gives up a snapshot that finds no room: the log stays, and the next
+// snapshot tries again.
+func (g *Group) save(s quorum.Snapshot) (quorum.Event, error) {
+	err := g.Snapshots.Save(snapshot.Meta{Index: s.Index, Term: s.Term, Members: s.Members}, s.State)
+	if errors.Is(err, disk.ErrFull) {
+		return quorum.SnapshotFailed{Index: s.Index}, nil
+	}
+	return quorum.SnapshotSaved{Index: s.Index}, errors.Wrap(err, "save a snapshot")
+}
--- a/internal/replica/quorum/core.go
+++ b/internal/replica/quorum/core.go
@@ -176,6 +176,8 @@
 		c.synced(ev.Seq)
 	case SnapshotSaved:
 		c.snapshotSaved(ev.Index)
+	case SnapshotFailed:
+		c.saving = nil
 	case Compact:
 		c.compact(ev)
 	case Confirm:
--- a/internal/replica/quorum/event.go
+++ b/internal/replica/quorum/event.go
@@ -32,6 +32,9 @@
 // SnapshotSaved tells that the snapshot of Effects.Save at Index is on the disk.
 type SnapshotSaved struct{ Index uint64 }
 
+// SnapshotFailed tells that the snapshot of Effects.Save at Index found no room.
+type SnapshotFailed struct{ Index uint64 }
+
 // Compact gives the state after the committed entry at Index.
 type Compact struct {
 	Index uint64
@@ -47,13 +50,14 @@
 // Reload asks for the newest snapshot and all committed entries after it.
 type Reload struct{}
 
-func (Tick) event()          {}
-func (Receive) event()       {}
-func (Propose) event()       {}
-func (Alter) event()         {}
-func (Synced) event()        {}
-func (SnapshotSaved) event() {}
-func (Compact) event()       {}
-func (Confirm) event()       {}
-func (Transfer) event()      {}
-func (Reload) event()        {}
+func (Tick) event()           {}
+func (Receive) event()        {}
+func (Propose) event()        {}
+func (Alter) event()          {}
+func (Synced) event()         {}
+func (SnapshotSaved) event()  {}
+func (SnapshotFailed) event() {}
+func (Compact) event()        {}
+func (Confirm) event()        {}
+func (Transfer) event()       {}
+func (Reload) event()         {}
