Add the entry daemon's first working parts and the fakes

The pool to the leader gathers items into Push batches, keeps a Pull open and asks again after silence; the connect handlers check bounds and forward. The fake backend server and the relay are made for tests, demo and load.

Added to the messages: PullRequest.patience, which bounds the age of a reply, and SubmitRequest.first: an entry cannot know whether an id went through another entry before, so it says not run only when the caller states that nothing was sent before; otherwise it says unknown.

Not tested yet.

--- /dev/null
+++ b/internal/edge/control/link.go
@@ -0,0 +1,358 @@
+package control
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/cockroachdb/errors"
+
+	"gypsumreel/internal/api/inner"
+	"gypsumreel/internal/base/code"
+)
+
+const (
+	// gather is the queue length at which a further Push starts beside those under way.
+	gather = 32
+	// linger is the longest wait for a batch to grow while a Push is under way.
+	linger = time.Millisecond
+	// maxFailures is the number of calls in a row that may fail before another leader is looked for.
+	maxFailures = 2
+	// maxAge bounds the life of the connections to one replica.
+	maxAge = 5 * time.Minute
+	// minPause is kept between Pulls that return at once without replies.
+	minPause = 2 * time.Millisecond
+)
+
+var (
+	errMoved  = errors.New("the replica does not lead")
+	errSilent = errors.New("the replica does not answer")
+	errAged   = errors.New("the connections reached their age")
+)
+
+// link is the session with one replica while it leads.
+type link struct {
+	pool    *Pool
+	replica Replica
+	// session is new with each link, so that what an earlier link left on the
+	// way can neither acknowledge nor answer anything of this one.
+	session uint64
+	client  inner.Control
+	wire    *http.Transport
+
+	mu       sync.Mutex
+	failures int
+}
+
+// open makes the client. HTTP/1.1 is used because a call that is given up
+// closes its own connection there: a connection that something on the way has
+// forgotten is never used twice.
+func (l *link) open() {
+	only := new(http.Protocols)
+	only.SetHTTP1(true)
+	l.wire = &http.Transport{
+		DialContext:         l.pool.Dial,
+		TLSClientConfig:     l.pool.TLS,
+		Protocols:           only,
+		MaxIdleConnsPerHost: l.pool.Flights + 1,
+		IdleConnTimeout:     10 * time.Second,
+		DisableCompression:  true,
+	}
+	scheme := "http://"
+	if l.pool.TLS != nil {
+		scheme = "https://"
+	}
+	l.client = inner.NewControlProtobufClient(scheme+l.replica.Address, &http.Client{Transport: l.wire})
+}
+
+func (l *link) close() { l.wire.CloseIdleConnections() }
+
+// find asks all replicas at once, with an empty Push, whether they lead. Asking
+// everybody is safe, and a silent replica then costs no time.
+func (p *Pool) find(ctx context.Context) (*link, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.Timeout)
+	defer cancel()
+	type answer struct {
+		link  *link
+		hint  Replica
+		leads bool
+	}
+	answers := make(chan answer)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	asked := map[string]bool{}
+	ask := func(r Replica) {
+		asked[r.Address] = true
+		l := p.link(r)
+		wg.Go(func() {
+			hint, leads := l.probe(ctx)
+			select {
+			case answers <- answer{l, hint, leads}:
+			case <-ctx.Done():
+				l.close()
+			}
+		})
+	}
+	for _, r := range p.Replicas {
+		ask(r)
+	}
+	for open := len(asked); open > 0; open-- {
+		var a answer
+		select {
+		case a = <-answers:
+		case <-ctx.Done():
+			return nil, errNoLeader
+		}
+		if a.leads {
+			return a.link, nil
+		}
+		a.link.close()
+		if a.hint.Address != "" && !asked[a.hint.Address] {
+			ask(a.hint)
+			open++
+		}
+	}
+	return nil, errNoLeader
+}
+
+// probe tells whether the replica leads, or which one it names.
+func (l *link) probe(ctx context.Context) (hint Replica, leads bool) {
+	sent := time.Now()
+	reply, err := l.client.Push(ctx, l.push(nil))
+	if err != nil {
+		return Replica{}, false
+	}
+	if to := reply.GetRedirect(); to != nil {
+		return Replica{Name: to.GetLeader(), Address: to.GetAddress()}, false
+	}
+	l.pool.confirm(sent)
+	return Replica{}, true
+}
+
+func (l *link) push(items []*inner.Item) *inner.PushRequest {
+	return &inner.PushRequest{Cell: l.pool.Cell, Entry: l.pool.Name, Session: l.session, Items: items}
+}
+
+// serve carries items and replies until the replica stops leading or answering.
+func (l *link) serve(ctx context.Context) error {
+	ctx, fail := context.WithCancelCause(ctx)
+	defer fail(nil)
+	defer l.close()
+	aged := time.AfterFunc(maxAge, func() { fail(errAged) })
+	defer aged.Stop()
+	// What an earlier leader left unanswered is asked again here: every item is idempotent.
+	l.pool.book.requeueAll()
+	var wg sync.WaitGroup
+	wg.Go(func() { l.dispatch(ctx, fail) })
+	wg.Go(func() { l.pull(ctx, fail) })
+	wg.Wait()
+	return context.Cause(ctx)
+}
+
+// dispatch starts a Push for what has gathered: at once when none is under way,
+// else when enough has gathered or the first has waited long enough.
+func (l *link) dispatch(ctx context.Context, fail context.CancelCauseFunc) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	flights := make(chan struct{}, l.pool.Flights)
+	landed := make(chan struct{}, 1)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.pool.book.wake:
+		}
+		for l.pool.book.waiting() > 0 {
+			if len(flights) > 0 && l.pool.book.waiting() < gather {
+				select {
+				case <-landed:
+				case <-time.After(linger):
+				case <-ctx.Done():
+					return
+				}
+			}
+			select {
+			case flights <- struct{}{}:
+			case <-ctx.Done():
+				return
+			}
+			batch := l.pool.book.take(l.pool.Batch)
+			if len(batch) == 0 {
+				<-flights
+				continue
+			}
+			wg.Go(func() {
+				l.send(ctx, fail, batch)
+				<-flights
+				select {
+				case landed <- struct{}{}:
+				default:
+				}
+			})
+		}
+	}
+}
+
+// send pushes one batch, and once more over a fresh connection if that failed.
+func (l *link) send(ctx context.Context, fail context.CancelCauseFunc, batch []*call) {
+	for ctx.Err() == nil {
+		items, fresh := l.pool.book.expose(batch)
+		l.pool.meter.pushes.Inc()
+		l.pool.meter.items.Add(len(items))
+		sent := time.Now()
+		reply, err := l.try(ctx, l.push(items))
+		if err != nil {
+			if neverSent(err) {
+				l.pool.book.conceal(fresh)
+			}
+			if l.failed(ctx, fail) {
+				return
+			}
+			continue
+		}
+		if reply.GetRedirect() != nil {
+			l.pool.book.conceal(fresh) // the replica says that it looked at nothing
+			l.pool.book.requeue(batch)
+			fail(errMoved)
+			return
+		}
+		l.worked(sent)
+		l.settle(fresh, reply.GetRefused())
+		return
+	}
+}
+
+// neverSent tells whether the call ended before it had a connection to write to.
+func neverSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+func (l *link) try(ctx context.Context, req *inner.PushRequest) (*inner.PushReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.pool.Timeout)
+	defer cancel()
+	return l.client.Push(ctx, req)
+}
+
+// settle handles the items that the leader had no room for. One that no earlier
+// Push carried was provably not run; any other is sent again when overdue.
+func (l *link) settle(fresh []*call, refused []uint64) {
+	if len(refused) == 0 {
+		return
+	}
+	full := make(map[uint64]bool, len(refused))
+	for _, seq := range refused {
+		full[seq] = true
+	}
+	var unseen []*call
+	for _, c := range fresh {
+		if full[c.item.Seq] {
+			unseen = append(unseen, c)
+		}
+	}
+	l.pool.meter.refused.Add(len(unseen))
+	l.pool.book.refuse(unseen)
+}
+
+// pull keeps a long poll open for replies.
+func (l *link) pull(ctx context.Context, fail context.CancelCauseFunc) {
+	ack := uint64(0)
+	for ctx.Err() == nil {
+		sent := time.Now()
+		reply, err := l.poll(ctx, ack)
+		if err != nil {
+			if l.failed(ctx, fail) {
+				return
+			}
+			continue
+		}
+		if reply.GetRedirect() != nil {
+			fail(errMoved)
+			return
+		}
+		l.worked(sent)
+		l.pool.learn(reply.GetRevision())
+		// The answer holds everything past the number acknowledged, so its last number is the next one.
+		if n := len(reply.GetReplies()); n > 0 {
+			ack = max(ack, reply.GetFirst()+uint64(n)-1)
+		} else if time.Since(sent) < minPause {
+			sleep(ctx, minPause)
+		}
+		if !l.deliver(reply.GetReplies()) {
+			fail(errMoved)
+			return
+		}
+	}
+}
+
+func (l *link) poll(ctx context.Context, ack uint64) (*inner.PullReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.pool.Patience+l.pool.Timeout)
+	defer cancel()
+	return l.client.Pull(ctx, &inner.PullRequest{
+		Cell: l.pool.Cell, Entry: l.pool.Name, Session: l.session,
+		Ack: ack, Revision: l.pool.Revision(), Patience: uint64(l.pool.Patience.Milliseconds()),
+	})
+}
+
+// deliver hands out replies. It returns false when the replica says that it no
+// longer leads: such items wait for the next leader.
+func (l *link) deliver(replies []*inner.Reply) bool {
+	leads := true
+	for _, r := range replies {
+		if r.GetStatus().GetCode() == uint32(code.NoLeader) {
+			leads = false
+			continue
+		}
+		if !l.pool.book.deliver(r) {
+			l.pool.meter.late.Inc()
+		}
+	}
+	return leads
+}
+
+// failed counts a call that failed and drops the idle connections, which may
+// have gone silent with it. It returns true when the link is given up.
+func (l *link) failed(ctx context.Context, fail context.CancelCauseFunc) bool {
+	if ctx.Err() != nil {
+		return true
+	}
+	l.wire.CloseIdleConnections()
+	l.pool.meter.failures.Inc()
+	l.mu.Lock()
+	l.failures++
+	n := l.failures
+	l.mu.Unlock()
+	if n >= maxFailures || !l.pool.retries.Allow() {
+		fail(errSilent)
+		return true
+	}
+	return false
+}
+
+func (l *link) worked(sent time.Time) {
+	l.pool.confirm(sent)
+	l.mu.Lock()
+	l.failures = 0
+	l.mu.Unlock()
+}
+
+// newBackoff returns the jittered pauses between searches for a leader.
+func newBackoff() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = 10 * time.Millisecond
+	b.MaxInterval = 250 * time.Millisecond
+	return b
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/edge/entry/entry.go
@@ -0,0 +1,232 @@
+// Package entry assembles the entry daemon: it serves callers, backend servers,
+// operators and the platform, and holds no durable state.
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"golang.org/x/net/netutil"
+
+	"gypsumreel/internal/edge/backend"
+	"gypsumreel/internal/edge/caller"
+	"gypsumreel/internal/edge/control"
+	"gypsumreel/internal/edge/operator"
+	"gypsumreel/internal/edge/platform"
+)
+
+// Defaults of the fields that are left zero.
+const (
+	// DefaultLinger is how long the entry serves on after readiness fails, for the balancer to notice.
+	DefaultLinger = 5 * time.Second
+	// DefaultDrain bounds the wait for requests under way after that.
+	DefaultDrain = 15 * time.Second
+	// DefaultConnections bounds the connections from outside.
+	DefaultConnections = 20_000
+)
+
+// Bounds on what one connection may do; they end slow readers and slow writers.
+const (
+	headerTimeout = 5 * time.Second
+	readTimeout   = 30 * time.Second
+	writeTimeout  = 30 * time.Second
+	idleTimeout   = 60 * time.Second
+	maxHeader     = 16 << 10
+	maxStreams    = 256
+	pingAfter     = 10 * time.Second
+	pingTimeout   = 5 * time.Second
+)
+
+// Entry is the entry daemon. Set the fields, then call Run.
+type Entry struct {
+	// Cell and Name identify the entry to the leader.
+	Cell string
+	Name string
+	// Listener takes callers, backend servers and operators.
+	Listener net.Listener
+	// Probes takes the platform's probes; nil to serve them on Listener.
+	Probes net.Listener
+	// Certificate is the configuration for calls from outside; nil for plain ones.
+	Certificate *tls.Config
+	// Replicas is the control group.
+	Replicas []control.Replica
+	// Inner is the configuration for calls to the control group; nil for plain ones.
+	Inner *tls.Config
+	// Dial opens connections to the control group; nil for TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Enrolment holds the digests of the secrets that backend servers may show.
+	Enrolment []backend.Digest
+	Audit     operator.Audit
+	Log       logr.Logger
+	// Abort ends a graceful stop at once when closed: the second signal.
+	Abort <-chan struct{}
+
+	Linger      time.Duration
+	Drain       time.Duration
+	Connections int
+	// Limit bounds the requests that wait for the leader.
+	Limit int
+
+	prepare sync.Once
+	pool    *control.Pool
+	meters  *metrics.Set
+	phase   atomic.Int32
+	done    chan struct{}
+}
+
+// The phases of an entry's life.
+const (
+	phaseServing int32 = iota
+	// phaseUnready still serves everything, but the balancer is told to look elsewhere.
+	phaseUnready
+	// phaseDraining finishes what is under way.
+	phaseDraining
+)
+
+var phaseNames = [...]string{"serving", "unready", "draining"}
+
+var errLeaving = errors.New("the entry is stopping")
+
+func (e *Entry) init() {
+	e.prepare.Do(func() {
+		if e.Linger == 0 {
+			e.Linger = DefaultLinger
+		}
+		if e.Drain == 0 {
+			e.Drain = DefaultDrain
+		}
+		if e.Connections == 0 {
+			e.Connections = DefaultConnections
+		}
+		if e.Audit == nil {
+			e.Audit = logAudit{e.Log}
+		}
+		e.meters = metrics.NewSet()
+		e.done = make(chan struct{})
+		e.pool = &control.Pool{
+			Cell: e.Cell, Name: e.Name, Replicas: e.Replicas, TLS: e.Inner, Dial: e.Dial,
+			Log: e.Log, Meters: e.meters, Limit: e.Limit,
+		}
+	})
+}
+
+// Done is closed when Run has returned.
+func (e *Entry) Done() <-chan struct{} { e.init(); return e.done }
+
+// Pool returns the entry's way to the leader.
+func (e *Entry) Pool() *control.Pool { e.init(); return e.pool }
+
+// Handler returns everything that the entry serves, for Run or for an in-process use.
+func (e *Entry) Handler() http.Handler {
+	e.init()
+	mux := http.NewServeMux()
+	count := connect.WithInterceptors(newCount(e.meters))
+	mux.Handle((&caller.Handler{Leader: e.pool}).Route(count))
+	mux.Handle((&backend.Handler{Leader: e.pool, Enrolment: e.Enrolment}).Route(count))
+	mux.Handle((&operator.Handler{Leader: e.pool, Audit: e.Audit, Name: e.Name, State: e.state}).Route(count))
+	if e.Probes == nil {
+		mux.Handle("/", e.probes())
+	}
+	return mux
+}
+
+func (e *Entry) probes() http.Handler {
+	return (&platform.Probes{Ready: e.ready, Meters: []*metrics.Set{e.meters}}).Route()
+}
+
+// ready returns nil while the balancer may send requests here.
+func (e *Entry) ready() error {
+	if e.phase.Load() != phaseServing {
+		return errLeaving
+	}
+	if !e.pool.Fresh() {
+		return errors.New("no leader is in contact")
+	}
+	return nil
+}
+
+// Run serves until ctx ends, then stops in order; see stop. It returns an error
+// when a listener fails or the stop was cut short.
+func (e *Entry) Run(ctx context.Context) error {
+	e.init()
+	defer close(e.done)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	running, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	wg.Go(func() { _ = e.pool.Run(running) })
+
+	faults := make(chan error, 2)
+	main := e.server(e.Handler())
+	wg.Go(func() { faults <- e.serve(main, e.Listener) })
+	probes := e.server(e.probes())
+	if e.Probes != nil {
+		wg.Go(func() { faults <- probes.Serve(e.Probes) })
+	}
+	defer func() { _ = probes.Close() }()
+	defer func() { _ = main.Close() }()
+	select {
+	case err := <-faults:
+		return errors.Wrap(err, "serve")
+	case <-ctx.Done():
+		return e.stop(main)
+	}
+}
+
+// stop is the planned stop, in this order: readiness fails; everything is
+// served on until the balancer has noticed; long polls end with the word to
+// turn to another entry; requests under way finish. Each step is bounded, and
+// Abort ends them all.
+func (e *Entry) stop(main *http.Server) error {
+	e.phase.Store(phaseUnready)
+	e.Log.Info("stopping", "linger", e.Linger.String())
+	select {
+	case <-time.After(e.Linger):
+	case <-e.Abort:
+		return errors.New("the stop was cut short")
+	}
+	e.phase.Store(phaseDraining)
+	e.pool.EndPolls()
+	ctx, cancel := context.WithTimeout(context.Background(), e.Drain)
+	defer cancel()
+	go func() {
+		select {
+		case <-e.Abort:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	err := main.Shutdown(ctx)
+	return errors.Wrap(err, "the stop was cut short")
+}
+
+func (e *Entry) server(h http.Handler) *http.Server {
+	both := new(http.Protocols)
+	both.SetHTTP1(true)
+	both.SetHTTP2(true)
+	both.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler: h, Protocols: both,
+		ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeader,
+		HTTP2:          &http.HTTP2Config{MaxConcurrentStreams: maxStreams, SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+	}
+}
+
+func (e *Entry) serve(s *http.Server, l net.Listener) error {
+	l = netutil.LimitListener(l, e.Connections)
+	if e.Certificate == nil {
+		return s.Serve(l)
+	}
+	s.TLSConfig = e.Certificate
+	return s.ServeTLS(l, "", "")
+}
--- /dev/null
+++ b/internal/fake/server/run.go
@@ -0,0 +1,221 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/edge/caller"
+)
+
+// Task names a task.
+type Task struct {
+	Job   uint64
+	Index uint32
+}
+
+// Attempt names one placement of a task.
+type Attempt struct {
+	Task
+	Number uint32
+}
+
+func attemptOf(a *v1.Attempt) Attempt {
+	return Attempt{Task{a.GetJob(), a.GetTask()}, a.GetNumber()}
+}
+
+func (a Attempt) message() *v1.Attempt {
+	return &v1.Attempt{Job: a.Job, Task: a.Index, Number: a.Number}
+}
+
+// run is one attempt on this server.
+type run struct {
+	attempt   Attempt
+	phase     v1.Phase
+	size      *v1.Size
+	began     time.Time
+	cancel    context.CancelFunc
+	exit      int32
+	chunks    []*v1.Chunk
+	next      int
+	throttled bool
+	progress  []byte
+}
+
+// state returns the Sync request with everything held. The caller holds mu.
+func (s *Server) state(number uint64) *v1.SyncRequest {
+	req := &v1.SyncRequest{
+		Server: s.Name, Incarnation: s.incarnation, Number: number,
+		Patience: uint64(s.Patience.Milliseconds()),
+	}
+	room := windowBytes
+	for _, r := range s.runs {
+		report := &v1.Report{Attempt: r.attempt.message(), Phase: r.phase, Used: r.size}
+		switch r.phase {
+		case v1.Phase_PHASE_ENDED:
+			report.Exit = r.exit
+			report.Chunks = r.window(&room)
+		case v1.Phase_PHASE_SAVED:
+			report.Checkpoint = r.progress
+		}
+		// More pieces are waiting: the cell should not hold this request.
+		if len(report.Chunks) < len(r.chunks) {
+			req.Patience = 0
+		}
+		req.Reports = append(req.Reports, report)
+	}
+	return req
+}
+
+// window returns the next pieces of the answer that fit into room. Pieces come
+// round again until the cell says that it has them all.
+func (r *run) window(room *int) []*v1.Chunk {
+	var out []*v1.Chunk
+	for range r.chunks {
+		c := r.chunks[r.next%len(r.chunks)]
+		if len(c.GetData()) > *room {
+			break
+		}
+		*room -= len(c.GetData())
+		out = append(out, c)
+		r.next++
+	}
+	return out
+}
+
+// obey takes the lease and the orders of an answer.
+func (s *Server) obey(reply *v1.SyncReply, sent time.Time) {
+	s.lock()
+	defer s.mu.Unlock()
+	// An answer to an older request may carry orders that were taken back since.
+	if reply.GetNumber() != s.number {
+		return
+	}
+	// A pause may have outlasted the lease: what ran under it stops before the new one counts.
+	s.checkLease()
+	if reply.GetLease() > 0 {
+		s.renew(sent.Add(time.Duration(reply.GetLease()) * time.Millisecond))
+	}
+	for _, o := range reply.GetOrders() {
+		s.order(o)
+	}
+}
+
+// renew moves the lease's end and the watchdog. The caller holds mu.
+func (s *Server) renew(end time.Time) {
+	if !end.After(*s.leaseEnd.Load()) {
+		return
+	}
+	s.leaseEnd.Store(&end)
+	if s.watchdog == nil {
+		s.watchdog = time.AfterFunc(time.Until(end), s.bite)
+		return
+	}
+	s.watchdog.Reset(time.Until(end))
+}
+
+// bite is the watchdog: at the lease's end everything stops, whether or not the cell can be reached.
+func (s *Server) bite() {
+	s.lock()
+	defer s.mu.Unlock()
+	s.checkLease()
+}
+
+// leased tells whether the lease still runs.
+func (s *Server) leased() bool { return time.Now().Before(*s.leaseEnd.Load()) }
+
+// checkLease stops everything when the lease is over. The caller holds mu.
+func (s *Server) checkLease() {
+	if !s.leased() {
+		s.stopAll()
+	}
+}
+
+// stopAll stops all that runs. The caller holds mu.
+func (s *Server) stopAll() {
+	for _, r := range s.runs {
+		s.stop(r, v1.Phase_PHASE_STOPPED)
+	}
+}
+
+// stop ends a running attempt in the phase given. The caller holds mu.
+func (s *Server) stop(r *run, phase v1.Phase) {
+	if r.phase != v1.Phase_PHASE_RUNNING {
+		return
+	}
+	r.cancel()
+	r.phase = phase
+	s.Record.stopped(s, r.attempt)
+	s.tell()
+}
+
+// order obeys one order. The caller holds mu.
+func (s *Server) order(o *v1.Order) {
+	a := attemptOf(o.GetAttempt())
+	r := s.runs[a]
+	switch o.GetVerb() {
+	case v1.Verb_VERB_START:
+		s.start(a, o)
+	case v1.Verb_VERB_STOP:
+		if r != nil {
+			s.stop(r, v1.Phase_PHASE_STOPPED)
+			return
+		}
+		// Stopped before it came: the start must not follow.
+		s.seen[a] = struct{}{}
+		s.runs[a] = &run{attempt: a, phase: v1.Phase_PHASE_STOPPED}
+		s.tell()
+	case v1.Verb_VERB_CHECKPOINT:
+		if r != nil {
+			r.progress = saveProgress(r.progress, time.Since(r.began))
+			s.stop(r, v1.Phase_PHASE_SAVED)
+		}
+	case v1.Verb_VERB_THROTTLE:
+		if r != nil {
+			r.throttled = true
+		}
+	case v1.Verb_VERB_FORGET:
+		if r != nil && r.phase != v1.Phase_PHASE_RUNNING {
+			delete(s.runs, a)
+		}
+	}
+}
+
+// start begins an attempt, once ever and only under a lease. The caller holds mu.
+func (s *Server) start(a Attempt, o *v1.Order) {
+	if _, ok := s.seen[a]; ok {
+		return
+	}
+	if !s.leased() {
+		return
+	}
+	s.seen[a] = struct{}{}
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &run{attempt: a, phase: v1.Phase_PHASE_RUNNING, size: o.GetSize(), began: time.Now(), cancel: cancel, progress: o.GetCheckpoint()}
+	s.runs[a] = r
+	s.Record.started(s, a)
+	s.tell()
+	go func() {
+		defer cancel()
+		result := s.Work(ctx, o)
+		s.finish(r, result)
+	}()
+}
+
+// finish keeps the result of an attempt that ended by itself.
+func (s *Server) finish(r *run, result Result) {
+	s.lock()
+	defer s.mu.Unlock()
+	// The watchdog may have been late, after a pause: an end past the lease does not count.
+	s.checkLease()
+	if r.phase != v1.Phase_PHASE_RUNNING {
+		return
+	}
+	if result.Crash {
+		s.drop()
+		return
+	}
+	s.stop(r, v1.Phase_PHASE_ENDED)
+	r.exit = result.Exit
+	r.chunks = caller.Split(result.Answer, s.Chunk)
+}
--- /dev/null
+++ b/internal/fake/server/server.go
@@ -0,0 +1,350 @@
+// Package server is a fake backend server for tests, the demo and the load
+// tool: it announces itself, syncs, and runs tasks as functions under a lease.
+// Hundreds of them fit into one process.
+package server
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cenkalti/backoff/v5"
+	"github.com/go-logr/logr"
+
+	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/base/code"
+)
+
+// Defaults of the fields that are left zero.
+const (
+	// DefaultPatience is the wait asked of the cell in one Sync.
+	DefaultPatience = 2 * time.Second
+	// DefaultTimeout is what a call may take beyond its patience.
+	DefaultTimeout = time.Second
+	// DefaultGather is how long news is gathered before it is reported.
+	DefaultGather = time.Millisecond
+	// DefaultChunk is the size of a piece of an answer in bytes.
+	DefaultChunk = 64 << 10
+	// windowBytes bounds the pieces sent in one Sync.
+	windowBytes = 1 << 20
+)
+
+// Server is one fake backend server. Set the fields, then call Run.
+type Server struct {
+	Name string
+	// Entries are tried in turn; NewEntry makes one.
+	Entries []Entry
+	// Secret is the enrolment secret.
+	Secret   string
+	Capacity *v1.Size
+	Rack     string
+	// Zone is the availability zone.
+	Zone   string
+	Labels map[string]string
+	// Work runs a task; nil for Obey.
+	Work Work
+	// Record is told of every start and stop; nil for none.
+	Record *Record
+	Log    logr.Logger
+
+	Patience time.Duration
+	Timeout  time.Duration
+	Gather   time.Duration
+	Chunk    int
+
+	prepare sync.Once
+	done    chan struct{}
+
+	mu          sync.Mutex
+	resumed     sync.Cond
+	leaving     bool
+	nonce       uint64
+	incarnation uint64
+	number      uint64
+	watchdog    *time.Timer
+	runs        map[Attempt]*run
+	seen        map[Attempt]struct{}
+	// news is true when something is to be reported at once.
+	news bool
+	// abandon ends the Sync under way; nil when none is.
+	abandon context.CancelFunc
+	entry   int
+
+	// paused and leaseEnd change under mu; the record reads them without it.
+	paused atomic.Bool
+	// leaseEnd is on this process's monotonic clock.
+	leaseEnd atomic.Pointer[time.Time]
+}
+
+func (s *Server) init() {
+	s.prepare.Do(func() {
+		setDefault(&s.Patience, DefaultPatience)
+		setDefault(&s.Timeout, DefaultTimeout)
+		setDefault(&s.Gather, DefaultGather)
+		setDefault(&s.Chunk, DefaultChunk)
+		setDefault(&s.Rack, "rack-1")
+		setDefault(&s.Zone, "zone-1")
+		if s.Capacity == nil {
+			s.Capacity = &v1.Size{Cpu: 16_000, Memory: 32 << 10, Slots: 8}
+		}
+		if s.Work == nil {
+			s.Work = Obey
+		}
+		s.resumed.L = &s.mu
+		s.leaseEnd.Store(&time.Time{})
+		s.runs = make(map[Attempt]*run)
+		s.seen = make(map[Attempt]struct{})
+		s.entry = rand.IntN(max(1, len(s.Entries)))
+		s.done = make(chan struct{})
+	})
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Done is closed when Run has returned.
+func (s *Server) Done() <-chan struct{} { s.init(); return s.done }
+
+// lock takes mu and then waits while the server is paused.
+func (s *Server) lock() {
+	s.mu.Lock()
+	for s.paused.Load() {
+		s.resumed.Wait()
+	}
+}
+
+// Pause freezes the server as a stopped process would be, until Resume.
+func (s *Server) Pause() {
+	s.init()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.paused.Store(true)
+}
+
+// Resume ends a pause. What ran looks at its lease before it goes on.
+func (s *Server) Resume() {
+	s.init()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.paused.Store(false)
+	s.checkLease()
+	s.resumed.Broadcast()
+}
+
+// Leave makes the server leave: Run returns once nothing is left to do.
+func (s *Server) Leave() {
+	s.init()
+	s.lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+	s.tell()
+}
+
+// Running returns the number of tasks that run now.
+func (s *Server) Running() int {
+	s.init()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, r := range s.runs {
+		if r.phase == v1.Phase_PHASE_RUNNING {
+			n++
+		}
+	}
+	return n
+}
+
+// Run serves until ctx ends, which kills all tasks as a crash would, or until
+// the server has left.
+func (s *Server) Run(ctx context.Context) error {
+	s.init()
+	defer close(s.done)
+	defer s.kill()
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = 20 * time.Millisecond
+	pause.MaxInterval = 500 * time.Millisecond
+	told := false
+	for ctx.Err() == nil {
+		var err error
+		switch {
+		case s.session() == 0:
+			err = s.announce(ctx)
+		case s.isLeaving() && !told:
+			err = s.sayLeave(ctx)
+			told = err == nil
+		case s.isLeaving() && s.idle():
+			return nil
+		default:
+			err = s.sync(ctx)
+		}
+		if err == nil {
+			pause.Reset()
+			continue
+		}
+		s.Log.V(1).Info("call failed", "server", s.Name, "error", err.Error())
+		s.turn()
+		sleep(ctx, pause.NextBackOff())
+	}
+	return ctx.Err()
+}
+
+func (s *Server) session() uint64 { s.lock(); defer s.mu.Unlock(); return s.incarnation }
+
+func (s *Server) isLeaving() bool { s.lock(); defer s.mu.Unlock(); return s.leaving }
+
+func (s *Server) idle() bool { s.lock(); defer s.mu.Unlock(); return len(s.runs) == 0 }
+
+// turn moves on to the next entry, leaving the connections to this one behind.
+func (s *Server) turn() {
+	s.lock()
+	defer s.mu.Unlock()
+	if reset := s.Entries[s.entry].Reset; reset != nil {
+		reset()
+	}
+	s.entry = (s.entry + 1) % len(s.Entries)
+}
+
+func (s *Server) client() v1.BackendClient {
+	s.lock()
+	defer s.mu.Unlock()
+	return s.Entries[s.entry].Client
+}
+
+// announce opens a session. The nonce stays the same until an answer comes, so
+// that an announcement whose answer was lost opens no second one.
+func (s *Server) announce(ctx context.Context) error {
+	s.lock()
+	if s.nonce == 0 {
+		s.nonce = rand.Uint64() | 1
+	}
+	nonce := s.nonce
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, s.Timeout)
+	defer cancel()
+	reply, err := s.client().Announce(ctx, request(s.Secret, &v1.AnnounceRequest{
+		Server: s.Name, Nonce: nonce, Capacity: s.Capacity, Rack: s.Rack, Zone: s.Zone, Labels: s.Labels,
+	}))
+	if err != nil {
+		return err
+	}
+	if c := reply.Msg.GetStatus().GetCode(); c != 0 {
+		return code.New(code.Code(c), "%s", reply.Msg.GetStatus().GetText())
+	}
+	s.lock()
+	defer s.mu.Unlock()
+	s.incarnation, s.number = reply.Msg.GetIncarnation(), 0
+	return nil
+}
+
+func (s *Server) sayLeave(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, s.Timeout)
+	defer cancel()
+	reply, err := s.client().Leave(ctx, request(s.Secret, &v1.LeaveRequest{Server: s.Name, Incarnation: s.session()}))
+	if err != nil {
+		return err
+	}
+	return s.judge(reply.Msg.GetStatus())
+}
+
+// judge turns a status into an error, and gives the session up when the cell no longer knows it.
+func (s *Server) judge(status *v1.Status) error {
+	c := code.Code(status.GetCode())
+	if c == code.OK {
+		return nil
+	}
+	if c == code.Stale || c == code.Unknown {
+		s.lock()
+		s.drop()
+		s.mu.Unlock()
+	}
+	return code.New(c, "%s", status.GetText())
+}
+
+// sync makes one Sync call and obeys its answer.
+func (s *Server) sync(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, s.Patience+s.Timeout)
+	defer cancel()
+	s.lock()
+	s.checkLease()
+	s.number++
+	number := s.number
+	req := s.state(number)
+	s.news, s.abandon = false, cancel
+	s.mu.Unlock()
+
+	// The lease counts from here: the leader can only have received it later.
+	sent := time.Now()
+	reply, err := s.client().Sync(ctx, request(s.Secret, req))
+
+	s.lock()
+	s.abandon = nil
+	abandoned := s.news
+	s.mu.Unlock()
+	if err != nil && abandoned {
+		sleep(context.Background(), s.Gather)
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if err := s.judge(reply.Msg.GetStatus()); err != nil {
+		return err
+	}
+	s.obey(reply.Msg, sent)
+	if reply.Msg.GetElsewhere() {
+		s.turn()
+	}
+	return nil
+}
+
+// tell makes the Sync under way give way to one that carries the news. The
+// caller holds mu.
+func (s *Server) tell() {
+	s.news = true
+	if s.abandon != nil {
+		s.abandon()
+	}
+}
+
+// kill ends everything at once, as the death of the process would.
+func (s *Server) kill() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.paused.Store(false)
+	s.resumed.Broadcast()
+	if s.watchdog != nil {
+		s.watchdog.Stop()
+	}
+	s.drop()
+}
+
+// drop stops all tasks and forgets the session; what was seen stays known. The
+// caller holds mu.
+func (s *Server) drop() {
+	s.stopAll()
+	s.runs = make(map[Attempt]*run)
+	s.incarnation, s.nonce = 0, 0
+	s.leaseEnd.Store(&time.Time{})
+}
+
+func request[T any](secret string, msg *T) *connect.Request[T] {
+	req := connect.NewRequest(msg)
+	req.Header().Set("Authorization", "Bearer "+secret)
+	return req
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
