--- a/internal/api/inner/replica.twirp.go
+++ b/internal/api/inner/replica.twirp.go
@@ -504,7 +504,7 @@
 }
 
 func (s *replicaServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor1, 0
+	return twirpFileDescriptor2, 0
 }
 
 func (s *replicaServer) ProtocGenTwirpVersion() string {
@@ -518,7 +518,7 @@
 	return baseServicePath(s.pathPrefix, "gypsumreel.inner", "Replica")
 }
 
-var twirpFileDescriptor1 = []byte{
+var twirpFileDescriptor2 = []byte{
 	// 235 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x7c, 0x90, 0xb1, 0x4b, 0x03, 0x31,
 	0x14, 0xc6, 0xb9, 0x6b, 0xb1, 0xf6, 0x59, 0x0e, 0x89, 0x4b, 0xe8, 0x50, 0x8e, 0x13, 0xa1, 0x53,
--- /dev/null
+++ b/internal/control/node/node.go
@@ -0,0 +1,273 @@
+// Package node assembles the control daemon: the replica's disk, its consensus
+// group, the control thread, and the services for entries and other replicas.
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/binary"
+	"net"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/control/entry"
+	"gypsumreel/internal/control/leader"
+	"gypsumreel/internal/policy/cell"
+	"gypsumreel/internal/policy/plan"
+	"gypsumreel/internal/replica/birth"
+	"gypsumreel/internal/replica/group"
+	"gypsumreel/internal/replica/journal"
+	"gypsumreel/internal/replica/member"
+	"gypsumreel/internal/replica/quorum"
+	"gypsumreel/internal/replica/snapshot"
+)
+
+// DefaultHandover bounds the handing over of the lead at a planned stop.
+const DefaultHandover = 5 * time.Second
+
+// Node is the control daemon. The exported fields are set before Run.
+type Node struct {
+	Cell string
+	Name string
+	// Data is the folder of everything that must last.
+	Data string
+	// Init founds a new cell together with the other replicas.
+	Init bool
+	// Listener takes entries and other replicas.
+	Listener net.Listener
+	// Address is where the others reach this replica.
+	Address string
+	// Replicas are all control replicas of the settings, by name; this one among them.
+	Replicas []quorum.Member
+	// Server and Client secure connections inside the cell; nil for plain ones.
+	Server *tls.Config
+	Client *tls.Config
+	// Root is the first operator's key.
+	Root *v1.KeyGrant
+	// Control is the control thread, set up but for what Run adds.
+	Control   *leader.Leader
+	Heartbeat time.Duration
+	Election  time.Duration
+	Handover  time.Duration
+	// Transport makes the way to the other replicas; receive takes what they send.
+	Transport func(id string, receive func(from string, data []byte)) Transport
+	Log       logr.Logger
+
+	once  sync.Once
+	begin time.Time
+	done  chan struct{}
+	group *group.Group
+}
+
+// Transport carries consensus messages. Run returns when ctx ends.
+type Transport interface {
+	group.Peer
+	Run(ctx context.Context) error
+	Handler() http.Handler
+}
+
+func (n *Node) init() {
+	n.once.Do(func() {
+		n.begin = time.Now()
+		n.done = make(chan struct{})
+		if n.Control == nil {
+			n.Control = leader.New()
+		}
+		if n.Handover == 0 {
+			n.Handover = DefaultHandover
+		}
+	})
+}
+
+// Done is closed when Run has returned.
+func (n *Node) Done() <-chan struct{} { n.init(); return n.done }
+
+// now is the monotonic clock that group and control thread share. It starts
+// above zero, so that zero can mean never.
+func (n *Node) now() time.Duration { return time.Since(n.begin) + time.Hour }
+
+// Run serves until ctx ends, then hands the lead over and stops. An error means
+// that this replica cannot go on, with the way out in its text.
+func (n *Node) Run(ctx context.Context) error {
+	n.init()
+	defer close(n.done)
+	lock, err := member.Take(n.Data)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = lock.Release() }()
+	self, fresh, err := n.identity()
+	if err != nil {
+		return err
+	}
+	store := snapshot.Store{Dir: filepath.Join(n.Data, "snapshot")}
+	saved, err := load(store)
+	if err != nil {
+		return err
+	}
+	log, recovered, err := journal.Open(filepath.Join(n.Data, "journal"))
+	if err != nil {
+		return err
+	}
+	saved.Hard, saved.Entries = recovered.Hard, recovered.Entries
+	return n.serve(ctx, self, fresh && n.Init, saved, log, store)
+}
+
+func load(store snapshot.Store) (quorum.Saved, error) {
+	meta, data, err := store.Load()
+	if err != nil {
+		return quorum.Saved{}, err
+	}
+	return quorum.Saved{Snapshot: quorum.Snapshot{Index: meta.Index, Term: meta.Term, Members: meta.Members, State: data}}, nil
+}
+
+// identity returns this replica's own, and whether its disk is blank.
+func (n *Node) identity() (quorum.Member, bool, error) {
+	store := member.Store{Dir: n.Data}
+	id, err := store.Load(n.Cell, n.Name)
+	fresh := errors.Is(err, member.ErrNone)
+	if fresh {
+		id, err = store.Make(n.Cell, n.Name, rand.Reader)
+	}
+	return quorum.Member{ID: id.ID(), Address: n.Address}, fresh, err
+}
+
+// serve runs all parts until ctx ends or one of them fails.
+func (n *Node) serve(ctx context.Context, self quorum.Member, found bool, saved quorum.Saved, log *journal.Journal, store snapshot.Store) error {
+	running, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	founder := n.founder(self)
+	n.group = &group.Group{Journal: log, Snapshots: &store, Saved: saved, Now: n.now, Log: n.Log}
+	service := &entry.Server{Cell: n.Cell, Leader: n.Control, Now: n.now, Dumper: n.dump}
+	mux := http.NewServeMux()
+	mux.Handle("/twirp/gypsumreel.inner.Control/", service.Handler())
+	mux.Handle("/twirp/gypsumreel.inner.Birth/", founder.Handler())
+	var transport Transport
+	if n.Transport != nil {
+		transport = n.Transport(self.ID, n.group.Receive)
+		n.group.Peer = transport
+		mux.Handle("/", transport.Handler())
+	}
+	server := n.server(mux)
+	faults := make(chan error, 4)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer end()
+	defer func() { _ = server.Close() }()
+	run := func(what string, fn func() error) {
+		wg.Go(func() {
+			if err := fn(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+				faults <- errors.Wrap(err, what)
+			}
+		})
+	}
+	run("listen", func() error { return n.listen(server) })
+	if found {
+		first, err := founder.Found(ctx)
+		if err != nil {
+			return err
+		}
+		n.group.Config.Bootstrap = first
+	} else {
+		founder.Know(ids(saved.Snapshot.Members, self))
+	}
+	n.configure(self)
+	n.Control.Deposed = service.CloseAll
+	if transport != nil {
+		run("transport", func() error { return transport.Run(running) })
+	}
+	run("group", func() error { return n.group.Run(running) })
+	run("control", func() error { return n.Control.Run(running) })
+	select {
+	case err := <-faults:
+		return err
+	case <-ctx.Done():
+		n.handOver()
+		return nil
+	}
+}
+
+func (n *Node) founder(self quorum.Member) *birth.Founder {
+	f := &birth.Founder{Cell: n.Cell, Self: self, Scheme: "http", Client: &http.Client{}}
+	if n.Client != nil {
+		f.Scheme, f.Client = "https", &http.Client{Transport: &http.Transport{TLSClientConfig: n.Client}}
+	}
+	for _, r := range n.Replicas {
+		if r.ID != n.Name {
+			f.Peers = append(f.Peers, r)
+		}
+	}
+	return f
+}
+
+// ids lists a membership that was saved, or this replica alone.
+func ids(members []quorum.Member, self quorum.Member) []string {
+	out := []string{self.ID}
+	for _, m := range members {
+		if m.ID != self.ID {
+			out = append(out, m.ID)
+		}
+	}
+	return out
+}
+
+func (n *Node) configure(self quorum.Member) {
+	cfg := &n.group.Config
+	cfg.ID, cfg.Address = self.ID, self.Address
+	cfg.Heartbeat, cfg.Election = n.Heartbeat, n.Election
+	var seed [8]byte
+	_, _ = rand.Read(seed[:])
+	cfg.Seed = binary.LittleEndian.Uint64(seed[:])
+	l := n.Control
+	l.Group, l.Now, l.Root, l.Log = n.group, n.now, n.Root, n.Log
+	if l.Planner == nil {
+		l.Planner = func() plan.Planner { return cell.New(cell.Config{}) }
+	}
+}
+
+func (n *Node) server(h http.Handler) *http.Server {
+	both := new(http.Protocols)
+	both.SetHTTP1(true)
+	both.SetHTTP2(true)
+	both.SetUnencryptedHTTP2(true)
+	return &http.Server{Handler: h, Protocols: both, ReadHeaderTimeout: 5 * time.Second, TLSConfig: n.Server}
+}
+
+func (n *Node) listen(s *http.Server) error {
+	if n.Server == nil {
+		return s.Serve(n.Listener)
+	}
+	return s.ServeTLS(n.Listener, "", "")
+}
+
+// handOver gives the lead to another replica before a planned stop, so that
+// requests wait for one round trip and not for an election.
+func (n *Node) handOver() {
+	if !n.Control.Status().Leads {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), n.Handover)
+	defer cancel()
+	if err := n.group.Transfer(ctx); err != nil && !errors.Is(err, group.ErrAlone) {
+		n.Log.Info("the lead was not handed over", "cause", err.Error())
+	}
+}
+
+// Dump is the state of a control process for a person to read.
+type Dump struct {
+	Cell   string
+	Name   string
+	Status leader.Status
+	Group  group.Dump
+}
+
+func (n *Node) dump() any {
+	return Dump{Cell: n.Cell, Name: n.Name, Status: n.Control.Status(), Group: n.group.Dump()}
+}
--- /dev/null
+++ b/internal/control/node/node_test.go
@@ -0,0 +1,114 @@
+package node_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+
+	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/control/node"
+	"gypsumreel/internal/domain/key"
+	"gypsumreel/internal/edge/backend"
+	"gypsumreel/internal/edge/control"
+	"gypsumreel/internal/edge/entry"
+	"gypsumreel/internal/fake/server"
+	"gypsumreel/internal/replica/quorum"
+)
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// The whole path over loopback: a control replica with its journal on a disk,
+// an entry, a backend server, and a caller with a team's key.
+func TestTheWholePath(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cl, el := listen(t), listen(t)
+	digest := key.Digest("secret")
+	n := &node.Node{
+		Cell: "test", Name: "c1", Data: t.TempDir(), Init: true, Listener: cl, Address: cl.Addr().String(),
+		Replicas: []quorum.Member{{ID: "c1", Address: cl.Addr().String()}},
+		Root:     &v1.KeyGrant{Id: "op", Operator: true, Digest: digest[:]},
+	}
+	e := &entry.Entry{
+		Cell: "test", Name: "e1", Listener: el, Replicas: []control.Replica{{Name: "c1", Address: cl.Addr().String()}},
+		Enrolment: []backend.Digest{backend.Digest(key.Digest("enrol"))}, Linger: time.Millisecond,
+	}
+	s := &server.Server{
+		Name: "b1", Entries: []server.Entry{server.NewEntry(el.Addr().String(), nil, nil)}, Secret: "enrol",
+		Capacity: &v1.Size{Cpu: 16_000, Memory: 32_000, Slots: 8}, Rack: "r1", Zone: "z1",
+	}
+	for _, run := range []func(context.Context) error{n.Run, e.Run, s.Run} {
+		go func() {
+			if err := run(ctx); err != nil && ctx.Err() == nil {
+				t.Error(err)
+			}
+		}()
+	}
+	defer func() {
+		cancel()
+		<-s.Done()
+		<-e.Done()
+		<-n.Done()
+	}()
+	url := "http://" + el.Addr().String()
+	operator := v1.NewOperatorClient(http.DefaultClient, url)
+	change := func(req *v1.ChangeRequest) {
+		t.Helper()
+		var rep *connect.Response[v1.ChangeReply]
+		var err error
+		for range 100 {
+			if rep, err = operator.Change(ctx, bearer(req, "op.secret")); err == nil {
+				break
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		if err != nil || rep.Msg.GetStatus().GetCode() != 0 {
+			t.Fatal(err, rep)
+		}
+	}
+	change(&v1.ChangeRequest{Id: "1", Change: &v1.ChangeRequest_Table{Table: &v1.TableChange{Edits: []*v1.Edit{{Row: &v1.Row{
+		Team: "rail", Weight: 1, Queue: 100, Limit: &v1.Size{Cpu: -1, Memory: -1, Accel: -1, Slots: -1},
+	}}}}}})
+	change(&v1.ChangeRequest{Id: "2", Change: &v1.ChangeRequest_Grant{Grant: &v1.KeyGrant{Id: "k", Team: "rail", Digest: digest[:]}}})
+	caller := v1.NewCallerClient(http.DefaultClient, url)
+	for _, spec := range []*v1.Spec{
+		{Id: "quote", Kind: v1.Kind_KIND_URGENT, Name: "q", Count: 1, Size: &v1.Size{Cpu: 1000, Memory: 100, Slots: 1}, Input: []byte("3 t of ballast")},
+		{Id: "plan", Kind: v1.Kind_KIND_BATCH, Name: "p", Count: 1, Size: &v1.Size{Cpu: 1000, Memory: 100, Slots: 1}, Input: []byte("section 4")},
+		{Id: "sweep", Kind: v1.Kind_KIND_GANG, Name: "s", Count: 3, Size: &v1.Size{Cpu: 1000, Memory: 100, Slots: 1}, Input: []byte("x")},
+	} {
+		done := false
+		rep, err := caller.Submit(ctx, bearer(&v1.SubmitRequest{Jobs: []*v1.Spec{spec}}, "k.secret"))
+		if err != nil || rep.Msg.GetJobs()[0].GetStatus().GetCode() != 0 {
+			t.Fatal(err, rep)
+		}
+		for range 20 {
+			w, err := caller.Wait(ctx, bearer(&v1.WaitRequest{Id: spec.GetId(), Patience: 2000}, "k.secret"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if w.Msg.GetOutcome() == v1.Outcome_OUTCOME_DONE {
+				done = true
+				break
+			}
+		}
+		if !done {
+			t.Errorf("%s has no answer", spec.GetId())
+		}
+	}
+}
+
+func bearer[T any](m *T, k string) *connect.Request[T] {
+	r := connect.NewRequest(m)
+	r.Header().Set("Authorization", "Bearer "+k)
+	return r
+}
