Run the daemons from their settings

The verbs control and entry read and check the settings and only wire; the first operator's key is a digest in the control replicas' settings, since its secret must never be stored. A second signal ends a planned stop at once.

--- a/internal/base/settings/keys.go
+++ b/internal/base/settings/keys.go
@@ -118,6 +118,8 @@
 		fill: func(*Settings) {},
 	},
 
+	text("operator", Control, allowedDigest, "", isDigest, "Digest of the first operator's secret; `gypsumreel key secret` makes both. Its key is operator.SECRET, and counts only while the cell has no other key.", func(s *Settings) *string { return &s.Operator }),
+
 	flag("tls.outside.plain", "No TLS towards callers, backend servers, operators and the platform.", func(s *Settings) *bool { return &s.TLS.Outside.Plain }),
 	text("tls.outside.certificate", "", allowedPath, "", isPath, "Certificate chain in PEM; required unless plain.", func(s *Settings) *string { return &s.TLS.Outside.Certificate }),
 	text("tls.outside.key", "", allowedPath, "", isPath, "Private key in PEM; required unless plain.", func(s *Settings) *string { return &s.TLS.Outside.Key }),
--- a/internal/base/settings/settings.go
+++ b/internal/base/settings/settings.go
@@ -35,9 +35,11 @@
 	// Enrolment holds the SHA-256 digests, in hexadecimal, of the secrets that
 	// backend servers may show; two during a change of secret.
 	Enrolment []string
-	TLS       TLS
-	Time      Time
-	Limits    Limits
+	// Operator is the digest of the first operator's secret, in hexadecimal.
+	Operator string
+	TLS      TLS
+	Time     Time
+	Limits   Limits
 	// Log is the least level that is logged: debug, info, warn or error.
 	Log string
 }
--- /dev/null
+++ b/internal/cli/control/control.go
@@ -0,0 +1,81 @@
+// Package control is the verb that runs the control daemon.
+package control
+
+import (
+	"context"
+	"encoding/hex"
+	"net"
+
+	"github.com/cockroachdb/errors"
+
+	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/base/settings"
+	"gypsumreel/internal/cli/verb"
+	"gypsumreel/internal/control/leader"
+	"gypsumreel/internal/control/node"
+	"gypsumreel/internal/replica/quorum"
+)
+
+// rootKey is the id of the first operator's key.
+const rootKey = "operator"
+
+// New returns the verb.
+func New() verb.Verb {
+	return verb.Verb{
+		Name: "control", Short: "run a control replica",
+		Long:   "Runs a control replica until SIGTERM. With --init, once, at the first start of a new cell on all its control replicas.",
+		Runner: &command{},
+	}
+}
+
+type command struct {
+	Settings string `long:"settings" value-name:"FILE" required:"true" description:"the settings file"`
+	Init     bool   `long:"init" description:"found a new cell: only at its very first start"`
+}
+
+// Run serves until ctx ends.
+func (c *command) Run(ctx context.Context, env verb.Env, _ []string) error {
+	s, err := settings.Load(c.Settings)
+	if err != nil {
+		return &verb.Error{Exit: verb.Usage, Text: err.Error()}
+	}
+	if s.Role != settings.Control {
+		return verb.Misuse("Run `gypsumreel entry --settings FILE`.", "%s is for role %s", c.Settings, s.Role)
+	}
+	n, err := build(s)
+	if err != nil {
+		return err
+	}
+	n.Init, n.Log = c.Init, verb.Logger(env, s.Log)
+	return n.Run(ctx)
+}
+
+// build makes the daemon from its settings.
+func build(s *settings.Settings) (*node.Node, error) {
+	l, err := net.Listen("tcp", s.Listen.Control)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen.control")
+	}
+	n := &node.Node{
+		Cell: s.Cell, Name: s.Name, Data: s.Data, Listener: l,
+		Heartbeat: s.Time.Heartbeat, Election: s.Time.Election, Control: leader.New(),
+	}
+	for _, p := range s.Control {
+		n.Replicas = append(n.Replicas, quorum.Member{ID: p.Name, Address: p.Address})
+		if p.Name == s.Name {
+			n.Address = p.Address
+		}
+	}
+	n.Control.Terms.Length = s.Time.Lease
+	n.Control.Retention = s.Time.Retention
+	n.Control.Patience = s.Time.Poll
+	n.Control.Snapshot = uint64(s.Limits.Snapshot)
+	if s.Operator != "" {
+		digest, err := hex.DecodeString(s.Operator)
+		if err != nil {
+			return nil, errors.Wrap(err, "operator")
+		}
+		n.Root = &v1.KeyGrant{Id: rootKey, Operator: true, Digest: digest}
+	}
+	return n, nil
+}
--- /dev/null
+++ b/internal/cli/entry/entry.go
@@ -0,0 +1,69 @@
+// Package entry is the verb that runs the entry daemon.
+package entry
+
+import (
+	"context"
+	"encoding/hex"
+	"net"
+
+	"github.com/cockroachdb/errors"
+
+	"gypsumreel/internal/base/settings"
+	"gypsumreel/internal/cli/verb"
+	"gypsumreel/internal/edge/backend"
+	"gypsumreel/internal/edge/control"
+	"gypsumreel/internal/edge/entry"
+)
+
+// New returns the verb.
+func New() verb.Verb {
+	return verb.Verb{
+		Name: "entry", Short: "run an entry",
+		Long:   "Runs an entry until SIGTERM, and then until the requests in flight have ended. A second signal ends it at once.",
+		Runner: &command{},
+	}
+}
+
+type command struct {
+	Settings string `long:"settings" value-name:"FILE" required:"true" description:"the settings file"`
+}
+
+// Run serves until ctx ends.
+func (c *command) Run(ctx context.Context, env verb.Env, _ []string) error {
+	s, err := settings.Load(c.Settings)
+	if err != nil {
+		return &verb.Error{Exit: verb.Usage, Text: err.Error()}
+	}
+	if s.Role != settings.Entry {
+		return verb.Misuse("Run `gypsumreel control --settings FILE`.", "%s is for role %s", c.Settings, s.Role)
+	}
+	e, err := build(s)
+	if err != nil {
+		return err
+	}
+	e.Log, e.Abort = verb.Logger(env, s.Log), verb.Again(ctx)
+	return e.Run(ctx)
+}
+
+// build makes the daemon from its settings.
+func build(s *settings.Settings) (*entry.Entry, error) {
+	e := &entry.Entry{Cell: s.Cell, Name: s.Name, Linger: s.Time.Drain, Drain: s.Time.Finish}
+	var err error
+	if e.Listener, err = net.Listen("tcp", s.Listen.Callers); err != nil {
+		return nil, errors.Wrap(err, "listen.callers")
+	}
+	if e.Probes, err = net.Listen("tcp", s.Listen.Platform); err != nil {
+		return nil, errors.Wrap(err, "listen.platform")
+	}
+	for _, p := range s.Control {
+		e.Replicas = append(e.Replicas, control.Replica{Name: p.Name, Address: p.Address})
+	}
+	for _, text := range s.Enrolment {
+		digest, err := hex.DecodeString(text)
+		if err != nil || len(digest) != len(backend.Digest{}) {
+			return nil, errors.Newf("enrolment: %q is no digest", text)
+		}
+		e.Enrolment = append(e.Enrolment, backend.Digest(digest))
+	}
+	return e, nil
+}
