--- a/internal/cli/control/control.go
+++ b/internal/cli/control/control.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/base/event"
 	"gypsumreel/internal/base/settings"
 	"gypsumreel/internal/cli/verb"
 	"gypsumreel/internal/control/leader"
@@ -46,7 +47,7 @@
 	if err != nil {
 		return err
 	}
-	n.Init, n.Log = c.Init, verb.Logger(env, s.Log)
+	n.Init, n.Log = c.Init, event.New(env.Err, s.Log)
 	return n.Run(ctx)
 }
 
--- a/internal/cli/entry/entry.go
+++ b/internal/cli/entry/entry.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"gypsumreel/internal/base/event"
 	"gypsumreel/internal/base/settings"
 	"gypsumreel/internal/cli/verb"
 	"gypsumreel/internal/edge/backend"
@@ -41,7 +42,7 @@
 	if err != nil {
 		return err
 	}
-	e.Log, e.Abort = verb.Logger(env, s.Log), verb.Again(ctx)
+	e.Log, e.Abort = event.New(env.Err, s.Log), verb.Again(ctx)
 	return e.Run(ctx)
 }
 
