--- /dev/null
+++ b/internal/policy/bench/meter.go
@@ -0,0 +1,210 @@
+package bench
+
+import (
+	"slices"
+	"time"
+
+	"gypsumreel/internal/domain/backend"
+	"gypsumreel/internal/domain/capacity"
+	"gypsumreel/internal/domain/job"
+	"gypsumreel/internal/policy/plan"
+	"gypsumreel/internal/policy/share"
+)
+
+// Meter takes the measures of a run.
+type Meter struct {
+	// From is when measuring begins.
+	From time.Duration
+
+	w       *World
+	waits   [job.Service + 1][]time.Duration
+	done    [job.Service + 1]float64
+	wasted  float64
+	packing []float64
+	dist    []float64
+	minute  map[string][]float64
+	worst   float64
+	notes   int
+	count   int
+	spent   time.Duration
+	calls   []time.Duration
+	verbs   [plan.Restore + 1]int
+	alone   map[uint64]time.Duration
+	slow    []float64
+}
+
+func newMeter(w *World) *Meter {
+	return &Meter{w: w, minute: map[string][]float64{}, alone: map[uint64]time.Duration{}}
+}
+
+func (m *Meter) on() bool { return m.w.now >= m.From }
+
+func (m *Meter) time(fn func() []plan.Decision) []plan.Decision {
+	began := time.Now()
+	out := fn()
+	took := time.Since(began)
+	m.spent += took
+	m.count += len(out)
+	if len(out) > 0 {
+		m.calls = append(m.calls, took/time.Duration(len(out)))
+	}
+	return out
+}
+
+func (m *Meter) decided(d plan.Decision) { m.verbs[d.Verb]++ }
+
+// submitted notes when a gang could start at the soonest if nothing else waited.
+func (m *Meter) submitted(id uint64) {
+	if m.on() && m.w.jobs[id][0].spec.Whole() {
+		m.alone[id] = m.w.soonest(m.w.jobs[id])
+	}
+}
+
+func (m *Meter) placed(r *Attempt) {
+	if !r.fresh || !m.on() {
+		return
+	}
+	wait := m.w.now - r.waits
+	m.waits[r.spec.Kind] = append(m.waits[r.spec.Kind], wait)
+	if alone, ok := m.alone[r.id.Job]; ok && r.id.Index == 0 && r.attempts == 0 {
+		m.slow = append(m.slow, wait.Seconds()/max(1, alone.Seconds()))
+	}
+}
+
+func (m *Meter) finished(r *Attempt) {
+	if m.on() {
+		m.done[r.spec.Kind] += work(r, m.w.now-max(r.base, m.From))
+	}
+}
+
+func (m *Meter) lost(r *Attempt, d time.Duration) {
+	if m.on() {
+		m.wasted += work(r, d)
+		m.done[r.spec.Kind] += work(r, max(0, m.w.now-max(r.base, m.From)-d))
+	}
+}
+
+// work is processor time in core-seconds.
+func work(r *Attempt, d time.Duration) float64 {
+	return float64(r.spec.Size.CPU) / 1000 * d.Seconds()
+}
+
+// Sample takes the measures that are taken once a second.
+func (m *Meter) Sample() {
+	if m.on() {
+		m.sample()
+	}
+	m.w.At(m.w.now+time.Second, m.Sample)
+}
+
+func (m *Meter) sample() {
+	w := m.w
+	var usable, used, wants capacity.Size
+	for _, id := range w.order {
+		if w.servers[id].State == backend.Ready {
+			usable = usable.Add(w.servers[id].Capacity)
+			used = used.Add(w.Check.room[id])
+		}
+	}
+	waiting := map[string]capacity.Size{}
+	for _, r := range w.runs {
+		if !r.held {
+			waiting[r.spec.Team] = waiting[r.spec.Team].Add(r.spec.Size)
+			wants = wants.Add(r.spec.Size)
+		}
+	}
+	if bound := min(1, used.Add(wants).Dominant(usable)); !wants.IsZero() && bound > 0.95 {
+		m.packing = append(m.packing, used.Dominant(usable)/bound)
+		m.distance(waiting, usable)
+	}
+}
+
+func (m *Meter) distance(waiting map[string]capacity.Size, usable capacity.Size) {
+	var claims []share.Claim
+	var held []float64
+	rows := m.w.table.Rows()
+	for _, row := range rows {
+		has := m.w.Check.teams[row.Name]
+		held = append(held, has.Dominant(usable))
+		want := has.Add(waiting[row.Name]).Dominant(usable)
+		claims = append(claims, share.Claim{Guarantee: float64(row.Share) / 1000, Weight: float64(row.Weight), Want: min(1, want)})
+	}
+	sum := 0.0
+	for i, target := range share.Divide(claims) {
+		off := max(target-held[i], held[i]-target)
+		sum += off
+		m.note(rows[i].Name, off)
+	}
+	m.dist = append(m.dist, sum/float64(len(rows)))
+}
+
+// note keeps the worst mean of a team's distance over a minute.
+func (m *Meter) note(team string, off float64) {
+	last := append(m.minute[team], off)
+	if len(last) > 60 {
+		last = last[1:]
+	}
+	m.minute[team] = last
+	if len(last) == 60 {
+		m.worst = max(m.worst, mean(last))
+	}
+}
+
+func mean(x []float64) float64 {
+	sum := 0.0
+	for _, v := range x {
+		sum += v
+	}
+	return sum / float64(max(1, len(x)))
+}
+
+func quantile[T time.Duration | float64](x []T, q float64) T {
+	if len(x) == 0 {
+		return 0
+	}
+	sorted := slices.Clone(x)
+	slices.Sort(sorted)
+	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
+}
+
+// soonest is how long a gang would wait if nothing else waited and what runs
+// ended as it really will: servers free up in the order of those ends.
+func (w *World) soonest(tasks []*Attempt) time.Duration {
+	type end struct {
+		at time.Duration
+		r  *Attempt
+	}
+	room := map[string]capacity.Size{}
+	var ends []end
+	for _, id := range w.order {
+		if w.servers[id].State != backend.Ready {
+			continue
+		}
+		room[id] = w.servers[id].Capacity.Sub(w.Check.room[id])
+		for _, r := range w.Check.on[id] {
+			ends = append(ends, end{r.base + r.left, r})
+		}
+	}
+	slices.SortStableFunc(ends, func(a, b end) int { return int(a.at - b.at) })
+	size := tasks[0].spec.Size
+	fits := func() bool {
+		n := 0
+		for _, free := range room {
+			for size.Fits(free) {
+				free = free.Sub(size)
+				n++
+			}
+		}
+		return n >= len(tasks)
+	}
+	if fits() {
+		return 0
+	}
+	for _, e := range ends {
+		room[e.r.server] = room[e.r.server].Add(e.r.spec.Size)
+		if fits() {
+			return max(0, e.at-w.now)
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/policy/bench/world.go
@@ -0,0 +1,342 @@
+// Package bench drives planners on a virtual clock against small fakes of the
+// ledger and of backend servers, and measures what comes out.
+package bench
+
+import (
+	"container/heap"
+	"time"
+
+	"gypsumreel/internal/domain/backend"
+	"gypsumreel/internal/domain/capacity"
+	"gypsumreel/internal/domain/job"
+	"gypsumreel/internal/domain/table"
+	"gypsumreel/internal/domain/task"
+	"gypsumreel/internal/policy/plan"
+)
+
+// Delays of the fakes.
+const (
+	// orderDelay is the time from a decision to its effect on a server.
+	orderDelay = 5 * time.Millisecond
+	// roundDelay is the time in which notes gather before a decision.
+	roundDelay = 2 * time.Millisecond
+	// tickPeriod is the longest time between two decisions.
+	tickPeriod = 50 * time.Millisecond
+	// checkpointTime is the time that a preempted task takes to stop.
+	checkpointTime = 250 * time.Millisecond
+	// checkpointPeriod is the time between a task's own checkpoints; what it did
+	// since the last one is lost when it is stopped.
+	checkpointPeriod = 30 * time.Second
+	// leaseTime is the time from a server's silence until its tasks are proved lost.
+	leaseTime = time.Second
+	// reportPeriod is the time between reports of use.
+	reportPeriod = 10 * time.Second
+	// batchOf is the number of decisions asked for at once.
+	batchOf = 64
+)
+
+// Attempt is one task in the fakes, with its latest attempt.
+type Attempt struct {
+	id       task.ID
+	spec     *job.Spec
+	accepted time.Duration
+	waits    time.Duration
+	left     time.Duration
+	used     capacity.Size
+	crashes  bool
+	attempts uint32
+	// fresh is true until the first placement, and after a loss.
+	fresh    bool
+	held     bool
+	stopping bool
+	over     bool
+	since    time.Duration
+	server   string
+	base     time.Duration
+}
+
+type event struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+// Push adds an event.
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+// Pop removes the last event.
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+// World is the fake ledger and its fake servers.
+type World struct {
+	// Planner decides.
+	Planner plan.Planner
+	// Check is told of every decision.
+	Check *Checker
+	// Meter takes the measures.
+	Meter *Meter
+
+	now     time.Duration
+	queue   events
+	seq     int
+	pending bool
+	servers map[string]backend.Server
+	order   []string
+	runs    map[task.ID]*Attempt
+	jobs    map[uint64][]*Attempt
+	holes   map[string]bool
+	table   table.Table
+	nextJob uint64
+}
+
+// NewWorld returns a world with the servers and the table given.
+func NewWorld(p plan.Planner, servers []backend.Server, t table.Table) *World {
+	w := &World{
+		Planner: p, Check: NewChecker(), servers: map[string]backend.Server{}, runs: map[task.ID]*Attempt{},
+		jobs: map[uint64][]*Attempt{}, holes: map[string]bool{},
+	}
+	w.Meter = newMeter(w)
+	w.SetTable(t)
+	for _, s := range servers {
+		w.order = append(w.order, s.ID)
+		w.SetServer(s)
+	}
+	return w
+}
+
+// At has fn run at the given time.
+func (w *World) At(at time.Duration, fn func()) {
+	w.seq++
+	heap.Push(&w.queue, event{max(at, w.now), w.seq, fn})
+}
+
+// Run plays until the given time.
+func (w *World) Run(until time.Duration) {
+	w.tick()
+	w.report()
+	for len(w.queue) > 0 && w.queue[0].at <= until {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.do()
+	}
+	w.now = until
+}
+
+func (w *World) tick() {
+	w.decide()
+	w.At(w.now+tickPeriod, w.tick)
+}
+
+// poke has a decision follow soon.
+func (w *World) poke() {
+	if w.pending {
+		return
+	}
+	w.pending = true
+	w.At(w.now+roundDelay, func() { w.pending = false; w.decide() })
+}
+
+// SetTable puts a table in force.
+func (w *World) SetTable(t table.Table) {
+	w.table = t
+	w.Check.table = t
+	w.Planner.SetTable(t)
+	w.poke()
+}
+
+// SetServer adds or changes a server.
+func (w *World) SetServer(s backend.Server) {
+	w.servers[s.ID] = s
+	w.Check.servers[s.ID] = s
+	w.Planner.SetServer(s)
+	w.poke()
+}
+
+// Submit queues a job whose tasks run for the times given.
+func (w *World) Submit(spec *job.Spec, times []time.Duration, used capacity.Size, crashes bool) uint64 {
+	w.nextJob++
+	id := w.nextJob
+	for i, d := range times {
+		r := &Attempt{
+			id: task.ID{Job: id, Index: uint32(i)}, spec: spec, accepted: w.now, waits: w.now,
+			left: d, used: used, crashes: crashes, fresh: true,
+		}
+		w.runs[r.id] = r
+		w.jobs[id] = append(w.jobs[id], r)
+		w.enqueue(r)
+	}
+	w.Meter.submitted(id)
+	return id
+}
+
+func (w *World) enqueue(r *Attempt) {
+	w.Meter.notes++
+	w.Planner.Queue(plan.Queued{ID: r.id, Job: r.spec, Accepted: r.accepted, Ready: w.now, Attempts: r.attempts})
+	w.poke()
+}
+
+// Cancel takes what waits of the job out of the queue.
+func (w *World) Cancel(id uint64) {
+	for _, r := range w.jobs[id] {
+		if w.runs[r.id] == r && !r.held {
+			delete(w.runs, r.id)
+			w.Planner.Unqueue(r.id)
+		}
+	}
+	w.poke()
+}
+
+func (w *World) decide() {
+	for {
+		out := w.Meter.time(func() []plan.Decision { return w.Planner.Decide(w.now, batchOf) })
+		for _, d := range out {
+			w.apply(d)
+		}
+		if len(out) < batchOf {
+			return
+		}
+	}
+}
+
+func (w *World) apply(d plan.Decision) {
+	w.Check.Decision(w, d)
+	w.Meter.decided(d)
+	switch d.Verb {
+	case plan.Place:
+		for _, l := range d.Places {
+			w.place(w.runs[task.ID{Job: d.Job, Index: l.Index}], l.Server)
+		}
+	case plan.Preempt, plan.Stop:
+		w.stop(w.runs[d.Task])
+	case plan.Throttle:
+		w.throttle(w.runs[d.Task])
+	case plan.Drop, plan.Park:
+		w.Cancel(d.Job)
+	case plan.Quarantine:
+		w.SetServer(w.servers[d.Server].WithState(backend.Quarantined, w.now))
+	case plan.Restore:
+		w.SetServer(w.servers[d.Server].WithState(backend.Ready, w.now))
+	}
+}
+
+func (w *World) place(r *Attempt, server string) {
+	w.Meter.placed(r)
+	r.held, r.fresh, r.server, r.since = true, false, server, w.now
+	r.attempts++
+	r.base = w.now + orderDelay
+	w.Planner.Hold(plan.Held{ID: r.id, Job: r.spec, Accepted: r.accepted, Server: server, Since: w.now})
+	n := r.attempts
+	length := r.left
+	failed := r.crashes || w.holes[server]
+	if failed {
+		length = min(length, 200*time.Millisecond)
+	}
+	w.At(r.base+length, func() { w.end(r, n, failed) })
+}
+
+// end is a task ending by itself.
+func (w *World) end(r *Attempt, attempt uint32, failed bool) {
+	if !r.held || r.attempts != attempt {
+		return
+	}
+	if failed {
+		w.release(r, plan.End{At: w.now, Ran: true, Failed: true}, true)
+		return
+	}
+	w.Meter.finished(r)
+	w.release(r, plan.End{At: w.now, Ran: true}, false)
+}
+
+func (w *World) release(r *Attempt, how plan.End, retry bool) {
+	r.held, r.stopping, r.over = false, false, false
+	w.Planner.Release(r.id, how)
+	w.Check.released(r)
+	if !retry {
+		delete(w.runs, r.id)
+		w.poke()
+		return
+	}
+	r.waits = w.now
+	r.fresh = how.Lost
+	w.enqueue(r)
+}
+
+// stop ends an attempt with a checkpoint: what was done since the last one the
+// task made by itself is lost.
+func (w *World) stop(r *Attempt) {
+	if r == nil || !r.held || r.stopping {
+		return
+	}
+	r.stopping = true
+	w.Planner.Hold(plan.Held{ID: r.id, Job: r.spec, Accepted: r.accepted, Server: r.server, Since: r.since, Stopping: true})
+	n := r.attempts
+	w.At(w.now+orderDelay+checkpointTime, func() {
+		if r.held && r.attempts == n {
+			w.save(r)
+			w.release(r, plan.End{At: w.now, Ran: true}, true)
+		}
+	})
+}
+
+func (w *World) save(r *Attempt) {
+	ran := max(0, w.now-r.base)
+	kept := ran - ran%checkpointPeriod
+	r.left -= kept
+	w.Meter.lost(r, ran-kept)
+}
+
+func (w *World) throttle(r *Attempt) {
+	if r != nil && r.used.Memory <= r.spec.Size.Memory {
+		r.used = r.spec.Size
+	}
+}
+
+// report tells of the use of every task.
+func (w *World) report() {
+	for _, id := range w.order {
+		for _, r := range w.Check.on[id] {
+			if w.now-r.since > time.Second && r.used != r.spec.Size {
+				w.Planner.Use(r.id, r.used, w.now)
+			}
+		}
+	}
+	w.At(w.now+reportPeriod, w.report)
+}
+
+// Lose takes the servers away that match, and brings them back later.
+func (w *World) Lose(match func(backend.Server) bool, back time.Duration) {
+	for _, id := range w.order {
+		s := w.servers[id]
+		if !match(s) {
+			continue
+		}
+		w.SetServer(s.WithState(backend.Suspect, w.now))
+		w.At(w.now+leaseTime, func() { w.gone(id) })
+		w.At(w.now+back, func() {
+			n := w.servers[id].WithState(backend.Ready, w.now)
+			n.Incarnation++
+			w.SetServer(n)
+		})
+	}
+}
+
+func (w *World) gone(id string) {
+	w.SetServer(w.servers[id].WithState(backend.Gone, w.now))
+	for _, r := range append([]*Attempt(nil), w.Check.on[id]...) {
+		w.save(r)
+		w.release(r, plan.End{At: w.now, Ran: true, Lost: true}, true)
+	}
+}
--- a/internal/policy/cell/cell.go
+++ b/internal/policy/cell/cell.go
@@ -1,24 +1,288 @@
 // Package cell is the product's planner: it composes the policies for urgent
-// work, services, gangs and batch into one plan.Planner.
+// work, services, gangs and batch into one plan.Planner. Files: books.go keeps
+// what runs where, work.go what waits, decide.go the order of decisions, and one
+// file for each kind of decision.
 package cell
 
 import (
-	"gypsumreel/internal/policy/fifo"
+	"math/rand/v2"
+	"time"
+
+	"gypsumreel/internal/domain/backend"
+	"gypsumreel/internal/domain/capacity"
+	"gypsumreel/internal/domain/job"
+	"gypsumreel/internal/domain/table"
+	"gypsumreel/internal/domain/task"
+	"gypsumreel/internal/policy/fit"
+	"gypsumreel/internal/policy/health"
 	"gypsumreel/internal/policy/plan"
+	"gypsumreel/internal/policy/queue"
+	"gypsumreel/internal/policy/urgent"
+)
+
+// Defaults of Config.
+const (
+	// DefaultDepth is the number of a team's waiting units that one decision looks at.
+	DefaultDepth = 16
+	// DefaultSlack is the part of the cell by which a team may miss its target
+	// before others are preempted for it.
+	DefaultSlack = 0.005
+	// DefaultRebalance is the time between two computations of the targets.
+	DefaultRebalance = 100 * time.Millisecond
+	// DefaultGrace is the time a throttled task is given to fall back to its size.
+	DefaultGrace = 10 * time.Second
+	// DefaultPatience is how far past its expected start a reservation waits
+	// before it preempts.
+	DefaultPatience = 5 * time.Second
+)
+
+// Part names a mechanism that a comparison can leave out.
+type Part uint32
+
+// The parts.
+const (
+	// Reserve is the room kept free for urgent work.
+	Reserve Part = 1 << iota
+	// Reclaim is preemption for teams below their target.
+	Reclaim
+	// UrgentPreempt is preemption for urgent work.
+	UrgentPreempt
+	// Estimates are the learned run times.
+	Estimates
+	// Reservation holds room together for gangs.
+	Reservation
+	// Backfill uses reserved room for what ends in time.
+	Backfill
+	// Quarantine takes failing servers out of use.
+	Quarantine
+	// BestFit prefers the tightest server to any.
+	BestFit
+	// Racks keeps gangs together.
+	Racks
+	// Shortest orders a team's work by expected run time as well as by age.
+	Shortest
 )
 
 // Config tunes the planner; the zero value works.
 type Config struct {
 	// Seed feeds the jitter of backoff.
 	Seed uint64
+	// Depth is DefaultDepth when 0.
+	Depth int
+	// Slack is DefaultSlack when 0.
+	Slack float64
+	// Rebalance is DefaultRebalance when 0.
+	Rebalance time.Duration
+	// Grace is DefaultGrace when 0.
+	Grace time.Duration
+	// Patience is DefaultPatience when 0.
+	Patience time.Duration
+	// Without leaves parts out; for comparison only.
+	Without Part
+}
+
+func (c Config) withDefaults() Config {
+	if c.Depth == 0 {
+		c.Depth = DefaultDepth
+	}
+	if c.Slack == 0 {
+		c.Slack = DefaultSlack
+	}
+	if c.Rebalance == 0 {
+		c.Rebalance = DefaultRebalance
+	}
+	if c.Grace == 0 {
+		c.Grace = DefaultGrace
+	}
+	if c.Patience == 0 {
+		c.Patience = DefaultPatience
+	}
+	return c
 }
 
 // Planner decides for one cell.
 type Planner struct {
-	*fifo.Planner
+	cfg Config
+	rng *rand.Rand
+	now time.Duration
+
+	table   table.Table
+	teams   map[string]*crew
+	order   *queue.Queue[string, *crew]
+	servers map[string]*server
+	list    []*server
+	racks   map[rackName]*rack
+	rackAt  []*rack
+	zones   []*zone
+	total   capacity.Size
+	free    capacity.Size
+
+	index     *fit.Index
+	rackIndex *fit.Index
+	failed    frontier
+	// grown counts the changes that may let something fit that did not before.
+	grown uint64
+
+	works  map[uint64]*work
+	held   map[task.ID]*holding
+	waits  map[task.ID]*unit
+	fresh  []*unit
+	later  *queue.Queue[task.ID, *unit]
+	late   *queue.Queue[task.ID, *unit]
+	urgent int
+	seq    uint64
+
+	reserve   urgent.Reserve
+	rooms     []*room
+	claims    []*claim
+	gangs     int
+	estimates *health.Estimates
+	guard     *health.Guard
+
+	assumed  []*holding
+	pending  []plan.Decision
+	over     []*holding
+	broken   []*work
+	spent    []*work
+	suspects []*server
+	excess   []*crew
+	moving   []*holding
+	jailed   []*server
+	idle     []*work
+
+	balanced time.Duration
+	stale    bool
+	reclaims time.Duration
+	scratch  []*unit
+	out      []plan.Decision
+	limit    int
 }
 
 var _ plan.Planner = (*Planner)(nil)
 
 // New returns a planner that knows nothing yet.
-func New(Config) *Planner { return &Planner{Planner: fifo.New()} }
+func New(cfg Config) *Planner {
+	cfg = cfg.withDefaults()
+	p := &Planner{
+		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), stale: true, grown: 1,
+		teams: map[string]*crew{}, servers: map[string]*server{}, racks: map[rackName]*rack{},
+		works: map[uint64]*work{}, held: map[task.ID]*holding{}, waits: map[task.ID]*unit{},
+		index: fit.NewIndex(), rackIndex: fit.NewIndex(),
+		estimates: health.NewEstimates(), guard: health.NewGuard(),
+	}
+	p.order = queue.New(func(c *crew) string { return c.name }, neediest)
+	p.later = queue.New(unitKey, soonest)
+	p.late = queue.New(unitKey, expiresFirst)
+	p.index.Any = p.lacks(BestFit)
+	p.estimates.Off = p.lacks(Estimates)
+	return p
+}
+
+func (p *Planner) lacks(part Part) bool { return p.cfg.Without&part != 0 }
+
+// SetTable puts a new revision of the table in force. New limits bind the next
+// decision; what runs above a lowered one is preempted by the rule in excess.go.
+func (p *Planner) SetTable(t table.Table) {
+	p.table = t
+	p.stale = true
+	p.grown++
+	for _, r := range t.Rows() {
+		p.crew(r.Name)
+	}
+	p.order.Each(func(c *crew) bool {
+		c.row, c.known = t.Row(c.name)
+		c.blocked = 0
+		p.excess = append(p.excess, c)
+		return true
+	})
+}
+
+// SetServer tells of a new or changed backend server.
+func (p *Planner) SetServer(s backend.Server) {
+	srv := p.server(s.ID)
+	old := srv.Server
+	p.uncount(srv)
+	srv.Server = s
+	p.settle(srv)
+	p.count(srv)
+	p.touch(srv)
+	p.stale = true
+	if s.State != backend.Quarantined && old.State == backend.Quarantined || s.Incarnation != old.Incarnation {
+		p.guard.Leave(srv.num)
+	}
+	if s.State == backend.Quarantined {
+		p.jail(srv, s.Since)
+	}
+	if s.State == backend.Draining && old.State != s.State {
+		p.move(srv)
+	}
+}
+
+// Hold tells that a task was placed; it counts until Release.
+func (p *Planner) Hold(h plan.Held) {
+	if known := p.held[h.ID]; known != nil {
+		p.confirm(known, h)
+		return
+	}
+	p.take(h.ID)
+	p.put(h, p.server(h.Server))
+}
+
+// Use tells what a held task was reported to use. What it uses beyond its
+// declared size counts against its server and its team like the rest.
+func (p *Planner) Use(id task.ID, used capacity.Size, at time.Duration) {
+	h := p.held[id]
+	if h == nil || at < h.usedAt {
+		return
+	}
+	h.usedAt = at
+	p.recount(h, h.Job.Size.Max(used))
+	h.exceeds = exceeds(used, h.Job.Size)
+	if h.exceeds && !h.listed {
+		h.listed = true
+		p.over = append(p.over, h)
+	}
+}
+
+// Release tells that an attempt is proved to run no more.
+func (p *Planner) Release(id task.ID, how plan.End) {
+	h := p.held[id]
+	if h == nil {
+		return
+	}
+	p.remove(h)
+	p.learn(h, how)
+	if h.Job.Whole() {
+		p.loosen(h, how)
+	}
+	p.tidy(h.work)
+}
+
+// Queue tells that a task waits to be placed. All tasks of a job that wait are
+// told of before the next Decide, so that a gang is seen whole.
+func (p *Planner) Queue(q plan.Queued) {
+	if p.held[q.ID] != nil || p.waits[q.ID] != nil {
+		return
+	}
+	w := p.work(q.ID.Job, q.Job)
+	if w.budget.Spent() {
+		p.spent = append(p.spent, w)
+	}
+	p.enqueue(w, q)
+}
+
+// Unqueue tells that a task waits no more and was not placed.
+func (p *Planner) Unqueue(id task.ID) {
+	if u := p.waits[id]; u != nil {
+		p.dequeue(u, id)
+		p.tidy(u.work)
+	}
+}
+
+// kindOf names the queue that a job waits in.
+func kindOf(spec *job.Spec) job.Kind {
+	if spec.Kind == job.Gang {
+		return job.Batch
+	}
+	return spec.Kind
+}
--- /dev/null
+++ b/internal/policy/cell/claim.go
@@ -0,0 +1,252 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"gypsumreel/internal/domain/backend"
+	"gypsumreel/internal/domain/capacity"
+	"gypsumreel/internal/domain/job"
+	"gypsumreel/internal/policy/plan"
+	"gypsumreel/internal/policy/preempt"
+)
+
+// Bounds of claims and of the search for victims.
+const (
+	// claimLife is how long a claim of one task waits for its victims.
+	claimLife = 15 * time.Second
+	// mostCrews and mostTasks bound the victims that are weighed.
+	mostCrews = 6
+	mostTasks = 12
+)
+
+// claim is room that is kept for a unit until what is in it has left.
+type claim struct {
+	unit  *unit
+	parts []part
+	made  time.Duration
+	// due is when the room is expected to be free.
+	due time.Duration
+	// forced is when tasks were last preempted for it.
+	forced time.Duration
+}
+
+// part is the room kept on one server.
+type part struct {
+	srv  *server
+	size capacity.Size
+	n    int
+}
+
+func (p *Planner) addClaim(u *unit, parts []part, due time.Duration) *claim {
+	c := &claim{unit: u, parts: parts, made: p.now, due: due}
+	u.claim = c
+	p.claims = append(p.claims, c)
+	for _, t := range parts {
+		t.srv.reserved = t.srv.reserved.Add(t.size)
+		p.touch(t.srv)
+		u.work.crew.coming = u.work.crew.coming.Add(t.size)
+	}
+	if u.work.spec.Whole() {
+		p.gangs++
+	}
+	return c
+}
+
+func (p *Planner) dropClaim(u *unit) {
+	c := u.claim
+	if c == nil {
+		return
+	}
+	u.claim, u.tried = nil, 0
+	p.claims = slices.DeleteFunc(p.claims, func(o *claim) bool { return o == c })
+	for _, t := range c.parts {
+		t.srv.reserved = t.srv.reserved.Sub(t.size)
+		u.work.crew.coming = u.work.crew.coming.Sub(t.size)
+		p.touch(t.srv)
+	}
+	if u.work.spec.Whole() {
+		p.gangs--
+	}
+}
+
+// claimed starts the units whose room has become free, urgent ones first.
+func (p *Planner) claimed() {
+	for _, urgent := range []bool{true, false} {
+		for _, c := range slices.Clone(p.claims) {
+			if p.full() {
+				return
+			}
+			if (c.unit.work.spec.Kind == job.Urgent) == urgent {
+				p.tryClaim(c)
+			}
+		}
+	}
+}
+
+func (p *Planner) tryClaim(c *claim) {
+	u := c.unit
+	free := true
+	var on []*server
+	for _, t := range c.parts {
+		if t.srv.State != backend.Ready {
+			p.dropClaim(u)
+			return
+		}
+		free = free && t.size.Fits(t.srv.actual())
+		for range t.n {
+			on = append(on, t.srv)
+		}
+	}
+	if len(on) != len(u.tasks) || u.where != inQueue {
+		p.dropClaim(u)
+		return
+	}
+	if free && p.within(u.work.crew, u.size()) {
+		p.start(u, on)
+		return
+	}
+	switch {
+	case !u.work.spec.Whole() && p.now-c.made > claimLife:
+		p.dropClaim(u)
+	case u.work.spec.Whole():
+		p.hasten(c)
+	}
+}
+
+// backfill returns a server on which room is kept for a gang that will not need
+// it before the unit is expected to have ended.
+func (p *Planner) backfill(u *unit) *server {
+	if p.gangs == 0 || p.lacks(Backfill) || u.work.spec.Once {
+		return nil
+	}
+	longest := p.estimates.Longest(u.work.spec)
+	for _, c := range p.claims {
+		if !c.unit.work.spec.Whole() || p.now+longest > c.due {
+			continue
+		}
+		for _, t := range c.parts {
+			if t.srv.State == backend.Ready && u.work.spec.Size.Fits(t.srv.room().Add(t.size)) && !u.work.budget.Avoids(t.srv.num) {
+				return t.srv
+			}
+		}
+	}
+	return nil
+}
+
+// rule tells whether a task may be stopped for a claim.
+type rule func(h *holding) bool
+
+// overdue allows the tasks of teams that hold more than their due.
+func (p *Planner) overdue(slack float64) rule {
+	return func(h *holding) bool {
+		size := h.size
+		if h.Job.Whole() {
+			size = size.Times(int64(len(h.work.held)))
+		}
+		rest := h.crew.held.Sub(h.crew.leaving).Sub(size)
+		return rest.Dominant(p.total) >= h.crew.fair-slack
+	}
+}
+
+// victims returns the server on which the least work is lost to make room for
+// need, and what to stop there.
+func (p *Planner) victims(u *unit, need capacity.Size, own bool, may rule) (*server, []*holding) {
+	v := search{p: p, unit: u, need: need, may: may, seen: map[*server]bool{}}
+	if own {
+		v.look(u.work.crew)
+	}
+	n := 0
+	p.order.EachDown(func(c *crew) bool {
+		if c != u.work.crew && c.victims.Len() > 0 {
+			v.look(c)
+			n++
+		}
+		return n < mostCrews && c.ratio > 0
+	})
+	return v.best, v.stop
+}
+
+// search is the state of one search for victims.
+type search struct {
+	p    *Planner
+	unit *unit
+	need capacity.Size
+	may  rule
+	seen map[*server]bool
+	best *server
+	stop []*holding
+	lost float64
+}
+
+// look weighs the servers on which the team's youngest tasks run.
+func (v *search) look(c *crew) {
+	n := 0
+	c.victims.Each(func(h *holding) bool {
+		if n++; v.may(h) && !v.seen[h.srv] && h.srv.State == backend.Ready && !v.unit.work.budget.Avoids(h.srv.num) {
+			v.seen[h.srv] = true
+			v.weigh(h.srv)
+		}
+		return n < mostTasks
+	})
+}
+
+func (v *search) weigh(s *server) {
+	stop, lost, ok := v.p.room(s, v.need, s.room(), v.may)
+	if ok && (v.best == nil || lost < v.lost) {
+		v.best, v.stop, v.lost = s, stop, lost
+	}
+}
+
+// room returns what to stop on the server so that need fits.
+func (p *Planner) room(s *server, need, free capacity.Size, may rule) ([]*holding, float64, bool) {
+	var candidates []preempt.Victim[*holding]
+	for _, h := range s.tasks {
+		if h.victim() && may(h) {
+			candidates = append(candidates, preempt.Victim[*holding]{Item: h, Room: h.size, Lost: p.lost(h)})
+		}
+	}
+	slices.SortStableFunc(candidates, func(a, b preempt.Victim[*holding]) int {
+		switch {
+		case a.Lost < b.Lost:
+			return -1
+		case a.Lost > b.Lost:
+			return 1
+		}
+		return 0
+	})
+	chosen, lost, ok := preempt.Choose(need, free, candidates)
+	stop := make([]*holding, 0, len(chosen))
+	for _, v := range chosen {
+		stop = append(stop, v.Item)
+	}
+	return stop, lost, ok
+}
+
+// lost is the work thrown away by stopping the task; a gang stops as a whole.
+func (p *Planner) lost(h *holding) float64 {
+	one := preempt.Work(h.size.Dominant(p.total), h.Since, p.now)
+	if !h.Job.Whole() {
+		return one
+	}
+	return one * float64(len(h.work.held))
+}
+
+// preempt stops the task, and with it the gang that it belongs to.
+func (p *Planner) preempt(h *holding, reason string) {
+	if !h.Job.Whole() {
+		p.preemptOne(h, reason)
+		return
+	}
+	for _, o := range h.work.held {
+		p.preemptOne(o, reason)
+	}
+}
+
+func (p *Planner) preemptOne(h *holding, reason string) {
+	if h.Stopping {
+		return
+	}
+	p.stop(h)
+	p.emit(plan.Decision{Verb: plan.Preempt, Task: h.ID, Reason: reason})
+}
--- /dev/null
+++ b/internal/policy/cell/decide.go
@@ -0,0 +1,262 @@
+package cell
+
+import (
+	"math"
+	"time"
+
+	"gypsumreel/internal/domain/capacity"
+	"gypsumreel/internal/domain/job"
+	"gypsumreel/internal/policy/plan"
+	"gypsumreel/internal/policy/share"
+)
+
+// Bounds of one call of Decide.
+const (
+	// mostDrops bounds the jobs dropped in one call, so that a wave of passed
+	// deadlines does not hold up placements.
+	mostDrops = 64
+	// thousandth is the unit of guaranteed shares.
+	thousandth = 1000.0
+)
+
+// Decide returns at most limit decisions, the most pressing first.
+func (p *Planner) Decide(now time.Duration, limit int) []plan.Decision {
+	p.now, p.limit, p.out = now, limit, nil
+	if limit <= 0 {
+		return nil
+	}
+	p.undo()
+	p.forget()
+	p.wake()
+	p.balance()
+	p.flush()
+	p.claimed()
+	p.placeUrgent()
+	p.watch()
+	p.expire()
+	p.fillReserve()
+	p.placeServices()
+	p.trim()
+	p.replace()
+	p.placeShared()
+	p.reserveGangs()
+	p.reclaim()
+	p.probe()
+	return p.out
+}
+
+func (p *Planner) full() bool { return len(p.out) >= p.limit }
+
+func (p *Planner) emit(d plan.Decision) {
+	if p.full() {
+		p.pending = append(p.pending, d)
+		return
+	}
+	p.out = append(p.out, d)
+}
+
+// flush emits what the last call had no room for.
+func (p *Planner) flush() {
+	n := min(len(p.pending), p.limit)
+	p.out = append(p.out, p.pending[:n]...)
+	p.pending = append(p.pending[:0], p.pending[n:]...)
+}
+
+// undo queues again what the last call placed and the ledger did not confirm.
+func (p *Planner) undo() {
+	assumed := p.assumed
+	p.assumed = p.assumed[:0]
+	for _, h := range assumed {
+		if !h.assumed || p.held[h.ID] != h {
+			continue
+		}
+		p.remove(h)
+		p.enqueue(h.work, h.queued)
+	}
+}
+
+// balance computes the targets anew when they may have moved.
+func (p *Planner) balance() {
+	if !p.stale && p.now-p.balanced < p.cfg.Rebalance {
+		return
+	}
+	p.stale, p.balanced = false, p.now
+	p.reserve.Tick(p.now)
+	crews := make([]*crew, 0, p.order.Len())
+	claims := make([]share.Claim, 0, p.order.Len())
+	p.order.Each(func(c *crew) bool {
+		crews = append(crews, c)
+		claims = append(claims, p.claimOf(c))
+		return true
+	})
+	floors := share.Floors(claims)
+	for i, target := range share.Divide(claims) {
+		p.aim(crews[i], target, floors[i])
+	}
+}
+
+func (p *Planner) claimOf(c *crew) share.Claim {
+	if !c.known {
+		return share.Claim{}
+	}
+	want := clip(c.held.Add(c.wants), c.row.Limit)
+	return share.Claim{
+		Guarantee: float64(c.row.Share) / thousandth,
+		Weight:    float64(max(1, c.row.Weight)),
+		Want:      min(1, want.Dominant(p.total)),
+	}
+}
+
+// clip bounds a size by a limit.
+func clip(s, limit capacity.Size) capacity.Size {
+	bound := func(n, l int64) int64 {
+		if l == capacity.Unlimited {
+			return n
+		}
+		return min(n, l)
+	}
+	return capacity.Size{
+		CPU: bound(s.CPU, limit.CPU), Memory: bound(s.Memory, limit.Memory),
+		Accel: bound(s.Accel, limit.Accel), Slots: bound(s.Slots, limit.Slots),
+	}
+}
+
+// aim gives the team its target and its place in the order of need.
+func (p *Planner) aim(c *crew, target, floor float64) {
+	c.target = target
+	fair := max(target, floor)
+	if math.Abs(fair-c.fair) < fair/256 {
+		return
+	}
+	p.order.Remove(c.name)
+	c.fair = fair
+	c.ratio = p.ratio(c)
+	p.order.Add(c)
+}
+
+// ratio is what the team holds, in units of what is fair.
+func (p *Planner) ratio(c *crew) float64 {
+	part := c.held.Dominant(p.total)
+	if part <= 0 {
+		return 0
+	}
+	if c.fair <= 0 {
+		return math.MaxFloat64
+	}
+	return part / c.fair
+}
+
+// within tells whether the team may hold that much more.
+func (p *Planner) within(c *crew, more capacity.Size) bool {
+	return c.known && c.held.Add(more).Within(c.row.Limit)
+}
+
+// start places the unit's tasks on the servers, one each.
+func (p *Planner) start(u *unit, on []*server) {
+	p.dropClaim(u)
+	tasks := append([]plan.Queued(nil), u.tasks...)
+	places := make([]plan.Placement, len(tasks))
+	u.work.started = true
+	for i, q := range tasks {
+		p.dequeue(u, q.ID)
+		h := p.put(plan.Held{ID: q.ID, Job: q.Job, Accepted: q.Accepted, Server: on[i].ID, Since: p.now}, on[i])
+		h.assumed, h.queued = true, q
+		p.assumed = append(p.assumed, h)
+		places[i] = plan.Placement{Index: q.ID.Index, Server: on[i].ID}
+	}
+	p.emit(plan.Decision{Verb: plan.Place, Job: u.work.id, Places: places})
+}
+
+// find returns the best server for one task of the unit.
+func (p *Planner) find(u *unit, need capacity.Size) *server {
+	if p.failed.holds(need) {
+		return nil
+	}
+	var avoid func(int32) bool
+	if u.work.budget.Failures() > 0 {
+		avoid = func(n int32) bool { return !u.work.budget.Avoids(n) }
+	}
+	n, ok := p.index.Best(need, avoid)
+	if ok {
+		return p.list[n]
+	}
+	if avoid == nil {
+		p.failed.add(need)
+	}
+	return nil
+}
+
+// placeShared places batch and gangs, the team furthest below its due first.
+func (p *Planner) placeShared() {
+	high := p.roomiest()
+	for !p.full() {
+		c := p.next(high)
+		if c == nil {
+			return
+		}
+		if !p.serve(c) {
+			c.blocked = p.grown
+		}
+	}
+}
+
+// next returns the neediest team of which something might fit.
+func (p *Planner) next(high capacity.Size) *crew {
+	var found *crew
+	p.order.Each(func(c *crew) bool {
+		if c.queues[job.Batch].Len()+c.queues[job.Service].Len() == 0 || c.blocked == p.grown || !c.known {
+			return true
+		}
+		if !c.least.Fits(high) {
+			return true
+		}
+		found = c
+		return false
+	})
+	return found
+}
+
+// roomiest is at least the room of any server, room that may be backfilled included.
+func (p *Planner) roomiest() capacity.Size {
+	high := p.index.High()
+	for _, c := range p.claims {
+		for _, part := range c.parts {
+			high = high.Max(part.srv.room().Add(part.size))
+		}
+	}
+	return high
+}
+
+// serve places the first unit of the team that fits.
+func (p *Planner) serve(c *crew) bool {
+	p.scratch = c.queues[job.Service].First(p.cfg.Depth, p.scratch[:0])
+	p.scratch = c.queues[job.Batch].First(p.cfg.Depth, p.scratch)
+	for _, u := range p.scratch {
+		if u.claim != nil || !p.within(c, u.size()) {
+			continue
+		}
+		if p.place(u) {
+			return true
+		}
+	}
+	return false
+}
+
+// place starts the unit if it fits now.
+func (p *Planner) place(u *unit) bool {
+	switch u.work.spec.Kind {
+	case job.Gang:
+		return p.placeGang(u)
+	case job.Service:
+		return p.placeService(u)
+	}
+	s := p.find(u, u.work.spec.Size)
+	if s == nil {
+		s = p.backfill(u)
+	}
+	if s == nil {
+		return false
+	}
+	p.start(u, []*server{s})
+	return true
+}
--- /dev/null
+++ b/internal/policy/cell/quick.go
@@ -0,0 +1,157 @@
+package cell
+
+import (
+	"slices"
+
+	"gypsumreel/internal/domain/backend"
+	"gypsumreel/internal/domain/capacity"
+	"gypsumreel/internal/domain/job"
+)
+
+// Bounds of the work done for urgent tasks in one call.
+const (
+	// mostSearches is the number of searches for victims.
+	mostSearches = 16
+	// urgentDepth is the number of a team's urgent tasks looked at.
+	urgentDepth = 32
+	// mostRefills is the number of rooms added to the reserve.
+	mostRefills = 4
+)
+
+// room is a piece of the urgent reserve.
+type room struct {
+	srv  *server
+	size capacity.Size
+}
+
+// placeUrgent decides urgent work before anything else: into free room, then
+// into the reserve, then into room that the cheapest victims leave.
+func (p *Planner) placeUrgent() {
+	if p.urgent == 0 {
+		return
+	}
+	var crews []*crew
+	p.order.Each(func(c *crew) bool {
+		if c.queues[job.Urgent].Len() > 0 && c.known {
+			crews = append(crews, c)
+		}
+		return true
+	})
+	searches := 0
+	for _, c := range crews {
+		for _, u := range c.queues[job.Urgent].First(urgentDepth, nil) {
+			if p.full() {
+				return
+			}
+			if !p.within(c, u.size()) || p.placeQuick(u) || u.claim != nil {
+				continue
+			}
+			if searches < mostSearches && u.tried != p.grown {
+				searches++
+				u.tried = p.grown
+				p.clear(u)
+			}
+		}
+	}
+}
+
+// placeQuick starts an urgent task if there is room for it.
+func (p *Planner) placeQuick(u *unit) bool {
+	need := u.work.spec.Size
+	if s := p.find(u, need); s != nil {
+		p.start(u, []*server{s})
+		return true
+	}
+	for _, r := range p.rooms {
+		if r.srv.State != backend.Ready || u.work.budget.Avoids(r.srv.num) || !need.Fits(r.srv.room().Add(r.size)) {
+			continue
+		}
+		p.dropRoom(r)
+		p.start(u, []*server{r.srv})
+		return true
+	}
+	return false
+}
+
+// clear preempts the cheapest victims for an urgent task: those of its own team,
+// and of teams above their due unless its own team is above its due as well. So
+// a team that calls all its work urgent takes nothing from the others.
+func (p *Planner) clear(u *unit) {
+	if p.lacks(UrgentPreempt) {
+		return
+	}
+	c := u.work.crew
+	poor := c.held.Sub(c.leaving).Dominant(p.total) <= c.fair+p.cfg.Slack
+	may := func(h *holding) bool {
+		return h.crew == c || poor && p.overdue(2*p.cfg.Slack)(h)
+	}
+	srv, stop := p.victims(u, u.work.spec.Size, true, may)
+	if srv == nil {
+		return
+	}
+	p.addClaim(u, []part{{srv: srv, size: u.work.spec.Size, n: 1}}, p.now)
+	for _, h := range stop {
+		p.preempt(h, "room for urgent work")
+	}
+}
+
+// fillReserve keeps the reserve at its size, spread over the zones, so that the
+// loss of one leaves most of it.
+func (p *Planner) fillReserve() {
+	if p.lacks(Reserve) {
+		return
+	}
+	n, size := p.reserve.Target(p.total)
+	for _, r := range slices.Clone(p.rooms) {
+		if r.srv.State != backend.Ready || r.size != size {
+			p.dropRoom(r)
+		}
+	}
+	for len(p.rooms) > n {
+		p.dropRoom(p.rooms[len(p.rooms)-1])
+	}
+	for range min(n-len(p.rooms), mostRefills) {
+		if !p.addRoom(size) {
+			return
+		}
+	}
+}
+
+func (p *Planner) addRoom(size capacity.Size) bool {
+	if p.failed.holds(size) {
+		return false
+	}
+	least := p.emptiest()
+	n, ok := p.index.Best(size, func(n int32) bool { return p.list[n].rack.zone == least })
+	if !ok {
+		n, ok = p.index.Best(size, nil)
+	}
+	if !ok {
+		p.failed.add(size)
+		return false
+	}
+	r := &room{srv: p.list[n], size: size}
+	p.rooms = append(p.rooms, r)
+	r.srv.rack.zone.rooms++
+	r.srv.reserved = r.srv.reserved.Add(size)
+	p.touch(r.srv)
+	return true
+}
+
+// emptiest returns the zone with the fewest rooms of the reserve.
+func (p *Planner) emptiest() *zone {
+	var least *zone
+	for _, z := range p.zones {
+		if least == nil || z.rooms < least.rooms {
+			least = z
+		}
+	}
+	return least
+}
+
+func (p *Planner) dropRoom(r *room) {
+	p.rooms = slices.DeleteFunc(p.rooms, func(o *room) bool { return o == r })
+	r.srv.rack.zone.rooms--
+	r.srv.reserved = r.srv.reserved.Sub(r.size)
+	p.touch(r.srv)
+}
--- /dev/null
+++ b/internal/policy/cell/reclaim.go
@@ -0,0 +1,67 @@
+package cell
+
+import (
+	"time"
+
+	"gypsumreel/internal/domain/job"
+)
+
+// Bounds of taking back.
+const (
+	// reclaimPeriod is the time between two rounds; a weight edited far is so
+	// reached in steps and not by one wave of preemption.
+	reclaimPeriod = 20 * time.Millisecond
+	// mostReclaims is the number of claims made in one round.
+	mostReclaims = 8
+)
+
+// reclaim preempts, for teams below their due, the cheapest tasks of teams above
+// theirs.
+func (p *Planner) reclaim() {
+	if p.lacks(Reclaim) || p.full() || p.now < p.reclaims+reclaimPeriod {
+		return
+	}
+	p.reclaims = p.now
+	var poor []*crew
+	p.order.Each(func(c *crew) bool {
+		if c.known && p.lack(c) > p.cfg.Slack && c.queues[job.Batch].Len()+c.queues[job.Service].Len() > 0 {
+			poor = append(poor, c)
+		}
+		return c.ratio < 1
+	})
+	left := mostReclaims
+	for _, c := range poor {
+		left = p.reclaimFor(c, left)
+	}
+}
+
+// lack is the part of the cell that the team misses of its target, room that is
+// on its way not counted.
+func (p *Planner) lack(c *crew) float64 {
+	return c.target - c.held.Add(c.coming).Sub(c.leaving).Dominant(p.total)
+}
+
+// reclaimFor makes claims for the team until its lack is covered or left is used
+// up, and returns the rest of left.
+func (p *Planner) reclaimFor(c *crew, left int) int {
+	units := c.queues[job.Service].First(mostReclaims, nil)
+	units = c.queues[job.Batch].First(p.cfg.Depth, units)
+	for _, u := range units {
+		if left == 0 || p.full() || p.lack(c) <= p.cfg.Slack {
+			return left
+		}
+		if u.claim != nil || u.work.spec.Whole() || !p.within(c, u.size()) {
+			continue
+		}
+		left--
+		srv, stop := p.victims(u, u.work.spec.Size, false, p.overdue(p.cfg.Slack/2))
+		if srv == nil {
+			continue
+		}
+		p.addClaim(u, []part{{srv: srv, size: u.work.spec.Size, n: 1}}, p.now)
+		for _, h := range stop {
+			p.preempt(h, "taken back for team "+c.name)
+		}
+	}
+	return left
+}
--- /dev/null
+++ b/internal/policy/cell/work.go
@@ -0,0 +1,270 @@
+package cell
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"gypsumreel/internal/domain/capacity"
+	"gypsumreel/internal/domain/job"
+	"gypsumreel/internal/domain/task"
+	"gypsumreel/internal/policy/health"
+	"gypsumreel/internal/policy/plan"
+)
+
+// whole is the index under which a gang waits as one unit.
+const whole = math.MaxUint32
+
+// where says which list a unit is in.
+type where uint8
+
+const (
+	nowhere where = iota
+	inFresh
+	inLater
+	inQueue
+)
+
+// work is a job of which something waits or runs.
+type work struct {
+	id     uint64
+	spec   *job.Spec
+	crew   *crew
+	held   []*holding
+	waits  int
+	gang   *unit
+	budget health.Budget
+	// started tells that something of the job was placed before.
+	started bool
+	listed  bool
+	given   bool
+}
+
+// unit is what is placed in one decision: a task, or all waiting tasks of a gang.
+type unit struct {
+	id    task.ID
+	work  *work
+	tasks []plan.Queued
+	ready time.Duration
+	// rank is the place in the team's queue.
+	rank  time.Duration
+	seq   uint64
+	where where
+	claim *claim
+	// tried is the count of changes at the last search in vain.
+	tried uint64
+}
+
+func unitKey(u *unit) task.ID { return u.id }
+
+func soonest(a, b *unit) bool {
+	if a.ready != b.ready {
+		return a.ready < b.ready
+	}
+	return a.seq < b.seq
+}
+
+func (u *unit) expires() time.Duration { return u.tasks[0].Accepted + u.work.spec.Deadline }
+
+func expiresFirst(a, b *unit) bool {
+	if x, y := a.expires(), b.expires(); x != y {
+		return x < y
+	}
+	return a.seq < b.seq
+}
+
+func before(a, b *unit) bool {
+	if a.rank != b.rank {
+		return a.rank < b.rank
+	}
+	return a.seq < b.seq
+}
+
+// size is the size of the unit's tasks together.
+func (u *unit) size() capacity.Size { return u.work.spec.Size.Times(int64(len(u.tasks))) }
+
+func (p *Planner) work(id uint64, spec *job.Spec) *work {
+	w := p.works[id]
+	if w == nil {
+		w = &work{id: id, spec: spec, crew: p.crew(spec.Team)}
+		p.works[id] = w
+	}
+	return w
+}
+
+// tidy lists a job that may be over; it is forgotten at the next decision, when
+// its retries would have been told of.
+func (p *Planner) tidy(w *work) {
+	if len(w.held) == 0 && w.waits == 0 && !w.listed {
+		w.listed = true
+		p.idle = append(p.idle, w)
+	}
+}
+
+func (p *Planner) forget() {
+	for _, w := range p.idle {
+		w.listed = false
+		if len(w.held) == 0 && w.waits == 0 && p.works[w.id] == w {
+			delete(p.works, w.id)
+		}
+	}
+	p.idle = p.idle[:0]
+}
+
+func (p *Planner) enqueue(w *work, q plan.Queued) {
+	if w.budget.Failures() > 0 {
+		q.Ready = max(q.Ready, p.now+w.budget.Backoff(p.rng))
+	}
+	w.started = w.started || q.Attempts > 0
+	w.waits++
+	w.crew.wants = w.crew.wants.Add(w.spec.Size)
+	u := w.gang
+	if u == nil {
+		p.seq++
+		u = &unit{id: q.ID, work: w, seq: p.seq}
+		if w.spec.Whole() {
+			u.id.Index = whole
+			w.gang = u
+		}
+	} else {
+		p.detach(u)
+	}
+	u.tasks = append(u.tasks, q)
+	u.ready = max(u.ready, q.Ready)
+	p.waits[q.ID] = u
+	p.refresh(u)
+}
+
+// refresh has the next decision look at the unit.
+func (p *Planner) refresh(u *unit) {
+	if u.where == nowhere {
+		u.where = inFresh
+		p.fresh = append(p.fresh, u)
+	}
+}
+
+// detach takes the unit out of its list; what is in fresh stays there.
+func (p *Planner) detach(u *unit) {
+	switch u.where {
+	case inLater:
+		p.later.Remove(u.id)
+	case inQueue:
+		u.work.crew.queues[kindOf(u.work.spec)].Remove(u.id)
+		p.late.Remove(u.id)
+		p.unpress(u)
+	case inFresh:
+		return
+	}
+	u.where = nowhere
+}
+
+// dequeue takes one task out of its unit, and an empty unit out of everything.
+func (p *Planner) dequeue(u *unit, id task.ID) {
+	delete(p.waits, id)
+	u.work.waits--
+	u.work.crew.wants = u.work.crew.wants.Sub(u.work.spec.Size)
+	if len(u.tasks) == 1 {
+		p.detach(u)
+		p.dropClaim(u)
+		u.tasks = u.tasks[:0]
+		u.work.gang = nil
+		return
+	}
+	u.tasks = slices.DeleteFunc(u.tasks, func(q plan.Queued) bool { return q.ID == id })
+}
+
+// take removes a waiting task that turned out to be placed.
+func (p *Planner) take(id task.ID) {
+	if u := p.waits[id]; u != nil {
+		p.dequeue(u, id)
+		u.work.started = true
+	}
+}
+
+// wake puts what is ready into its team's queue.
+func (p *Planner) wake() {
+	fresh := p.fresh
+	p.fresh = p.fresh[:0]
+	for _, u := range fresh {
+		u.where = nowhere
+		if len(u.tasks) > 0 {
+			p.line(u)
+		}
+	}
+	for {
+		u, ok := p.later.Min()
+		if !ok || u.ready > p.now {
+			return
+		}
+		p.detach(u)
+		p.line(u)
+	}
+}
+
+// line puts the unit into the list that it belongs to now. A gang of which
+// something still runs is in none: it starts whole or not at all.
+func (p *Planner) line(u *unit) {
+	if u.work.given {
+		return
+	}
+	if u.work.spec.Whole() && len(u.work.held) > 0 {
+		return
+	}
+	if u.ready > p.now {
+		u.where = inLater
+		p.later.Add(u)
+		return
+	}
+	u.where = inQueue
+	u.rank = p.rank(u)
+	u.tried = 0
+	c := u.work.crew
+	c.queues[kindOf(u.work.spec)].Add(u)
+	if u.work.spec.Deadline > 0 && !u.work.started {
+		p.late.Add(u)
+	}
+	p.press(c, u)
+}
+
+// press takes note of a new unit in its team's queue.
+func (p *Planner) press(c *crew, u *unit) {
+	if u.work.spec.Kind == job.Urgent {
+		p.urgent++
+		if !u.work.started {
+			p.reserve.Arrive(p.now, u.work.spec.Size)
+		}
+		return
+	}
+	c.blocked = 0
+	if c.queues[job.Batch].Len()+c.queues[job.Service].Len() <= 1 {
+		c.least = u.work.spec.Size
+	}
+	c.least = smaller(c.least, u.work.spec.Size)
+	if u.work.spec.Whole() {
+		c.gangs++
+	}
+}
+
+func (p *Planner) unpress(u *unit) {
+	switch u.work.spec.Kind {
+	case job.Urgent:
+		p.urgent--
+	case job.Gang:
+		u.work.crew.gangs--
+	}
+}
+
+func smaller(a, b capacity.Size) capacity.Size {
+	return capacity.Size{CPU: min(a.CPU, b.CPU), Memory: min(a.Memory, b.Memory), Accel: min(a.Accel, b.Accel), Slots: min(a.Slots, b.Slots)}
+}
+
+// rank orders a team's work by the time at which it would be done if it had
+// started when it was accepted: short work goes first, but nothing is overtaken
+// by what came later than its own expected run time.
+func (p *Planner) rank(u *unit) time.Duration {
+	at := u.tasks[0].Accepted
+	if k := u.work.spec.Kind; p.lacks(Shortest) || k == job.Urgent || k == job.Service {
+		return at
+	}
+	return at + p.estimates.Runtime(u.work.spec)
+}
--- a/internal/policy/fifo/fifo.go
+++ b/internal/policy/fifo/fifo.go
@@ -17,6 +17,9 @@
 
 // Planner places in order of arrival on the first server with room.
 type Planner struct {
+	// Before orders the waiting tasks instead of their arrival, if it is set.
+	Before func(a, b plan.Queued) bool
+
 	table   table.Table
 	servers []*server
 	waiting []plan.Queued
@@ -50,7 +53,13 @@
 }
 
 // Queue adds a waiting task.
-func (p *Planner) Queue(q plan.Queued) { p.waiting = append(p.waiting, q) }
+func (p *Planner) Queue(q plan.Queued) {
+	at := len(p.waiting)
+	for p.Before != nil && at > 0 && p.Before(q, p.waiting[at-1]) {
+		at--
+	}
+	p.waiting = slices.Insert(p.waiting, at, q)
+}
 
 // Unqueue forgets a waiting task.
 func (p *Planner) Unqueue(id task.ID) {
--- /dev/null
+++ b/internal/policy/health/budget.go
@@ -0,0 +1,66 @@
+package health
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Bounds of the budget for failing jobs.
+const (
+	// MostServers is the number of different servers after whose failures a job
+	// is given up.
+	MostServers = 4
+	// MostFailures is the number of failures of one job's tasks after which it is
+	// given up, for cells with fewer servers.
+	MostFailures = 12
+	// FirstBackoff is the wait after the first failure; it doubles with each.
+	FirstBackoff = 500 * time.Millisecond
+	// LongestBackoff bounds the wait.
+	LongestBackoff = 2 * time.Minute
+)
+
+// Budget counts the failures of one job.
+type Budget struct {
+	servers  []int32
+	failures int
+}
+
+// Fail counts a failure on a server.
+func (b *Budget) Fail(server int32) {
+	b.failures++
+	if !slices.Contains(b.servers, server) {
+		b.servers = append(b.servers, server)
+	}
+}
+
+// Spent tells whether the job is to be given up.
+func (b *Budget) Spent() bool { return len(b.servers) >= MostServers || b.failures >= MostFailures }
+
+// Forgive takes back what was counted against the job on a server that turned
+// out to fail everything: a black hole must not use up the budgets of sound jobs.
+func (b *Budget) Forgive(server int32) {
+	at := slices.Index(b.servers, server)
+	if at < 0 {
+		return
+	}
+	b.servers = slices.Delete(b.servers, at, at+1)
+	b.failures = len(b.servers)
+}
+
+// Failures returns the failures counted.
+func (b *Budget) Failures() int { return b.failures }
+
+// Avoids tells whether the job failed on the server before.
+func (b *Budget) Avoids(server int32) bool { return slices.Contains(b.servers, server) }
+
+// Backoff returns the wait before the next attempt: between half and all of a
+// time that doubles with each failure, so that tasks that failed together do not
+// come back together.
+func (b *Budget) Backoff(rng *rand.Rand) time.Duration {
+	if b.failures == 0 {
+		return 0
+	}
+	full := min(LongestBackoff, FirstBackoff<<min(b.failures-1, 16))
+	return full/2 + time.Duration(rng.Int64N(int64(full/2)+1))
+}
--- /dev/null
+++ b/internal/policy/preempt/preempt.go
@@ -0,0 +1,77 @@
+// Package preempt chooses what to stop so that something more pressing can
+// start: the set on one server that loses the least work.
+package preempt
+
+import (
+	"time"
+
+	"gypsumreel/internal/domain/capacity"
+)
+
+// Victim is something that may be stopped: a task, or a gang as a whole.
+type Victim[T any] struct {
+	// Item is what the caller knows the victim by.
+	Item T
+	// Room is what stopping it frees on the server looked at.
+	Room capacity.Size
+	// Lost is the work that stopping throws away, in any one unit.
+	Lost float64
+}
+
+// Choose returns the victims whose room, with what is free already, holds need,
+// and the work lost by stopping them. Candidates come in the order to be
+// considered; those that turn out not to be needed are left running.
+func Choose[T any](need, free capacity.Size, candidates []Victim[T]) ([]Victim[T], float64, bool) {
+	if v, ok := single(need, free, candidates); ok {
+		return []Victim[T]{v}, v.Lost, true
+	}
+	var chosen []Victim[T]
+	for _, v := range candidates {
+		if need.Fits(free) {
+			break
+		}
+		chosen = append(chosen, v)
+		free = free.Add(v.Room)
+	}
+	if !need.Fits(free) {
+		return nil, 0, false
+	}
+	return spare(need, free, chosen)
+}
+
+// single returns the cheapest victim that suffices alone.
+func single[T any](need, free capacity.Size, candidates []Victim[T]) (Victim[T], bool) {
+	var best Victim[T]
+	found := false
+	for _, v := range candidates {
+		if need.Fits(free.Add(v.Room)) && (!found || v.Lost < best.Lost) {
+			best, found = v, true
+		}
+	}
+	return best, found
+}
+
+// spare drops the dearest victims that the rest can do without.
+func spare[T any](need, free capacity.Size, chosen []Victim[T]) ([]Victim[T], float64, bool) {
+	kept := chosen[:0]
+	lost := 0.0
+	for i := len(chosen) - 1; i >= 0; i-- {
+		if rest := free.Sub(chosen[i].Room); need.Fits(rest) {
+			free = rest
+			chosen[i].Room = capacity.Size{}
+		}
+	}
+	for _, v := range chosen {
+		if !v.Room.IsZero() {
+			kept = append(kept, v)
+			lost += v.Lost
+		}
+	}
+	return kept, lost, true
+}
+
+// Work is the work that a task of the given part of the cell has done since it
+// was placed, in cell-seconds; a checkpoint bounds what of it is lost.
+func Work(part float64, since, now time.Duration) float64 {
+	return part * max(0, (now-since).Seconds())
+}
