Gather room for gangs in turn, and give up what uses more than it declares

A gang whose turn it is keeps one piece of room a turn instead of a whole rack that has to drain; kept room counts as the team's. What no server could hold waits aside, and urgent work of a team at its limit takes the place of the team's own batch.

--- a/internal/policy/bench/world.go
+++ b/internal/policy/bench/world.go
@@ -100,6 +100,8 @@
 	holes   map[string]bool
 	table   table.Table
 	nextJob uint64
+	// most is the largest server's capacity.
+	most capacity.Size
 }
 
 // NewWorld returns a world with the servers and the table given.
@@ -112,6 +114,7 @@
 	w.SetTable(t)
 	for _, s := range servers {
 		w.order = append(w.order, s.ID)
+		w.most = w.most.Max(s.Capacity)
 		w.SetServer(s)
 	}
 	return w
--- a/internal/policy/cell/books.go
+++ b/internal/policy/cell/books.go
@@ -62,6 +62,8 @@
 	// leaving is the part of held that is being stopped.
 	leaving capacity.Size
 	wants   capacity.Size
+	// hopeless is the part of wants that no server could hold.
+	hopeless capacity.Size
 	// coming is the room that claims hold for the team.
 	coming capacity.Size
 	// target is the part of the cell that is the team's due with what it wants now.
@@ -74,8 +76,8 @@
 	victims *queue.Queue[task.ID, *holding]
 	// steady are the tasks of services, the youngest first.
 	steady *queue.Queue[task.ID, *holding]
-	// gangs counts the gangs that wait.
-	gangs int
+	// gathers is the gang that room is being kept for.
+	gathers *unit
 	// least is at most the size of anything that waits.
 	least   capacity.Size
 	blocked uint64
@@ -98,8 +100,9 @@
 	throttled time.Duration
 	exceeds   bool
 	listed    bool
-	probe     bool
-	pos       int
+	// curbed is true when it was stopped for using more than declared.
+	curbed bool
+	pos    int
 }
 
 func neediest(a, b *crew) bool {
@@ -186,6 +189,7 @@
 	p.index.Drop(s.num)
 	if s.counted {
 		p.total = p.total.Sub(s.Capacity)
+		p.sizes[s.Capacity]--
 	}
 	s.counted = false
 }
@@ -197,6 +201,10 @@
 	}
 	s.counted = true
 	p.total = p.total.Add(s.Capacity)
+	p.sizes[s.Capacity]++
+	if p.sizes[s.Capacity] == 1 {
+		p.hope()
+	}
 }
 
 // touch makes the server's room known after a change.
--- a/internal/policy/cell/cell.go
+++ b/internal/policy/cell/cell.go
@@ -115,7 +115,9 @@
 	rackAt  []*rack
 	zones   []*zone
 	total   capacity.Size
-	free    capacity.Size
+	// sizes counts the servers of each capacity.
+	sizes map[capacity.Size]int
+	free  capacity.Size
 
 	index     *fit.Index
 	rackIndex *fit.Index
@@ -128,6 +130,7 @@
 	waits  map[task.ID]*unit
 	fresh  []*unit
 	later  *queue.Queue[task.ID, *unit]
+	never  *queue.Queue[task.ID, *unit]
 	late   *queue.Queue[task.ID, *unit]
 	urgent int
 	seq    uint64
@@ -165,13 +168,14 @@
 	cfg = cfg.withDefaults()
 	p := &Planner{
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), stale: true, grown: 1,
-		teams: map[string]*crew{}, servers: map[string]*server{}, racks: map[rackName]*rack{},
+		teams: map[string]*crew{}, servers: map[string]*server{}, racks: map[rackName]*rack{}, sizes: map[capacity.Size]int{},
 		works: map[uint64]*work{}, held: map[task.ID]*holding{}, waits: map[task.ID]*unit{},
 		index: fit.NewIndex(), rackIndex: fit.NewIndex(),
 		estimates: health.NewEstimates(), guard: health.NewGuard(),
 	}
 	p.order = queue.New(func(c *crew) string { return c.name }, neediest)
 	p.later = queue.New(unitKey, soonest)
+	p.never = queue.New(unitKey, oldest)
 	p.late = queue.New(unitKey, expiresFirst)
 	p.index.Any = p.lacks(BestFit)
 	p.estimates.Off = p.lacks(Estimates)
--- a/internal/policy/cell/claim.go
+++ b/internal/policy/cell/claim.go
@@ -25,32 +25,49 @@
 	unit  *unit
 	parts []part
 	made  time.Duration
-	// due is when the room is expected to be free.
-	due time.Duration
 	// forced is when tasks were last preempted for it.
 	forced time.Duration
 }
 
-// part is the room kept on one server.
+// part is the room kept for one task.
 type part struct {
 	srv  *server
 	size capacity.Size
-	n    int
 }
 
-func (p *Planner) addClaim(u *unit, parts []part, due time.Duration) *claim {
-	c := &claim{unit: u, parts: parts, made: p.now, due: due}
-	u.claim = c
-	p.claims = append(p.claims, c)
-	for _, t := range parts {
-		t.srv.reserved = t.srv.reserved.Add(t.size)
-		p.touch(t.srv)
-		u.work.crew.coming = u.work.crew.coming.Add(t.size)
-	}
-	if u.work.spec.Whole() {
-		p.gangs++
+// keep keeps room for one task of the unit on the server.
+func (p *Planner) keep(u *unit, s *server) {
+	if u.claim == nil {
+		u.claim = &claim{unit: u, made: p.now}
+		p.claims = append(p.claims, u.claim)
+		if u.work.spec.Whole() {
+			p.gangs++
+			u.work.crew.gathers = u
+		}
 	}
-	return c
+	t := part{srv: s, size: u.work.spec.Size}
+	u.claim.parts = append(u.claim.parts, t)
+	p.reserveOn(s, t.size)
+	p.await(u.work.crew, t.size)
+}
+
+func (p *Planner) unkeep(u *unit, t part) {
+	p.reserveOn(t.srv, capacity.Size{}.Sub(t.size))
+	p.await(u.work.crew, capacity.Size{}.Sub(t.size))
+}
+
+func (p *Planner) reserveOn(s *server, more capacity.Size) {
+	s.reserved = s.reserved.Add(more)
+	p.touch(s)
+}
+
+// await changes the room that is on its way to the team; it counts as held in
+// the order of need.
+func (p *Planner) await(c *crew, more capacity.Size) {
+	p.order.Remove(c.name)
+	c.coming = c.coming.Add(more)
+	c.ratio = p.ratio(c)
+	p.order.Add(c)
 }
 
 func (p *Planner) dropClaim(u *unit) {
@@ -61,12 +78,11 @@
 	u.claim, u.tried = nil, 0
 	p.claims = slices.DeleteFunc(p.claims, func(o *claim) bool { return o == c })
 	for _, t := range c.parts {
-		t.srv.reserved = t.srv.reserved.Sub(t.size)
-		u.work.crew.coming = u.work.crew.coming.Sub(t.size)
-		p.touch(t.srv)
+		p.unkeep(u, t)
 	}
 	if u.work.spec.Whole() {
 		p.gangs--
+		u.work.crew.gathers = nil
 	}
 }
 
@@ -86,34 +102,56 @@
 
 func (p *Planner) tryClaim(c *claim) {
 	u := c.unit
-	free := true
-	var on []*server
-	for _, t := range c.parts {
-		if t.srv.State != backend.Ready {
-			p.dropClaim(u)
-			return
-		}
-		free = free && t.size.Fits(t.srv.actual())
-		for range t.n {
-			on = append(on, t.srv)
-		}
-	}
-	if len(on) != len(u.tasks) || u.where != inQueue {
+	p.prune(c)
+	if len(c.parts) == 0 || len(c.parts) > len(u.tasks) || u.where != inQueue {
 		p.dropClaim(u)
 		return
 	}
-	if free && p.within(u.work.crew, u.size()) {
+	if len(c.parts) == len(u.tasks) && c.free() && p.within(u.work.crew, u.size()) {
+		on := make([]*server, 0, len(c.parts))
+		for _, t := range c.parts {
+			on = append(on, t.srv)
+		}
 		p.start(u, on)
 		return
 	}
 	switch {
-	case !u.work.spec.Whole() && p.now-c.made > claimLife:
-		p.dropClaim(u)
 	case u.work.spec.Whole():
 		p.hasten(c)
+	case p.now-c.made > claimLife:
+		p.dropClaim(u)
 	}
 }
 
+// prune gives up the parts on servers that take nothing new.
+func (p *Planner) prune(c *claim) {
+	c.parts = slices.DeleteFunc(c.parts, func(t part) bool {
+		if t.srv.State == backend.Ready {
+			return false
+		}
+		p.unkeep(c.unit, t)
+		return true
+	})
+}
+
+// free tells whether all the room kept is free now.
+func (c *claim) free() bool {
+	taken := map[*server]capacity.Size{}
+	for _, t := range c.parts {
+		taken[t.srv] = taken[t.srv].Add(t.size)
+		if !taken[t.srv].Fits(t.srv.actual()) {
+			return false
+		}
+	}
+	return true
+}
+
+// due is when the gang is expected to have all its room.
+func (c *claim) due(now time.Duration) time.Duration {
+	pace := (now - c.made) / time.Duration(len(c.parts))
+	return now + pace*time.Duration(len(c.unit.tasks)-len(c.parts))
+}
+
 // backfill returns a server on which room is kept for a gang that will not need
 // it before the unit is expected to have ended.
 func (p *Planner) backfill(u *unit) *server {
@@ -122,7 +160,7 @@
 	}
 	longest := p.estimates.Longest(u.work.spec)
 	for _, c := range p.claims {
-		if !c.unit.work.spec.Whole() || p.now+longest > c.due {
+		if !c.unit.work.spec.Whole() || len(c.parts) == 0 || p.now+longest > c.due(p.now) {
 			continue
 		}
 		for _, t := range c.parts {
--- a/internal/policy/cell/decide.go
+++ b/internal/policy/cell/decide.go
@@ -39,7 +39,6 @@
 	p.trim()
 	p.replace()
 	p.placeShared()
-	p.reserveGangs()
 	p.reclaim()
 	p.probe()
 	return p.out
@@ -99,7 +98,7 @@
 	if !c.known {
 		return share.Claim{}
 	}
-	want := clip(c.held.Add(c.wants), c.row.Limit)
+	want := clip(c.held.Add(c.wants).Sub(c.hopeless), c.row.Limit)
 	return share.Claim{
 		Guarantee: float64(c.row.Share) / thousandth,
 		Weight:    float64(max(1, c.row.Weight)),
@@ -136,7 +135,7 @@
 
 // ratio is what the team holds, in units of what is fair.
 func (p *Planner) ratio(c *crew) float64 {
-	part := c.held.Dominant(p.total)
+	part := c.held.Add(c.coming).Dominant(p.total)
 	if part <= 0 {
 		return 0
 	}
@@ -232,7 +231,7 @@
 	p.scratch = c.queues[job.Service].First(p.cfg.Depth, p.scratch[:0])
 	p.scratch = c.queues[job.Batch].First(p.cfg.Depth, p.scratch)
 	for _, u := range p.scratch {
-		if u.claim != nil || !p.within(c, u.size()) {
+		if !p.within(c, u.size()) || u.claim != nil && !u.work.spec.Whole() {
 			continue
 		}
 		if p.place(u) {
@@ -246,7 +245,7 @@
 func (p *Planner) place(u *unit) bool {
 	switch u.work.spec.Kind {
 	case job.Gang:
-		return p.placeGang(u)
+		return p.placeGang(u) || p.gather(u)
 	case job.Service:
 		return p.placeService(u)
 	}
--- a/internal/policy/cell/gang.go
+++ b/internal/policy/cell/gang.go
@@ -3,18 +3,14 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"gypsumreel/internal/domain/backend"
 	"gypsumreel/internal/domain/capacity"
-	"gypsumreel/internal/domain/job"
 	"gypsumreel/internal/policy/plan"
 )
 
 // Bounds of the work done for gangs in one call.
 const (
-	// mostRacks is the number of racks weighed for one reservation.
-	mostRacks = 64
 	// serversPerReservation is the number of servers for each of which one more
 	// gang may hold a reservation; there may always be minReservations.
 	serversPerReservation = 25
@@ -149,157 +145,88 @@
 	return on
 }
 
-// reserveGangs keeps room for the gangs whose turn it is and that do not fit, so
-// that smaller work does not take each piece as it becomes free.
-func (p *Planner) reserveGangs() {
-	if p.lacks(Reservation) || p.full() {
-		return
+// gather keeps one more piece of room for the gang whose turn it is, in place of
+// starting a task there. It takes its turns like any other work, so that its
+// team pays for the room from its share, and smaller work does not take each
+// piece as it becomes free. A team gathers for one gang at a time.
+func (p *Planner) gather(u *unit) bool {
+	if p.lacks(Reservation) || !p.mayGather(u) {
+		return false
 	}
-	most := max(minReservations, len(p.list)/serversPerReservation)
-	var crews []*crew
-	p.order.Each(func(c *crew) bool {
-		if c.gangs > 0 && c.known {
-			crews = append(crews, c)
-		}
-		return c.ratio <= 1+p.cfg.Slack
+	need := u.work.spec.Size
+	if p.failed.holds(need) {
+		return false
+	}
+	home := u.home()
+	n, ok := p.index.Best(need, func(n int32) bool {
+		return !u.work.budget.Avoids(n) && (home == nil || p.lacks(Racks) || p.list[n].rack.zone == home)
 	})
-	for _, c := range crews {
-		if p.gangs >= most {
-			return
-		}
-		p.reserveFirst(c)
+	if !ok {
+		return false
 	}
+	p.keep(u, p.list[n])
+	return true
 }
 
-// reserveFirst keeps room for the team's first gang; a team has one reservation.
-func (p *Planner) reserveFirst(c *crew) {
-	for _, u := range c.queues[job.Batch].First(p.cfg.Depth, nil) {
-		if !u.work.spec.Whole() {
-			continue
-		}
-		if u.claim != nil || !p.within(c, u.size()) {
-			return
-		}
-		p.reserveGang(u)
-		return
+// mayGather tells whether the gang may be kept one more piece of room.
+func (p *Planner) mayGather(u *unit) bool {
+	if u.claim != nil {
+		return len(u.claim.parts) < len(u.tasks)
 	}
+	return u.work.crew.gathers == nil && p.gangs < max(minReservations, len(p.list)/serversPerReservation)
 }
 
-func (p *Planner) reserveGang(u *unit) {
-	parts, due := p.cheapest(u)
-	if parts == nil {
-		return
-	}
-	c := p.addClaim(u, parts, due)
-	poor := u.work.crew
-	if part := u.size().Dominant(p.total); poor.target-poor.held.Dominant(p.total) >= part-p.cfg.Slack && !p.lacks(Reclaim) {
-		c.forced = p.now
-		p.force(c, p.overdue(p.cfg.Slack/2))
+// home is the zone in which the gang gathers, nil before it has begun.
+func (u *unit) home() *zone {
+	if u.claim == nil || len(u.claim.parts) == 0 {
+		return nil
 	}
+	return u.claim.parts[0].srv.rack.zone
 }
 
-// site is room that a gang could have once what may leave has left.
-type site struct {
-	rack  *rack
-	parts []part
-	n     int
-	due   time.Duration
-}
-
-// cheapest returns the parts to keep: the rack that is expected to be free the
-// soonest, or several racks of one zone, or of any.
-func (p *Planner) cheapest(u *unit) ([]part, time.Duration) {
-	var sites []site
-	for i := range min(len(p.rackAt), mostRacks) {
-		r := p.rackAt[(i+int(p.seq))%len(p.rackAt)]
-		if s := p.site(r, u); s.n > 0 {
-			sites = append(sites, s)
-		}
+// hasten preempts for a gang that has gathered for long: what still runs in its
+// room, and for the rest the cheapest tasks of its own team and of teams above
+// their due. Without this a few long tasks would hold up the gang, and the room
+// kept for it, for as long.
+func (p *Planner) hasten(c *claim) {
+	if p.now < c.made+p.cfg.Patience || p.now < c.forced+claimLife || p.lacks(Reclaim) {
+		return
 	}
-	slices.SortStableFunc(sites, func(a, b site) int { return cmp.Compare(a.due, b.due) })
-	for _, s := range sites {
-		if s.n >= len(u.tasks) && !p.lacks(Racks) {
-			return cut(sites, len(u.tasks), func(o site) bool { return o.rack == s.rack })
-		}
+	c.forced = p.now
+	for _, t := range c.parts {
+		p.vacate(t)
 	}
-	for _, z := range p.zones {
-		if parts, due := cut(sites, len(u.tasks), func(o site) bool { return o.rack.zone == z }); parts != nil {
-			return parts, due
+	for len(c.parts) < len(c.unit.tasks) && !p.full() {
+		if !p.keepByForce(c.unit, true) {
+			return
 		}
 	}
-	return cut(sites, len(u.tasks), func(site) bool { return true })
 }
 
-// cut takes the parts for n tasks out of the sites that ok accepts.
-func cut(sites []site, n int, ok func(site) bool) ([]part, time.Duration) {
-	var parts []part
-	due := time.Duration(0)
-	for _, s := range sites {
-		if !ok(s) {
-			continue
-		}
-		for _, t := range s.parts {
-			if n == 0 {
-				break
-			}
-			k := min(n, t.n)
-			one := capacity.Size{CPU: t.size.CPU / int64(t.n), Memory: t.size.Memory / int64(t.n), Accel: t.size.Accel / int64(t.n), Slots: t.size.Slots / int64(t.n)}
-			parts = append(parts, part{srv: t.srv, size: one.Times(int64(k)), n: k})
-			n -= k
-			due = max(due, s.due)
-		}
-	}
-	if n > 0 {
-		return nil, 0
+// vacate preempts what runs in kept room.
+func (p *Planner) vacate(t part) {
+	stop, _, _ := p.room(t.srv, t.size, t.srv.actual(), func(*holding) bool { return true })
+	for _, h := range stop {
+		p.preempt(h, "room for a gang")
 	}
-	return parts, due
 }
 
-// site weighs a rack: what it could hold without the batch that runs there.
-func (p *Planner) site(r *rack, u *unit) site {
-	s := site{rack: r, due: p.now}
-	for _, srv := range r.servers {
-		if srv.State != backend.Ready || u.work.budget.Avoids(srv.num) {
-			continue
-		}
-		room, due := srv.room(), p.now
-		for _, h := range srv.tasks {
-			if h.victim() || h.Stopping {
-				room = room.Add(h.size)
-				due = max(due, h.Since+p.estimates.Runtime(h.Job))
-			}
-		}
-		if n := times(u.work.spec.Size, room); n > 0 {
-			s.parts = append(s.parts, part{srv: srv, size: u.work.spec.Size.Times(int64(n)), n: n})
-			s.n += n
-			s.due = max(s.due, due)
-		}
+// keepByForce keeps a piece of room for the gang that victims have to leave.
+func (p *Planner) keepByForce(u *unit, own bool) bool {
+	may := p.overdue(p.cfg.Slack / 2)
+	if own {
+		due := may
+		may = func(h *holding) bool { return h.crew == u.work.crew && !h.Job.Whole() || due(h) }
 	}
-	return s
-}
-
-// hasten preempts what still runs in a gang's room well after it was expected to
-// have ended: run times are often declared far too short, and without this one
-// such task would hold up the gang, and the room kept for it, for as long.
-func (p *Planner) hasten(c *claim) {
-	if p.now < c.due+p.cfg.Patience || p.now < c.forced+claimLife {
-		return
+	srv, stop := p.victims(u, u.work.spec.Size, own, may)
+	if srv == nil {
+		return false
 	}
-	c.forced = p.now
-	p.force(c, func(*holding) bool { return true })
-}
-
-// force preempts what is in the claim's room.
-func (p *Planner) force(c *claim, may rule) {
-	for _, t := range c.parts {
-		stop, _, ok := p.room(t.srv, t.size, t.srv.actual(), may)
-		if !ok {
-			continue
-		}
-		for _, h := range stop {
-			p.preempt(h, "room for a gang")
-		}
+	p.keep(u, srv)
+	for _, h := range stop {
+		p.preempt(h, "room for a gang")
 	}
+	return true
 }
 
 // loosen handles the end of one task of a gang: the rest cannot go on without it
--- a/internal/policy/cell/quick.go
+++ b/internal/policy/cell/quick.go
@@ -39,11 +39,16 @@
 	})
 	searches := 0
 	for _, c := range crews {
-		for _, u := range c.queues[job.Urgent].First(urgentDepth, nil) {
+		waiting := c.queues[job.Urgent].First(urgentDepth, nil)
+		for i, u := range waiting {
 			if p.full() {
 				return
 			}
-			if !p.within(c, u.size()) || p.placeQuick(u) || u.claim != nil {
+			if !p.within(c, u.size()) {
+				p.yield(c, waiting[i:])
+				break
+			}
+			if p.placeQuick(u) || u.claim != nil {
 				continue
 			}
 			if searches < mostSearches && u.tried != p.grown {
@@ -70,9 +75,36 @@
 		p.start(u, []*server{r.srv})
 		return true
 	}
+	if s := p.backfill(u); s != nil {
+		p.start(u, []*server{s})
+		return true
+	}
 	return false
 }
 
+// yield preempts the team's own youngest batch as long as the team's limit is
+// all that keeps its urgent tasks waiting.
+func (p *Planner) yield(c *crew, waiting []*unit) {
+	if p.lacks(UrgentPreempt) {
+		return
+	}
+	var more capacity.Size
+	for _, u := range waiting {
+		more = more.Add(u.size())
+	}
+	for !p.full() {
+		over := c.held.Sub(c.leaving).Add(more)
+		if over.Within(c.row.Limit) {
+			return
+		}
+		h := p.youngestOver(c, over)
+		if h == nil || !h.victim() {
+			return
+		}
+		p.preempt(h, "its team's limit is needed for urgent work")
+	}
+}
+
 // clear preempts the cheapest victims for an urgent task: those of its own team,
 // and of teams above their due unless its own team is above its due as well. So
 // a team that calls all its work urgent takes nothing from the others.
@@ -89,7 +121,7 @@
 	if srv == nil {
 		return
 	}
-	p.addClaim(u, []part{{srv: srv, size: u.work.spec.Size, n: 1}}, p.now)
+	p.keep(u, srv)
 	for _, h := range stop {
 		p.preempt(h, "room for urgent work")
 	}
@@ -133,8 +165,7 @@
 	r := &room{srv: p.list[n], size: size}
 	p.rooms = append(p.rooms, r)
 	r.srv.rack.zone.rooms++
-	r.srv.reserved = r.srv.reserved.Add(size)
-	p.touch(r.srv)
+	p.reserveOn(r.srv, size)
 	return true
 }
 
@@ -152,6 +183,5 @@
 func (p *Planner) dropRoom(r *room) {
 	p.rooms = slices.DeleteFunc(p.rooms, func(o *room) bool { return o == r })
 	r.srv.rack.zone.rooms--
-	r.srv.reserved = r.srv.reserved.Sub(r.size)
-	p.touch(r.srv)
+	p.reserveOn(r.srv, capacity.Size{}.Sub(r.size))
 }
--- a/internal/policy/cell/reclaim.go
+++ b/internal/policy/cell/reclaim.go
@@ -50,7 +50,19 @@
 		if left == 0 || p.full() || p.lack(c) <= p.cfg.Slack {
 			return left
 		}
-		if u.claim != nil || u.work.spec.Whole() || !p.within(c, u.size()) {
+		if !p.within(c, u.size()) {
+			continue
+		}
+		if u.work.spec.Whole() {
+			for left > 0 && p.lack(c) > p.cfg.Slack && p.mayGather(u) && !p.full() {
+				left--
+				if !p.keepByForce(u, false) {
+					break
+				}
+			}
+			continue
+		}
+		if u.claim != nil {
 			continue
 		}
 		left--
@@ -58,7 +70,7 @@
 		if srv == nil {
 			continue
 		}
-		p.addClaim(u, []part{{srv: srv, size: u.work.spec.Size, n: 1}}, p.now)
+		p.keep(u, srv)
 		for _, h := range stop {
 			p.preempt(h, "taken back for team "+c.name)
 		}
--- a/internal/policy/cell/watch.go
+++ b/internal/policy/cell/watch.go
@@ -74,6 +74,7 @@
 		return false
 	}
 	p.stop(h)
+	h.curbed = true
 	p.emit(plan.Decision{Verb: plan.Stop, Task: h.ID, Reason: "uses more than it declared"})
 	return true
 }
@@ -91,6 +92,9 @@
 // learn takes note of how an attempt ended. What was stopped on purpose or went
 // away with its server says nothing about job or server.
 func (p *Planner) learn(h *holding, how plan.End) {
+	if h.curbed && !how.Lost {
+		h.work.budget.Exceed()
+	}
 	if how.Lost || !how.Ran || h.Stopping {
 		return
 	}
@@ -154,7 +158,7 @@
 		}
 		w.given = true
 		p.shelve(w)
-		p.emit(plan.Decision{Verb: plan.Park, Job: w.id, Reason: "failed on several servers"})
+		p.emit(plan.Decision{Verb: plan.Park, Job: w.id, Reason: w.budget.Reason()})
 	}
 	p.spent = p.spent[:0]
 }
--- a/internal/policy/cell/work.go
+++ b/internal/policy/cell/work.go
@@ -15,6 +15,10 @@
 // whole is the index under which a gang waits as one unit.
 const whole = math.MaxUint32
 
+// gangLead is how much older than a gang batch of its team must be to go first.
+// Gangs take long to gather their room, and longer the later they begin.
+const gangLead = 5 * time.Minute
+
 // where says which list a unit is in.
 type where uint8
 
@@ -23,6 +27,7 @@
 	inFresh
 	inLater
 	inQueue
+	inNever
 )
 
 // work is a job of which something waits or runs.
@@ -57,6 +62,8 @@
 
 func unitKey(u *unit) task.ID { return u.id }
 
+func oldest(a, b *unit) bool { return a.seq < b.seq }
+
 func soonest(a, b *unit) bool {
 	if a.ready != b.ready {
 		return a.ready < b.ready
@@ -151,7 +158,12 @@
 	case inQueue:
 		u.work.crew.queues[kindOf(u.work.spec)].Remove(u.id)
 		p.late.Remove(u.id)
-		p.unpress(u)
+		if u.work.spec.Kind == job.Urgent {
+			p.urgent--
+		}
+	case inNever:
+		p.never.Remove(u.id)
+		u.work.crew.hopeless = u.work.crew.hopeless.Sub(u.size())
 	case inFresh:
 		return
 	}
@@ -170,9 +182,35 @@
 		u.work.gang = nil
 		return
 	}
+	if u.where == inNever {
+		u.work.crew.hopeless = u.work.crew.hopeless.Sub(u.work.spec.Size)
+	}
 	u.tasks = slices.DeleteFunc(u.tasks, func(q plan.Queued) bool { return q.ID == id })
 }
 
+// possible tells whether any server known could hold a task of that size alone.
+// What none could hold waits aside: it counts for no share and costs no search.
+func (p *Planner) possible(size capacity.Size) bool {
+	for have, n := range p.sizes {
+		if n > 0 && size.Fits(have) {
+			return true
+		}
+	}
+	return false
+}
+
+// hope looks again at what waits aside when a new kind of server has come.
+func (p *Planner) hope() {
+	for {
+		u, ok := p.never.Min()
+		if !ok {
+			return
+		}
+		p.detach(u)
+		p.refresh(u)
+	}
+}
+
 // take removes a waiting task that turned out to be placed.
 func (p *Planner) take(id task.ID) {
 	if u := p.waits[id]; u != nil {
@@ -215,6 +253,12 @@
 		p.later.Add(u)
 		return
 	}
+	if !p.possible(u.work.spec.Size) {
+		u.where = inNever
+		p.never.Add(u)
+		u.work.crew.hopeless = u.work.crew.hopeless.Add(u.size())
+		return
+	}
 	u.where = inQueue
 	u.rank = p.rank(u)
 	u.tried = 0
@@ -240,18 +284,6 @@
 		c.least = u.work.spec.Size
 	}
 	c.least = smaller(c.least, u.work.spec.Size)
-	if u.work.spec.Whole() {
-		c.gangs++
-	}
-}
-
-func (p *Planner) unpress(u *unit) {
-	switch u.work.spec.Kind {
-	case job.Urgent:
-		p.urgent--
-	case job.Gang:
-		u.work.crew.gangs--
-	}
 }
 
 func smaller(a, b capacity.Size) capacity.Size {
@@ -266,5 +298,9 @@
 	if k := u.work.spec.Kind; p.lacks(Shortest) || k == job.Urgent || k == job.Service {
 		return at
 	}
-	return at + p.estimates.Runtime(u.work.spec)
+	at += p.estimates.Runtime(u.work.spec)
+	if u.work.spec.Whole() {
+		at -= gangLead
+	}
+	return at
 }
--- a/internal/policy/health/budget.go
+++ b/internal/policy/health/budget.go
@@ -14,6 +14,9 @@
 	// MostFailures is the number of failures of one job's tasks after which it is
 	// given up, for cells with fewer servers.
 	MostFailures = 12
+	// MostStops is the number of times that a job's tasks are stopped for using
+	// more than it declared before it is given up.
+	MostStops = 3
 	// FirstBackoff is the wait after the first failure; it doubles with each.
 	FirstBackoff = 500 * time.Millisecond
 	// LongestBackoff bounds the wait.
@@ -24,6 +27,7 @@
 type Budget struct {
 	servers  []int32
 	failures int
+	stops    int
 }
 
 // Fail counts a failure on a server.
@@ -34,8 +38,21 @@
 	}
 }
 
+// Exceed counts a stop for using more than was declared.
+func (b *Budget) Exceed() { b.stops++ }
+
 // Spent tells whether the job is to be given up.
-func (b *Budget) Spent() bool { return len(b.servers) >= MostServers || b.failures >= MostFailures }
+func (b *Budget) Spent() bool {
+	return len(b.servers) >= MostServers || b.failures >= MostFailures || b.stops >= MostStops
+}
+
+// Reason says for people what the budget was spent on.
+func (b *Budget) Reason() string {
+	if b.stops >= MostStops {
+		return "used more than it declared"
+	}
+	return "failed on several servers"
+}
 
 // Forgive takes back what was counted against the job on a server that turned
 // out to fail everything: a black hole must not use up the budgets of sound jobs.
