--- a/cmd/gypsumreel/verbs.go
+++ b/cmd/gypsumreel/verbs.go
@@ -1,13 +1,37 @@
 package main
 
 import (
+	"gypsumreel/internal/cli/ack"
+	"gypsumreel/internal/cli/cancel"
 	"gypsumreel/internal/cli/check"
+	"gypsumreel/internal/cli/drain"
+	"gypsumreel/internal/cli/dump"
+	"gypsumreel/internal/cli/key"
+	"gypsumreel/internal/cli/member"
+	"gypsumreel/internal/cli/status"
+	"gypsumreel/internal/cli/submit"
+	"gypsumreel/internal/cli/table"
+	"gypsumreel/internal/cli/team"
 	"gypsumreel/internal/cli/verb"
+	"gypsumreel/internal/cli/wait"
 )
 
 // verbs lists the verbs in the order of the help text.
 func verbs() []verb.Verb {
 	return []verb.Verb{
 		check.New(),
+
+		submit.New(),
+		wait.New(),
+		status.New(),
+		cancel.New(),
+		ack.New(),
+
+		team.New(),
+		key.New(),
+		table.New(),
+		drain.New(),
+		member.New(),
+		dump.New(),
 	}
 }
--- a/internal/base/settings/fault.go
+++ b/internal/base/settings/fault.go
@@ -7,13 +7,14 @@
 
 // Fault is one thing wrong with a file.
 type Fault struct {
-	File string
+	File string `json:"file"`
 	// Line and Column count from 1; 0 when the fault has no place.
-	Line, Column int
+	Line   int `json:"line"`
+	Column int `json:"column"`
 	// Setting is the path of the key, such as time.lease.
-	Setting string
+	Setting string `json:"setting"`
 	// Text says what is wrong and what is allowed.
-	Text string
+	Text string `json:"text"`
 }
 
 // String returns file:line:column: setting: text.
--- a/internal/cli/check/check.go
+++ b/internal/cli/check/check.go
@@ -25,9 +25,9 @@
 
 // verdict is the result with --json.
 type verdict struct {
-	Good   bool
-	Role   settings.Role    `json:",omitempty"`
-	Faults []settings.Fault `json:",omitempty"`
+	Good   bool             `json:"good"`
+	Role   settings.Role    `json:"role,omitempty"`
+	Faults []settings.Fault `json:"faults,omitempty"`
 }
 
 // Run checks the one file named.
--- /dev/null
+++ b/internal/cli/remote/remote.go
@@ -0,0 +1,126 @@
+// Package remote holds the flags with which the verbs reach a running cell.
+package remote
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/hex"
+	"errors"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/cli/verb"
+	"gypsumreel/internal/client/caller"
+	"gypsumreel/internal/client/link"
+	"gypsumreel/internal/client/operator"
+)
+
+// idBytes is the entropy of an id that the command makes.
+const idBytes = 12
+
+// Flags say where the cell is and who asks.
+type Flags struct {
+	Address   string        `long:"address" env:"GYPSUMREEL_ADDRESS" description:"entries or their balancer, comma-separated: https://IP:PORT, or http://IP:PORT without TLS"`
+	Key       string        `long:"key" env:"GYPSUMREEL_KEY" description:"key as ID.SECRET; better given by the environment than seen in the process list"`
+	Authority string        `long:"authority" env:"GYPSUMREEL_AUTHORITY" description:"PEM file of the authorities that signed the entries' certificates"`
+	Proof     string        `long:"certificate" env:"GYPSUMREEL_CERTIFICATE" description:"PEM file with this client's certificate and key, when the entries want one"`
+	Timeout   time.Duration `long:"timeout" default:"30s" description:"longest wait for an answer, over all tries"`
+}
+
+// Caller returns the client of a team and the context that bounds its calls.
+func (f Flags) Caller(ctx context.Context) (*caller.Client, context.Context, context.CancelFunc, error) {
+	l, err := f.Link()
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.Timeout)
+	return &caller.Client{Link: l}, ctx, cancel, nil
+}
+
+// Operator returns the client of an operator and the context that bounds its calls.
+func (f Flags) Operator(ctx context.Context) (*operator.Client, context.Context, context.CancelFunc, error) {
+	l, err := f.Link()
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.Timeout)
+	return &operator.Client{Link: l}, ctx, cancel, nil
+}
+
+// Link checks the flags and returns the way to the entries.
+func (f Flags) Link() (*link.Link, error) {
+	if f.Timeout <= 0 {
+		return nil, verb.Misuse("Give a duration such as 30s.", "--timeout %s is not positive", f.Timeout)
+	}
+	if f.Key == "" {
+		return nil, verb.Misuse("Set --key or GYPSUMREEL_KEY to ID.SECRET.", "no key")
+	}
+	addresses, err := f.addresses()
+	if err != nil {
+		return nil, err
+	}
+	cfg, err := f.secure()
+	if err != nil {
+		return nil, err
+	}
+	return &link.Link{Addresses: addresses, Key: f.Key, TLS: cfg}, nil
+}
+
+func (f Flags) addresses() ([]string, error) {
+	const next = "Set --address or GYPSUMREEL_ADDRESS to https://IP:PORT of an entry, or http://IP:PORT for one without TLS."
+	if f.Address == "" {
+		return nil, verb.Misuse(next, "no address")
+	}
+	var out []string
+	for _, a := range strings.Split(f.Address, ",") {
+		u, err := url.Parse(strings.TrimSpace(a))
+		if err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
+			return nil, verb.Misuse(next, "address %q is not allowed", a)
+		}
+		out = append(out, strings.TrimSuffix(u.String(), "/"))
+	}
+	return out, nil
+}
+
+func (f Flags) secure() (*tls.Config, error) {
+	cfg := &tls.Config{MinVersion: tls.VersionTLS13}
+	if f.Authority != "" {
+		pem, err := os.ReadFile(f.Authority)
+		if err != nil {
+			return nil, verb.Misuse("Check --authority.", "%v", err)
+		}
+		cfg.RootCAs = x509.NewCertPool()
+		if !cfg.RootCAs.AppendCertsFromPEM(pem) {
+			return nil, verb.Misuse("Check --authority.", "%s holds no certificate in PEM", f.Authority)
+		}
+	}
+	if f.Proof != "" {
+		pair, err := tls.LoadX509KeyPair(f.Proof, f.Proof)
+		if err != nil {
+			return nil, verb.Misuse("Check --certificate.", "%v", err)
+		}
+		cfg.Certificates = []tls.Certificate{pair}
+	}
+	return cfg, nil
+}
+
+// NewID returns an id that nobody else makes.
+func NewID() string {
+	b := make([]byte, idBytes)
+	_, _ = rand.Read(b) // never fails: crypto/rand ends the process instead
+	return hex.EncodeToString(b)
+}
+
+// Explain turns an error of a client into one with an exit code and advice.
+func Explain(err error) error {
+	var refusal *code.Error
+	if errors.As(err, &refusal) {
+		return verb.Refusal(refusal.Code, refusal.Detail)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/cli/verb/outcome.go
@@ -0,0 +1,17 @@
+package verb
+
+import (
+	"strings"
+
+	v1 "gypsumreel/internal/api/v1"
+)
+
+// Outcome returns an outcome as people and scripts read it: done, not-run.
+func Outcome(o v1.Outcome) string { return plain(o.String(), "OUTCOME_") }
+
+// Kind returns a kind of job in lower case.
+func Kind(k v1.Kind) string { return plain(k.String(), "KIND_") }
+
+func plain(name, prefix string) string {
+	return strings.ReplaceAll(strings.ToLower(strings.TrimPrefix(name, prefix)), "_", "-")
+}
