--- a/internal/edge/control/pool.go
+++ b/internal/edge/control/pool.go
@@ -20,6 +20,7 @@
 	"gypsumreel/internal/api/inner"
 	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/base/event"
 )
 
 // Defaults of the fields that are left zero.
@@ -206,10 +207,11 @@
 		}
 		began := time.Now()
 		p.leader.Store(&l.replica)
+		event.Log(p.Log, event.LeaderDialled, "replica", l.replica.Name, "address", l.replica.Address)
 		err = l.serve(ctx)
 		p.leader.Store(nil)
 		p.meter.moves.Inc()
-		p.Log.V(1).Info("left the leader", "replica", l.replica.Name, "cause", errText(err))
+		p.left(ctx, l, err)
 		if time.Since(began) > p.Freshness {
 			wait.Reset()
 		} else {
@@ -219,6 +221,17 @@
 	return nil
 }
 
+// left logs why a link ended, unless the entry stops.
+func (p *Pool) left(ctx context.Context, l *link, why error) {
+	switch {
+	case ctx.Err() != nil || errors.Is(why, errAged):
+	case errors.Is(why, errMoved):
+		event.Log(p.Log, event.LeaderChanged, "from", l.replica.Name)
+	default:
+		event.Fail(p.Log, event.LeaderAway, why, "replica", l.replica.Name)
+	}
+}
+
 // sweep refuses items that no leader was found for and sends unanswered ones again.
 func (p *Pool) sweep(ctx context.Context) {
 	tick := time.NewTicker(sweepEvery)
@@ -266,10 +279,3 @@
 }
 
 var errNoLeader = errors.New("no replica leads")
-
-func errText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
--- a/internal/edge/entry/cell_test.go
+++ b/internal/edge/entry/cell_test.go
@@ -12,8 +12,8 @@
 	"gypsumreel/internal/api/inner"
 	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/domain/answer"
 	"gypsumreel/internal/domain/key"
-	"gypsumreel/internal/edge/caller"
 )
 
 // cell is the committed state that all fake replicas share: a small stand-in
@@ -21,8 +21,6 @@
 type cell struct {
 	lease  time.Duration
 	margin time.Duration
-	// chunk is the size of the pieces in which answers are handed out.
-	chunk int
 	// step is told of each step that the leader takes, before it counts.
 	step func(string)
 
@@ -52,7 +50,7 @@
 	// server is where the attempt is; empty while none is.
 	server    string
 	cancelled bool
-	answer    caller.Answer
+	parts     answer.Parts
 	whole     []byte
 }
 
@@ -68,7 +66,7 @@
 
 func newCell() *cell {
 	return &cell{
-		lease: 3 * time.Second, margin: 100 * time.Millisecond, chunk: 20_000, step: func(string) {},
+		lease: 3 * time.Second, margin: 100 * time.Millisecond, step: func(string) {},
 		keys: map[string]key.Key{}, changes: map[string]*v1.ChangeReply{}, jobs: map[string]*job{}, numbers: map[uint64]*job{},
 		servers: map[string]*backendServer{}, accepted: map[string]time.Time{}, withdrawn: map[string]time.Time{},
 		drained: map[string]time.Time{}, placed: map[string]time.Time{},
@@ -183,7 +181,7 @@
 	reply := &v1.WaitReply{Id: req.GetId(), Outcome: j.outcome, Status: j.status()}
 	if j.outcome == v1.Outcome_OUTCOME_DONE {
 		c.step("answer")
-		reply.Chunk = caller.Split(j.whole, c.chunk)[req.GetChunk()]
+		reply.Chunk = answer.Cut(j.whole, req.GetChunk())
 	}
 	return reply
 }
@@ -290,9 +288,9 @@
 	case v1.Phase_PHASE_ENDED:
 		c.step("report")
 		for _, chunk := range r.GetChunks() {
-			_ = j.answer.Add(chunk)
+			_ = j.parts.Add(chunk)
 		}
-		if whole, err := j.answer.Bytes(); err == nil {
+		if whole, ok, _ := j.parts.Whole(); ok {
 			j.whole, j.outcome = whole, v1.Outcome_OUTCOME_DONE
 		}
 	case v1.Phase_PHASE_STOPPED:
@@ -357,7 +355,7 @@
 		}
 		j.server, j.outcome = name, v1.Outcome_OUTCOME_RUNNING
 		j.attempt++
-		j.answer = caller.Answer{}
+		j.parts = answer.Parts{}
 		c.placed[name] = time.Now()
 		return
 	}
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -7,6 +7,7 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,7 +17,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 	"golang.org/x/net/netutil"
+	"golang.org/x/sync/errgroup"
 
+	"gypsumreel/internal/base/event"
 	"gypsumreel/internal/edge/backend"
 	"gypsumreel/internal/edge/caller"
 	"gypsumreel/internal/edge/control"
@@ -51,16 +54,18 @@
 	// Cell and Name identify the entry to the leader.
 	Cell string
 	Name string
-	// Listener takes callers, backend servers and operators.
-	Listener net.Listener
-	// Probes takes the platform's probes; nil to serve them on Listener.
-	Probes net.Listener
-	// Certificate is the configuration for calls from outside; nil for plain ones.
-	Certificate *tls.Config
+	// Callers, Backends, Operators and Platform are the listeners, one for each
+	// peer; one that is nil is not served.
+	Callers   net.Listener
+	Backends  net.Listener
+	Operators net.Listener
+	Platform  net.Listener
+	// Outside is the configuration for calls from outside; nil for plain ones.
+	Outside *tls.Config
 	// Replicas is the control group.
 	Replicas []control.Replica
-	// Inner is the configuration for calls to the control group; nil for plain ones.
-	Inner *tls.Config
+	// Inside is the configuration for calls to the control group; nil for plain ones.
+	Inside *tls.Config
 	// Dial opens connections to the control group; nil for TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Enrolment holds the digests of the secrets that backend servers may show.
@@ -113,7 +118,7 @@
 		e.meters = metrics.NewSet()
 		e.done = make(chan struct{})
 		e.pool = &control.Pool{
-			Cell: e.Cell, Name: e.Name, Replicas: e.Replicas, TLS: e.Inner, Dial: e.Dial,
+			Cell: e.Cell, Name: e.Name, Replicas: e.Replicas, TLS: e.Inside, Dial: e.Dial,
 			Log: e.Log, Meters: e.meters, Limit: e.Limit,
 		}
 	})
@@ -125,22 +130,28 @@
 // Pool returns the entry's way to the leader.
 func (e *Entry) Pool() *control.Pool { e.init(); return e.pool }
 
-// Handler returns everything that the entry serves, for Run or for an in-process use.
-func (e *Entry) Handler() http.Handler {
-	e.init()
-	mux := http.NewServeMux()
+// service is one listener and what it serves.
+type service struct {
+	listener net.Listener
+	server   *http.Server
+}
+
+// services returns what there is to serve.
+func (e *Entry) services() []service {
 	count := connect.WithInterceptors(newCount(e.meters))
-	mux.Handle((&caller.Handler{Leader: e.pool}).Route(count))
-	mux.Handle((&backend.Handler{Leader: e.pool, Enrolment: e.Enrolment}).Route(count))
-	mux.Handle((&operator.Handler{Leader: e.pool, Audit: e.Audit, Name: e.Name, State: e.state}).Route(count))
-	if e.Probes == nil {
-		mux.Handle("/", e.probes())
+	all := []service{
+		{e.Callers, e.server(mounted((&caller.Handler{Leader: e.pool}).Route(count)))},
+		{e.Backends, e.server(mounted((&backend.Handler{Leader: e.pool, Enrolment: e.Enrolment, Log: e.Log}).Route(count)))},
+		{e.Operators, e.server(mounted((&operator.Handler{Leader: e.pool, Audit: e.Audit, Name: e.Name, State: e.state}).Route(count)))},
+		{e.Platform, e.server((&platform.Probes{Ready: e.ready, Meters: []*metrics.Set{e.meters}}).Route())},
 	}
-	return mux
+	return slices.DeleteFunc(all, func(s service) bool { return s.listener == nil })
 }
 
-func (e *Entry) probes() http.Handler {
-	return (&platform.Probes{Ready: e.ready, Meters: []*metrics.Set{e.meters}}).Route()
+func mounted(path string, h http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(path, h)
+	return mux
 }
 
 // ready returns nil while the balancer may send requests here.
@@ -165,20 +176,22 @@
 	defer end()
 	wg.Go(func() { _ = e.pool.Run(running) })
 
-	faults := make(chan error, 2)
-	main := e.server(e.Handler())
-	wg.Go(func() { faults <- e.serve(main, e.Listener) })
-	probes := e.server(e.probes())
-	if e.Probes != nil {
-		wg.Go(func() { faults <- probes.Serve(e.Probes) })
+	services := e.services()
+	faults := make(chan error, len(services))
+	for _, s := range services {
+		event.Log(e.Log, event.Listening, "address", s.listener.Addr().String())
+		wg.Go(func() { faults <- e.serve(s) })
 	}
-	defer func() { _ = probes.Close() }()
-	defer func() { _ = main.Close() }()
+	defer func() {
+		for _, s := range services {
+			_ = s.server.Close()
+		}
+	}()
 	select {
 	case err := <-faults:
 		return errors.Wrap(err, "serve")
 	case <-ctx.Done():
-		return e.stop(main)
+		return e.stop(services)
 	}
 }
 
@@ -186,9 +199,10 @@
 // served on until the balancer has noticed; long polls end with the word to
 // turn to another entry; requests under way finish. Each step is bounded, and
 // Abort ends them all.
-func (e *Entry) stop(main *http.Server) error {
+func (e *Entry) stop(services []service) error {
 	e.phase.Store(phaseUnready)
-	e.Log.Info("stopping", "linger", e.Linger.String())
+	event.Log(e.Log, event.StopBegun, "linger", e.Linger.String(), "drain", e.Drain.String())
+	event.Log(e.Log, event.StopDraining)
 	select {
 	case <-time.After(e.Linger):
 	case <-e.Abort:
@@ -196,6 +210,7 @@
 	}
 	e.phase.Store(phaseDraining)
 	e.pool.EndPolls()
+	event.Log(e.Log, event.StopFinishing, "pending", e.pool.Pending())
 	ctx, cancel := context.WithTimeout(context.Background(), e.Drain)
 	defer cancel()
 	go func() {
@@ -205,8 +220,20 @@
 		case <-ctx.Done():
 		}
 	}()
-	err := main.Shutdown(ctx)
-	return errors.Wrap(err, "the stop was cut short")
+	if err := shutdown(ctx, services); err != nil {
+		event.Fail(e.Log, event.StopForced, err, "pending", e.pool.Pending())
+		return errors.Wrap(err, "the stop was cut short")
+	}
+	return nil
+}
+
+// shutdown lets the services finish what is under way.
+func shutdown(ctx context.Context, services []service) error {
+	var g errgroup.Group
+	for _, s := range services {
+		g.Go(func() error { return s.server.Shutdown(ctx) })
+	}
+	return g.Wait()
 }
 
 func (e *Entry) server(h http.Handler) *http.Server {
@@ -222,11 +249,11 @@
 	}
 }
 
-func (e *Entry) serve(s *http.Server, l net.Listener) error {
-	l = netutil.LimitListener(l, e.Connections)
-	if e.Certificate == nil {
-		return s.Serve(l)
+func (e *Entry) serve(s service) error {
+	l := netutil.LimitListener(s.listener, e.Connections)
+	if e.Outside == nil {
+		return s.server.Serve(l)
 	}
-	s.TLSConfig = e.Certificate
-	return s.ServeTLS(l, "", "")
+	s.server.TLSConfig = e.Outside
+	return s.server.ServeTLS(l, "", "")
 }
--- a/internal/edge/entry/world_test.go
+++ b/internal/edge/entry/world_test.go
@@ -16,9 +16,9 @@
 
 	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/domain/answer"
 	"gypsumreel/internal/domain/key"
 	"gypsumreel/internal/edge/backend"
-	"gypsumreel/internal/edge/caller"
 	"gypsumreel/internal/edge/control"
 	"gypsumreel/internal/edge/entry"
 	"gypsumreel/internal/fake/relay"
@@ -107,8 +107,10 @@
 		for _, c := range replicaNames {
 			w.link(e, c)
 		}
-		for _, from := range append([]string{"caller"}, serverNames...) {
-			w.link(from, e)
+		w.link("caller", e+"-callers")
+		w.link("operator", e+"-operators")
+		for _, s := range serverNames {
+			w.link(s, e+"-backends")
 		}
 		w.startEntry(e)
 	}
@@ -142,20 +144,24 @@
 func (w *world) startEntry(name string) {
 	ctx, stop := context.WithCancel(w.ctx)
 	abort := make(chan struct{})
-	l := &trackedListener{Listener: w.memory.Listen(name)}
+	callers := &trackedListener{Listener: w.memory.Listen(name + "-callers")}
+	backends := &trackedListener{Listener: w.memory.Listen(name + "-backends")}
+	operators := &trackedListener{Listener: w.memory.Listen(name + "-operators")}
 	var replicas []control.Replica
 	for _, c := range replicaNames {
 		replicas = append(replicas, control.Replica{Name: c, Address: c + ":1"})
 	}
 	e := &entry.Entry{
-		Cell: "test", Name: name, Listener: l, Replicas: replicas, Dial: w.dial(name), Limit: w.limit,
+		Cell: "test", Name: name, Callers: callers, Backends: backends, Operators: operators, Replicas: replicas, Dial: w.dial(name), Limit: w.limit,
 		Enrolment: []backend.Digest{key.Digest(enrolment)}, Log: logr.Discard(), Abort: abort,
 		Linger: time.Second, Drain: 5 * time.Second,
 	}
 	var once sync.Once
 	w.entries[name] = &process{entry: e, stop: stop, kill: func() {
 		once.Do(func() { close(abort) })
-		l.kill()
+		callers.kill()
+		backends.kill()
+		operators.kill()
 		stop()
 	}}
 	w.wg.Go(func() { _ = e.Run(ctx) })
@@ -165,7 +171,7 @@
 	ctx, stop := context.WithCancel(w.ctx)
 	s := &server.Server{Name: name, Secret: enrolment, Record: w.record}
 	for _, e := range entryNames {
-		s.Entries = append(s.Entries, server.NewEntry(e+":1", nil, w.dial(name)))
+		s.Entries = append(s.Entries, server.NewEntry(e+"-backends:1", nil, w.dial(name)))
 	}
 	w.servers[name], w.stops[name] = s, stop
 	w.wg.Go(func() {
@@ -187,12 +193,16 @@
 }
 
 func (w *world) client(key string) *client {
-	wire := &http.Transport{DialContext: w.dial("caller")}
+	from := "caller"
+	if key == w.operator {
+		from = "operator"
+	}
+	wire := &http.Transport{DialContext: w.dial(from)}
 	c := &client{world: w, key: key, reset: wire.CloseIdleConnections}
 	for _, e := range entryNames {
 		web := &http.Client{Transport: wire}
-		c.callers = append(c.callers, v1.NewCallerClient(web, "http://"+e+":1"))
-		c.operators = append(c.operators, v1.NewOperatorClient(web, "http://"+e+":1"))
+		c.callers = append(c.callers, v1.NewCallerClient(web, "http://"+e+"-callers:1"))
+		c.operators = append(c.operators, v1.NewOperatorClient(web, "http://"+e+"-operators:1"))
 	}
 	return c
 }
@@ -239,7 +249,7 @@
 
 // wait collects the whole answer, each chunk at another entry.
 func (c *client) wait(at int, id string) (*v1.WaitReply, []byte) {
-	var answer caller.Answer
+	var parts answer.Parts
 	for n := uint32(0); ; {
 		reply := ask(c, at+int(n), func(i int, ctx context.Context, r *connect.Request[v1.WaitRequest]) (*connect.Response[v1.WaitReply], error) {
 			return c.callers[i].Wait(ctx, r)
@@ -249,18 +259,17 @@
 		if reply.GetOutcome() != v1.Outcome_OUTCOME_DONE || reply.GetChunk() == nil {
 			return reply, nil
 		}
-		if err := answer.Add(reply.GetChunk()); err != nil {
+		if err := parts.Add(reply.GetChunk()); err != nil {
+			return reply, []byte(err.Error())
+		}
+		whole, ok, err := parts.Whole()
+		if err != nil {
 			return reply, []byte(err.Error())
 		}
-		next, more := answer.Missing()
-		if !more {
-			whole, err := answer.Bytes()
-			if err != nil {
-				return reply, []byte(err.Error())
-			}
+		if ok {
 			return reply, whole
 		}
-		n = next
+		n++
 	}
 }
 
