--- a/internal/edge/entry/state.go
+++ b/internal/edge/entry/state.go
@@ -7,6 +7,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 
+	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/base/event"
 	"gypsumreel/internal/edge/operator"
 )
 
@@ -34,7 +36,11 @@
 
 // Audit logs the record.
 func (a logAudit) Audit(_ context.Context, r operator.Record) {
-	a.log.Info("operator", "key", r.Key, "peer", r.Peer, "call", r.Call, "subject", r.Subject,
+	id := event.Audit
+	if r.Code != code.OK {
+		id = event.AuditRefused
+	}
+	event.Log(a.log, id, "key", r.Key, "peer", r.Peer, "call", r.Call, "subject", r.Subject,
 		"change", r.Change, "code", uint32(r.Code), "revision", r.Revision)
 }
 
--- a/internal/fake/server/run.go
+++ b/internal/fake/server/run.go
@@ -5,7 +5,7 @@
 	"time"
 
 	v1 "gypsumreel/internal/api/v1"
-	"gypsumreel/internal/edge/caller"
+	"gypsumreel/internal/domain/answer"
 )
 
 // Task names a task.
@@ -50,7 +50,7 @@
 	}
 	room := windowBytes
 	for _, r := range s.runs {
-		report := &v1.Report{Attempt: r.attempt.message(), Phase: r.phase, Used: r.size}
+		report := &v1.Report{Attempt: r.attempt.message(), Phase: r.phase, Used: r.size, Started: !r.began.IsZero()}
 		switch r.phase {
 		case v1.Phase_PHASE_ENDED:
 			report.Exit = r.exit
@@ -217,5 +217,5 @@
 	}
 	s.stop(r, v1.Phase_PHASE_ENDED)
 	r.exit = result.Exit
-	r.chunks = caller.Split(result.Answer, s.Chunk)
+	r.chunks = answer.Split(result.Answer)
 }
--- a/internal/fake/server/server.go
+++ b/internal/fake/server/server.go
@@ -26,8 +26,6 @@
 	DefaultTimeout = time.Second
 	// DefaultGather is how long news is gathered before it is reported.
 	DefaultGather = time.Millisecond
-	// DefaultChunk is the size of a piece of an answer in bytes.
-	DefaultChunk = 64 << 10
 	// windowBytes bounds the pieces sent in one Sync.
 	windowBytes = 1 << 20
 )
@@ -53,7 +51,6 @@
 	Patience time.Duration
 	Timeout  time.Duration
 	Gather   time.Duration
-	Chunk    int
 
 	prepare sync.Once
 	done    chan struct{}
@@ -84,7 +81,6 @@
 		setDefault(&s.Patience, DefaultPatience)
 		setDefault(&s.Timeout, DefaultTimeout)
 		setDefault(&s.Gather, DefaultGather)
-		setDefault(&s.Chunk, DefaultChunk)
 		setDefault(&s.Rack, "rack-1")
 		setDefault(&s.Zone, "zone-1")
 		if s.Capacity == nil {
