--- a/internal/cli/entry/entry.go
+++ b/internal/cli/entry/entry.go
@@ -49,12 +49,20 @@
 // build makes the daemon from its settings.
 func build(s *settings.Settings) (*entry.Entry, error) {
 	e := &entry.Entry{Cell: s.Cell, Name: s.Name, Linger: s.Time.Drain, Drain: s.Time.Finish}
-	var err error
-	if e.Listener, err = net.Listen("tcp", s.Listen.Callers); err != nil {
-		return nil, errors.Wrap(err, "listen.callers")
-	}
-	if e.Probes, err = net.Listen("tcp", s.Listen.Platform); err != nil {
-		return nil, errors.Wrap(err, "listen.platform")
+	for _, l := range []struct {
+		setting string
+		address string
+		to      *net.Listener
+	}{
+		{"listen.callers", s.Listen.Callers, &e.Callers},
+		{"listen.backends", s.Listen.Backends, &e.Backends},
+		{"listen.operators", s.Listen.Operators, &e.Operators},
+		{"listen.platform", s.Listen.Platform, &e.Platform},
+	} {
+		var err error
+		if *l.to, err = net.Listen("tcp", l.address); err != nil {
+			return nil, errors.Wrap(err, l.setting)
+		}
 	}
 	for _, p := range s.Control {
 		e.Replicas = append(e.Replicas, control.Replica{Name: p.Name, Address: p.Address})
--- a/internal/control/node/node_test.go
+++ b/internal/control/node/node_test.go
@@ -32,7 +32,7 @@
 // an entry, a backend server, and a caller with a team's key.
 func TestTheWholePath(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
-	cl, el := listen(t), listen(t)
+	cl, callers, backends, operators := listen(t), listen(t), listen(t), listen(t)
 	digest := key.Digest("secret")
 	n := &node.Node{
 		Cell: "test", Name: "c1", Data: t.TempDir(), Init: true, Listener: cl, Address: cl.Addr().String(),
@@ -40,11 +40,11 @@
 		Root:     &v1.KeyGrant{Id: "op", Operator: true, Digest: digest[:]},
 	}
 	e := &entry.Entry{
-		Cell: "test", Name: "e1", Listener: el, Replicas: []control.Replica{{Name: "c1", Address: cl.Addr().String()}},
+		Cell: "test", Name: "e1", Callers: callers, Backends: backends, Operators: operators, Replicas: []control.Replica{{Name: "c1", Address: cl.Addr().String()}},
 		Enrolment: []backend.Digest{backend.Digest(key.Digest("enrol"))}, Linger: time.Millisecond,
 	}
 	s := &server.Server{
-		Name: "b1", Entries: []server.Entry{server.NewEntry(el.Addr().String(), nil, nil)}, Secret: "enrol",
+		Name: "b1", Entries: []server.Entry{server.NewEntry(backends.Addr().String(), nil, nil)}, Secret: "enrol",
 		Capacity: &v1.Size{Cpu: 16_000, Memory: 32_000, Slots: 8}, Rack: "r1", Zone: "z1",
 	}
 	for _, run := range []func(context.Context) error{n.Run, e.Run, s.Run} {
@@ -60,8 +60,7 @@
 		<-e.Done()
 		<-n.Done()
 	}()
-	url := "http://" + el.Addr().String()
-	operator := v1.NewOperatorClient(http.DefaultClient, url)
+	operator := v1.NewOperatorClient(http.DefaultClient, "http://"+operators.Addr().String())
 	change := func(req *v1.ChangeRequest) {
 		t.Helper()
 		var rep *connect.Response[v1.ChangeReply]
@@ -80,7 +79,7 @@
 		Team: "rail", Weight: 1, Queue: 100, Limit: &v1.Size{Cpu: -1, Memory: -1, Accel: -1, Slots: -1},
 	}}}}}})
 	change(&v1.ChangeRequest{Id: "2", Change: &v1.ChangeRequest_Grant{Grant: &v1.KeyGrant{Id: "k", Team: "rail", Digest: digest[:]}}})
-	caller := v1.NewCallerClient(http.DefaultClient, url)
+	caller := v1.NewCallerClient(http.DefaultClient, "http://"+callers.Addr().String())
 	for _, spec := range []*v1.Spec{
 		{Id: "quote", Kind: v1.Kind_KIND_URGENT, Name: "q", Count: 1, Size: &v1.Size{Cpu: 1000, Memory: 100, Slots: 1}, Input: []byte("3 t of ballast")},
 		{Id: "plan", Kind: v1.Kind_KIND_BATCH, Name: "p", Count: 1, Size: &v1.Size{Cpu: 1000, Memory: 100, Slots: 1}, Input: []byte("section 4")},
