--- a/cmd/gypsumreel/verbs.go
+++ b/cmd/gypsumreel/verbs.go
@@ -4,8 +4,10 @@
 	"gypsumreel/internal/cli/ack"
 	"gypsumreel/internal/cli/cancel"
 	"gypsumreel/internal/cli/check"
+	"gypsumreel/internal/cli/control"
 	"gypsumreel/internal/cli/drain"
 	"gypsumreel/internal/cli/dump"
+	"gypsumreel/internal/cli/entry"
 	"gypsumreel/internal/cli/key"
 	"gypsumreel/internal/cli/member"
 	"gypsumreel/internal/cli/status"
@@ -20,6 +22,8 @@
 func verbs() []verb.Verb {
 	return []verb.Verb{
 		check.New(),
+		control.New(),
+		entry.New(),
 
 		submit.New(),
 		wait.New(),
