Let the ledger run on the state charts

The charts of a task and of a backend server's session are what the ledger does now: every phase comes from an event of the chart, and an event that the chart does not allow is counted as a fault that the random-command test looks for. Cause: the charts named phases that are never logged (running, backoff), so the code could not have interpreted them. The test that not run needs no start is replaced: the chart's part (only a refusal leads there, nothing leads out) stays with the chart, and that no started task is refused is an invariant of the random-command test, which fails when givenUp always refuses.

--- a/internal/ledger/chart/chart_test.go
+++ b/internal/ledger/chart/chart_test.go
@@ -70,14 +70,18 @@
 	}
 }
 
-// The outcomes that promises rest on: what may have started is never "not run",
-// and nothing leaves an outcome.
-func TestNotRunNeedsNoStart(t *testing.T) {
+// The outcomes that promises rest on: only a refusal makes a task "not run",
+// none that ended is refused, and nothing leaves "not run" or "unknown". That a
+// refusal is never used for a task that started is shown in package state.
+func TestNotRunNeedsARefusal(t *testing.T) {
 	c := chart.MustLoad(chart.Task)
 	for _, m := range c.Moves() {
-		if m.To == chart.NotRun && (m.From == chart.Running || m.From == chart.Backoff) {
+		if (m.To == chart.NotRun) != (m.On == chart.Refuse) || m.On == chart.Refuse && m.From == chart.Done {
 			t.Errorf("%q leads from %q to %q", m.On, m.From, m.To)
 		}
+		if m.From == chart.NotRun || m.From == chart.Unknown {
+			t.Errorf("%q leads out of %q", m.On, m.From)
+		}
 	}
 }
 
--- a/internal/ledger/chart/names.go
+++ b/internal/ledger/chart/names.go
@@ -13,16 +13,16 @@
 const (
 	Queued   State = "queued"
 	Placed   State = "placed"
-	Running  State = "running"
 	Stopping State = "stopping"
-	Backoff  State = "backoff"
+	Resting  State = "resting"
 	Done     State = "done"
 	NotRun   State = "notrun"
 	Unknown  State = "unknown"
 )
 
-// The states of an attempt, besides Placed, Running and Stopping.
+// The states of an attempt, besides Placed and Stopping.
 const (
+	Running State = "running"
 	Ordered State = "ordered"
 	Ended   State = "ended"
 	Never   State = "never"
@@ -62,8 +62,8 @@
 	Decline  Event = "decline"
 	Stop     Event = "stop"
 	Finish   Event = "finish"
-	Fail     Event = "fail"
 	Requeue  Event = "requeue"
+	Rest     Event = "rest"
 	Forfeit  Event = "forfeit"
 	Retry    Event = "retry"
 	Quit     Event = "quit"
@@ -82,7 +82,6 @@
 	Hear       Event = "hear"
 	Quarantine Event = "quarantine"
 	Acquit     Event = "acquit"
-	Leave      Event = "leave"
 	Sync       Event = "sync"
 	Lag        Event = "lag"
 	Promote    Event = "promote"
--- a/internal/ledger/state/attempt.go
+++ b/internal/ledger/state/attempt.go
@@ -7,6 +7,7 @@
 	"gypsumreel/internal/domain/capacity"
 	"gypsumreel/internal/domain/job"
 	"gypsumreel/internal/domain/task"
+	"gypsumreel/internal/ledger/chart"
 )
 
 // place starts attempts, all or none. It checks again what the planner checked,
@@ -25,12 +26,10 @@
 	}
 	for _, spot := range p.GetSpots() {
 		t := *s.tasks[task.ID{Job: j.Number, Index: spot.GetIndex()}]
-		t.Phase = Placed
 		t.Attempt++
 		t.Server = spot.GetServer()
 		t.Incarnation = spot.GetIncarnation()
-		t.Since = s.at
-		s.putTask(&t)
+		s.move(&t, chart.Place)
 		s.watch().Hold(s.jobs[j.Number], &t)
 	}
 	s.conclude(j.Number)
@@ -115,37 +114,39 @@
 // release gives an attempt's capacity back and decides what becomes of its task.
 func (s *State) release(j *Job, t *Task, how End, done bool) {
 	id := t.ID
-	t.Since, t.Save = s.at, false
+	t.Save = false
+	s.move(t, s.after(j, t, how, done))
+	s.watch().Release(j, s.tasks[id], how)
+	if t.Phase == Queued {
+		s.watch().Queue(s.jobs[id.Job], s.tasks[id])
+	}
+	if j.Spec.Whole() && t.Phase != Done {
+		s.unite(id.Job)
+	}
+	s.conclude(id.Job)
+}
+
+// after returns the event that an attempt's end is for its task.
+func (s *State) after(j *Job, t *Task, how End, done bool) chart.Event {
+	gaveUp := j.Cancelled || j.Given != code.OK
 	switch {
 	case done:
-		t.Phase = Done
+		return chart.Finish
 	case how.Lost && j.Spec.Once:
 		// The order may have left and the program may have run: a second
 		// attempt could repeat it, and "not run" might be false.
-		t.Phase = Unknown
+		return chart.Forfeit
 	case j.Spec.Once && t.Started && !j.Cancelled:
 		// Stopped in the middle by its server: it must not start again, and
 		// what it did so far is not known here.
-		t.Phase = Unknown
-	case j.Cancelled || j.Given != code.OK:
-		t.Phase = NotRun
-		if t.Started || how.Lost {
-			t.Phase, t.Started = Done, true
-		}
+		return chart.Forfeit
+	case gaveUp:
+		t.Started = t.Started || how.Lost
+		return givenUp(t.Started)
 	case j.Spec.Whole():
-		t.Phase = Resting
-	default:
-		t.Phase = Queued
+		return chart.Rest
 	}
-	s.putTask(t)
-	s.watch().Release(j, s.tasks[id], how)
-	if t.Phase == Queued {
-		s.watch().Queue(s.jobs[id.Job], s.tasks[id])
-	}
-	if j.Spec.Whole() && t.Phase != Done {
-		s.unite(id.Job)
-	}
-	s.conclude(id.Job)
+	return chart.Requeue
 }
 
 // unite keeps a gang whole after one of its attempts ended early: the others
@@ -170,8 +171,8 @@
 		if t.Phase.Final() && t.Phase != Done {
 			continue
 		}
-		t.Phase, t.Exit, t.Answer, t.Since = Queued, 0, nil, s.at
-		s.putTask(&t)
+		t.Exit, t.Answer = 0, nil
+		s.move(&t, chart.Retry)
 	}
 	for i := range j.Spec.Count {
 		s.watch().Queue(s.jobs[number], s.tasks[task.ID{Job: number, Index: i}])
@@ -191,14 +192,12 @@
 		if t.Phase != Resting {
 			continue
 		}
-		t.Phase, t.Since = NotRun, s.at
-		if fresh {
-			t.Phase = Queued
-		}
-		s.putTask(&t)
-		if fresh {
-			s.watch().Queue(s.jobs[j.Number], s.tasks[t.ID])
+		if !fresh {
+			s.move(&t, givenUp(t.Started))
+			continue
 		}
+		s.move(&t, chart.Retry)
+		s.watch().Queue(s.jobs[j.Number], s.tasks[t.ID])
 	}
 }
 
@@ -228,7 +227,7 @@
 
 func (s *State) stopping(t *Task, save bool) {
 	next := *t
-	next.Phase, next.Save, next.Since = Stopping, save, s.at
-	s.putTask(&next)
+	next.Save = save
+	s.move(&next, chart.Stop)
 	s.watch().Stopping(s.jobs[t.ID.Job], &next)
 }
--- a/internal/ledger/state/job.go
+++ b/internal/ledger/state/job.go
@@ -8,46 +8,10 @@
 	"gypsumreel/internal/base/code"
 	"gypsumreel/internal/domain/job"
 	"gypsumreel/internal/domain/task"
+	"gypsumreel/internal/ledger/chart"
 	"gypsumreel/internal/ledger/command"
 )
 
-// Phase is where a task stands in the ledger.
-type Phase uint8
-
-// The phases of a task. Placed and Stopping hold capacity.
-const (
-	// Queued tasks wait for a placement.
-	Queued Phase = iota + 1
-	// Placed tasks have an attempt that may be running.
-	Placed
-	// Stopping tasks have an attempt that is ordered to stop.
-	Stopping
-	// Resting tasks of a gang wait for its other tasks to stop.
-	Resting
-	// Done tasks ended by themselves, or were stopped for good.
-	Done
-	// NotRun tasks never started and never will.
-	NotRun
-	// Unknown tasks may not be repeated and were lost with their server.
-	Unknown
-)
-
-var phaseNames = [...]string{"none", "queued", "placed", "stopping", "resting", "done", "notrun", "unknown"}
-
-// String returns the phase's name in lower case.
-func (p Phase) String() string {
-	if int(p) >= len(phaseNames) {
-		return phaseNames[0]
-	}
-	return phaseNames[p]
-}
-
-// Holds tells whether a task in this phase counts as running.
-func (p Phase) Holds() bool { return p == Placed || p == Stopping }
-
-// Final tells whether a task in this phase never changes again.
-func (p Phase) Final() bool { return p >= Done }
-
 // Job is one accepted or refused job. It is immutable.
 type Job struct {
 	Number uint64
@@ -216,12 +180,15 @@
 // finish ends a task that will not be placed (again) because its job was given up.
 func (s *State) finish(t *Task) {
 	next := *t
-	next.Phase = NotRun
-	if t.Started {
-		next.Phase = Done
+	s.move(&next, givenUp(t.Started))
+}
+
+// givenUp returns the event for a task whose job was given up.
+func givenUp(started bool) chart.Event {
+	if started {
+		return chart.Quit
 	}
-	next.Since = s.at
-	s.putTask(&next)
+	return chart.Refuse
 }
 
 // conclude gives a job its outcome once all of its tasks are final.
--- a/internal/ledger/state/server.go
+++ b/internal/ledger/state/server.go
@@ -7,6 +7,7 @@
 	"gypsumreel/internal/base/code"
 	"gypsumreel/internal/domain/backend"
 	"gypsumreel/internal/domain/task"
+	"gypsumreel/internal/ledger/chart"
 	"gypsumreel/internal/ledger/command"
 )
 
@@ -48,12 +49,43 @@
 	if !ok || b.Incarnation != m.GetIncarnation() || b.Server.State == gone {
 		return refused(code.Stale, m.GetServer())
 	}
-	b.Server = b.WithState(backend.State(m.GetState()), s.at)
+	on, ok := markEvents[backend.State(m.GetState())]
+	if !ok {
+		return refused(code.Malformed, "no such mark")
+	}
+	if b.Server.State == backend.Suspect && on == chart.Acquit {
+		on = chart.Hear
+	}
+	next, err := sessions.Next(chart.State(b.Server.State.String()), on)
+	if err != nil {
+		return refused(code.Stale, err.Error())
+	}
+	b.Server = b.WithState(stateNamed(next), s.at)
 	s.putServer(b)
 	s.watch().Server(b)
 	return Result{}
 }
 
+// sessions is the chart of a backend server's session.
+var sessions = chart.MustLoad(chart.Backend)
+
+// markEvents are the events that lead to what a Mark asks for.
+var markEvents = map[backend.State]chart.Event{
+	backend.Ready:       chart.Acquit,
+	backend.Draining:    chart.Drain,
+	backend.Suspect:     chart.Miss,
+	backend.Quarantined: chart.Quarantine,
+}
+
+func stateNamed(name chart.State) backend.State {
+	for s := backend.Ready; s <= backend.Gone; s++ {
+		if s.String() == string(name) {
+			return s
+		}
+	}
+	return 0
+}
+
 // fence ends a session whose lease is over: what it held runs no more.
 func (s *State) fence(f *record.Fence) Result {
 	b, ok := s.servers[f.GetServer()]
--- a/internal/ledger/state/state.go
+++ b/internal/ledger/state/state.go
@@ -40,6 +40,7 @@
 	ids     map[RequestID]uint64
 
 	// Derived, not part of the digest.
+	faults int
 	teams  map[string]*usage
 	placed map[string]map[task.ID]*Task
 }
--- a/internal/ledger/state/state_test.go
+++ b/internal/ledger/state/state_test.go
@@ -118,6 +118,9 @@
 			t.Fatalf("team %s holds %v, limit %v", r.Name, teams[r.Name], r.Limit)
 		}
 	}
+	if w.a.Faults() > 0 {
+		t.Fatalf("an event that the chart does not allow, at %v", w.sent[len(w.sent)-1])
+	}
 	if w.a.Digest() != w.b.Digest() {
 		t.Fatalf("replicas differ after %v", w.sent[len(w.sent)-1])
 	}
