--- a/internal/policy/bench/bench.go
+++ b/internal/policy/bench/bench.go
@@ -66,6 +66,8 @@
 	P99  time.Duration
 	// Verbs counts the decisions.
 	Verbs [plan.Restore + 1]int
+	// Reasons holds the core-hours lost by what tasks were stopped for.
+	Reasons map[string]float64
 	// Broken lists violated invariants.
 	Broken []string
 }
@@ -142,12 +144,17 @@
 }
 
 func (m *Meter) result() Result {
+	for _, a := range m.w.runs {
+		if a.held {
+			m.done[a.spec.Kind] += work(a, m.w.now-max(a.base, m.From))
+		}
+	}
 	r := Result{
 		Packing: mean(m.packing), Distance: mean(m.dist), Worst: m.worst,
 		Done: (m.done[job.Batch] + m.done[job.Gang]) / 3600, Lost: m.wasted / 3600,
 		Slow: quantile(m.slow, 0.99), SlowMost: quantile(m.slow, 1),
 		Rate: float64(m.count) / max(1e-9, m.spent.Seconds()), P99: quantile(m.calls, 0.99),
-		Verbs: m.verbs, Broken: m.w.Check.Broken,
+		Verbs: m.verbs, Reasons: m.reasons, Broken: m.w.Check.Broken,
 	}
 	for k := range m.waits {
 		r.Placed[k] = len(m.waits[k])
--- a/internal/policy/bench/meter.go
+++ b/internal/policy/bench/meter.go
@@ -29,12 +29,14 @@
 	spent   time.Duration
 	calls   []time.Duration
 	verbs   [plan.Restore + 1]int
+	// reasons holds the work lost by what it was stopped for.
+	reasons map[string]float64
 	alone   map[uint64]time.Duration
 	slow    []float64
 }
 
 func newMeter(w *World) *Meter {
-	return &Meter{w: w, minute: map[string][]float64{}, alone: map[uint64]time.Duration{}}
+	return &Meter{w: w, minute: map[string][]float64{}, reasons: map[string]float64{}, alone: map[uint64]time.Duration{}}
 }
 
 func (m *Meter) on() bool { return m.w.now >= m.From }
@@ -80,6 +82,7 @@
 func (m *Meter) lost(r *Attempt, d time.Duration) {
 	if m.on() {
 		m.wasted += work(r, d)
+		m.reasons[r.why] += work(r, d) / 3600
 		m.done[r.spec.Kind] += work(r, max(0, m.w.now-max(r.base, m.From)-d))
 	}
 }
--- a/internal/policy/bench/world.go
+++ b/internal/policy/bench/world.go
@@ -53,6 +53,8 @@
 	since    time.Duration
 	server   string
 	base     time.Duration
+	// why is what it was last stopped for.
+	why string
 }
 
 type event struct {
@@ -223,7 +225,7 @@
 			w.place(w.runs[task.ID{Job: d.Job, Index: l.Index}], l.Server)
 		}
 	case plan.Preempt, plan.Stop:
-		w.stop(w.runs[d.Task])
+		w.stop(w.runs[d.Task], d.Reason)
 	case plan.Throttle:
 		w.throttle(w.runs[d.Task])
 	case plan.Drop, plan.Park:
@@ -279,11 +281,11 @@
 
 // stop ends an attempt with a checkpoint: what was done since the last one the
 // task made by itself is lost.
-func (w *World) stop(r *Attempt) {
+func (w *World) stop(r *Attempt, why string) {
 	if r == nil || !r.held || r.stopping {
 		return
 	}
-	r.stopping = true
+	r.stopping, r.why = true, why
 	w.Planner.Hold(plan.Held{ID: r.id, Job: r.spec, Accepted: r.accepted, Server: r.server, Since: r.since, Stopping: true})
 	n := r.attempts
 	w.At(w.now+orderDelay+checkpointTime, func() {
@@ -339,6 +341,7 @@
 func (w *World) gone(id string) {
 	w.SetServer(w.servers[id].WithState(backend.Gone, w.now))
 	for _, r := range append([]*Attempt(nil), w.Check.on[id]...) {
+		r.why = "its server was lost"
 		w.save(r)
 		w.release(r, plan.End{At: w.now, Ran: true, Lost: true}, true)
 	}
--- a/internal/policy/cell/books.go
+++ b/internal/policy/cell/books.go
@@ -93,6 +93,8 @@
 	size capacity.Size
 	// queued is the wait that the placement ended.
 	queued plan.Queued
+	// attempts is the number of attempts made before.
+	attempts uint32
 	// assumed is true until the ledger confirms the placement.
 	assumed   bool
 	ordered   time.Duration
--- a/internal/policy/cell/cell.go
+++ b/internal/policy/cell/cell.go
@@ -26,7 +26,7 @@
 	DefaultDepth = 16
 	// DefaultSlack is the part of the cell by which a team may miss its target
 	// before others are preempted for it.
-	DefaultSlack = 0.005
+	DefaultSlack = 0.015
 	// DefaultRebalance is the time between two computations of the targets.
 	DefaultRebalance = 100 * time.Millisecond
 	// DefaultGrace is the time a throttled task is given to fall back to its size.
--- a/internal/policy/cell/claim.go
+++ b/internal/policy/cell/claim.go
@@ -15,6 +15,9 @@
 const (
 	// claimLife is how long a claim of one task waits for its victims.
 	claimLife = 15 * time.Second
+	// gangTerm is the time that a gang may run before it is preempted for others:
+	// gathering its room was dear, and it may lose the work of all its tasks.
+	gangTerm = 30 * time.Second
 	// mostCrews and mostTasks bound the victims that are weighed.
 	mostCrews = 6
 	mostTasks = 12
@@ -180,6 +183,9 @@
 	return func(h *holding) bool {
 		size := h.size
 		if h.Job.Whole() {
+			if p.now < h.Since+gangTerm {
+				return false
+			}
 			size = size.Times(int64(len(h.work.held)))
 		}
 		rest := h.crew.held.Sub(h.crew.leaving).Sub(size)
@@ -262,12 +268,14 @@
 }
 
 // lost is the work thrown away by stopping the task; a gang stops as a whole.
+// Each time that a job was preempted before makes it dearer, so that the same
+// youngest job is not stopped again and again.
 func (p *Planner) lost(h *holding) float64 {
 	one := preempt.Work(h.size.Dominant(p.total), h.Since, p.now)
 	if !h.Job.Whole() {
-		return one
+		return one * float64(1+h.attempts)
 	}
-	return one * float64(len(h.work.held))
+	return one * float64(len(h.work.held)) * float64(1+h.attempts)
 }
 
 // preempt stops the task, and with it the gang that it belongs to.
--- a/internal/policy/cell/decide.go
+++ b/internal/policy/cell/decide.go
@@ -159,7 +159,7 @@
 	for i, q := range tasks {
 		p.dequeue(u, q.ID)
 		h := p.put(plan.Held{ID: q.ID, Job: q.Job, Accepted: q.Accepted, Server: on[i].ID, Since: p.now}, on[i])
-		h.assumed, h.queued = true, q
+		h.assumed, h.queued, h.attempts = true, q, q.Attempts
 		p.assumed = append(p.assumed, h)
 		places[i] = plan.Placement{Index: q.ID.Index, Server: on[i].ID}
 	}
--- a/internal/policy/cell/gang.go
+++ b/internal/policy/cell/gang.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"gypsumreel/internal/domain/backend"
 	"gypsumreel/internal/domain/capacity"
@@ -13,8 +14,10 @@
 const (
 	// serversPerReservation is the number of servers for each of which one more
 	// gang may hold a reservation; there may always be minReservations.
-	serversPerReservation = 25
+	serversPerReservation = 10
 	minReservations       = 2
+	// forcePeriod is the time between two attempts to hasten a gang.
+	forcePeriod = time.Second
 )
 
 // placeGang starts all tasks of the gang or none: in one rack if it fits, else in
@@ -189,7 +192,7 @@
 // their due. Without this a few long tasks would hold up the gang, and the room
 // kept for it, for as long.
 func (p *Planner) hasten(c *claim) {
-	if p.now < c.made+p.cfg.Patience || p.now < c.forced+claimLife || p.lacks(Reclaim) {
+	if p.now < c.made+p.cfg.Patience || p.now < c.forced+forcePeriod || p.lacks(Reclaim) {
 		return
 	}
 	c.forced = p.now
@@ -205,7 +208,7 @@
 
 // vacate preempts what runs in kept room.
 func (p *Planner) vacate(t part) {
-	stop, _, _ := p.room(t.srv, t.size, t.srv.actual(), func(*holding) bool { return true })
+	stop, _, _ := p.room(t.srv, t.size, t.srv.actual(), func(h *holding) bool { return !h.Job.Whole() })
 	for _, h := range stop {
 		p.preempt(h, "room for a gang")
 	}
@@ -215,8 +218,9 @@
 func (p *Planner) keepByForce(u *unit, own bool) bool {
 	may := p.overdue(p.cfg.Slack / 2)
 	if own {
-		due := may
-		may = func(h *holding) bool { return h.crew == u.work.crew && !h.Job.Whole() || due(h) }
+		due, c := may, u.work.crew
+		poor := c.held.Add(c.coming).Sub(c.leaving).Dominant(p.total) <= c.fair+p.cfg.Slack
+		may = func(h *holding) bool { return h.crew == c && !h.Job.Whole() || poor && due(h) }
 	}
 	srv, stop := p.victims(u, u.work.spec.Size, own, may)
 	if srv == nil {
--- a/internal/policy/cell/reclaim.go
+++ b/internal/policy/cell/reclaim.go
@@ -72,7 +72,7 @@
 		}
 		p.keep(u, srv)
 		for _, h := range stop {
-			p.preempt(h, "taken back for team "+c.name)
+			p.preempt(h, "taken back for a team below its due")
 		}
 	}
 	return left
--- a/internal/policy/cell/work.go
+++ b/internal/policy/cell/work.go
@@ -17,7 +17,7 @@
 
 // gangLead is how much older than a gang batch of its team must be to go first.
 // Gangs take long to gather their room, and longer the later they begin.
-const gangLead = 5 * time.Minute
+const gangLead = time.Hour
 
 // where says which list a unit is in.
 type where uint8
--- a/internal/policy/preempt/preempt.go
+++ b/internal/policy/preempt/preempt.go
@@ -70,8 +70,12 @@
 	return kept, lost, true
 }
 
-// Work is the work that a task of the given part of the cell has done since it
-// was placed, in cell-seconds; a checkpoint bounds what of it is lost.
+// Restart is the time that stopping a task costs in any case: ending it, placing
+// it again, and starting anew.
+const Restart = 2 * time.Second
+
+// Work is the work that stopping a task of the given part of the cell loses, in
+// cell-seconds, if nothing was kept since it was placed.
 func Work(part float64, since, now time.Duration) float64 {
-	return part * max(0, (now-since).Seconds())
+	return part * max(0, (now-since+Restart).Seconds())
 }
