Claim a submission to be the first only when it is

An entry that can't reach the leader may say not run for a first request only; a repeat, or an id that the user chose, may be known to the cell already.

--- a/internal/cli/submit/submit.go
+++ b/internal/cli/submit/submit.go
@@ -63,6 +63,8 @@
 	if len(args) > 0 {
 		return verb.Misuse("Everything is given by flags: `gypsumreel submit --help`.", "unexpected %q", args[0])
 	}
+	// An id that the user chose may have been sent by an earlier run.
+	fresh := c.ID == ""
 	spec, err := c.spec(env)
 	if err != nil {
 		return err
@@ -72,7 +74,7 @@
 		return err
 	}
 	defer cancel()
-	out, err := client.Submit(ctx, []*v1.Spec{spec})
+	out, err := client.Submit(ctx, []*v1.Spec{spec}, fresh)
 	if err != nil {
 		return remote.Explain(err)
 	}
--- a/internal/client/caller/caller.go
+++ b/internal/client/caller/caller.go
@@ -60,8 +60,13 @@
 }
 
 // Submit hands jobs over and returns one answer for each, in their order. Jobs
-// without a final answer are asked for again with the same ids.
-func (c *Client) Submit(ctx context.Context, jobs []*v1.Spec) ([]*v1.Accepted, error) {
+// without a final answer are asked for again with the same ids. Fresh says that
+// the ids were never sent before.
+//
+// The first try alone may claim to be fresh: after a try without an answer the
+// cell may hold the job already, and an entry that can't reach the leader would
+// answer "not run" for a job that runs.
+func (c *Client) Submit(ctx context.Context, jobs []*v1.Spec, fresh bool) ([]*v1.Accepted, error) {
 	out := make([]*v1.Accepted, len(jobs))
 	open := make([]int, len(jobs))
 	for i := range jobs {
@@ -69,7 +74,8 @@
 	}
 	pause := link.Pause()
 	for {
-		req := request(jobs, open)
+		req := request(jobs, open, fresh)
+		fresh = false
 		retry, err := c.attempt(ctx, req, open, out)
 		if err != nil && !link.Again(link.Refusal(err).Code) {
 			return nil, err
@@ -84,8 +90,8 @@
 	}
 }
 
-func request(jobs []*v1.Spec, open []int) *v1.SubmitRequest {
-	req := &v1.SubmitRequest{}
+func request(jobs []*v1.Spec, open []int, first bool) *v1.SubmitRequest {
+	req := &v1.SubmitRequest{First: first}
 	for _, i := range open {
 		req.Jobs = append(req.Jobs, jobs[i])
 	}
--- a/internal/client/caller/caller_test.go
+++ b/internal/client/caller/caller_test.go
@@ -26,6 +26,7 @@
 	mu     sync.Mutex
 	ids    [][]string
 	keys   []string
+	first  []bool
 	chunks []uint32
 	submit []func(*v1.SubmitRequest) (*v1.SubmitReply, error)
 	wait   []func(*v1.WaitRequest) (*v1.WaitReply, error)
@@ -39,6 +40,7 @@
 		ids = append(ids, j.GetId())
 	}
 	e.ids, e.keys = append(e.ids, ids), append(e.keys, r.Header().Get("Authorization"))
+	e.first = append(e.first, r.Msg.GetFirst())
 	step := e.submit[0]
 	e.submit = e.submit[1:]
 	return answer(step(r.Msg))
@@ -95,7 +97,7 @@
 		accept(code.OK),
 	}}
 	other := &entry{submit: []func(*v1.SubmitRequest) (*v1.SubmitReply, error){accept(code.OK, code.Unanswered)}}
-	got, err := client(serve(t, lost), serve(t, other)).Submit(t.Context(), []*v1.Spec{{Id: "a"}, {Id: "b"}})
+	got, err := client(serve(t, lost), serve(t, other)).Submit(t.Context(), []*v1.Spec{{Id: "a"}, {Id: "b"}}, true)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -110,6 +112,9 @@
 	if diff := cmp.Diff([][]string{{"a", "b"}}, other.ids); diff != "" {
 		t.Error(diff)
 	}
+	if got := slices.Concat(lost.first, other.first); !slices.Equal(got, []bool{true, false, false}) {
+		t.Errorf("claimed to be the first: %v", got)
+	}
 	if want := []string{"Bearer id.secret", "Bearer id.secret"}; !slices.Equal(lost.keys, want) {
 		t.Errorf("keys %q", lost.keys)
 	}
@@ -117,7 +122,7 @@
 
 func TestFinalRefusalIsNotAskedAgain(t *testing.T) {
 	e := &entry{submit: []func(*v1.SubmitRequest) (*v1.SubmitReply, error){accept(code.QueueFull)}}
-	got, err := client(serve(t, e)).Submit(t.Context(), []*v1.Spec{{Id: "a"}})
+	got, err := client(serve(t, e)).Submit(t.Context(), []*v1.Spec{{Id: "a"}}, true)
 	if err != nil || got[0].GetStatus().GetCode() != uint32(code.QueueFull) {
 		t.Errorf("got %v, %v", got, err)
 	}
@@ -126,7 +131,7 @@
 			return nil, connect.NewError(connect.CodeUnauthenticated, errors.New("no"))
 		},
 	}}
-	if _, err := client(serve(t, e)).Submit(t.Context(), []*v1.Spec{{Id: "a"}}); link.Refusal(err).Code != code.BadKey {
+	if _, err := client(serve(t, e)).Submit(t.Context(), []*v1.Spec{{Id: "a"}}, true); link.Refusal(err).Code != code.BadKey {
 		t.Errorf("got %v", err)
 	}
 }
@@ -136,7 +141,7 @@
 func TestSubmitWithoutAnswerIsNoOutcome(t *testing.T) {
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
-	got, err := client("http://127.0.0.1:1").Submit(ctx, []*v1.Spec{{Id: "a"}})
+	got, err := client("http://127.0.0.1:1").Submit(ctx, []*v1.Spec{{Id: "a"}}, true)
 	if err != nil || got[0].GetStatus().GetCode() != uint32(code.Unanswered) || got[0].GetOutcome() != v1.Outcome_OUTCOME_UNSPECIFIED {
 		t.Errorf("got %v, %v", got, err)
 	}
