--- a/internal/base/event/event.go
+++ b/internal/base/event/event.go
@@ -8,6 +8,8 @@
 	"log/slog"
 
 	"github.com/go-logr/logr"
+
+	"gypsumreel/internal/base/meter"
 )
 
 // Level says who has to look at an event.
@@ -55,8 +57,10 @@
 )
 
 // Log logs an event with further keys and values, as logr takes them. Secrets
-// never belong in them.
+// never belong in them. Each event is counted in gypsumreel_base_events_total,
+// whatever the level that is logged, so that alarms can be set on events.
 func Log(logger logr.Logger, id ID, kv ...any) {
+	meter.Common.GetOrCreateCounter(meter.Name("base", "events_total", meter.Label{Name: "event", Value: id.Name}, meter.Label{Name: "level", Value: id.Level.String()})).Inc()
 	all := append([]any{NumberKey, id.Number, NameKey, id.Name}, kv...)
 	switch id.Level {
 	case Debug:
--- a/internal/base/event/event_test.go
+++ b/internal/base/event/event_test.go
@@ -11,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"gypsumreel/internal/base/event"
+	"gypsumreel/internal/base/meter"
 	"gypsumreel/internal/base/page"
 )
 
@@ -75,4 +76,11 @@
 	if b.Len() == 0 {
 		t.Error("a warning was dropped")
 	}
+	b.Reset()
+	meter.Common.WritePrometheus(&b)
+	for _, name := range []string{"started", "leader-lost"} {
+		if !strings.Contains(b.String(), `gypsumreel_base_events_total{event="`+name+`"`) {
+			t.Errorf("%s is not counted", name)
+		}
+	}
 }
