--- a/internal/edge/backend/backend.go
+++ b/internal/edge/backend/backend.go
@@ -10,10 +10,12 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/go-logr/logr"
 
 	"gypsumreel/internal/api/inner"
 	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/base/event"
 	"gypsumreel/internal/edge/control"
 )
 
@@ -36,6 +38,7 @@
 	Leader control.Asker
 	// Enrolment holds the digests accepted; two while a secret is replaced. None admits nobody.
 	Enrolment []Digest
+	Log       logr.Logger
 }
 
 // Route returns the path and the handler for an HTTP mux.
@@ -45,7 +48,7 @@
 
 // Announce forwards the opening of a session.
 func (h *Handler) Announce(ctx context.Context, req *connect.Request[v1.AnnounceRequest]) (*connect.Response[v1.AnnounceReply], error) {
-	reply, status := h.exchange(ctx, req.Header(), CheckAnnounce(req.Msg), &inner.Item{Ask: &inner.Item_Announce{Announce: req.Msg}}, MaxAsk)
+	reply, status := h.exchange(ctx, req.Header(), req.Peer(), CheckAnnounce(req.Msg), &inner.Item{Ask: &inner.Item_Announce{Announce: req.Msg}}, MaxAsk)
 	if status != nil {
 		return connect.NewResponse(&v1.AnnounceReply{Status: status}), nil
 	}
@@ -61,7 +64,7 @@
 		Server: m.GetServer(), Incarnation: m.GetIncarnation(), Number: m.GetNumber(), Reports: m.GetReports(),
 		Patience: uint64(patience.Milliseconds()),
 	}
-	reply, status := h.exchange(ctx, req.Header(), CheckSync(m), &inner.Item{Ask: &inner.Item_Sync{Sync: ask}}, patience+pollMargin)
+	reply, status := h.exchange(ctx, req.Header(), req.Peer(), CheckSync(m), &inner.Item{Ask: &inner.Item_Sync{Sync: ask}}, patience+pollMargin)
 	if status != nil {
 		return connect.NewResponse(&v1.SyncReply{Status: status, Number: m.GetNumber(), Elsewhere: turnAway(status)}), nil
 	}
@@ -70,15 +73,16 @@
 
 // Leave forwards the word that the server takes no new work.
 func (h *Handler) Leave(ctx context.Context, req *connect.Request[v1.LeaveRequest]) (*connect.Response[v1.LeaveReply], error) {
-	reply, status := h.exchange(ctx, req.Header(), checkServer(req.Msg.GetServer()), &inner.Item{Ask: &inner.Item_Leave{Leave: req.Msg}}, MaxAsk)
+	reply, status := h.exchange(ctx, req.Header(), req.Peer(), checkServer(req.Msg.GetServer()), &inner.Item{Ask: &inner.Item_Leave{Leave: req.Msg}}, MaxAsk)
 	if status != nil {
 		return connect.NewResponse(&v1.LeaveReply{Status: status}), nil
 	}
 	return connect.NewResponse(reply.GetLeave()), nil
 }
 
-func (h *Handler) exchange(ctx context.Context, header http.Header, fault error, item *inner.Item, bound time.Duration) (*inner.Reply, *v1.Status) {
+func (h *Handler) exchange(ctx context.Context, header http.Header, peer connect.Peer, fault error, item *inner.Item, bound time.Duration) (*inner.Reply, *v1.Status) {
 	if !h.enrolled(control.Bearer(header)) {
+		event.Log(h.Log, event.EnrolmentRefused, "peer", peer.Addr)
 		return nil, control.Refusal(code.BadEnrolment, "")
 	}
 	if fault != nil {
--- a/internal/edge/backend/check.go
+++ b/internal/edge/backend/check.go
@@ -3,6 +3,7 @@
 import (
 	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/domain/answer"
 	"gypsumreel/internal/edge/caller"
 )
 
@@ -66,8 +67,8 @@
 		return code.New(code.TooLarge, "the checkpoint's handle has up to %d bytes", MaxCheckpoint)
 	}
 	for _, c := range r.GetChunks() {
-		if err := caller.CheckChunk(c); err != nil {
-			return err
+		if len(c.GetData()) > answer.ChunkSize || c.GetTotal() > answer.MaxTotal || c.GetNumber() >= c.GetCount() {
+			return code.New(code.TooLarge, "chunk %d of %d, %d bytes of %d", c.GetNumber(), c.GetCount(), len(c.GetData()), c.GetTotal())
 		}
 	}
 	return nil
--- a/internal/edge/control/link.go
+++ b/internal/edge/control/link.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -12,6 +13,7 @@
 
 	"gypsumreel/internal/api/inner"
 	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/base/event"
 )
 
 const (
@@ -43,10 +45,17 @@
 	client  inner.Control
 	wire    *http.Transport
 
-	mu       sync.Mutex
-	failures int
+	// failures counts the calls in a row that failed, pushes and pulls apart: a
+	// Pull that never comes back must not hide behind pushes that do.
+	failures [2]atomic.Int32
 }
 
+// The kinds of call, for the count of failures.
+const (
+	pushing = iota
+	pulling
+)
+
 // open makes the client. HTTP/1.1 is used because a call that is given up
 // closes its own connection there: a connection that something on the way has
 // forgotten is never used twice.
@@ -209,7 +218,7 @@
 			if neverSent(err) {
 				l.pool.book.conceal(fresh)
 			}
-			if l.failed(ctx, fail) {
+			if l.failed(ctx, pushing, fail) {
 				return
 			}
 			continue
@@ -220,7 +229,7 @@
 			fail(errMoved)
 			return
 		}
-		l.worked(sent)
+		l.worked(pushing, sent)
 		l.settle(fresh, reply.GetRefused())
 		return
 	}
@@ -258,14 +267,20 @@
 	l.pool.book.refuse(unseen)
 }
 
+// mark is how far the replies have been taken: ack counts within its epoch.
+type mark struct {
+	epoch uint64
+	ack   uint64
+}
+
 // pull keeps a long poll open for replies.
 func (l *link) pull(ctx context.Context, fail context.CancelCauseFunc) {
-	ack, epoch := uint64(0), uint64(0)
+	var at mark
 	for ctx.Err() == nil {
 		sent := time.Now()
-		reply, err := l.poll(ctx, epoch, ack)
+		reply, err := l.poll(ctx, at)
 		if err != nil {
-			if l.failed(ctx, fail) {
+			if l.failed(ctx, pulling, fail) || !l.alive(ctx, fail) {
 				return
 			}
 			continue
@@ -274,16 +289,11 @@
 			fail(errMoved)
 			return
 		}
-		l.worked(sent)
+		l.worked(pulling, sent)
 		l.pool.learn(reply.GetRevision())
-		if reply.GetEpoch() != epoch {
-			// The replica lost the lead and won it again between two polls: it
-			// numbers replies anew, and an older ack would drop some unread.
-			ack, epoch = 0, reply.GetEpoch()
-		}
 		// The answer holds everything past the number acknowledged, so its last number is the next one.
 		if n := len(reply.GetReplies()); n > 0 {
-			ack = max(ack, reply.GetFirst()+uint64(n)-1)
+			at = mark{reply.GetEpoch(), reply.GetFirst() + uint64(n) - 1}
 		} else if time.Since(sent) < minPause {
 			sleep(ctx, minPause)
 		}
@@ -294,15 +304,27 @@
 	}
 }
 
-func (l *link) poll(ctx context.Context, epoch, ack uint64) (*inner.PullReply, error) {
+func (l *link) poll(ctx context.Context, at mark) (*inner.PullReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, l.pool.Patience+l.pool.Timeout)
 	defer cancel()
 	return l.client.Pull(ctx, &inner.PullRequest{
 		Cell: l.pool.Cell, Entry: l.pool.Name, Session: l.session,
-		Epoch: epoch, Ack: ack, Revision: l.pool.Revision(), Patience: uint64(l.pool.Patience.Milliseconds()),
+		Epoch: at.epoch, Ack: at.ack, Revision: l.pool.Revision(), Patience: uint64(l.pool.Patience.Milliseconds()),
 	})
 }
 
+// alive asks over another connection whether the replica still leads, after a
+// Pull that stayed silent: only its connection may be at fault.
+func (l *link) alive(ctx context.Context, fail context.CancelCauseFunc) bool {
+	ctx, cancel := context.WithTimeout(ctx, l.pool.Timeout)
+	defer cancel()
+	if _, leads := l.probe(ctx); !leads {
+		fail(errSilent)
+		return false
+	}
+	return true
+}
+
 // deliver hands out replies. It returns false when the replica says that it no
 // longer leads: such items wait for the next leader.
 func (l *link) deliver(replies []*inner.Reply) bool {
@@ -321,28 +343,23 @@
 
 // failed counts a call that failed and drops the idle connections, which may
 // have gone silent with it. It returns true when the link is given up.
-func (l *link) failed(ctx context.Context, fail context.CancelCauseFunc) bool {
+func (l *link) failed(ctx context.Context, kind int, fail context.CancelCauseFunc) bool {
 	if ctx.Err() != nil {
 		return true
 	}
 	l.wire.CloseIdleConnections()
 	l.pool.meter.failures.Inc()
-	l.mu.Lock()
-	l.failures++
-	n := l.failures
-	l.mu.Unlock()
-	if n >= maxFailures || !l.pool.retries.Allow() {
+	event.Log(l.pool.Log, event.ConnectionSilent, "replica", l.replica.Name)
+	if n := l.failures[kind].Add(1); n >= maxFailures || !l.pool.retries.Allow() {
 		fail(errSilent)
 		return true
 	}
 	return false
 }
 
-func (l *link) worked(sent time.Time) {
+func (l *link) worked(kind int, sent time.Time) {
 	l.pool.confirm(sent)
-	l.mu.Lock()
-	l.failures = 0
-	l.mu.Unlock()
+	l.failures[kind].Store(0)
 }
 
 // newBackoff returns the jittered pauses between searches for a leader.
