--- a/internal/cli/submit/submit.go
+++ b/internal/cli/submit/submit.go
@@ -13,6 +13,7 @@
 	"gypsumreel/internal/cli/remote"
 	"gypsumreel/internal/cli/verb"
 	"gypsumreel/internal/cli/wait"
+	"gypsumreel/internal/client/link"
 )
 
 // maxInput bounds a job's input in bytes.
@@ -96,7 +97,7 @@
 	if accepted(a) {
 		return nil
 	}
-	return verb.Refusal(code.Code(s.GetCode()), s.GetText())
+	return remote.Explain(link.Status(s))
 }
 
 func (c *command) spec(env verb.Env) (*v1.Spec, error) {
--- a/internal/cli/verb/exit.go
+++ b/internal/cli/verb/exit.go
@@ -78,7 +78,7 @@
 // Refusal returns an Error for a result code of the cell.
 func Refusal(c code.Code, detail string) *Error {
 	text := fmt.Sprintf("%d: %s", uint32(c), c)
-	if detail != "" && detail != c.String() {
+	if detail != "" {
 		text += ": " + detail
 	}
 	return &Error{Exit: exitOf(c), Text: text, Next: advice[c]}
--- a/internal/client/caller/caller.go
+++ b/internal/client/caller/caller.go
@@ -161,7 +161,7 @@
 		case err != nil:
 			return last, err
 		}
-		last = Result{ID: id, Outcome: r.GetOutcome(), Code: code.Code(r.GetStatus().GetCode()), Text: r.GetStatus().GetText()}
+		last = Result{ID: id, Outcome: r.GetOutcome(), Code: code.Code(r.GetStatus().GetCode()), Text: link.Status(r.GetStatus()).Detail}
 		switch {
 		case r.GetOutcome() == v1.Outcome_OUTCOME_DONE:
 			if err := a.Add(r.GetChunk()); err != nil {
@@ -170,7 +170,7 @@
 		case Final(r.GetOutcome()):
 			return last, nil
 		case last.Code != code.OK:
-			return last, code.New(last.Code, "%s", last.Text)
+			return last, link.Status(r.GetStatus())
 		case ctx.Err() != nil:
 			return last, nil
 		}
@@ -218,8 +218,8 @@
 }
 
 func refused(s *v1.Status) error {
-	if c := code.Code(s.GetCode()); c != code.OK {
-		return code.New(c, "%s", s.GetText())
+	if code.Code(s.GetCode()) != code.OK {
+		return link.Status(s)
 	}
 	return nil
 }
--- a/internal/client/link/link.go
+++ b/internal/client/link/link.go
@@ -91,7 +91,7 @@
 				return res, nil
 			}
 			retry = time.Duration(s.GetRetry()) * time.Millisecond
-			err = code.New(code.Code(s.GetCode()), "%s", s.GetText())
+			err = Status(s)
 			l.Next()
 		}
 		if refusal := Refusal(err); !Again(refusal.Code) {
@@ -200,6 +200,15 @@
 	return code.New(code.Unanswered, "%v", err)
 }
 
+// Status returns a status as a result code. The detail is what its text says
+// beyond the number and the standing text, which an Error prints itself.
+func Status(s *v1.Status) *code.Error {
+	c := code.Code(s.GetCode())
+	detail := strings.TrimPrefix(s.GetText(), code.New(c, "").Error())
+	detail = strings.TrimPrefix(strings.TrimPrefix(detail, ": "), c.String())
+	return &code.Error{Code: c, Detail: strings.TrimPrefix(detail, ": ")}
+}
+
 // classify turns an error of the transport into a result code. What the entry
 // itself refuses before it looks at the request has a code of connect's.
 func classify(err error) *code.Error {
@@ -210,7 +219,7 @@
 	for _, d := range ce.Details() {
 		if v, derr := d.Value(); derr == nil {
 			if s, ok := v.(*v1.Status); ok {
-				return code.New(code.Code(s.GetCode()), "%s", s.GetText())
+				return Status(s)
 			}
 		}
 	}
--- a/internal/client/operator/operator.go
+++ b/internal/client/operator/operator.go
@@ -121,8 +121,8 @@
 }
 
 func refused(s *v1.Status) error {
-	if c := code.Code(s.GetCode()); c != code.OK {
-		return code.New(c, "%s", s.GetText())
+	if code.Code(s.GetCode()) != code.OK {
+		return link.Status(s)
 	}
 	return nil
 }
