--- a/internal/cli/submit/submit.go
+++ b/internal/cli/submit/submit.go
@@ -13,6 +13,7 @@
 	"gypsumreel/internal/cli/remote"
 	"gypsumreel/internal/cli/verb"
 	"gypsumreel/internal/cli/wait"
+	"gypsumreel/internal/client/link"
 )
 
 // maxInput bounds a job's input in bytes.
@@ -63,6 +64,8 @@
 	if len(args) > 0 {
 		return verb.Misuse("Everything is given by flags: `gypsumreel submit --help`.", "unexpected %q", args[0])
 	}
+	// An id that the user chose may have been sent by an earlier run.
+	fresh := c.ID == ""
 	spec, err := c.spec(env)
 	if err != nil {
 		return err
@@ -72,7 +75,7 @@
 		return err
 	}
 	defer cancel()
-	out, err := client.Submit(ctx, []*v1.Spec{spec})
+	out, err := client.Submit(ctx, []*v1.Spec{spec}, fresh)
 	if err != nil {
 		return remote.Explain(err)
 	}
@@ -94,7 +97,7 @@
 	if accepted(a) {
 		return nil
 	}
-	return verb.Refusal(code.Code(s.GetCode()), s.GetText())
+	return remote.Explain(link.Status(s))
 }
 
 func (c *command) spec(env verb.Env) (*v1.Spec, error) {
