Secure both daemons from files and serve the platform's probes

TLS on every listener and dialler comes from the settings and is read again when the files change; plain text needs the word in the settings. SIGUSR1 writes a dump, and the control process has health, readiness and metrics of its own.

--- a/internal/cli/control/control.go
+++ b/internal/cli/control/control.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/base/dump"
 	"gypsumreel/internal/base/event"
 	"gypsumreel/internal/base/settings"
 	"gypsumreel/internal/cli/verb"
@@ -48,17 +49,45 @@
 		return err
 	}
 	n.Init, n.Log = c.Init, event.New(env.Err, s.Log)
+	if err := protect(context.WithoutCancel(ctx), s, n); err != nil {
+		return err
+	}
+	signal := &dump.Signal{Dir: s.Data, Name: s.Name, State: n.State, Max: int(s.Limits.Dump), Log: n.Log}
+	go func() { _ = signal.Run(ctx) }()
 	return n.Run(ctx)
 }
 
+// protect sets the daemon's TLS. The files are looked at until the process
+// ends: a planned stop may outlast a certificate.
+func protect(ctx context.Context, s *settings.Settings, n *node.Node) error {
+	inside, err := verb.NewSide(ctx, s.TLS.Inside, s.Time.Reload, n.Log)
+	if err != nil {
+		return err
+	}
+	outside, err := verb.NewSide(ctx, s.TLS.Outside, s.Time.Reload, n.Log)
+	if err != nil {
+		return err
+	}
+	var names []string
+	for _, p := range s.Control {
+		names = append(names, p.Name)
+	}
+	n.Server, n.Client, n.Outside = inside.Server(), inside.Client(names...), outside.Server()
+	return nil
+}
+
 // build makes the daemon from its settings.
 func build(s *settings.Settings) (*node.Node, error) {
 	l, err := net.Listen("tcp", s.Listen.Control)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen.control")
 	}
+	probes, err := net.Listen("tcp", s.Listen.Platform)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen.platform")
+	}
 	n := &node.Node{
-		Cell: s.Cell, Name: s.Name, Data: s.Data, Listener: l,
+		Cell: s.Cell, Name: s.Name, Data: s.Data, Listener: l, Platform: probes,
 		Heartbeat: s.Time.Heartbeat, Election: s.Time.Election, Control: leader.New(),
 	}
 	for _, p := range s.Control {
--- a/internal/cli/entry/entry.go
+++ b/internal/cli/entry/entry.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"gypsumreel/internal/base/dump"
 	"gypsumreel/internal/base/event"
 	"gypsumreel/internal/base/settings"
 	"gypsumreel/internal/cli/verb"
@@ -43,9 +44,33 @@
 		return err
 	}
 	e.Log, e.Abort = event.New(env.Err, s.Log), verb.Again(ctx)
+	if err := protect(context.WithoutCancel(ctx), s, e); err != nil {
+		return err
+	}
+	signal := &dump.Signal{Name: s.Name, State: e.Dump, Max: int(s.Limits.Dump), Log: e.Log}
+	go func() { _ = signal.Run(ctx) }()
 	return e.Run(ctx)
 }
 
+// protect sets the daemon's TLS. The files are looked at until the process
+// ends: a planned stop may outlast a certificate.
+func protect(ctx context.Context, s *settings.Settings, e *entry.Entry) error {
+	outside, err := verb.NewSide(ctx, s.TLS.Outside, s.Time.Reload, e.Log)
+	if err != nil {
+		return err
+	}
+	inside, err := verb.NewSide(ctx, s.TLS.Inside, s.Time.Reload, e.Log)
+	if err != nil {
+		return err
+	}
+	var names []string
+	for _, p := range s.Control {
+		names = append(names, p.Name)
+	}
+	e.Outside, e.Inside = outside.Server(), inside.Client(names...)
+	return nil
+}
+
 // build makes the daemon from its settings.
 func build(s *settings.Settings) (*entry.Entry, error) {
 	e := &entry.Entry{Cell: s.Cell, Name: s.Name, Linger: s.Time.Drain, Drain: s.Time.Finish}
--- a/internal/control/node/node.go
+++ b/internal/control/node/node.go
@@ -11,14 +11,18 @@
 	"net/http"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
 	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/base/meter"
 	"gypsumreel/internal/control/entry"
 	"gypsumreel/internal/control/leader"
+	"gypsumreel/internal/edge/platform"
 	"gypsumreel/internal/policy/cell"
 	"gypsumreel/internal/policy/plan"
 	"gypsumreel/internal/replica/birth"
@@ -32,6 +36,9 @@
 // DefaultHandover bounds the handing over of the lead at a planned stop.
 const DefaultHandover = 5 * time.Second
 
+// headerTimeout bounds the reading of a request's header.
+const headerTimeout = 5 * time.Second
+
 // Node is the control daemon. The exported fields are set before Run.
 type Node struct {
 	Cell string
@@ -42,6 +49,10 @@
 	Init bool
 	// Listener takes entries and other replicas.
 	Listener net.Listener
+	// Platform takes the platform's probes; nil for none.
+	Platform net.Listener
+	// Outside secures Platform; nil for plain text.
+	Outside *tls.Config
 	// Address is where the others reach this replica.
 	Address string
 	// Replicas are all control replicas of the settings, by name; this one among them.
@@ -63,7 +74,7 @@
 	once  sync.Once
 	begin time.Time
 	done  chan struct{}
-	group *group.Group
+	group atomic.Pointer[group.Group]
 }
 
 // Transport carries consensus messages. Run returns when ctx ends.
@@ -144,18 +155,19 @@
 	running, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	founder := n.founder(self)
-	n.group = &group.Group{Journal: log, Snapshots: &store, Saved: saved, Now: n.now, Log: n.Log}
-	service := &entry.Server{Cell: n.Cell, Leader: n.Control, Now: n.now, Dumper: n.dump}
+	g := &group.Group{Journal: log, Snapshots: &store, Saved: saved, Now: n.now, Log: n.Log}
+	n.group.Store(g)
+	service := &entry.Server{Cell: n.Cell, Leader: n.Control, Now: n.now, Dumper: n.State}
 	mux := http.NewServeMux()
 	mux.Handle("/twirp/gypsumreel.inner.Control/", service.Handler())
 	mux.Handle("/twirp/gypsumreel.inner.Birth/", founder.Handler())
 	var transport Transport
 	if n.Transport != nil {
-		transport = n.Transport(self.ID, n.group.Receive)
-		n.group.Peer = transport
+		transport = n.Transport(self.ID, g.Receive)
+		g.Peer = transport
 		mux.Handle("/", transport.Handler())
 	}
-	server := n.server(mux)
+	server := n.server(mux, n.Server)
 	faults := make(chan error, 4)
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -168,22 +180,27 @@
 			}
 		})
 	}
-	run("listen", func() error { return n.listen(server) })
+	run("listen", func() error { return listen(server, n.Listener) })
+	if n.Platform != nil {
+		probes := n.server(n.probes(), n.Outside)
+		defer func() { _ = probes.Close() }()
+		run("platform", func() error { return listen(probes, n.Platform) })
+	}
 	if found {
 		first, err := founder.Found(ctx)
 		if err != nil {
 			return err
 		}
-		n.group.Config.Bootstrap = first
+		g.Config.Bootstrap = first
 	} else {
 		founder.Know(ids(saved.Snapshot.Members, self))
 	}
-	n.configure(self)
+	n.configure(self, g)
 	n.Control.Deposed = service.CloseAll
 	if transport != nil {
 		run("transport", func() error { return transport.Run(running) })
 	}
-	run("group", func() error { return n.group.Run(running) })
+	run("group", func() error { return g.Run(running) })
 	run("control", func() error { return n.Control.Run(running) })
 	select {
 	case err := <-faults:
@@ -218,33 +235,57 @@
 	return out
 }
 
-func (n *Node) configure(self quorum.Member) {
-	cfg := &n.group.Config
+func (n *Node) configure(self quorum.Member, g *group.Group) {
+	cfg := &g.Config
 	cfg.ID, cfg.Address = self.ID, self.Address
 	cfg.Heartbeat, cfg.Election = n.Heartbeat, n.Election
 	var seed [8]byte
 	_, _ = rand.Read(seed[:])
 	cfg.Seed = binary.LittleEndian.Uint64(seed[:])
 	l := n.Control
-	l.Group, l.Now, l.Root, l.Log = n.group, n.now, n.Root, n.Log
+	l.Group, l.Now, l.Root, l.Log = g, n.now, n.Root, n.Log
 	if l.Planner == nil {
 		l.Planner = func() plan.Planner { return cell.New(cell.Config{}) }
 	}
 }
 
-func (n *Node) server(h http.Handler) *http.Server {
+func (n *Node) server(h http.Handler, cfg *tls.Config) *http.Server {
 	both := new(http.Protocols)
 	both.SetHTTP1(true)
 	both.SetHTTP2(true)
 	both.SetUnencryptedHTTP2(true)
-	return &http.Server{Handler: h, Protocols: both, ReadHeaderTimeout: 5 * time.Second, TLSConfig: n.Server}
+	return &http.Server{Handler: h, Protocols: both, ReadHeaderTimeout: headerTimeout, TLSConfig: cfg}
 }
 
-func (n *Node) listen(s *http.Server) error {
-	if n.Server == nil {
-		return s.Serve(n.Listener)
+func listen(s *http.Server, l net.Listener) error {
+	if s.TLSConfig == nil {
+		return s.Serve(l)
 	}
-	return s.ServeTLS(n.Listener, "", "")
+	return s.ServeTLS(l, "", "")
+}
+
+// probes serves health, readiness and metrics. A replica is ready while it
+// knows a leader, itself or another.
+func (n *Node) probes() http.Handler {
+	set := metrics.NewSet()
+	set.NewGauge(meter.Name("control", "leads"), func() float64 {
+		if n.Control.Status().Leads {
+			return 1
+		}
+		return 0
+	})
+	set.NewGauge(meter.Name("control", "term"), func() float64 { return float64(n.Control.Status().Term) })
+	set.NewGauge(meter.Name("control", "revision"), func() float64 { return float64(n.Control.Status().Revision) })
+	return (&platform.Probes{Ready: n.ready, Meters: []*metrics.Set{set}}).Route()
+}
+
+var errNoLeader = errors.New("no leader is known")
+
+func (n *Node) ready() error {
+	if st := n.Control.Status(); !st.Leads && st.Leader == "" {
+		return errNoLeader
+	}
+	return nil
 }
 
 // handOver gives the lead to another replica before a planned stop, so that
@@ -255,7 +296,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), n.Handover)
 	defer cancel()
-	if err := n.group.Transfer(ctx); err != nil && !errors.Is(err, group.ErrAlone) {
+	if err := n.group.Load().Transfer(ctx); err != nil && !errors.Is(err, group.ErrAlone) {
 		n.Log.Info("the lead was not handed over", "cause", err.Error())
 	}
 }
@@ -268,6 +309,11 @@
 	Group  group.Dump
 }
 
-func (n *Node) dump() any {
-	return Dump{Cell: n.Cell, Name: n.Name, Status: n.Control.Status(), Group: n.group.Dump()}
+// State returns the state of the process for a person to read.
+func (n *Node) State() any {
+	d := Dump{Cell: n.Cell, Name: n.Name, Status: n.Control.Status()}
+	if g := n.group.Load(); g != nil {
+		d.Group = g.Dump()
+	}
+	return d
 }
--- a/internal/edge/entry/state.go
+++ b/internal/edge/entry/state.go
@@ -53,3 +53,6 @@
 		}
 	}
 }
+
+// Dump returns the state of the process for a person to read.
+func (e *Entry) Dump() any { e.init(); return e.state() }
