Make retention and admission independent of the number of records

Cause: every second the leader looked at all jobs, every 20 ms at all servers in sorted order, and every submission at all servers. Retention now reads queues in order of age, silence is looked for every 100 ms without sorting, and whether any server could hold a task is a look at the kinds of server.

--- a/internal/control/leader/ask.go
+++ b/internal/control/leader/ask.go
@@ -9,7 +9,6 @@
 	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/base/code"
 	"gypsumreel/internal/domain/answer"
-	"gypsumreel/internal/domain/backend"
 	"gypsumreel/internal/domain/key"
 	"gypsumreel/internal/ledger/command"
 	"gypsumreel/internal/ledger/state"
@@ -154,7 +153,7 @@
 	if !need.Within(row.Limit) {
 		return code.NeverFits, 0
 	}
-	if !l.fits(func(b state.Server) bool { return size.Fits(b.Capacity) }) {
+	if !l.st.Fits(size) {
 		return code.NeverFits, 0
 	}
 	return code.OK, 0
@@ -165,20 +164,6 @@
 	return d + time.Duration(rand.Int64N(int64(d)))
 }
 
-func (l *Leader) fits(fn func(state.Server) bool) bool {
-	known := false
-	for _, b := range l.st.Servers() {
-		if b.Server.State == backend.Gone {
-			continue
-		}
-		known = true
-		if fn(b) {
-			return true
-		}
-	}
-	return !known
-}
-
 // waiter is a Wait that is parked until the job ends.
 type waiter struct {
 	to    Ticket
--- a/internal/control/leader/decide.go
+++ b/internal/control/leader/decide.go
@@ -148,18 +148,22 @@
 	if !ld.proved || now-ld.confirmed > l.Fresh {
 		return // a leader that cannot prove to lead gives up nobody
 	}
-	for _, b := range l.st.Servers() {
-		if b.Server.State == backend.Gone {
+	for id, s := range ld.servers {
+		if now-s.heard <= l.Silence {
 			continue
 		}
-		s := l.session(b)
-		if now-s.heard > l.Silence && (b.Server.State == backend.Ready || b.Server.State == backend.Quarantined) {
+		b, ok := l.st.Server(id)
+		if !ok || b.Server.State == backend.Gone || b.Incarnation != s.incarnation {
+			delete(ld.servers, id)
+			continue
+		}
+		if b.Server.State == backend.Ready || b.Server.State == backend.Quarantined {
 			// Unschedulable before the wait for its lease begins: a server
 			// that comes back halfway is not given new work on a lease that
 			// is about to be declared over.
 			l.mark(b.ID, backend.Suspect)
 		}
-		if now-s.heard > l.Silence && ld.book.Over(b.ID, now) {
+		if ld.book.Over(b.ID, now) {
 			l.do(&record.Command{What: &record.Command_Fence{Fence: &record.Fence{Server: b.ID, Incarnation: b.Incarnation}}})
 			delete(ld.servers, b.ID)
 			ld.book.Forget(b.ID)
--- a/internal/control/leader/lead.go
+++ b/internal/control/leader/lead.go
@@ -8,6 +8,7 @@
 	"gypsumreel/internal/api/record"
 	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/domain/backend"
 	"gypsumreel/internal/domain/lease"
 	"gypsumreel/internal/ledger/command"
 	"gypsumreel/internal/ledger/state"
@@ -36,6 +37,7 @@
 	due     dueHeap
 	checked time.Duration
 	swept   time.Duration
+	looked  time.Duration
 	dirty   bool
 }
 
@@ -109,6 +111,9 @@
 	p.SetTable(l.st.Table())
 	for _, b := range l.st.Servers() {
 		watch{l}.Server(b)
+		if b.Server.State != backend.Gone {
+			l.session(b).heard = l.Now()
+		}
 	}
 	for _, j := range l.st.Jobs("") {
 		if j.Final() {
@@ -237,7 +242,10 @@
 		heap.Pop(&ld.due).(due).run()
 	}
 	ld.dirty = true
-	l.watchServers(now)
+	if now-ld.looked >= lookEvery {
+		ld.looked = now
+		l.watchServers(now)
+	}
 	if now-ld.checked >= checkEvery {
 		ld.checked = now
 		l.do(&record.Command{What: &record.Command_Check{Check: &record.Check{Digest: l.st.Digest()}}})
@@ -251,7 +259,7 @@
 // sweep forgets what retention lets go.
 func (l *Leader) sweep() {
 	const most = 1000
-	f := l.st.EndedBefore(int64(l.clock()-l.Retention), most)
+	f := l.st.Expired(l.clock()-l.Retention, most)
 	if len(f.Jobs)+len(f.Changes)+len(f.Servers) > 0 {
 		l.do(&record.Command{What: &record.Command_Forget{Forget: f}})
 	}
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -45,6 +45,8 @@
 	turn = 64
 	// tick is how often timers are looked at.
 	tick = 20 * time.Millisecond
+	// lookEvery is how often all sessions are looked at for silence.
+	lookEvery = 100 * time.Millisecond
 	// checkEvery is how often the replicas compare the digests of their states.
 	checkEvery = 10 * time.Second
 	// maxPending bounds the commands that the group has not taken yet.
--- a/internal/ledger/state/change.go
+++ b/internal/ledger/state/change.go
@@ -249,27 +249,3 @@
 	slices.SortFunc(out, func(a, b *Job) int { return int(int64(a.Number) - int64(b.Number)) })
 	return out
 }
-
-// EndedBefore returns what retention lets go: final jobs and answers older than the time given.
-func (s *State) EndedBefore(at int64, most int) *record.Forget {
-	f := &record.Forget{}
-	for number, j := range s.jobs {
-		if j.Final() && int64(j.Ended) < at && len(f.Jobs) < most {
-			f.Jobs = append(f.Jobs, number)
-		}
-	}
-	for id, a := range s.answers {
-		if int64(a.At) < at && len(f.Changes) < most {
-			f.Changes = append(f.Changes, id)
-		}
-	}
-	for id, b := range s.servers {
-		if b.Server.State == gone && int64(b.Since) < at && len(s.placed[id]) == 0 && len(f.Servers) < most {
-			f.Servers = append(f.Servers, id)
-		}
-	}
-	slices.Sort(f.Jobs)
-	slices.Sort(f.Changes)
-	slices.Sort(f.Servers)
-	return f
-}
--- a/internal/ledger/state/job.go
+++ b/internal/ledger/state/job.go
@@ -255,5 +255,6 @@
 			s.removeServer(id)
 		}
 	}
+	s.trim()
 	return Result{}
 }
--- a/internal/ledger/state/snapshot.go
+++ b/internal/ledger/state/snapshot.go
@@ -111,6 +111,9 @@
 			return nil, err
 		}
 	}
+	s.ended.sort()
+	s.told.sort()
+	s.left.sort()
 	if s.digest != digest {
 		// The records were read whole but are not those that were written.
 		return nil, errors.Wrap(ErrSnapshot, "digest differs")
--- a/internal/ledger/state/state.go
+++ b/internal/ledger/state/state.go
@@ -40,9 +40,14 @@
 	ids     map[RequestID]uint64
 
 	// Derived, not part of the digest.
-	faults int
-	teams  map[string]*usage
-	placed map[string]map[task.ID]*Task
+	faults  int
+	teams   map[string]*usage
+	placed  map[string]map[task.ID]*Task
+	classes map[capacity.Size]int
+	// What retention looks at, the oldest first.
+	ended queue[uint64]
+	told  queue[string]
+	left  queue[string]
 }
 
 // usage is what a team has in the ledger.
@@ -97,6 +102,7 @@
 		ids:     map[RequestID]uint64{},
 		teams:   map[string]*usage{},
 		placed:  map[string]map[task.ID]*Task{},
+		classes: map[capacity.Size]int{},
 	}
 }
 
--- a/internal/ledger/state/store.go
+++ b/internal/ledger/state/store.go
@@ -54,6 +54,9 @@
 	u.count(j, 1)
 	u.jobs[j.Number] = j
 	s.jobs[j.Number] = j
+	if j.Final() && (old == nil || !old.Final()) {
+		s.ended.push(aged[uint64]{j.Number, j.Ended})
+	}
 }
 
 func (u *usage) count(j *Job, n int) {
@@ -132,11 +135,28 @@
 		s.swap(sumOf(serverRecord(old)), 0)
 	}
 	s.swap(0, sumOf(serverRecord(b)))
+	s.classify(s.servers[b.ID], -1)
+	s.classify(b, 1)
 	s.servers[b.ID] = b
+	if b.Server.State == gone {
+		s.left.push(aged[string]{b.ID, b.Since})
+	}
+}
+
+// classify counts the servers of each capacity, so that "could any server ever
+// hold this" costs as many steps as there are kinds of server.
+func (s *State) classify(b Server, n int) {
+	if b.ID == "" || b.Server.State == gone {
+		return
+	}
+	if s.classes[b.Capacity] += n; s.classes[b.Capacity] == 0 {
+		delete(s.classes, b.Capacity)
+	}
 }
 
 func (s *State) removeServer(id string) {
 	s.swap(sumOf(serverRecord(s.servers[id])), 0)
+	s.classify(s.servers[id], -1)
 	delete(s.servers, id)
 	delete(s.placed, id)
 }
@@ -152,6 +172,7 @@
 func (s *State) putAnswer(id string, a Answer) {
 	s.swap(0, sumOf(answerRecord(id, a)))
 	s.answers[id] = a
+	s.told.push(aged[string]{id, a.At})
 }
 
 func (s *State) removeAnswer(id string) {
