--- a/internal/replica/quorum/core.go
+++ b/internal/replica/quorum/core.go
@@ -58,7 +58,9 @@
 	acked  uint64
 	ackDue bool
 
-	saving   *Snapshot
+	saving *Snapshot
+	// later is a snapshot of the control thread that waits to be saved.
+	later    *Compact
 	incoming *incoming
 
 	lead leadership
@@ -179,7 +181,7 @@
 	case SnapshotFailed:
 		c.saving = nil
 	case Compact:
-		c.compact(ev)
+		c.later = &ev
 	case Confirm:
 		c.confirm()
 	case Transfer:
@@ -206,6 +208,7 @@
 func (c *Core) finish() {
 	c.reportFollowed()
 	c.advance()
+	c.compact()
 	c.apply()
 	c.announce()
 	c.reportLed()
--- a/internal/replica/quorum/lead.go
+++ b/internal/replica/quorum/lead.go
@@ -188,7 +188,7 @@
 		if !known || x.ID == c.cfg.ID || !old.Learner && len(now.voters()) == 1 {
 			return nil, false
 		}
-		return now.without(x.ID), true
+		return c.workable(now.without(x.ID))
 	}
 	switch {
 	case !x.valid(), known && x.Learner && !old.Learner, !known && !x.Learner:
@@ -196,7 +196,14 @@
 	case known && old.Learner && !x.Learner && !c.promotable(x.ID):
 		return nil, false
 	}
-	return now.with(x), true
+	return c.workable(now.with(x))
+}
+
+// workable refuses a membership of which no majority is alive: its commit would
+// wait for replicas that may never come back.
+func (c *Core) workable(members []Member) ([]Member, bool) {
+	alive := func(id string) bool { return id == c.cfg.ID || c.fresh(c.peer(id)) }
+	return members, membership{members: members}.majority(alive)
 }
 
 // promotable tells whether a learner may count: it has synced what was committed
--- a/internal/replica/quorum/snapshot.go
+++ b/internal/replica/quorum/snapshot.go
@@ -10,11 +10,16 @@
 	data        []byte
 }
 
-// compact starts to save a snapshot of the state after a committed entry.
-func (c *Core) compact(ev Compact) {
+// compact starts to save a snapshot of the state after a committed entry, once
+// the journal holds that entry: entries behind the snapshot follow it there.
+func (c *Core) compact() {
+	ev := c.later
+	if ev == nil || c.saving != nil || ev.Index > min(c.applied, c.disk.stable) {
+		return
+	}
+	c.later = nil
 	term, ok := c.log.term(ev.Index)
-	synced := min(c.applied, c.disk.stable)
-	if c.saving != nil || !ok || ev.Index <= c.snapshot.Index || ev.Index > synced {
+	if !ok || ev.Index <= c.snapshot.Index {
 		return
 	}
 	c.save(&Snapshot{
@@ -41,6 +46,9 @@
 	c.snapshot = s
 	c.disk.drop = s.Index
 	c.install(s)
+	// What the log is about to forget was not reported yet if the snapshot came
+	// from the leader.
+	c.apply()
 	c.compactLog()
 }
 
