Index free room by zone

The index holds items themselves, one index for each zone, so that the choice of a zone costs no search through the others; the urgent reserve is changed in place.

--- /dev/null
+++ b/internal/policy/bench/scale.go
@@ -0,0 +1,163 @@
+package bench
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"gypsumreel/internal/domain/job"
+	"gypsumreel/internal/domain/table"
+	"gypsumreel/internal/domain/task"
+	"gypsumreel/internal/domain/team"
+	"gypsumreel/internal/policy/plan"
+)
+
+// Scale is a planner over a full cell of a given size. Each Step ends some of
+// the running tasks, queues new ones and asks for decisions, one at a time, as
+// the control thread would at its peak.
+type Scale struct {
+	// Planner decides.
+	Planner plan.Planner
+	// Took is the time of each call of Decide that decided something.
+	Took []time.Duration
+
+	site    Site
+	rng     *rand.Rand
+	teams   int
+	now     time.Duration
+	next    uint64
+	running []running
+	specs   map[uint64]*job.Spec
+}
+
+// running is a task that is held.
+type running struct {
+	id     task.ID
+	spec   *job.Spec
+	server string
+	since  time.Duration
+}
+
+// NewScale returns a cell of that many servers, teams and running tasks, a fifth
+// of them services. With 0 tasks it is filled until nothing more is placed, and
+// some of each team's work is left waiting.
+func NewScale(p plan.Planner, servers, teams, tasks int, seed uint64) *Scale {
+	site := Coralwave()
+	site.Servers, site.Zones = servers, max(3, min(21, servers/100))
+	s := &Scale{Planner: p, site: site, rng: rand.New(rand.NewPCG(seed, 3)), teams: teams, specs: map[uint64]*job.Spec{}}
+	rows := make([]team.Row, 0, teams)
+	for i := range teams {
+		rows = append(rows, team.New(name(i)).WithShare(uint32(500/teams)).WithWeight(uint32(1+i%4)))
+	}
+	p.SetTable(table.Restore(1, rows))
+	for _, b := range site.servers() {
+		p.SetServer(b)
+	}
+	for tasks == 0 || len(s.running) < tasks {
+		for range 256 {
+			s.submit()
+		}
+		if s.decide(256) == 0 {
+			break
+		}
+	}
+	for range 4 * teams {
+		s.submit()
+	}
+	s.Took = s.Took[:0]
+	return s
+}
+
+func name(i int) string { return fmt.Sprintf("team%04d", i) }
+
+// submit queues one task: a tenth urgent, a fifth services, the rest batch.
+func (s *Scale) submit() {
+	kind := job.Batch
+	switch n := s.rng.IntN(10); {
+	case n == 0:
+		kind = job.Urgent
+	case n < 3:
+		kind = job.Service
+	}
+	src := source{rng: s.rng, site: s.site}
+	n := s.rng.IntN(5)
+	size, _, mean := src.shape(min(kind, job.Batch), n)
+	s.next++
+	spec := &job.Spec{Team: name(s.rng.IntN(s.teams)), Kind: kind, Name: fmt.Sprint("n", n), Count: 1, Size: size, Runtime: mean}
+	s.specs[s.next] = spec
+	s.Planner.Queue(plan.Queued{ID: task.ID{Job: s.next}, Job: spec, Accepted: s.now, Ready: s.now})
+}
+
+// decide asks for decisions and applies them.
+func (s *Scale) decide(limit int) int {
+	began := time.Now()
+	out := s.Planner.Decide(s.now, limit)
+	if took := time.Since(began); len(out) > 0 {
+		s.Took = append(s.Took, took)
+	}
+	placed := 0
+	for _, d := range out {
+		switch d.Verb {
+		case plan.Place:
+			placed += len(d.Places)
+			s.hold(d)
+		case plan.Preempt:
+			s.stop(d.Task)
+		}
+	}
+	return placed
+}
+
+func (s *Scale) hold(d plan.Decision) {
+	spec := s.specs[d.Job]
+	for _, l := range d.Places {
+		id := task.ID{Job: d.Job, Index: l.Index}
+		s.Planner.Hold(plan.Held{ID: id, Job: spec, Server: l.Server, Since: s.now})
+		s.running = append(s.running, running{id, spec, l.Server, s.now})
+	}
+}
+
+func (s *Scale) stop(id task.ID) {
+	for i, r := range s.running {
+		if r.id == id {
+			s.release(i)
+			s.Planner.Queue(plan.Queued{ID: id, Job: r.spec, Accepted: r.since, Ready: s.now, Attempts: 1})
+			return
+		}
+	}
+}
+
+// release ends the i-th running task.
+func (s *Scale) release(i int) {
+	r := s.running[i]
+	s.running[i] = s.running[len(s.running)-1]
+	s.running = s.running[:len(s.running)-1]
+	s.Planner.Release(r.id, plan.End{At: s.now, Ran: true})
+}
+
+// Step lets a millisecond pass in which n tasks end, n are queued, and one
+// decision after the other is asked for until none is left or n are made.
+func (s *Scale) Step(n int) int {
+	s.now += time.Millisecond
+	for range min(n, len(s.running)) {
+		s.release(s.rng.IntN(len(s.running)))
+	}
+	for range n {
+		s.submit()
+	}
+	placed := 0
+	for range 2 * n {
+		got := s.decide(1)
+		placed += got
+		if got == 0 {
+			break
+		}
+	}
+	return placed
+}
+
+// Running returns the number of tasks held.
+func (s *Scale) Running() int { return len(s.running) }
+
+// P99 returns the 99th percentile of the time of one decision.
+func (s *Scale) P99() time.Duration { return quantile(s.Took, 0.99) }
--- a/internal/policy/cell/books.go
+++ b/internal/policy/cell/books.go
@@ -9,6 +9,7 @@
 	"gypsumreel/internal/domain/job"
 	"gypsumreel/internal/domain/task"
 	"gypsumreel/internal/domain/team"
+	"gypsumreel/internal/policy/fit"
 	"gypsumreel/internal/policy/plan"
 	"gypsumreel/internal/policy/queue"
 )
@@ -26,6 +27,9 @@
 	// shown is the room that rack, zone and cell have been told of.
 	shown   capacity.Size
 	counted bool
+	spot    fit.Spot[*server]
+	// rooms are the pieces of the urgent reserve on the server.
+	rooms int
 	// restored is when bringing it back was last decided.
 	restored time.Duration
 }
@@ -40,7 +44,7 @@
 
 type rack struct {
 	rackName
-	num     int32
+	spot    fit.Spot[*rack]
 	zone    *zone
 	servers []*server
 	free    capacity.Size
@@ -51,6 +55,7 @@
 	racks []*rack
 	free  capacity.Size
 	rooms int
+	index *fit.Index[*server]
 }
 
 // crew is a team with what it holds and waits for.
@@ -142,16 +147,19 @@
 		return s
 	}
 	s := &server{Server: backend.Server{ID: id, State: backend.Gone}, num: int32(len(p.list))}
+	s.spot.Item = s
 	p.servers[id] = s
 	p.list = append(p.list, s)
-	p.index.Grow(len(p.list), capacity.Size{})
 	return s
 }
 
 // settle puts the server into its rack.
 func (p *Planner) settle(s *server) {
 	name := rackName{s.Zone, s.Rack}
-	p.index.Grow(len(p.list), s.Capacity)
+	p.most = p.most.Max(s.Capacity)
+	for _, z := range p.zones {
+		z.index.Grow(p.most)
+	}
 	if s.rack != nil && s.rack.rackName == name {
 		return
 	}
@@ -160,10 +168,10 @@
 	}
 	r := p.racks[name]
 	if r == nil {
-		r = &rack{rackName: name, num: int32(len(p.rackAt)), zone: p.zone(s.Zone)}
+		r = &rack{rackName: name, zone: p.zone(s.Zone)}
+		r.spot.Item = r
 		r.zone.racks = append(r.zone.racks, r)
 		p.racks[name] = r
-		p.rackAt = append(p.rackAt, r)
 	}
 	r.servers = append(r.servers, s)
 	s.rack = r
@@ -171,7 +179,7 @@
 	for _, o := range r.servers {
 		whole = whole.Add(o.Capacity)
 	}
-	p.rackIndex.Grow(len(p.rackAt), whole)
+	p.rackIndex.Grow(whole)
 }
 
 func (p *Planner) zone(name string) *zone {
@@ -180,7 +188,9 @@
 			return z
 		}
 	}
-	z := &zone{name: name}
+	z := &zone{name: name, index: fit.NewIndex[*server]()}
+	z.index.Any = p.lacks(BestFit)
+	z.index.Grow(p.most)
 	p.zones = append(p.zones, z)
 	return z
 }
@@ -188,7 +198,7 @@
 // uncount takes the server out of every sum.
 func (p *Planner) uncount(s *server) {
 	p.show(s, capacity.Size{})
-	p.index.Drop(s.num)
+	p.hide(s)
 	if s.counted {
 		p.total = p.total.Sub(s.Capacity)
 		p.sizes[s.Capacity]--
@@ -213,11 +223,11 @@
 func (p *Planner) touch(s *server) {
 	if s.State != backend.Ready {
 		p.show(s, capacity.Size{})
-		p.index.Drop(s.num)
+		p.hide(s)
 		return
 	}
 	free := s.room()
-	p.index.Set(s.num, free)
+	s.rack.zone.index.Set(&s.spot, free)
 	if !free.Valid() {
 		free = capacity.Size{}
 	}
@@ -228,6 +238,13 @@
 	p.show(s, free)
 }
 
+// hide takes the server out of its zone's index.
+func (p *Planner) hide(s *server) {
+	if s.rack != nil {
+		s.rack.zone.index.Drop(&s.spot)
+	}
+}
+
 func (p *Planner) show(s *server, free capacity.Size) {
 	if s.rack == nil || s.shown == free {
 		return
@@ -237,7 +254,7 @@
 	s.rack.free = s.rack.free.Add(more)
 	s.rack.zone.free = s.rack.zone.free.Add(more)
 	p.free = p.free.Add(more)
-	p.rackIndex.Set(s.rack.num, s.rack.free)
+	p.rackIndex.Set(&s.rack.spot, s.rack.free)
 }
 
 // put counts a task on a server.
--- a/internal/policy/cell/cell.go
+++ b/internal/policy/cell/cell.go
@@ -112,15 +112,15 @@
 	servers map[string]*server
 	list    []*server
 	racks   map[rackName]*rack
-	rackAt  []*rack
 	zones   []*zone
 	total   capacity.Size
 	// sizes counts the servers of each capacity.
 	sizes map[capacity.Size]int
 	free  capacity.Size
 
-	index     *fit.Index
-	rackIndex *fit.Index
+	// most is the largest server's capacity in each field.
+	most      capacity.Size
+	rackIndex *fit.Index[*rack]
 	failed    frontier
 	// grown counts the changes that may let something fit that did not before.
 	grown uint64
@@ -151,7 +151,9 @@
 	excess   []*crew
 	moving   []*holding
 	jailed   []*server
-	idle     []*work
+	// displaced are service tasks that lost their server.
+	displaced []*unit
+	idle      []*work
 
 	balanced time.Duration
 	stale    bool
@@ -170,14 +172,13 @@
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), stale: true, grown: 1,
 		teams: map[string]*crew{}, servers: map[string]*server{}, racks: map[rackName]*rack{}, sizes: map[capacity.Size]int{},
 		works: map[uint64]*work{}, held: map[task.ID]*holding{}, waits: map[task.ID]*unit{},
-		index: fit.NewIndex(), rackIndex: fit.NewIndex(),
+		rackIndex: fit.NewIndex[*rack](),
 		estimates: health.NewEstimates(), guard: health.NewGuard(),
 	}
 	p.order = queue.New(func(c *crew) string { return c.name }, neediest)
 	p.later = queue.New(unitKey, soonest)
 	p.never = queue.New(unitKey, oldest)
 	p.late = queue.New(unitKey, expiresFirst)
-	p.index.Any = p.lacks(BestFit)
 	p.estimates.Off = p.lacks(Estimates)
 	return p
 }
@@ -217,6 +218,9 @@
 	if s.State == backend.Quarantined {
 		p.jail(srv, s.Since)
 	}
+	if s.State != backend.Ready && srv.rooms > 0 {
+		p.dropRooms(func(r *room) bool { return r.srv == srv })
+	}
 	if s.State == backend.Draining && old.State != s.State {
 		p.move(srv)
 	}
--- a/internal/policy/cell/decide.go
+++ b/internal/policy/cell/decide.go
@@ -6,6 +6,7 @@
 
 	"gypsumreel/internal/domain/capacity"
 	"gypsumreel/internal/domain/job"
+	"gypsumreel/internal/policy/fit"
 	"gypsumreel/internal/policy/plan"
 	"gypsumreel/internal/policy/share"
 )
@@ -171,18 +172,36 @@
 	if p.failed.holds(need) {
 		return nil
 	}
-	var avoid func(int32) bool
-	if u.work.budget.Failures() > 0 {
-		avoid = func(n int32) bool { return !u.work.budget.Avoids(n) }
+	ok := u.accepts()
+	s := p.best(need, ok)
+	if s == nil && ok == nil {
+		p.failed.add(need)
 	}
-	n, ok := p.index.Best(need, avoid)
-	if ok {
-		return p.list[n]
+	return s
+}
+
+// accepts returns what tells servers on which the unit's job failed from others,
+// or nil if it failed on none.
+func (u *unit) accepts() func(*server) bool {
+	if u.work.budget.Failures() == 0 {
+		return nil
 	}
-	if avoid == nil {
-		p.failed.add(need)
+	return func(s *server) bool { return !u.work.budget.Avoids(s.num) }
+}
+
+// best returns the best server of all zones.
+func (p *Planner) best(need capacity.Size, ok func(*server) bool) *server {
+	var found *server
+	bound := fit.Worst
+	for _, z := range p.zones {
+		if !need.Fits(z.free) {
+			continue
+		}
+		if s, score, held := z.index.Best(need, bound, ok); held {
+			found, bound = s, score
+		}
 	}
-	return nil
+	return found
 }
 
 // placeShared places batch and gangs, the team furthest below its due first.
@@ -217,7 +236,10 @@
 
 // roomiest is at least the room of any server, room that may be backfilled included.
 func (p *Planner) roomiest() capacity.Size {
-	high := p.index.High()
+	var high capacity.Size
+	for _, z := range p.zones {
+		high = high.Max(z.index.High())
+	}
 	for _, c := range p.claims {
 		for _, part := range c.parts {
 			high = high.Max(part.srv.room().Add(part.size))
--- a/internal/policy/cell/gang.go
+++ b/internal/policy/cell/gang.go
@@ -7,6 +7,7 @@
 
 	"gypsumreel/internal/domain/backend"
 	"gypsumreel/internal/domain/capacity"
+	"gypsumreel/internal/policy/fit"
 	"gypsumreel/internal/policy/plan"
 )
 
@@ -46,12 +47,12 @@
 		return nil
 	}
 	need, n := u.work.spec.Size, len(u.tasks)
-	at, ok := p.rackIndex.Best(u.size(), func(r int32) bool { return p.holds(p.rackAt[r], u, need, n) })
+	r, _, ok := p.rackIndex.Best(u.size(), fit.Worst, func(r *rack) bool { return p.holds(r, u, need, n) })
 	if !ok {
 		return nil
 	}
 	var on []*server
-	for _, s := range byRoom(p.rackAt[at].servers) {
+	for _, s := range byRoom(r.servers) {
 		for range min(n-len(on), p.times(s, u, need)) {
 			on = append(on, s)
 		}
@@ -126,21 +127,18 @@
 func (p *Planner) pack(u *unit, z *zone) []*server {
 	need := u.work.spec.Size
 	on := make([]*server, 0, len(u.tasks))
+	taken := map[*server]int64{}
 	for range u.tasks {
-		n, ok := p.index.Best(need, func(n int32) bool {
-			s := p.list[n]
-			return (z == nil || s.rack.zone == z) && !u.work.budget.Avoids(n)
-		})
-		if !ok {
+		s := p.bestIn(z, need, u.accepts())
+		if s == nil {
 			break
 		}
-		s := p.list[n]
 		on = append(on, s)
-		free, _ := p.index.Free(n)
-		p.index.Set(n, free.Sub(need))
+		taken[s]++
+		s.rack.zone.index.Set(&s.spot, s.room().Sub(need.Times(taken[s])))
 	}
 	for _, s := range on {
-		p.index.Set(s.num, s.room())
+		s.rack.zone.index.Set(&s.spot, s.room())
 	}
 	if len(on) < len(u.tasks) {
 		return nil
@@ -148,6 +146,15 @@
 	return on
 }
 
+// bestIn returns the best server of the zone, or of all if none is given.
+func (p *Planner) bestIn(z *zone, need capacity.Size, ok func(*server) bool) *server {
+	if z == nil {
+		return p.best(need, ok)
+	}
+	s, _, _ := z.index.Best(need, fit.Worst, ok)
+	return s
+}
+
 // gather keeps one more piece of room for the gang whose turn it is, in place of
 // starting a task there. It takes its turns like any other work, so that its
 // team pays for the room from its share, and smaller work does not take each
@@ -161,13 +168,14 @@
 		return false
 	}
 	home := u.home()
-	n, ok := p.index.Best(need, func(n int32) bool {
-		return !u.work.budget.Avoids(n) && (home == nil || p.lacks(Racks) || p.list[n].rack.zone == home)
-	})
-	if !ok {
+	if p.lacks(Racks) {
+		home = nil
+	}
+	s := p.bestIn(home, need, u.accepts())
+	if s == nil {
 		return false
 	}
-	p.keep(u, p.list[n])
+	p.keep(u, s)
 	return true
 }
 
--- a/internal/policy/cell/quick.go
+++ b/internal/policy/cell/quick.go
@@ -1,8 +1,6 @@
 package cell
 
 import (
-	"slices"
-
 	"gypsumreel/internal/domain/backend"
 	"gypsumreel/internal/domain/capacity"
 	"gypsumreel/internal/domain/job"
@@ -22,6 +20,7 @@
 type room struct {
 	srv  *server
 	size capacity.Size
+	pos  int
 }
 
 // placeUrgent decides urgent work before anything else: into free room, then
@@ -134,10 +133,8 @@
 		return
 	}
 	n, size := p.reserve.Target(p.total)
-	for _, r := range slices.Clone(p.rooms) {
-		if r.srv.State != backend.Ready || r.size != size {
-			p.dropRoom(r)
-		}
+	if len(p.rooms) > 0 && p.rooms[0].size != size {
+		p.dropRooms(func(*room) bool { return true })
 	}
 	for len(p.rooms) > n {
 		p.dropRoom(p.rooms[len(p.rooms)-1])
@@ -153,19 +150,19 @@
 	if p.failed.holds(size) {
 		return false
 	}
-	least := p.emptiest()
-	n, ok := p.index.Best(size, func(n int32) bool { return p.list[n].rack.zone == least })
-	if !ok {
-		n, ok = p.index.Best(size, nil)
+	s := p.bestIn(p.emptiest(), size, nil)
+	if s == nil {
+		s = p.best(size, nil)
 	}
-	if !ok {
+	if s == nil {
 		p.failed.add(size)
 		return false
 	}
-	r := &room{srv: p.list[n], size: size}
+	r := &room{srv: s, size: size, pos: len(p.rooms)}
 	p.rooms = append(p.rooms, r)
-	r.srv.rack.zone.rooms++
-	p.reserveOn(r.srv, size)
+	s.rooms++
+	s.rack.zone.rooms++
+	p.reserveOn(s, size)
 	return true
 }
 
@@ -181,7 +178,19 @@
 }
 
 func (p *Planner) dropRoom(r *room) {
-	p.rooms = slices.DeleteFunc(p.rooms, func(o *room) bool { return o == r })
+	last := p.rooms[len(p.rooms)-1]
+	p.rooms[r.pos], last.pos = last, r.pos
+	p.rooms = p.rooms[:len(p.rooms)-1]
+	r.srv.rooms--
 	r.srv.rack.zone.rooms--
 	p.reserveOn(r.srv, capacity.Size{}.Sub(r.size))
 }
+
+// dropRooms gives up the rooms that match.
+func (p *Planner) dropRooms(match func(*room) bool) {
+	for i := len(p.rooms) - 1; i >= 0; i-- {
+		if match(p.rooms[i]) {
+			p.dropRoom(p.rooms[i])
+		}
+	}
+}
--- a/internal/policy/cell/service.go
+++ b/internal/policy/cell/service.go
@@ -8,29 +8,18 @@
 	"gypsumreel/internal/domain/job"
 )
 
-// placeServices places the service tasks of teams that are not above their due,
-// and those that ran before and lost their server.
+// placeServices places again the service tasks that lost their server, ahead of
+// all new work; other service tasks take their team's turns.
 func (p *Planner) placeServices() {
-	var units []*unit
-	p.order.Each(func(c *crew) bool {
-		if c.queues[job.Service].Len() == 0 || !c.known {
+	if len(p.displaced) == 0 {
+		return
+	}
+	p.displaced = slices.DeleteFunc(p.displaced, func(u *unit) bool {
+		if u.where != inQueue || u.claim != nil || len(u.tasks) == 0 {
 			return true
 		}
-		for _, u := range c.queues[job.Service].First(p.cfg.Depth, nil) {
-			if u.claim == nil && (u.work.started || c.ratio <= 1) {
-				units = append(units, u)
-			}
-		}
-		return true
+		return !p.full() && p.within(u.work.crew, u.size()) && p.placeService(u)
 	})
-	for _, u := range units {
-		if p.full() {
-			return
-		}
-		if p.within(u.work.crew, u.size()) {
-			p.placeService(u)
-		}
-	}
 }
 
 // placeService starts a service's task in the zone, and there in the rack, that
@@ -48,21 +37,31 @@
 		if !need.Fits(z.free) {
 			continue
 		}
-		n, ok := p.index.Best(need, func(n int32) bool {
-			s := p.list[n]
-			return s.rack.zone == z && racks[s.rack] == 0 && !u.work.budget.Avoids(n)
-		})
-		if !ok {
-			n, ok = p.index.Best(need, func(n int32) bool { return p.list[n].rack.zone == z && !u.work.budget.Avoids(n) })
+		s := p.apart(u, z, racks)
+		if s == nil {
+			s = p.bestIn(z, need, u.accepts())
 		}
-		if ok {
-			p.start(u, []*server{p.list[n]})
+		if s != nil {
+			p.start(u, []*server{s})
 			return true
 		}
 	}
+	if u.accepts() == nil {
+		p.failed.add(need)
+	}
 	return false
 }
 
+// apart returns the best server of the zone in a rack that holds none of the job.
+func (p *Planner) apart(u *unit, z *zone, racks map[*rack]int) *server {
+	if len(racks) == 0 || len(racks) >= len(z.racks) {
+		return nil
+	}
+	return p.bestIn(z, u.work.spec.Size, func(s *server) bool {
+		return racks[s.rack] == 0 && !u.work.budget.Avoids(s.num)
+	})
+}
+
 // spread counts the job's tasks by zone and by rack.
 func (w *work) spread() (map[*zone]int, map[*rack]int) {
 	zones, racks := map[*zone]int{}, map[*rack]int{}
--- a/internal/policy/cell/work.go
+++ b/internal/policy/cell/work.go
@@ -279,6 +279,9 @@
 		}
 		return
 	}
+	if u.work.spec.Kind == job.Service && u.work.started {
+		p.displaced = append(p.displaced, u)
+	}
 	c.blocked = 0
 	if c.queues[job.Batch].Len()+c.queues[job.Service].Len() <= 1 {
 		c.least = u.work.spec.Size
