Change the control group's membership while it runs

A replica is added as a learner and proposed as a voter every second until the group takes it, which it does only once the replica has synced what is committed. Asking again for what is so already changes nothing, so no record is needed.

--- a/internal/control/leader/lead.go
+++ b/internal/control/leader/lead.go
@@ -28,17 +28,18 @@
 	planner   plan.Planner
 	book      *lease.Book
 	// pending are the commands that the group has not taken yet.
-	pending [][]byte
-	held    []heldReply
-	reads   []heldRead
-	waits   map[state.RequestID][]*waiter
-	servers map[string]*session
-	news    map[string]bool
-	due     dueHeap
-	checked time.Duration
-	swept   time.Duration
-	looked  time.Duration
-	dirty   bool
+	pending  [][]byte
+	held     []heldReply
+	reads    []heldRead
+	waits    map[state.RequestID][]*waiter
+	servers  map[string]*session
+	news     map[string]bool
+	due      dueHeap
+	checked  time.Duration
+	swept    time.Duration
+	looked   time.Duration
+	promoted time.Duration
+	dirty    bool
 }
 
 // heldReply is a reply whose cause is not committed yet.
@@ -242,6 +243,7 @@
 		heap.Pop(&ld.due).(due).run()
 	}
 	ld.dirty = true
+	l.promote(now)
 	if now-ld.looked >= lookEvery {
 		ld.looked = now
 		l.watchServers(now)
--- a/internal/control/leader/operator.go
+++ b/internal/control/leader/operator.go
@@ -15,6 +15,10 @@
 		l.refuse(to, code.New(code.Malformed, "a change needs an id"))
 		return
 	}
+	if c := req.GetMember(); c != nil {
+		l.member(to, c)
+		return
+	}
 	r := l.do(&record.Command{What: &record.Command_Change{Change: &record.Change{By: k.ID, Request: req}}})
 	l.lead.dirty = true
 	rep := &v1.ChangeReply{Status: status(&code.Error{Code: r.Code, Detail: r.Detail}), Revision: l.st.Table().Revision()}
--- a/internal/control/node/node.go
+++ b/internal/control/node/node.go
@@ -75,6 +75,7 @@
 	begin time.Time
 	done  chan struct{}
 	group atomic.Pointer[group.Group]
+	self  atomic.Value
 }
 
 // Transport carries consensus messages. Run returns when ctx ends.
@@ -118,6 +119,7 @@
 	if err != nil {
 		return err
 	}
+	n.self.Store(self.ID)
 	store := snapshot.Store{Dir: filepath.Join(n.Data, "snapshot")}
 	saved, err := load(store)
 	if err != nil {
@@ -279,13 +281,14 @@
 	return (&platform.Probes{Ready: n.ready, Meters: []*metrics.Set{set}}).Route()
 }
 
-var errNoLeader = errors.New("no leader is known")
-
+// ready returns nil while a leader is known. A replica that belongs to no group
+// yet says what its operator has to do.
 func (n *Node) ready() error {
-	if st := n.Control.Status(); !st.Leads && st.Leader == "" {
-		return errNoLeader
+	st := n.Control.Status()
+	if st.Leads || st.Leader != "" {
+		return nil
 	}
-	return nil
+	return errors.Newf("no leader is known to %s; if it is new, run: gypsumreel member add %s %s", n.self.Load(), n.self.Load(), n.Address)
 }
 
 // handOver gives the lead to another replica before a planned stop, so that
