--- a/internal/replica/quorum/core.go
+++ b/internal/replica/quorum/core.go
@@ -331,6 +331,7 @@
 	c.say(Restored{Index: c.snapshot.Index, State: c.snapshot.State})
 	c.applied = c.snapshot.Index
 	c.report.leading = c.report.leading && c.role != leader
+	c.lead.told = 0
 }
 
 // resetDeadline draws a new election timeout.
