--- a/internal/cli/control/control.go
+++ b/internal/cli/control/control.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		return err
 	}
-	n.Init, n.Log = c.Init, event.New(env.Err, s.Log)
+	n.Init, n.Log, n.Abort = c.Init, event.New(env.Err, s.Log), verb.Again(ctx)
 	if err := protect(context.WithoutCancel(ctx), s, n); err != nil {
 		return err
 	}
--- a/internal/control/node/node.go
+++ b/internal/control/node/node.go
@@ -69,7 +69,11 @@
 	Handover  time.Duration
 	// Transport makes the way to the other replicas; receive takes what they send.
 	Transport func(id string, receive func(from string, data []byte)) Transport
-	Log       logr.Logger
+	// Dial opens connections to other replicas at the founding; nil for TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Abort ends a planned stop at once when closed: the second signal.
+	Abort <-chan struct{}
+	Log   logr.Logger
 
 	once  sync.Once
 	begin time.Time
@@ -214,10 +218,12 @@
 }
 
 func (n *Node) founder(self quorum.Member) *birth.Founder {
-	f := &birth.Founder{Cell: n.Cell, Self: self, Scheme: "http", Client: &http.Client{}}
+	f := &birth.Founder{Cell: n.Cell, Self: self, Scheme: "http"}
 	if n.Client != nil {
-		f.Scheme, f.Client = "https", &http.Client{Transport: &http.Transport{TLSClientConfig: n.Client}}
+		f.Scheme = "https"
 	}
+	// No connection is kept: the founding happens once.
+	f.Client = &http.Client{Transport: &http.Transport{TLSClientConfig: n.Client, DialContext: n.Dial, DisableKeepAlives: true}}
 	for _, r := range n.Replicas {
 		if r.ID != n.Name {
 			f.Peers = append(f.Peers, r)
@@ -299,6 +305,13 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), n.Handover)
 	defer cancel()
+	go func() {
+		select {
+		case <-n.Abort:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	if err := n.group.Load().Transfer(ctx); err != nil && !errors.Is(err, group.ErrAlone) {
 		n.Log.Info("the lead was not handed over", "cause", err.Error())
 	}
