Run a whole cell in memory on virtual time

Three control replicas, two entries, three backend servers and a caller run as they are, on a network of relays that a test can break; results are held against the promises. Without faults five jobs of all kinds are served whole.

--- a/internal/control/node/node.go
+++ b/internal/control/node/node.go
@@ -82,11 +82,11 @@
 	self  atomic.Value
 }
 
-// Transport carries consensus messages. Run returns when ctx ends.
+// Transport carries consensus messages until Close.
 type Transport interface {
 	group.Peer
-	Run(ctx context.Context) error
 	Handler() http.Handler
+	Close()
 }
 
 func (n *Node) init() {
@@ -204,7 +204,7 @@
 	n.configure(self, g)
 	n.Control.Deposed = service.CloseAll
 	if transport != nil {
-		run("transport", func() error { return transport.Run(running) })
+		defer transport.Close()
 	}
 	run("group", func() error { return g.Run(running) })
 	run("control", func() error { return n.Control.Run(running) })
--- /dev/null
+++ b/internal/demo/fault/fault_test.go
@@ -0,0 +1,58 @@
+package fault_test
+
+import (
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	v1 "gypsumreel/internal/api/v1"
+)
+
+func TestNoFault(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		defer w.close()
+		begin := time.Now()
+		results := w.all(specs())
+		if faults := w.check(results); len(faults) > 0 {
+			t.Error(faults)
+		}
+		for _, r := range results {
+			if r.outcome != v1.Outcome_OUTCOME_DONE || r.code != 0 {
+				t.Errorf("%s: %v, code %d", r.id, r.outcome, r.code)
+			}
+		}
+		if d := time.Since(begin); d > 5*time.Second {
+			t.Errorf("it took %v", d)
+		}
+	})
+}
+
+// specs are one job of each kind, repeatable and not.
+func specs() []*v1.Spec {
+	size := &v1.Size{Cpu: taskCores, Memory: 1000, Slots: 1}
+	var out []*v1.Spec
+	for _, s := range []*v1.Spec{
+		{Id: "quote", Kind: v1.Kind_KIND_URGENT, Count: 1},
+		{Id: "plan", Kind: v1.Kind_KIND_BATCH, Count: 2},
+		{Id: "stock", Kind: v1.Kind_KIND_BATCH, Count: 1, Once: true},
+		{Id: "sweep", Kind: v1.Kind_KIND_GANG, Count: 3},
+		{Id: "tuning", Kind: v1.Kind_KIND_GANG, Count: 2, Once: true},
+	} {
+		s.Name, s.Size, s.Input = s.GetId(), size, []byte(s.GetId())
+		out = append(out, s)
+	}
+	return out
+}
+
+// all serves jobs side by side.
+func (w *world) all(jobs []*v1.Spec) []result {
+	out := make([]result, len(jobs))
+	var wg sync.WaitGroup
+	for i, s := range jobs {
+		wg.Go(func() { out[i] = w.serve(s) })
+	}
+	wg.Wait()
+	return out
+}
