--- /dev/null
+++ b/internal/replica/disk/matrix_test.go
@@ -0,0 +1,352 @@
+package disk_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+
+	"gypsumreel/internal/replica/disk"
+	"gypsumreel/internal/replica/journal"
+	"gypsumreel/internal/replica/quorum"
+	"gypsumreel/internal/replica/snapshot"
+)
+
+// at injects one fault at the operation with the count given.
+func at(n int, f disk.Fault) func(int, disk.Op, string) disk.Fault {
+	return func(count int, _ disk.Op, _ string) disk.Fault {
+		if count == n {
+			return f
+		}
+		return disk.Well
+	}
+}
+
+// fault is a crash in the script.
+type fault struct {
+	// size of the segments.
+	size int64
+	// n is the operation.
+	n       int
+	kind    disk.Fault
+	outcome disk.Outcome
+}
+
+func (f fault) String() string {
+	return fmt.Sprintf("segments of %d, fault %d at %d, outcome %d", f.size, f.kind, f.n, f.outcome)
+}
+
+// crashed returns a replica whose script was ended by a crash, if it was.
+func crashed(t *testing.T, f fault) (*replica, bool) {
+	t.Helper()
+	r := &replica{size: f.size, disk: &disk.Memory{Inject: at(f.n, f.kind)}}
+	err := r.play()
+	if err == nil {
+		return r, false
+	}
+	if r.disk.Count() < f.n {
+		t.Fatalf("%v: %v", f, err)
+	}
+	r.disk.Restart(f.outcome)
+	r.disk.Inject = nil
+	return r, true
+}
+
+// Sizes of segments: several in the script, and one.
+const (
+	small = 150
+	large = 10000
+)
+
+// A machine loses power, or a replica is killed, in the middle of an append, a
+// sync, a compaction, a snapshot or a stop; and again while it recovers. The
+// replica must start each time, with all that it had synced, and with nothing
+// that was never appended. What one start has shown, the next must show too.
+func TestCrashAtEveryOperation(t *testing.T) {
+	cases, operations := 0, 0
+	for _, size := range []int64{small, large} {
+		for n := 1; ; n++ {
+			if _, hit := crashed(t, fault{size, n, disk.Crash, disk.Lost}); !hit {
+				break
+			}
+			operations++
+			for _, kind := range []disk.Fault{disk.Crash, disk.CrashTorn} {
+				for _, outcome := range disk.Outcomes {
+					f := fault{size, n, kind, outcome}
+					for _, c := range courses {
+						cases += goesOn(t, f, c)
+					}
+					for m := 1; size == small; m++ {
+						more := crashedTwice(t, f, m)
+						if more == 0 {
+							break
+						}
+						cases += more
+					}
+				}
+			}
+		}
+	}
+	t.Logf("%d cases over %d operations", cases, operations)
+}
+
+// course is what happens after a restart.
+type course struct {
+	// size of the segments from then on.
+	size int64
+	// compact tells that the log is compacted, loss that power is lost at once.
+	compact, loss bool
+}
+
+var courses = []course{{size: 1, loss: true}, {size: 1, compact: true, loss: true}, {size: large}}
+
+// goesOn restarts after one crash, goes on, and restarts after a power loss.
+func goesOn(t *testing.T, f fault, c course) int {
+	t.Helper()
+	what := f.String()
+	r, _ := crashed(t, f)
+	r.size = c.size
+	got, meta, err := r.start()
+	check(t, r, got, meta, err, what)
+	if c.compact {
+		must(t, what, r.j.Compact(meta.Index))
+	}
+	if c.loss {
+		r.disk.Restart(disk.Lost)
+		again, meta, err := r.start()
+		check(t, r, again, meta, err, what+", then power loss")
+		if !equal(got, again, meta.Index) {
+			t.Fatalf("%s: shown once and then lost: %s", what, cmp.Diff(got, again))
+		}
+	}
+	want := got.Hard
+	want.Term++
+	must(t, what, r.j.Append(&want, nil))
+	must(t, what, r.j.Append(&want, nil))
+	must(t, what, r.j.Sync())
+	r.disk.Restart(disk.Lost)
+	if got, _, err = r.start(); err != nil || got.Hard != want {
+		t.Fatalf("%s: after going on: %v, %v", what, got.Hard, err)
+	}
+	return 1
+}
+
+// crashedTwice crashes once in the script and once at operation m of the start
+// after it, and returns the number of cases, 0 when there is no such operation.
+func crashedTwice(t *testing.T, f fault, m int) int {
+	t.Helper()
+	for _, second := range disk.Outcomes {
+		r, _ := crashed(t, f)
+		r.disk.Inject = at(r.disk.Count()+m, f.kind)
+		if _, _, err := r.start(); err == nil {
+			return 0
+		}
+		r.disk.Restart(second)
+		got, meta, err := r.start()
+		check(t, r, got, meta, err, fmt.Sprintf("%v, again at %d, outcome %d", f, m, second))
+	}
+	return len(disk.Outcomes)
+}
+
+// check fails the test when a restart went wrong.
+func check(t *testing.T, r *replica, got journal.Recovered, meta snapshot.Meta, err error, what string) {
+	t.Helper()
+	must(t, what, err)
+	must(t, what, r.verify(got, meta))
+}
+
+func must(t *testing.T, what string, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatalf("%s: %v", what, err)
+	}
+}
+
+// A disk fails one operation. The replica must be told, must not go on with a
+// journal whose disk it no longer knows, and must lose nothing synced; a sync
+// that is simply tried again would succeed without the data.
+func TestBrokenOperation(t *testing.T) {
+	for n := 1; ; n++ {
+		for _, o := range disk.Outcomes {
+			r := &replica{size: small, disk: &disk.Memory{Inject: at(n, disk.Broken)}}
+			err := r.play()
+			if r.disk.Count() < n {
+				t.Logf("%d operations", n-1)
+				return
+			}
+			if errors.Is(err, journal.ErrFull) {
+				t.Fatalf("operation %d passes for a full disk: %v", n, err)
+			}
+			if err != nil && r.j != nil && !r.inSave {
+				if again := r.j.Sync(); !errors.Is(err, journal.ErrBroken) || !errors.Is(again, journal.ErrBroken) {
+					t.Fatalf("operation %d: %v, and then a sync gave %v", n, err, again)
+				}
+			}
+			r.disk.Inject = nil
+			r.disk.Restart(o)
+			got, meta, err := r.start()
+			check(t, r, got, meta, err, fmt.Sprint("broken ", n, o))
+		}
+	}
+}
+
+// A disk runs full at some operation and has room again later, and at some
+// operation after that the replica crashes. The refused work is not there, all
+// other work is, and the replica goes on without a restart.
+func TestFullDisk(t *testing.T) {
+	cases := 0
+	for n := 1; ; n++ {
+		for _, f := range []shortage{{large, n, 1}, {small, n, 4}} {
+			for crash := n + 1; ; crash++ {
+				hits, more := fullDisk(t, f, crash)
+				cases += len(disk.Outcomes)
+				if f.size == small && crash == n+1 && !more {
+					t.Logf("%d cases over %d operations", cases, n)
+					return
+				}
+				if hits == 0 || !more {
+					break
+				}
+			}
+		}
+	}
+}
+
+// shortage is a full disk: length operations from n on find no room.
+type shortage struct {
+	// size of the segments.
+	size      int64
+	n, length int
+}
+
+// fullDisk plays the script with a shortage and a crash at another operation, and
+// tells how many found no room and whether it came to the crash.
+func fullDisk(t *testing.T, f shortage, crash int) (hits int, more bool) {
+	t.Helper()
+	for _, o := range disk.Outcomes {
+		r := &replica{size: f.size, disk: &disk.Memory{}}
+		hits, more = 0, false
+		r.disk.Inject = func(count int, op disk.Op, _ string) disk.Fault {
+			switch {
+			case count == crash:
+				more = true
+				return disk.CrashTorn
+			case count >= f.n && count < f.n+f.length && (op == disk.Create || op == disk.Write):
+				hits++
+				return disk.Full
+			}
+			return disk.Well
+		}
+		r.h.states = []journal.Recovered{{}}
+		err := again(f.length, func() error {
+			_, _, err := r.start()
+			return err
+		})
+		for i := 0; err == nil && i < len(script); i++ {
+			err = again(f.length, func() error { return r.try(script[i]) })
+		}
+		if err != nil && !more {
+			t.Fatalf("%+v: %v", f, err)
+		}
+		r.disk.Restart(o)
+		r.disk.Inject = nil
+		got, meta, err := r.start()
+		check(t, r, got, meta, err, fmt.Sprintf("%+v, crash at %d, outcome %d", f, crash, o))
+	}
+	return hits, more
+}
+
+// try does a step and, where it found the disk full, a small append, which may
+// have room.
+func (r *replica) try(s step) error {
+	err := s.do(r)
+	if !errors.Is(err, disk.ErrFull) {
+		return err
+	}
+	hard := r.h.last().Hard
+	if small := r.j.Append(&hard, nil); small != nil && !errors.Is(small, disk.ErrFull) {
+		return small
+	}
+	return err
+}
+
+// again repeats what finds a full disk.
+func again(times int, do func() error) error {
+	err := do()
+	for ; times > 0 && errors.Is(err, disk.ErrFull); times-- {
+		err = do()
+	}
+	return err
+}
+
+// A disk runs full in the middle of a large append, which the caller gives up;
+// small ones still fit, and the segment is completed. What the large one left in
+// the file must not read as damage at the next start.
+func TestPartialWriteIsCutOff(t *testing.T) {
+	m := &disk.Memory{}
+	c := journal.Config{Disk: m, SegmentSize: 100}
+	j, _, err := c.Open(journalDir)
+	must(t, "open", err)
+	m.Inject = at(m.Count()+1, disk.Full)
+	large := []quorum.Entry{{Index: 1, Term: 1, Data: make([]byte, 1000)}}
+	if err := j.Append(nil, large); !errors.Is(err, journal.ErrFull) {
+		t.Fatal(err)
+	}
+	for term := uint64(1); term <= 8; term++ {
+		must(t, "append", j.Append(&quorum.Hard{Term: term}, nil))
+	}
+	must(t, "close", j.Close())
+	_, got, err := c.Open(journalDir)
+	must(t, "open again", err)
+	if diff := cmp.Diff(journal.Recovered{Hard: quorum.Hard{Term: 8}}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// eager appends to the journal while a sync of its file is under way.
+type eager struct {
+	disk.Disk
+	during func()
+}
+
+type eagerFile struct {
+	disk.File
+	d *eager
+}
+
+func (d *eager) Create(name string) (disk.File, error) {
+	f, err := d.Disk.Create(name)
+	return eagerFile{f, d}, err
+}
+
+func (f eagerFile) Sync() error {
+	err := f.File.Sync()
+	if f.d.during != nil {
+		f.d.during()
+	}
+	return err
+}
+
+// The next batch is appended while the sync of the one before is under way, and
+// the machine loses power after its own sync. A sync that takes what came
+// meanwhile for synced would skip it, and lose what a quorum was told is lasting.
+func TestAppendDuringSync(t *testing.T) {
+	m := &disk.Memory{}
+	d := &eager{Disk: m}
+	j, _, err := journal.Config{Disk: d}.Open(journalDir)
+	must(t, "open", err)
+	must(t, "append", j.Append(&quorum.Hard{Term: 1}, nil))
+	d.during = func() {
+		d.during = nil
+		must(t, "append during the sync", j.Append(&quorum.Hard{Term: 2}, nil))
+	}
+	must(t, "sync", j.Sync())
+	must(t, "sync again", j.Sync())
+	m.Restart(disk.Lost)
+	_, got, err := journal.Config{Disk: m}.Open(journalDir)
+	must(t, "open again", err)
+	if diff := cmp.Diff(journal.Recovered{Hard: quorum.Hard{Term: 2}}, got); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/replica/member/identity_test.go
+++ b/internal/replica/member/identity_test.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/go-cmp/cmp"
 
+	"gypsumreel/internal/replica/disk"
 	"gypsumreel/internal/replica/member"
 )
 
@@ -61,3 +62,38 @@
 	}
 	_ = l.Release()
 }
+
+// The machine loses power while a replica is made. Afterwards the folder holds no
+// identity or the one that was made, and always that one once Make has returned.
+func TestMakeIsAllOrNothing(t *testing.T) {
+	for n := 1; ; n++ {
+		for _, fault := range []disk.Fault{disk.Crash, disk.CrashTorn} {
+			for _, o := range disk.Outcomes {
+				m := &disk.Memory{Inject: func(count int, _ disk.Op, _ string) disk.Fault {
+					if count == n {
+						return fault
+					}
+					return disk.Well
+				}}
+				s := member.Store{Dir: "/data", Disk: m}
+				made, err := s.Make("cell", "a", bytes.NewReader([]byte("12345678")))
+				m.Inject = nil
+				m.Restart(o)
+				got, found := s.Load("cell", "a")
+				m.Restart(disk.Lost)
+				again, _ := s.Load("cell", "a")
+				switch {
+				case err == nil && (found != nil || got != made):
+					t.Fatalf("operation %d: %v, %v", n, got, found)
+				case found != nil && !errors.Is(found, member.ErrNone):
+					t.Fatalf("operation %d: %v", n, found)
+				case got != again:
+					t.Fatalf("operation %d: shown once and then lost: %v", n, got)
+				}
+				if err == nil && o == disk.Hole {
+					return
+				}
+			}
+		}
+	}
+}
