Carry consensus messages between replicas

Each peer has a bounded queue that drops its oldest messages and one connection with a deadline on every call.

--- /dev/null
+++ b/internal/replica/peer/link.go
@@ -0,0 +1,174 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"gypsumreel/internal/api/inner"
+)
+
+// Waits between calls that fail.
+const (
+	firstWait = 20 * time.Millisecond
+	lastWait  = 500 * time.Millisecond
+)
+
+// link is the queue and the one connection to a peer.
+type link struct {
+	pool    *Pool
+	to      string
+	address string
+	ctx     context.Context
+	stop    context.CancelFunc
+	wake    chan struct{}
+
+	mu    sync.Mutex
+	queue [][]byte
+	bytes int
+}
+
+func newLink(p *Pool, to, address string) *link {
+	l := &link{pool: p, to: to, address: address, wake: make(chan struct{}, 1)}
+	l.ctx, l.stop = context.WithCancel(p.ctx)
+	return l
+}
+
+// push adds a message and drops the oldest ones that exceed the bound. The
+// newest tell a peer that was away more than those before them.
+func (l *link) push(b []byte) {
+	l.mu.Lock()
+	l.queue = append(l.queue, b)
+	l.bytes += len(b)
+	for l.bytes > l.pool.queue() && len(l.queue) > 1 {
+		l.pop()
+	}
+	l.mu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// pop takes the oldest message.
+func (l *link) pop() []byte {
+	b := l.queue[0]
+	l.queue[0] = nil
+	l.queue = l.queue[1:]
+	l.bytes -= len(b)
+	return b
+}
+
+func (l *link) empty() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.queue) == 0
+}
+
+// batch takes the messages of the next call.
+func (l *link) batch() []*inner.Envelope {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var batch []*inner.Envelope
+	for size := 0; len(l.queue) > 0 && (size == 0 || size+len(l.queue[0]) <= BatchBytes); {
+		b := l.pop()
+		size += len(b)
+		batch = append(batch, &inner.Envelope{Data: b})
+	}
+	return batch
+}
+
+// run sends batches, one call at a time, until the link is stopped or idle.
+func (l *link) run() {
+	defer l.pool.run.Done()
+	defer l.stop()
+	wait := &backoff.ExponentialBackOff{
+		InitialInterval: firstWait, MaxInterval: lastWait, RandomizationFactor: backoff.DefaultRandomizationFactor,
+		Multiplier: backoff.DefaultMultiplier,
+	}
+	client, transport := l.dial()
+	defer func() { transport.CloseIdleConnections() }()
+	failing := false
+	for {
+		batch := l.batch()
+		if len(batch) == 0 {
+			if !l.rest() && l.pool.remove(l) {
+				return
+			}
+			continue
+		}
+		err := l.call(client, batch)
+		if l.ctx.Err() != nil {
+			return
+		}
+		if err == nil {
+			if failing {
+				l.pool.tell(Event{Kind: Recovered, Peer: l.to})
+			}
+			failing = false
+			wait.Reset()
+			continue
+		}
+		if !failing {
+			l.pool.tell(Event{Failed, l.to, err})
+		}
+		failing = true
+		// A connection that something between the two ends has lost track of stays
+		// open and silent for good, while new ones work. So no connection outlives
+		// a failed call.
+		transport.CloseIdleConnections()
+		client, transport = l.dial()
+		select {
+		case <-time.After(wait.NextBackOff()):
+		case <-l.ctx.Done():
+			return
+		}
+	}
+}
+
+// rest waits for messages; false tells that the link was idle or stopped.
+func (l *link) rest() bool {
+	idle := time.NewTimer(IdleTimeout)
+	defer idle.Stop()
+	select {
+	case <-l.wake:
+		return true
+	case <-idle.C:
+		return false
+	case <-l.ctx.Done():
+		l.mu.Lock()
+		l.queue, l.bytes = nil, 0
+		l.mu.Unlock()
+		return false
+	}
+}
+
+// call sends one batch. When the time is up the request is cancelled, which
+// closes its connection.
+func (l *link) call(client inner.Replica, batch []*inner.Envelope) error {
+	ctx, cancel := context.WithTimeout(l.ctx, l.pool.timeout())
+	defer cancel()
+	_, err := client.Deliver(ctx, &inner.DeliverRequest{Cell: l.pool.Cell, From: l.pool.Self, To: l.to, Envelopes: batch})
+	return err
+}
+
+// dial returns a client with a connection of its own, made at the first call.
+func (l *link) dial() (inner.Replica, *http.Transport) {
+	t := &http.Transport{
+		DialContext:        (&net.Dialer{Timeout: l.pool.timeout()}).DialContext,
+		MaxConnsPerHost:    1,
+		DisableCompression: true,
+		IdleConnTimeout:    IdleTimeout,
+	}
+	scheme := "http://"
+	if l.pool.TLS != nil {
+		scheme = "https://"
+		t.TLSClientConfig = l.pool.TLS.Clone()
+		t.TLSClientConfig.ServerName = name(l.to)
+	}
+	return inner.NewReplicaProtobufClient(scheme+l.address, &http.Client{Transport: t}), t
+}
