Add the load tool

The loop is open and waits are counted from the time at which a job was to arrive; what the tool itself was late by is shown beside them. Its own backend servers answer with bytes that depend on the job's id and note what ran, so that damaged, doubled, lost and falsely refused jobs are found by holding what callers were told against what ran. The result names the revision measured, the table's revision before and after, digests of settings, and the seed.

--- a/cmd/gypsumreel/verbs.go
+++ b/cmd/gypsumreel/verbs.go
@@ -9,6 +9,7 @@
 	"gypsumreel/internal/cli/dump"
 	"gypsumreel/internal/cli/entry"
 	"gypsumreel/internal/cli/key"
+	"gypsumreel/internal/cli/load"
 	"gypsumreel/internal/cli/member"
 	"gypsumreel/internal/cli/status"
 	"gypsumreel/internal/cli/submit"
@@ -37,5 +38,7 @@
 		drain.New(),
 		member.New(),
 		dump.New(),
+
+		load.New(),
 	}
 }
--- /dev/null
+++ b/internal/cli/load/load.go
@@ -0,0 +1,306 @@
+// Package load is the verb that loads a running cell and measures it.
+package load
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-logr/logr"
+	"github.com/schollz/progressbar/v3"
+	"golang.org/x/term"
+
+	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/cli/remote"
+	"gypsumreel/internal/cli/verb"
+	"gypsumreel/internal/client/caller"
+	"gypsumreel/internal/domain/job"
+	"gypsumreel/internal/fake/server"
+	"gypsumreel/internal/load/drive"
+	"gypsumreel/internal/load/mix"
+	"gypsumreel/internal/load/report"
+	"gypsumreel/internal/load/work"
+)
+
+// Bounds of a run, so that a slip of the finger is no flood.
+const (
+	maxRate     = 20_000
+	maxDuration = time.Hour
+	maxJobs     = 2_000_000
+	maxServers  = 1_000
+	maxAnswer   = 1 << 20
+	// settle is how long the tool's own servers have to be ready in.
+	settle = 10 * time.Second
+	// perRack and zones spread the tool's own servers.
+	perRack = 8
+	zones   = 3
+)
+
+// New returns the verb.
+func New() verb.Verb {
+	return verb.Verb{
+		Name: "load", Short: "load a running cell and measure it",
+		Long: "Submits jobs to a running cell at random times of a given mean rate, whatever became of earlier ones, and measures from the time at which each was to arrive. " +
+			"Checks that every answer is whole and its job's own, and with --servers that each ran as often as the cell says. " +
+			"Exit code 0 when every promise that was checked held.",
+		Runner: &command{},
+	}
+}
+
+type command struct {
+	remote.Flags
+	verb.Output
+	Rate     float64       `long:"rate" default:"50" description:"mean arrivals a second"`
+	Duration time.Duration `long:"duration" default:"10s" description:"length of the run"`
+	Tail     time.Duration `long:"tail" default:"60s" description:"longest wait for outcomes after the last arrival"`
+	Seed     uint64        `long:"seed" default:"1" description:"the same seed makes the same jobs"`
+	Mix      string        `long:"mix" default:"urgent=70,batch=25,gang=4,service=1" description:"weights of the kinds"`
+	Once     float64       `long:"once" default:"0.1" description:"part of the jobs that may run at most once, 0 to 1"`
+	Answer   int           `long:"answer" default:"1000" description:"mean bytes of a task's answer"`
+	Gang     uint32        `long:"gang" default:"4" description:"tasks of a gang"`
+	Scale    float64       `long:"scale" default:"1" description:"factor on all run times"`
+	Deadline time.Duration `long:"deadline" description:"deadline of urgent jobs"`
+	Keep     bool          `long:"keep" description:"do not acknowledge outcomes"`
+	Plain    bool          `long:"single" description:"one connection for each call under way, where a balancer passes on no HTTP/2 without TLS"`
+
+	Servers  int    `long:"servers" description:"own fake backend servers; without them, those of the cell have to echo nothing in particular and content is not checked"`
+	Backends string `long:"backends" description:"IP:PORT of the entries' listeners for backend servers, comma-separated"`
+	Secret   string `long:"enrolment" env:"GYPSUMREEL_ENROLMENT" description:"enrolment secret of the own backend servers"`
+	Cores    int64  `long:"cores" default:"16" description:"cores of each own backend server"`
+	Memory   int64  `long:"memory" default:"32768" description:"MiB of each own backend server"`
+	Slots    int64  `long:"slots" default:"8" description:"slots of each own backend server"`
+
+	Operator string   `long:"operator" env:"GYPSUMREEL_OPERATOR" description:"operator's key, to name the table's revision in the result"`
+	Control  string   `long:"operators" description:"address for operators, as --address, when it is another"`
+	Settings []string `long:"settings" description:"settings file in force, to name its digest in the result; may be repeated"`
+	Revision string   `long:"revision" description:"revision of the code measured; that of this build when left out"`
+	Note     string   `long:"note" description:"text to keep in the result"`
+}
+
+// Run loads the cell.
+func (c *command) Run(ctx context.Context, env verb.Env, args []string) error {
+	plan, err := c.plan(args)
+	if err != nil {
+		return err
+	}
+	m, err := c.measured(plan)
+	if err != nil {
+		return err
+	}
+	l, err := c.Link()
+	if err != nil {
+		return err
+	}
+	l.Shared = !c.Plain
+	m.Target = l.Addresses
+	if m.Table[0], err = c.revision(ctx); err != nil {
+		return err
+	}
+	record, seen := &work.Record{}, &server.Record{}
+	stop, err := c.serve(ctx, record, seen)
+	if err != nil {
+		return err
+	}
+	d := &drive.Driver{
+		Caller: &caller.Client{Link: l}, Jobs: plan.Jobs(), Tail: c.Tail, Foreign: c.Servers == 0, Keep: c.Keep,
+		Progress: progress(env, c.JSON),
+	}
+	m.Began = time.Now()
+	outcome := d.Run(ctx)
+	stop()
+	if c.Servers == 0 {
+		record = nil
+	}
+	r := report.Sum(m, m.Began, outcome, record)
+	r.Promises.Faults = append(r.Promises.Faults, seen.Faults()...)
+	if r.Measured.Table[1], err = c.revision(ctx); err != nil {
+		return err
+	}
+	return c.finish(env, r)
+}
+
+func (c *command) finish(env verb.Env, r report.Result) error {
+	if c.JSON {
+		if err := c.Print(env.Out, r, verb.Grid{}); err != nil {
+			return err
+		}
+	} else if err := r.Write(env.Out); err != nil {
+		return err
+	}
+	if r.Promises.Kept() {
+		return nil
+	}
+	return &verb.Error{Exit: verb.Failed, Text: "a promise did not hold", Next: "Keep logs and dumps of the processes and report it with this result."}
+}
+
+func (c *command) plan(args []string) (mix.Plan, error) {
+	const next = "See `gypsumreel load --help`."
+	shares, err := mix.ParseShares(c.Mix)
+	switch {
+	case len(args) > 0:
+		return mix.Plan{}, verb.Misuse(next, "unexpected %q", args[0])
+	case err != nil:
+		return mix.Plan{}, verb.Misuse(next, "--mix: %v", err)
+	case !(c.Rate > 0 && c.Rate <= maxRate):
+		return mix.Plan{}, verb.Misuse(next, "--rate %g; allowed: above 0, up to %d", c.Rate, maxRate)
+	case c.Duration <= 0 || c.Duration > maxDuration || c.Rate*c.Duration.Seconds() > maxJobs:
+		return mix.Plan{}, verb.Misuse(next, "--duration %s; allowed: above 0, up to %s and %d jobs", c.Duration, maxDuration, maxJobs)
+	case !(c.Once >= 0 && c.Once <= 1):
+		return mix.Plan{}, verb.Misuse(next, "--once %g; allowed: 0 to 1", c.Once)
+	case c.Answer < 0 || c.Answer > maxAnswer:
+		return mix.Plan{}, verb.Misuse(next, "--answer %d; allowed: 0 to %d", c.Answer, maxAnswer)
+	case !(c.Scale > 0) || c.Gang == 0:
+		return mix.Plan{}, verb.Misuse(next, "--scale and --gang; allowed: above 0")
+	case c.Servers < 0 || c.Servers > maxServers:
+		return mix.Plan{}, verb.Misuse(next, "--servers %d; allowed: 0 to %d", c.Servers, maxServers)
+	case c.Servers > 0 && (c.Backends == "" || c.Secret == ""):
+		return mix.Plan{}, verb.Misuse("Give --backends IP:PORT and --enrolment SECRET.", "--servers without the way to enrol them")
+	}
+	shapes := mix.DefaultShapes()
+	for kind, s := range shapes {
+		s.Runtime = time.Duration(float64(s.Runtime) * c.Scale)
+		if kind == job.Gang {
+			s.Count = c.Gang
+		}
+		shapes[kind] = s
+	}
+	return mix.Plan{
+		Rate: c.Rate, Duration: c.Duration, Seed: c.Seed, Shares: shares, Shapes: shapes, Once: c.Once,
+		Answer: c.Answer, Deadline: c.Deadline, Prefix: "load-" + remote.NewID() + "-",
+	}, nil
+}
+
+func (c *command) measured(p mix.Plan) (report.Measured, error) {
+	m := report.Measured{
+		Revision: report.Revision(), Settings: map[string]string{}, Note: c.Note,
+		Rate: p.Rate, Duration: p.Duration.String(), Seed: p.Seed, Mix: map[string]float64{}, Once: p.Once,
+		Answer: p.Answer, Deadline: p.Deadline.String(), Servers: c.Servers,
+	}
+	if c.Revision != "" {
+		m.Revision = c.Revision
+	}
+	for kind, weight := range p.Shares {
+		m.Mix[kind.String()] = weight
+	}
+	for _, path := range c.Settings {
+		b, err := os.ReadFile(path)
+		if err != nil {
+			return m, verb.Misuse("Check --settings.", "%v", err)
+		}
+		m.Settings[path] = strconv.FormatUint(xxhash.Sum64(b), 16)
+	}
+	return m, nil
+}
+
+// revision returns the table's revision; 0 without an operator's key.
+func (c *command) revision(ctx context.Context) (uint64, error) {
+	if c.Operator == "" {
+		return 0, nil
+	}
+	f := c.Flags
+	f.Key = c.Operator
+	if c.Control != "" {
+		f.Address = c.Control
+	}
+	client, ctx, cancel, err := f.Operator(ctx)
+	if err != nil {
+		return 0, err
+	}
+	defer cancel()
+	r, err := client.Show(ctx, v1.Part_PART_TABLE)
+	if err != nil {
+		return 0, remote.Explain(err)
+	}
+	return r.GetRevision(), nil
+}
+
+// serve starts the tool's own backend servers and returns what stops them.
+func (c *command) serve(ctx context.Context, record *work.Record, seen *server.Record) (stop func(), err error) {
+	if c.Servers == 0 {
+		return func() {}, nil
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	all := make([]*server.Server, c.Servers)
+	for i := range all {
+		all[i] = c.server(i, record, seen)
+		go func() { _ = all[i].Run(ctx) }() // ends with ctx, which is its only error
+	}
+	stop = func() {
+		cancel()
+		for _, s := range all {
+			<-s.Done()
+		}
+	}
+	if err := c.ready(ctx); err != nil {
+		stop()
+		return nil, err
+	}
+	return stop, nil
+}
+
+func (c *command) server(i int, record *work.Record, seen *server.Record) *server.Server {
+	s := &server.Server{
+		Name: fmt.Sprintf("load-%03d", i), Secret: c.Secret, Work: record.Work, Record: seen, Log: logr.Discard(),
+		Rack: fmt.Sprintf("rack-%d", i/perRack), Zone: fmt.Sprintf("zone-%d", i%zones),
+		Capacity: &v1.Size{Cpu: c.Cores * 1000, Memory: c.Memory, Slots: c.Slots},
+	}
+	for _, a := range strings.Split(c.Backends, ",") {
+		s.Entries = append(s.Entries, server.NewEntry(strings.TrimSpace(a), nil, nil))
+	}
+	return s
+}
+
+// ready waits until a quarter of the settling time passes or, with an operator's
+// key, until the cell counts all servers as ready.
+func (c *command) ready(ctx context.Context) error {
+	if c.Operator == "" {
+		time.Sleep(settle / 4)
+		return nil
+	}
+	f := c.Flags
+	f.Key, f.Timeout = c.Operator, settle
+	if c.Control != "" {
+		f.Address = c.Control
+	}
+	client, ctx, cancel, err := f.Operator(ctx)
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	for {
+		r, err := client.Show(ctx, v1.Part_PART_SERVERS)
+		if err != nil && ctx.Err() != nil {
+			return &verb.Error{Exit: verb.Unreachable, Text: "the own backend servers were not ready in time", Next: "Check --backends and --enrolment."}
+		}
+		if err != nil {
+			return remote.Explain(err)
+		}
+		n := 0
+		for _, s := range r.GetServers() {
+			if s.GetState() == "ready" && strings.HasPrefix(s.GetServer(), "load-") {
+				n++
+			}
+		}
+		if n >= c.Servers {
+			return nil
+		}
+		time.Sleep(settle / 100)
+	}
+}
+
+// progress returns what draws a bar on a terminal; nil when there is none.
+func progress(env verb.Env, quiet bool) func(sent, ended int) {
+	f, ok := env.Err.(*os.File)
+	if quiet || !ok || !term.IsTerminal(int(f.Fd())) {
+		return nil
+	}
+	bar := progressbar.NewOptions(-1, progressbar.OptionSetWriter(f), progressbar.OptionSetDescription("jobs"), progressbar.OptionClearOnFinish())
+	return func(sent, ended int) {
+		bar.Describe(fmt.Sprintf("%d sent, %d ended", sent, ended))
+		_ = bar.Add(1) // drawing is all it does
+	}
+}
--- a/internal/cli/table/table.go
+++ b/internal/cli/table/table.go
@@ -151,14 +151,15 @@
 
 // Base is the flag of the verbs that change the table.
 type Base struct {
-	Base uint64 `long:"base" description:"revision that the change starts from; the current one when left out"`
+	Base *uint64 `long:"base" description:"revision that the change starts from; the current one when left out"`
 }
 
 // Apply sends edits and prints what came of them. Without a base it reads the
 // current revision first.
 func Apply(ctx context.Context, f remote.Flags, id remote.ChangeID, base Base, change *v1.TableChange) (remote.Made, error) {
-	change.Base = base.Base
-	if base.Base == 0 {
+	if base.Base != nil {
+		change.Base = *base.Base
+	} else {
 		if id.Change != "" {
 			return remote.Made{}, verb.Misuse("Give the --base that the first try printed or was given.", "--change without --base: a change sent again has to start from the same revision")
 		}
@@ -270,10 +271,10 @@
 		return verb.Misuse("Nothing was sent. Mend the sheet and import it again.", "the sheet has faults:\n%v", err)
 	}
 	base := c.Base
-	if base.Base == 0 {
-		base.Base = s.Base
+	if base.Base == nil && s.Base != 0 {
+		base.Base = &s.Base
 	}
-	if base.Base == 0 {
+	if base.Base == nil {
 		return verb.Misuse("Export the table and edit that sheet, or give --base with the revision that `gypsumreel table show` prints.", "the sheet does not say which revision it started from")
 	}
 	made, err := Apply(ctx, c.Flags, c.ChangeID, base, &v1.TableChange{Edits: s.Edits, Replace: c.Replace})
--- a/internal/cli/verb/exit.go
+++ b/internal/cli/verb/exit.go
@@ -62,7 +62,7 @@
 	code.Unanswered:   "Run the same command again with the same id: it is not done twice.",
 	code.BadKey:       "Check --key or GYPSUMREEL_KEY; an operator grants keys with `gypsumreel key grant`.",
 	code.Forbidden:    "Use a key of the right kind: a team's key for jobs, an operator's key for everything else.",
-	code.IDReused:     "Choose another --id, or ask for the earlier job with `gypsumreel wait`.",
+	code.IDReused:     "Choose another id, or ask what became of the earlier one (`gypsumreel wait` for a job).",
 	code.Unknown:      "Check the name; outcomes are forgotten once acknowledged or past their retention.",
 	code.Conflict:     "Run `gypsumreel table show`, look at what has changed, and make the change again from the current revision.",
 	code.InUse:        "Withdraw the team's keys and let its jobs end first.",
--- a/internal/cli/verb/outcome.go
+++ b/internal/cli/verb/outcome.go
@@ -7,7 +7,13 @@
 )
 
 // Outcome returns an outcome as people and scripts read it: done, not-run.
-func Outcome(o v1.Outcome) string { return plain(o.String(), "OUTCOME_") }
+// none stands for an outcome that is not known, since the request was refused.
+func Outcome(o v1.Outcome) string {
+	if o == v1.Outcome_OUTCOME_UNSPECIFIED {
+		return "none"
+	}
+	return plain(o.String(), "OUTCOME_")
+}
 
 // Kind returns a kind of job in lower case.
 func Kind(k v1.Kind) string { return plain(k.String(), "KIND_") }
--- a/internal/client/link/link.go
+++ b/internal/client/link/link.go
@@ -48,6 +48,9 @@
 	TLS *tls.Config
 	// Timeout bounds one call to one entry.
 	Timeout time.Duration
+	// Shared puts all calls on few connections with http addresses too, by
+	// HTTP/2 without TLS. A balancer in between has to pass it on.
+	Shared bool
 
 	mu     sync.Mutex
 	turn   int
@@ -152,7 +155,14 @@
 }
 
 func (l *Link) dialler() *http.Client {
+	var protocols *http.Protocols
+	if l.Shared {
+		protocols = new(http.Protocols)
+		protocols.SetHTTP2(true)
+		protocols.SetUnencryptedHTTP2(true)
+	}
 	return &http.Client{Transport: &http.Transport{
+		Protocols:           protocols,
 		TLSClientConfig:     l.TLS,
 		ForceAttemptHTTP2:   true,
 		TLSHandshakeTimeout: dialTimeout,
--- /dev/null
+++ b/internal/client/link/status_test.go
@@ -0,0 +1,26 @@
+package link_test
+
+import (
+	"testing"
+
+	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/client/link"
+)
+
+// A status carries the number and the standing text beside its detail, and who
+// prints it adds both again; a person is to read them once.
+func TestStatusIsSaidOnce(t *testing.T) {
+	for text, want := range map[string]string{
+		"":                                      "",
+		code.Conflict.String():                  "",
+		code.New(code.Conflict, "").Error():     "",
+		code.New(code.Conflict, "at 7").Error(): "at 7",
+		"at 7":                                  "at 7",
+	} {
+		got := link.Status(&v1.Status{Code: uint32(code.Conflict), Text: text})
+		if got.Code != code.Conflict || got.Detail != want {
+			t.Errorf("%q: got %q, want %q", text, got.Detail, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/load/drive/drive.go
@@ -0,0 +1,198 @@
+// Package drive submits the jobs of a load run at their times, whatever became
+// of earlier ones, and checks every answer.
+//
+// The loop is open: a job's waits are counted from the time at which it was to
+// arrive and not from when it was sent. A cell, or a load tool, that falls
+// behind would otherwise hide the waits of all who queued up meanwhile
+// (coordinated omission).
+package drive
+
+import (
+	"bytes"
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/client/caller"
+	"gypsumreel/internal/client/link"
+	"gypsumreel/internal/domain/job"
+	"gypsumreel/internal/load/mix"
+	"gypsumreel/internal/load/work"
+)
+
+const (
+	// DefaultTail is how long outcomes are waited for after the last arrival.
+	DefaultTail = 60 * time.Second
+	// ackBatch and ackPause gather acknowledgements.
+	ackBatch   = 500
+	ackPause   = 200 * time.Millisecond
+	ackTimeout = 10 * time.Second
+)
+
+// Seen is what became of one job. Times are from the start of the run; 0 when
+// the step never came.
+type Seen struct {
+	Job mix.Job
+	// Sent is when the request really left.
+	Sent     time.Duration
+	Accepted time.Duration
+	Answered time.Duration
+	Outcome  v1.Outcome
+	Code     code.Code
+	// Whole tells that the answer is the job's own, all of it.
+	Whole bool
+	// Damaged tells that there was an answer, but not that.
+	Damaged bool
+}
+
+// Driver runs a plan. Set the fields, then call Run.
+type Driver struct {
+	Caller *caller.Client
+	Jobs   []mix.Job
+	// Tail is how long outcomes are waited for after the last arrival.
+	Tail time.Duration
+	// Foreign tells that the backend servers are not the tool's own, so that
+	// the content of answers is not known.
+	Foreign bool
+	// Keep leaves outcomes unacknowledged.
+	Keep bool
+	// Progress is called now and then; nil for none.
+	Progress func(sent, ended int)
+
+	begin time.Time
+	ended atomic.Int64
+	acks  chan string
+}
+
+// Run submits everything and returns what became of it, in the order of the jobs.
+func (d *Driver) Run(ctx context.Context) []Seen {
+	if d.Tail <= 0 {
+		d.Tail = DefaultTail
+	}
+	out := make([]Seen, len(d.Jobs))
+	d.acks = make(chan string, len(d.Jobs))
+	d.begin = time.Now()
+	last := time.Duration(0)
+	if len(d.Jobs) > 0 {
+		last = d.Jobs[len(d.Jobs)-1].At
+	}
+	ctx, cancel := context.WithDeadline(ctx, d.begin.Add(last+d.Tail))
+	defer cancel()
+	var acks, jobs sync.WaitGroup
+	acks.Go(d.acknowledge)
+	for i := range d.Jobs {
+		out[i].Job = d.Jobs[i]
+		if !link.Sleep(ctx, time.Until(d.begin.Add(d.Jobs[i].At))) {
+			break
+		}
+		d.tell(i)
+		jobs.Go(func() {
+			d.one(ctx, &out[i])
+			d.ended.Add(1)
+		})
+	}
+	jobs.Wait()
+	close(d.acks)
+	acks.Wait()
+	d.tell(len(d.Jobs))
+	return out
+}
+
+const tellEvery = 64
+
+func (d *Driver) tell(sent int) {
+	if d.Progress != nil && (sent%tellEvery == 0 || sent == len(d.Jobs)) {
+		d.Progress(sent, int(d.ended.Load()))
+	}
+}
+
+func (d *Driver) since() time.Duration { return time.Since(d.begin) }
+
+// one takes a job from its submission to its answer.
+func (d *Driver) one(ctx context.Context, s *Seen) {
+	spec := s.Job.Spec
+	in := work.Input{ID: spec.GetId(), Runtime: s.Job.Runtime, Answer: s.Job.Answer}
+	if s.Job.Kind == job.Service {
+		in.Runtime = -1
+	}
+	spec.Input = in.Bytes()
+	s.Sent = d.since()
+	got, err := d.Caller.Submit(ctx, []*v1.Spec{spec}, true)
+	if err != nil {
+		s.Code = link.Refusal(err).Code
+		return
+	}
+	s.Code, s.Outcome = code.Code(got[0].GetStatus().GetCode()), got[0].GetOutcome()
+	if s.Code != code.OK || caller.Final(s.Outcome) && s.Outcome != v1.Outcome_OUTCOME_DONE {
+		return
+	}
+	s.Accepted = d.since()
+	if s.Job.Kind == job.Service {
+		d.retire(ctx, s)
+	}
+	d.collect(ctx, s)
+}
+
+// retire cancels a service once it has lived for its time.
+func (d *Driver) retire(ctx context.Context, s *Seen) {
+	if link.Sleep(ctx, s.Job.Runtime) {
+		_, _ = d.Caller.Cancel(ctx, []string{s.Job.Spec.GetId()}, nil) // the outcome below tells whether it came through
+	}
+}
+
+func (d *Driver) collect(ctx context.Context, s *Seen) {
+	r, err := d.Caller.Wait(ctx, s.Job.Spec.GetId())
+	if err != nil {
+		s.Code = link.Refusal(err).Code
+		// The outcome is known here, but what should be the answer is not whole.
+		s.Damaged = r.Outcome == v1.Outcome_OUTCOME_DONE
+		s.Outcome = r.Outcome
+		return
+	}
+	s.Outcome, s.Code = r.Outcome, r.Code
+	if !caller.Final(r.Outcome) {
+		return
+	}
+	s.Answered = d.since()
+	if r.Outcome == v1.Outcome_OUTCOME_DONE && r.Code == code.OK {
+		s.Whole = d.Foreign || bytes.Equal(r.Data, work.Whole(s.Job.Spec.GetId(), s.Job.Spec.GetCount(), s.Job.Answer))
+		s.Damaged = !s.Whole
+	}
+	if !d.Keep {
+		d.acks <- s.Job.Spec.GetId()
+	}
+}
+
+// acknowledge lets the cell forget in batches what has been answered, as callers
+// are meant to: the ledger would else grow with the length of the run.
+func (d *Driver) acknowledge() {
+	t := time.NewTicker(ackPause)
+	defer t.Stop()
+	var ids []string
+	send := func() {
+		if len(ids) == 0 {
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), ackTimeout)
+		defer cancel()
+		_ = d.Caller.Acknowledge(ctx, ids) // what stays unacknowledged ends with its retention
+		ids = nil
+	}
+	for {
+		select {
+		case id, ok := <-d.acks:
+			if !ok {
+				send()
+				return
+			}
+			if ids = append(ids, id); len(ids) >= ackBatch {
+				send()
+			}
+		case <-t.C:
+			send()
+		}
+	}
+}
