--- a/internal/policy/cell/gang.go
+++ b/internal/policy/cell/gang.go
@@ -3,9 +3,11 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"gypsumreel/internal/domain/backend"
 	"gypsumreel/internal/domain/capacity"
+	"gypsumreel/internal/policy/fit"
 	"gypsumreel/internal/policy/plan"
 )
 
@@ -13,8 +15,10 @@
 const (
 	// serversPerReservation is the number of servers for each of which one more
 	// gang may hold a reservation; there may always be minReservations.
-	serversPerReservation = 25
+	serversPerReservation = 10
 	minReservations       = 2
+	// forcePeriod is the time between two attempts to hasten a gang.
+	forcePeriod = time.Second
 )
 
 // placeGang starts all tasks of the gang or none: in one rack if it fits, else in
@@ -43,12 +47,12 @@
 		return nil
 	}
 	need, n := u.work.spec.Size, len(u.tasks)
-	at, ok := p.rackIndex.Best(u.size(), func(r int32) bool { return p.holds(p.rackAt[r], u, need, n) })
+	r, _, ok := p.rackIndex.Best(u.size(), fit.Worst, func(r *rack) bool { return p.holds(r, u, need, n) })
 	if !ok {
 		return nil
 	}
 	var on []*server
-	for _, s := range byRoom(p.rackAt[at].servers) {
+	for _, s := range byRoom(r.servers) {
 		for range min(n-len(on), p.times(s, u, need)) {
 			on = append(on, s)
 		}
@@ -123,21 +127,18 @@
 func (p *Planner) pack(u *unit, z *zone) []*server {
 	need := u.work.spec.Size
 	on := make([]*server, 0, len(u.tasks))
+	taken := map[*server]int64{}
 	for range u.tasks {
-		n, ok := p.index.Best(need, func(n int32) bool {
-			s := p.list[n]
-			return (z == nil || s.rack.zone == z) && !u.work.budget.Avoids(n)
-		})
-		if !ok {
+		s := p.bestIn(z, need, u.accepts())
+		if s == nil {
 			break
 		}
-		s := p.list[n]
 		on = append(on, s)
-		free, _ := p.index.Free(n)
-		p.index.Set(n, free.Sub(need))
+		taken[s]++
+		s.rack.zone.index.Set(&s.spot, s.room().Sub(need.Times(taken[s])))
 	}
 	for _, s := range on {
-		p.index.Set(s.num, s.room())
+		s.rack.zone.index.Set(&s.spot, s.room())
 	}
 	if len(on) < len(u.tasks) {
 		return nil
@@ -145,6 +146,15 @@
 	return on
 }
 
+// bestIn returns the best server of the zone, or of all if none is given.
+func (p *Planner) bestIn(z *zone, need capacity.Size, ok func(*server) bool) *server {
+	if z == nil {
+		return p.best(need, ok)
+	}
+	s, _, _ := z.index.Best(need, fit.Worst, ok)
+	return s
+}
+
 // gather keeps one more piece of room for the gang whose turn it is, in place of
 // starting a task there. It takes its turns like any other work, so that its
 // team pays for the room from its share, and smaller work does not take each
@@ -158,13 +168,14 @@
 		return false
 	}
 	home := u.home()
-	n, ok := p.index.Best(need, func(n int32) bool {
-		return !u.work.budget.Avoids(n) && (home == nil || p.lacks(Racks) || p.list[n].rack.zone == home)
-	})
-	if !ok {
+	if p.lacks(Racks) {
+		home = nil
+	}
+	s := p.bestIn(home, need, u.accepts())
+	if s == nil {
 		return false
 	}
-	p.keep(u, p.list[n])
+	p.keep(u, s)
 	return true
 }
 
@@ -189,7 +200,7 @@
 // their due. Without this a few long tasks would hold up the gang, and the room
 // kept for it, for as long.
 func (p *Planner) hasten(c *claim) {
-	if p.now < c.made+p.cfg.Patience || p.now < c.forced+claimLife || p.lacks(Reclaim) {
+	if p.now < c.made+p.cfg.Patience || p.now < c.forced+forcePeriod || p.lacks(Reclaim) {
 		return
 	}
 	c.forced = p.now
@@ -205,7 +216,7 @@
 
 // vacate preempts what runs in kept room.
 func (p *Planner) vacate(t part) {
-	stop, _, _ := p.room(t.srv, t.size, t.srv.actual(), func(*holding) bool { return true })
+	stop, _, _ := p.room(t.srv, t.size, t.srv.actual(), func(h *holding) bool { return !h.Job.Whole() })
 	for _, h := range stop {
 		p.preempt(h, "room for a gang")
 	}
@@ -215,8 +226,9 @@
 func (p *Planner) keepByForce(u *unit, own bool) bool {
 	may := p.overdue(p.cfg.Slack / 2)
 	if own {
-		due := may
-		may = func(h *holding) bool { return h.crew == u.work.crew && !h.Job.Whole() || due(h) }
+		due, c := may, u.work.crew
+		poor := c.held.Add(c.coming).Sub(c.leaving).Dominant(p.total) <= c.fair+p.cfg.Slack
+		may = func(h *holding) bool { return h.crew == c && !h.Job.Whole() || poor && due(h) }
 	}
 	srv, stop := p.victims(u, u.work.spec.Size, own, may)
 	if srv == nil {
--- a/internal/policy/cell/work.go
+++ b/internal/policy/cell/work.go
@@ -17,7 +17,7 @@
 
 // gangLead is how much older than a gang batch of its team must be to go first.
 // Gangs take long to gather their room, and longer the later they begin.
-const gangLead = 5 * time.Minute
+const gangLead = time.Hour
 
 // where says which list a unit is in.
 type where uint8
@@ -279,6 +279,9 @@
 		}
 		return
 	}
+	if u.work.spec.Kind == job.Service && u.work.started {
+		p.displaced = append(p.displaced, u)
+	}
 	c.blocked = 0
 	if c.queues[job.Batch].Len()+c.queues[job.Service].Len() <= 1 {
 		c.least = u.work.spec.Size
