Pass over teams of which nothing fits

A team counts what waits of each size; a size found to fit nowhere is looked for once and not once a team.

--- a/internal/policy/cell/books.go
+++ b/internal/policy/cell/books.go
@@ -83,8 +83,8 @@
 	steady *queue.Queue[task.ID, *holding]
 	// gathers is the gang that room is being kept for.
 	gathers *unit
-	// least is at most the size of anything that waits.
-	least   capacity.Size
+	// sizes counts what waits of each size, urgent work aside.
+	sizes   tally
 	blocked uint64
 }
 
--- a/internal/policy/cell/claim.go
+++ b/internal/policy/cell/claim.go
@@ -20,7 +20,9 @@
 	gangTerm = 30 * time.Second
 	// mostCrews and mostTasks bound the victims that are weighed.
 	mostCrews = 6
-	mostTasks = 12
+	// mostBackfills is the number of claims whose room is looked at for backfill.
+	mostBackfills = 8
+	mostTasks     = 12
 )
 
 // claim is room that is kept for a unit until what is in it has left.
@@ -162,7 +164,7 @@
 		return nil
 	}
 	longest := p.estimates.Longest(u.work.spec)
-	for _, c := range p.claims {
+	for _, c := range p.claims[:min(len(p.claims), mostBackfills)] {
 		if !c.unit.work.spec.Whole() || len(c.parts) == 0 || p.now+longest > c.due(p.now) {
 			continue
 		}
--- a/internal/policy/cell/decide.go
+++ b/internal/policy/cell/decide.go
@@ -206,9 +206,9 @@
 
 // placeShared places batch and gangs, the team furthest below its due first.
 func (p *Planner) placeShared() {
-	high := p.roomiest()
+	held := p.fillable()
 	for !p.full() {
-		c := p.next(high)
+		c := p.next(held)
 		if c == nil {
 			return
 		}
@@ -219,13 +219,10 @@
 }
 
 // next returns the neediest team of which something might fit.
-func (p *Planner) next(high capacity.Size) *crew {
+func (p *Planner) next(held capacity.Size) *crew {
 	var found *crew
 	p.order.Each(func(c *crew) bool {
-		if c.queues[job.Batch].Len()+c.queues[job.Service].Len() == 0 || c.blocked == p.grown || !c.known {
-			return true
-		}
-		if !c.least.Fits(high) {
+		if c.blocked == p.grown || !c.known || !c.sizes.any(&p.failed, held) {
 			return true
 		}
 		found = c
@@ -234,13 +231,13 @@
 	return found
 }
 
-// roomiest is at least the room of any server, room that may be backfilled included.
-func (p *Planner) roomiest() capacity.Size {
+// fillable is at least the room of any server that may be backfilled.
+func (p *Planner) fillable() capacity.Size {
 	var high capacity.Size
-	for _, z := range p.zones {
-		high = high.Max(z.index.High())
+	if p.gangs == 0 || p.lacks(Backfill) {
+		return high
 	}
-	for _, c := range p.claims {
+	for _, c := range p.claims[:min(len(p.claims), mostBackfills)] {
 		for _, part := range c.parts {
 			high = high.Max(part.srv.room().Add(part.size))
 		}
--- a/internal/policy/cell/frontier.go
+++ b/internal/policy/cell/frontier.go
@@ -25,6 +25,7 @@
 
 // add notes that the size fits nowhere.
 func (f *frontier) add(s capacity.Size) {
+	f.sizes = slices.DeleteFunc(f.sizes, func(known capacity.Size) bool { return s.Fits(known) })
 	if len(f.sizes) < mostFailed {
 		f.sizes = append(f.sizes, s)
 	}
--- a/internal/policy/cell/quick.go
+++ b/internal/policy/cell/quick.go
@@ -9,7 +9,9 @@
 // Bounds of the work done for urgent tasks in one call.
 const (
 	// mostSearches is the number of searches for victims.
-	mostSearches = 16
+	mostSearches = 4
+	// mostVain is the number of urgent tasks looked at for which there is no room.
+	mostVain = 64
 	// urgentDepth is the number of a team's urgent tasks looked at.
 	urgentDepth = 32
 	// mostRefills is the number of rooms added to the reserve.
@@ -36,11 +38,11 @@
 		}
 		return true
 	})
-	searches := 0
+	searches, vain := 0, 0
 	for _, c := range crews {
 		waiting := c.queues[job.Urgent].First(urgentDepth, nil)
 		for i, u := range waiting {
-			if p.full() {
+			if p.full() || vain == mostVain {
 				return
 			}
 			if !p.within(c, u.size()) {
@@ -50,6 +52,7 @@
 			if p.placeQuick(u) || u.claim != nil {
 				continue
 			}
+			vain++
 			if searches < mostSearches && u.tried != p.grown {
 				searches++
 				u.tried = p.grown
--- /dev/null
+++ b/internal/policy/cell/tally.go
@@ -0,0 +1,43 @@
+package cell
+
+import (
+	"slices"
+
+	"gypsumreel/internal/domain/capacity"
+)
+
+// tally counts what waits of each size, so that a team of which nothing fits is
+// passed over without a look at its queue.
+type tally struct {
+	sizes  []capacity.Size
+	counts []int
+}
+
+func (t *tally) add(s capacity.Size) {
+	if i := slices.Index(t.sizes, s); i >= 0 {
+		t.counts[i]++
+		return
+	}
+	t.sizes = append(t.sizes, s)
+	t.counts = append(t.counts, 1)
+}
+
+func (t *tally) remove(s capacity.Size) {
+	i := slices.Index(t.sizes, s)
+	if t.counts[i]--; t.counts[i] > 0 {
+		return
+	}
+	t.sizes = slices.Delete(t.sizes, i, i+1)
+	t.counts = slices.Delete(t.counts, i, i+1)
+}
+
+// any tells whether a size that waits is not among those that fit nowhere, or
+// fits into held, the room that may be backfilled.
+func (t *tally) any(f *frontier, held capacity.Size) bool {
+	for _, s := range t.sizes {
+		if !f.holds(s) || s.Fits(held) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/policy/cell/work.go
+++ b/internal/policy/cell/work.go
@@ -50,6 +50,8 @@
 	id    task.ID
 	work  *work
 	tasks []plan.Queued
+	// need is the size of each task.
+	need  capacity.Size
 	ready time.Duration
 	// rank is the place in the team's queue.
 	rank  time.Duration
@@ -88,7 +90,7 @@
 }
 
 // size is the size of the unit's tasks together.
-func (u *unit) size() capacity.Size { return u.work.spec.Size.Times(int64(len(u.tasks))) }
+func (u *unit) size() capacity.Size { return u.need.Times(int64(len(u.tasks))) }
 
 func (p *Planner) work(id uint64, spec *job.Spec) *work {
 	w := p.works[id]
@@ -128,7 +130,7 @@
 	u := w.gang
 	if u == nil {
 		p.seq++
-		u = &unit{id: q.ID, work: w, seq: p.seq}
+		u = &unit{id: q.ID, work: w, seq: p.seq, need: w.spec.Size}
 		if w.spec.Whole() {
 			u.id.Index = whole
 			w.gang = u
@@ -160,6 +162,8 @@
 		p.late.Remove(u.id)
 		if u.work.spec.Kind == job.Urgent {
 			p.urgent--
+		} else {
+			u.work.crew.sizes.remove(u.need)
 		}
 	case inNever:
 		p.never.Remove(u.id)
@@ -283,14 +287,7 @@
 		p.displaced = append(p.displaced, u)
 	}
 	c.blocked = 0
-	if c.queues[job.Batch].Len()+c.queues[job.Service].Len() <= 1 {
-		c.least = u.work.spec.Size
-	}
-	c.least = smaller(c.least, u.work.spec.Size)
-}
-
-func smaller(a, b capacity.Size) capacity.Size {
-	return capacity.Size{CPU: min(a.CPU, b.CPU), Memory: min(a.Memory, b.Memory), Accel: min(a.Accel, b.Accel), Slots: min(a.Slots, b.Slots)}
+	c.sizes.add(u.need)
 }
 
 // rank orders a team's work by the time at which it would be done if it had
