--- a/internal/policy/bench/world.go
+++ b/internal/policy/bench/world.go
@@ -95,11 +95,14 @@
 	queue   events
 	seq     int
 	pending bool
+	started bool
 	servers map[string]backend.Server
 	order   []string
 	runs    map[task.ID]*Attempt
 	jobs    map[uint64][]*Attempt
 	holes   map[string]bool
+	// given are the jobs given up or dropped.
+	given   map[uint64]bool
 	table   table.Table
 	nextJob uint64
 	// most is the largest server's capacity.
@@ -110,7 +113,7 @@
 func NewWorld(p plan.Planner, servers []backend.Server, t table.Table) *World {
 	w := &World{
 		Planner: p, Check: NewChecker(), servers: map[string]backend.Server{}, runs: map[task.ID]*Attempt{},
-		jobs: map[uint64][]*Attempt{}, holes: map[string]bool{},
+		jobs: map[uint64][]*Attempt{}, holes: map[string]bool{}, given: map[uint64]bool{},
 	}
 	w.Meter = newMeter(w)
 	w.SetTable(t)
@@ -130,8 +133,11 @@
 
 // Run plays until the given time.
 func (w *World) Run(until time.Duration) {
-	w.tick()
-	w.report()
+	if !w.started {
+		w.started = true
+		w.tick()
+		w.report()
+	}
 	for len(w.queue) > 0 && w.queue[0].at <= until {
 		e := heap.Pop(&w.queue).(event)
 		w.now = e.at
@@ -229,6 +235,7 @@
 	case plan.Throttle:
 		w.throttle(w.runs[d.Task])
 	case plan.Drop, plan.Park:
+		w.given[d.Job] = true
 		w.Cancel(d.Job)
 	case plan.Quarantine:
 		w.SetServer(w.servers[d.Server].WithState(backend.Quarantined, w.now))
@@ -269,7 +276,7 @@
 	r.held, r.stopping, r.over = false, false, false
 	w.Planner.Release(r.id, how)
 	w.Check.released(r)
-	if !retry {
+	if !retry || w.given[r.id.Job] {
 		delete(w.runs, r.id)
 		w.poke()
 		return
--- a/internal/policy/cell/service.go
+++ b/internal/policy/cell/service.go
@@ -54,7 +54,13 @@
 
 // apart returns the best server of the zone in a rack that holds none of the job.
 func (p *Planner) apart(u *unit, z *zone, racks map[*rack]int) *server {
-	if len(racks) == 0 || len(racks) >= len(z.racks) {
+	used := 0
+	for r := range racks {
+		if r.zone == z {
+			used++
+		}
+	}
+	if used == 0 || used == len(z.racks) {
 		return nil
 	}
 	return p.bestIn(z, u.work.spec.Size, func(s *server) bool {
