Connect the control replicas by their own transport

The control daemon uses package peer between replicas, with mutual proof of identity when TLS is on, and tells of refused and silent peers in events.

--- a/internal/cli/control/control.go
+++ b/internal/cli/control/control.go
@@ -72,7 +72,7 @@
 	for _, p := range s.Control {
 		names = append(names, p.Name)
 	}
-	n.Server, n.Client, n.Outside = inside.Server(), inside.Client(names...), outside.Server()
+	n.Server, n.Client, n.Peers, n.Outside = inside.Server(), inside.Client(names...), inside.Client(names...), outside.Server()
 	return nil
 }
 
--- a/internal/control/leader/lead.go
+++ b/internal/control/leader/lead.go
@@ -8,6 +8,7 @@
 	"gypsumreel/internal/api/record"
 	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/base/event"
 	"gypsumreel/internal/domain/backend"
 	"gypsumreel/internal/domain/lease"
 	"gypsumreel/internal/ledger/command"
@@ -104,6 +105,7 @@
 		}}})
 	}
 	l.status.Store(&Status{Leads: true, Term: n.Term})
+	event.Log(l.Log, event.LeaderElected, "term", n.Term, "index", n.Last)
 }
 
 // replay tells a new planner everything that the ledger holds.
@@ -135,6 +137,7 @@
 // is dropped, and with it every held effect: nobody was told of them.
 func (l *Leader) follow(n group.Follow) {
 	if ld := l.lead; ld != nil {
+		event.Log(l.Log, event.LeaderLost, "term", ld.term, "next", n.Leader)
 		l.lead = nil
 		l.st.Watch = nil
 		if l.applied > ld.committed {
--- a/internal/control/node/node.go
+++ b/internal/control/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/go-logr/logr"
 
 	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/base/event"
 	"gypsumreel/internal/base/meter"
 	"gypsumreel/internal/control/entry"
 	"gypsumreel/internal/control/leader"
@@ -29,6 +30,7 @@
 	"gypsumreel/internal/replica/group"
 	"gypsumreel/internal/replica/journal"
 	"gypsumreel/internal/replica/member"
+	"gypsumreel/internal/replica/peer"
 	"gypsumreel/internal/replica/quorum"
 	"gypsumreel/internal/replica/snapshot"
 )
@@ -60,6 +62,8 @@
 	// Server and Client secure connections inside the cell; nil for plain ones.
 	Server *tls.Config
 	Client *tls.Config
+	// Peers secures the way between replicas, for both ends; nil for plain text.
+	Peers *tls.Config
 	// Root is the first operator's key.
 	Root *v1.KeyGrant
 	// Control is the control thread, set up but for what Run adds.
@@ -67,7 +71,8 @@
 	Heartbeat time.Duration
 	Election  time.Duration
 	Handover  time.Duration
-	// Transport makes the way to the other replicas; receive takes what they send.
+	// Transport makes the way to the other replicas; receive takes what they
+	// send. Nil for package peer.
 	Transport func(id string, receive func(from string, data []byte)) Transport
 	// Dial opens connections to other replicas at the founding; nil for TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
@@ -167,12 +172,10 @@
 	mux := http.NewServeMux()
 	mux.Handle("/twirp/gypsumreel.inner.Control/", service.Handler())
 	mux.Handle("/twirp/gypsumreel.inner.Birth/", founder.Handler())
-	var transport Transport
-	if n.Transport != nil {
-		transport = n.Transport(self.ID, g.Receive)
-		g.Peer = transport
-		mux.Handle("/", transport.Handler())
-	}
+	transport := n.transport(self.ID, g.Receive)
+	defer transport.Close()
+	g.Peer = transport
+	mux.Handle("/", transport.Handler())
 	server := n.server(mux, n.Server)
 	faults := make(chan error, 4)
 	var wg sync.WaitGroup
@@ -203,9 +206,6 @@
 	}
 	n.configure(self, g)
 	n.Control.Deposed = service.CloseAll
-	if transport != nil {
-		defer transport.Close()
-	}
 	run("group", func() error { return g.Run(running) })
 	run("control", func() error { return n.Control.Run(running) })
 	select {
@@ -217,6 +217,27 @@
 	}
 }
 
+func (n *Node) transport(id string, receive func(from string, data []byte)) Transport {
+	if n.Transport != nil {
+		return n.Transport(id, receive)
+	}
+	return &peer.Pool{Cell: n.Cell, Self: id, TLS: n.Peers, Deliver: receive, Event: n.event}
+}
+
+// event logs what an operator may want to know of the way to the others.
+func (n *Node) event(e peer.Event) {
+	switch e.Kind {
+	case peer.Refused:
+		event.Log(n.Log, event.PeerRefused, "peer", e.Peer, "error", e.Err.Error())
+	case peer.Failed:
+		event.Log(n.Log, event.ConnectionSilent, "replica", e.Peer, "error", e.Err.Error())
+	case peer.TooLarge:
+		n.Log.Info("message to a replica is too large", "replica", e.Peer, "error", e.Err.Error())
+	case peer.Recovered:
+		n.Log.V(1).Info("a replica answers again", "replica", e.Peer)
+	}
+}
+
 func (n *Node) founder(self quorum.Member) *birth.Founder {
 	f := &birth.Founder{Cell: n.Cell, Self: self, Scheme: "http"}
 	if n.Client != nil {
