--- a/internal/replica/group/group.go
+++ b/internal/replica/group/group.go
@@ -105,7 +105,7 @@
 
 type (
 	compactAsk  struct{ ev quorum.Compact }
-	reloadAsk   struct{}
+	reloadAsk   struct{ done chan<- struct{} }
 	transferAsk struct{ done chan<- error }
 	dumpAsk     struct{ reply chan<- Dump }
 )
@@ -185,8 +185,19 @@
 	g.put(compactAsk{quorum.Compact{Index: index, State: state}})
 }
 
-// Reload asks for a Restore and the Apply notes after it.
-func (g *Group) Reload() { g.put(reloadAsk{}) }
+// Reload asks for a Restore and the Apply notes after it. When it returns, no
+// Apply, Commit, Confirmed or Lead note from before is given out any more: they
+// would meet a ledger that holds commands which nobody agreed on.
+func (g *Group) Reload() {
+	done := make(chan struct{})
+	if !g.put(reloadAsk{done}) {
+		return
+	}
+	select {
+	case <-done:
+	case <-g.done:
+	}
+}
 
 // Transfer returns when this replica does not lead any more, or with an error.
 func (g *Group) Transfer(ctx context.Context) error {
--- a/internal/replica/group/outbox.go
+++ b/internal/replica/group/outbox.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 )
 
@@ -9,49 +10,81 @@
 // never waits for a control thread that waits for the group; what would pile up
 // while the control thread is busy is merged.
 type outbox struct {
-	out   chan Note
-	ready chan struct{}
+	out chan Note
+	// changed and reset make run look at the queue again; reset waits for it.
+	changed chan struct{}
+	reset   chan struct{}
+	stopped chan struct{}
 
 	mu    sync.Mutex
-	queue []Note
+	queue []queued
+	seq   uint64
+}
+
+// queued is a note with a number, which a merge changes.
+type queued struct {
+	seq  uint64
+	note Note
 }
 
 func newOutbox() *outbox {
-	return &outbox{out: make(chan Note), ready: make(chan struct{}, 1)}
+	return &outbox{
+		out: make(chan Note), changed: make(chan struct{}, 1),
+		reset: make(chan struct{}), stopped: make(chan struct{}),
+	}
 }
 
 func (o *outbox) put(n Note) {
 	o.mu.Lock()
-	if !o.merge(n) {
-		o.queue = append(o.queue, n)
+	o.seq++
+	q := queued{seq: o.seq, note: n}
+	if i := o.mergeable(n); i >= 0 {
+		o.queue[i] = q
+	} else {
+		o.queue = append(o.queue, q)
 	}
 	o.mu.Unlock()
 	select {
-	case o.ready <- struct{}{}:
+	case o.changed <- struct{}{}:
 	default:
 	}
 }
 
-// merge replaces an older Commit or Confirmed by a newer one, as long as only
-// the other kind stands between them; it keeps the order of all else.
-func (o *outbox) merge(n Note) bool {
-	for i := len(o.queue) - 1; i >= 0 && i >= len(o.queue)-2; i-- {
-		switch old := o.queue[i].(type) {
+// mergeable gives the place of an older Commit or Confirmed that n replaces, if
+// only the other kind stands between them; all else keeps its order.
+func (o *outbox) mergeable(n Note) int {
+	for i := len(o.queue) - 1; i >= max(0, len(o.queue)-2); i-- {
+		switch old := o.queue[i].note.(type) {
 		case Commit:
 			if _, ok := n.(Commit); ok {
-				o.queue[i] = n
-				return true
+				return i
 			}
 		case Confirmed:
 			if c, ok := n.(Confirmed); ok && c.Term == old.Term {
-				o.queue[i] = n
-				return true
+				return i
 			}
 		default:
-			return false
+			return -1
+		}
+	}
+	return -1
+}
+
+// forget drops what a restore makes void, also the note that is being handed out.
+func (o *outbox) forget() {
+	o.mu.Lock()
+	o.queue = slices.DeleteFunc(o.queue, func(q queued) bool {
+		switch q.note.(type) {
+		case Apply, Commit, Confirmed, Lead, Restore:
+			return true
 		}
+		return false
+	})
+	o.mu.Unlock()
+	select {
+	case o.reset <- struct{}{}:
+	case <-o.stopped:
 	}
-	return false
 }
 
 func (o *outbox) len() int {
@@ -60,34 +93,41 @@
 	return len(o.queue)
 }
 
-func (o *outbox) take() (Note, bool) {
+func (o *outbox) first() (queued, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if len(o.queue) == 0 {
-		return nil, false
+		return queued{}, false
+	}
+	return o.queue[0], true
+}
+
+// drop removes the note that was handed out, unless a newer one took its place.
+func (o *outbox) drop(seq uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.queue) > 0 && o.queue[0].seq == seq {
+		o.queue[0] = queued{}
+		o.queue = o.queue[1:]
 	}
-	n := o.queue[0]
-	o.queue[0] = nil
-	o.queue = o.queue[1:]
-	return n, true
 }
 
 // run hands the notes out one by one.
 func (o *outbox) run(ctx context.Context) {
+	defer close(o.stopped)
 	for {
-		n, ok := o.take()
+		q, ok := o.first()
+		out := o.out
 		if !ok {
-			select {
-			case <-ctx.Done():
-				return
-			case <-o.ready:
-				continue
-			}
+			out = nil
 		}
 		select {
 		case <-ctx.Done():
 			return
-		case o.out <- n:
+		case <-o.changed:
+		case <-o.reset:
+		case out <- q.note:
+			o.drop(q.seq)
 		}
 	}
 }
--- a/internal/replica/group/run.go
+++ b/internal/replica/group/run.go
@@ -112,6 +112,8 @@
 	case compactAsk:
 		g.step(a.ev)
 	case reloadAsk:
+		g.notes.forget()
+		defer close(a.done)
 		g.step(quorum.Reload{})
 	case transferAsk:
 		g.transfers = append(g.transfers, a.done)
--- a/internal/replica/quorum/sim_test.go
+++ b/internal/replica/quorum/sim_test.go
@@ -463,7 +463,7 @@
 }
 
 func (s *sim) compact(n *node) {
-	if n.core != nil {
+	if n != nil && n.core != nil {
 		s.step(n, quorum.Compact{Index: n.index, State: fmt.Append(nil, n.digest)})
 	}
 }
@@ -498,6 +498,25 @@
 	}
 }
 
+// settled tells that there is a leader, and no repair to do.
+func (s *sim) settled() bool {
+	l := s.leader()
+	if l == nil || len(s.members) != len(s.nodes) {
+		return false
+	}
+	for _, m := range s.members {
+		if m.Learner || s.dead[m.ID] {
+			return false
+		}
+	}
+	for _, n := range s.nodes {
+		if n.index != s.top {
+			return false
+		}
+	}
+	return true
+}
+
 // heal ends all faults, repairs the membership, and checks that new work is
 // committed and that all replicas end in one state.
 func (s *sim) heal() {
@@ -510,6 +529,9 @@
 	}
 	for range 40 {
 		s.run(250 * time.Millisecond)
+		if s.settled() {
+			break
+		}
 		s.repair()
 	}
 	s.propose(s.leader(), 1)
