Tell a replica that came back how far its log is committed

The leader now sees it in the answer to a heartbeat and sends an empty append.

Appends on the way to a replica are bounded by bytes as well, and by 64 instead of 4 messages, so that no proposal waits a round trip for its turn.

--- a/internal/replica/quorum/config.go
+++ b/internal/replica/quorum/config.go
@@ -11,8 +11,12 @@
 	// DefaultMessage bounds the entries or the snapshot data of a message, in
 	// bytes. A single entry that is larger travels alone.
 	DefaultMessage = 256 << 10
-	// DefaultInflight bounds the appends on the way to one replica.
-	DefaultInflight = 4
+	// DefaultInflight bounds the appends on the way to one replica: so many small
+	// ones may leave before the first is answered that no proposal waits a round
+	// trip for its turn.
+	DefaultInflight = 64
+	// DefaultWindow bounds the bytes of the appends on the way to one replica.
+	DefaultWindow = 2 << 20
 	// DefaultTail bounds the entries kept in memory behind a snapshot, in bytes.
 	DefaultTail = 8 << 20
 	// DefaultSnapshot bounds a snapshot that is taken from another replica, in bytes.
@@ -34,6 +38,7 @@
 	Bootstrap []Member
 	Message   int
 	Inflight  int
+	Window    int
 	Tail      int
 	Snapshot  int
 }
@@ -43,6 +48,7 @@
 	cfg.Election = orDefault(cfg.Election, DefaultElection)
 	cfg.Message = orDefault(cfg.Message, DefaultMessage)
 	cfg.Inflight = orDefault(cfg.Inflight, DefaultInflight)
+	cfg.Window = orDefault(cfg.Window, DefaultWindow)
 	cfg.Tail = orDefault(cfg.Tail, DefaultTail)
 	cfg.Snapshot = orDefault(cfg.Snapshot, DefaultSnapshot)
 	return cfg
--- /dev/null
+++ b/internal/replica/quorum/core_test.go
@@ -0,0 +1,89 @@
+package quorum_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"gypsumreel/internal/replica/quorum"
+)
+
+// A disk is replaced and, against the rules, the identity is kept.
+// The replica voted or acknowledged before; if it voted again, two leaders could
+// hold one term. A blank disk knows no membership, so it must stay silent.
+func TestBlankDiskIsSilent(t *testing.T) {
+	c := quorum.New(quorum.Config{ID: "c/0", Seed: 1}, quorum.Saved{})
+	for _, kind := range []quorum.MessageKind{quorum.PreVote, quorum.Vote} {
+		m := quorum.Message{Kind: kind, From: "a/0", To: "c/0", Term: 9, Index: 100, LogTerm: 8, Address: "a"}
+		fx := c.Step(time.Second, quorum.Receive{Message: m})
+		if len(fx.Out) > 0 || fx.Write != nil {
+			t.Errorf("message %d: sent %v, wrote %v", kind, fx.Out, fx.Write)
+		}
+	}
+	for now := time.Second; now < time.Minute; now += 10 * time.Millisecond {
+		if fx := c.Step(now, quorum.Tick{}); len(fx.Out) > 0 || fx.Write != nil {
+			t.Fatalf("campaigns at %v", now)
+		}
+	}
+}
+
+// A replica is given a new disk and a new identity, at the address of the old.
+// A message that was meant for the old one must not reach it: its answer would
+// count for entries that went with the disk.
+func TestMessageForTheIdentityBefore(t *testing.T) {
+	data, err := quorum.Encode(quorum.Message{Kind: quorum.Heartbeat, To: "c/0", Term: 3, Round: 7})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := quorum.Decode("c/1", "a/0", data); err != quorum.ErrOther {
+		t.Errorf("error %v", err)
+	}
+	if _, err := quorum.Decode("c/0", "a/0", data); err != nil {
+		t.Error(err)
+	}
+}
+
+// A replica takes a snapshot in the place of its own, differing log, and its
+// process dies before the journal was cut.
+// The stale entries behind the snapshot must not come back after the restart.
+func TestStaleEntriesBehindSnapshot(t *testing.T) {
+	members := []quorum.Member{{ID: "a/0"}, {ID: "b/0"}, {ID: "c/0"}}
+	saved := quorum.Saved{
+		Hard:     quorum.Hard{Term: 5},
+		Snapshot: quorum.Snapshot{Index: 2, Term: 4, Members: members},
+	}
+	for i := range uint64(4) {
+		saved.Entries = append(saved.Entries, quorum.Entry{Index: i + 1, Term: 3, Kind: quorum.Command})
+	}
+	c := quorum.New(quorum.Config{ID: "b/0", Seed: 1}, saved)
+	fx := c.Step(0, quorum.Tick{})
+	anchor := []quorum.Entry{{Index: 2, Term: 4, Kind: quorum.Empty}}
+	if d := cmp.Diff(anchor, fx.Write.Entries); d != "" {
+		t.Error(d)
+	}
+	if s := c.Status(); s.Last != 2 {
+		t.Errorf("the log ends at %d", s.Last)
+	}
+}
+
+func TestMessageEncoding(t *testing.T) {
+	want := quorum.Message{
+		Kind: quorum.Append, From: "a/0", To: "b/0", Term: 7, Index: 10, LogTerm: 6, Commit: 9, Address: "x",
+		Entries: []quorum.Entry{
+			{Index: 11, Term: 6, Kind: quorum.Command, Data: []byte("x")},
+			{Index: 12, Term: 7, Kind: quorum.Empty},
+		},
+	}
+	data, err := quorum.Encode(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := quorum.Decode("b/0", "a/0", data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Error(d)
+	}
+}
--- a/internal/replica/quorum/progress.go
+++ b/internal/replica/quorum/progress.go
@@ -17,6 +17,7 @@
 type sent struct {
 	last uint64
 	at   time.Duration
+	size int
 }
 
 // progress is what a leader knows of another replica.
@@ -31,7 +32,9 @@
 	// waiting tells that a probe or a chunk, sent at asked, has no answer yet.
 	waiting bool
 	asked   time.Duration
-	flight  []sent
+	// flight are the appends on their way, window their bytes.
+	flight []sent
+	window int
 	// image is the snapshot that it is being sent, and offset how far.
 	image  *Snapshot
 	offset uint64
@@ -51,7 +54,8 @@
 
 // probe starts over from the first entry that is not known to match.
 func (p *progress) probe(next uint64) {
-	p.state, p.waiting, p.flight, p.image = probing, false, nil, nil
+	p.state, p.waiting, p.image = probing, false, nil
+	p.flight, p.window = nil, 0
 	p.next = max(next, p.match+1)
 }
 
@@ -59,6 +63,7 @@
 func (p *progress) matched(index uint64) {
 	p.match = max(p.match, index)
 	for len(p.flight) > 0 && p.flight[0].last <= p.match {
+		p.window -= p.flight[0].size
 		p.flight = p.flight[1:]
 	}
 	if p.state == installing && p.match >= p.image.Index || p.state == probing {
@@ -68,6 +73,18 @@
 	p.next = max(p.next, p.match+1)
 }
 
+// beat takes what a replica has synced and knows to match. One that came back
+// knows less than it had acknowledged, and would not commit the end of its log
+// before the next entry comes: an empty append lets it know.
+func (p *progress) beat(index uint64) {
+	switch {
+	case index > p.match:
+		p.matched(index)
+	case index < p.match && p.state == replicating && len(p.flight) == 0:
+		p.probe(p.match + 1)
+	}
+}
+
 // resend starts over with replicas that left messages unanswered.
 func (c *Core) resend() {
 	patience := resendHeartbeats * c.cfg.Heartbeat
@@ -98,7 +115,8 @@
 
 func (c *Core) sendTo(id string, p *progress) {
 	if p.next <= c.log.base && p.state != installing {
-		p.state, p.flight, p.waiting = installing, nil, false
+		p.probe(p.next)
+		p.state = installing
 		image := c.snapshot
 		p.image, p.offset = &image, 0
 	}
@@ -108,10 +126,12 @@
 	case probing:
 		c.sendProbe(id, p)
 	case replicating:
-		for p.next <= c.log.last() && len(p.flight) < c.cfg.Inflight {
-			n := c.sendAppend(id, p)
-			p.flight = append(p.flight, sent{last: n, at: c.now})
-			p.next = n + 1
+		for p.next <= c.log.last() && len(p.flight) < c.cfg.Inflight && p.window < c.cfg.Window {
+			entries := c.sendAppend(id, p)
+			p.next += uint64(len(entries))
+			n := size(entries)
+			p.flight = append(p.flight, sent{last: p.next - 1, at: c.now, size: n})
+			p.window += n
 		}
 	}
 }
@@ -127,7 +147,7 @@
 	c.sendAppend(id, p)
 }
 
-func (c *Core) sendAppend(id string, p *progress) uint64 {
+func (c *Core) sendAppend(id string, p *progress) []Entry {
 	prev := p.next - 1
 	term, _ := c.log.term(prev)
 	entries := c.log.page(prev, c.cfg.Message)
@@ -135,7 +155,7 @@
 		Kind: Append, To: id, Term: c.hard.Term, Index: prev, LogTerm: term,
 		Commit: c.commit, Entries: entries,
 	})
-	return prev + uint64(len(entries))
+	return entries
 }
 
 // takeReply takes an answer from a replica that follows.
@@ -148,9 +168,7 @@
 	switch m.Kind {
 	case HeartbeatReply:
 		p.round = max(p.round, m.Round)
-		if m.Index > p.match {
-			p.matched(m.Index)
-		}
+		p.beat(m.Index)
 		c.checkRounds()
 	case AppendReply:
 		c.takeAppendReply(p, m)
