--- a/internal/replica/quorum/sim_test.go
+++ b/internal/replica/quorum/sim_test.go
@@ -141,7 +141,7 @@
 	n.lead, n.checked = nil, [2]uint64{}
 	cfg := quorum.Config{
 		ID: n.id, Address: n.name, Seed: n.seed + uint64(n.run)*1000, Bootstrap: n.boot,
-		Message: 256, Tail: 400,
+		Message: 256, Tail: 400, Inflight: 4, Window: 1000,
 	}
 	n.core = quorum.New(cfg, n.disk)
 	s.step(n, quorum.Reload{})
@@ -463,7 +463,7 @@
 }
 
 func (s *sim) compact(n *node) {
-	if n.core != nil {
+	if n != nil && n.core != nil {
 		s.step(n, quorum.Compact{Index: n.index, State: fmt.Append(nil, n.digest)})
 	}
 }
@@ -498,6 +498,25 @@
 	}
 }
 
+// settled tells that there is a leader, and no repair to do.
+func (s *sim) settled() bool {
+	l := s.leader()
+	if l == nil || len(s.members) != len(s.nodes) {
+		return false
+	}
+	for _, m := range s.members {
+		if m.Learner || s.dead[m.ID] {
+			return false
+		}
+	}
+	for _, n := range s.nodes {
+		if n.index != s.top {
+			return false
+		}
+	}
+	return true
+}
+
 // heal ends all faults, repairs the membership, and checks that new work is
 // committed and that all replicas end in one state.
 func (s *sim) heal() {
@@ -510,8 +529,15 @@
 	}
 	for range 40 {
 		s.run(250 * time.Millisecond)
+		if s.settled() {
+			break
+		}
 		s.repair()
 	}
+	if !s.settled() && s.failed == "" {
+		s.fail("not settled 10 s after all faults ended")
+		return
+	}
 	s.propose(s.leader(), 1)
 	want := s.proposed
 	s.run(time.Second)
