--- a/internal/cli/load/load.go
+++ b/internal/cli/load/load.go
@@ -68,7 +68,7 @@
 	Plain    bool          `long:"single" description:"one connection for each call under way, where a balancer passes on no HTTP/2 without TLS"`
 
 	Servers  int    `long:"servers" description:"own fake backend servers; without them, those of the cell have to echo nothing in particular and content is not checked"`
-	Backends string `long:"backends" description:"IP:PORT of the entries' listeners for backend servers, comma-separated"`
+	Backends string `long:"backends" description:"the entries' listeners for backend servers, as --address"`
 	Secret   string `long:"enrolment" env:"GYPSUMREEL_ENROLMENT" description:"enrolment secret of the own backend servers"`
 	Cores    int64  `long:"cores" default:"16" description:"cores of each own backend server"`
 	Memory   int64  `long:"memory" default:"32768" description:"MiB of each own backend server"`
@@ -158,7 +158,7 @@
 	case c.Servers < 0 || c.Servers > maxServers:
 		return mix.Plan{}, verb.Misuse(next, "--servers %d; allowed: 0 to %d", c.Servers, maxServers)
 	case c.Servers > 0 && (c.Backends == "" || c.Secret == ""):
-		return mix.Plan{}, verb.Misuse("Give --backends IP:PORT and --enrolment SECRET.", "--servers without the way to enrol them")
+		return mix.Plan{}, verb.Misuse("Give --backends https://IP:PORT and --enrolment SECRET.", "--servers without the way to enrol them")
 	}
 	shapes := mix.DefaultShapes()
 	for kind, s := range shapes {
@@ -226,7 +226,12 @@
 	ctx, cancel := context.WithCancel(ctx)
 	all := make([]*server.Server, c.Servers)
 	for i := range all {
-		all[i] = c.server(i, record, seen)
+		if all[i], err = c.server(i, record, seen); err != nil {
+			cancel()
+			return nil, err
+		}
+	}
+	for i := range all {
 		go func() { _ = all[i].Run(ctx) }() // ends with ctx, which is its only error
 	}
 	stop = func() {
@@ -242,16 +247,26 @@
 	return stop, nil
 }
 
-func (c *command) server(i int, record *work.Record, seen *server.Record) *server.Server {
+func (c *command) server(i int, record *work.Record, seen *server.Record) (*server.Server, error) {
+	f := c.Flags
+	f.Address = c.Backends
+	l, err := f.Link()
+	if err != nil {
+		return nil, err
+	}
 	s := &server.Server{
 		Name: fmt.Sprintf("load-%03d", i), Secret: c.Secret, Work: record.Work, Record: seen, Log: logr.Discard(),
 		Rack: fmt.Sprintf("rack-%d", i/perRack), Zone: fmt.Sprintf("zone-%d", i%zones),
 		Capacity: &v1.Size{Cpu: c.Cores * 1000, Memory: c.Memory, Slots: c.Slots},
 	}
-	for _, a := range strings.Split(c.Backends, ",") {
-		s.Entries = append(s.Entries, server.NewEntry(strings.TrimSpace(a), nil, nil))
+	for _, a := range l.Addresses {
+		if host, secure := strings.CutPrefix(a, "https://"); secure {
+			s.Entries = append(s.Entries, server.NewEntry(host, l.TLS.Clone(), nil))
+			continue
+		}
+		s.Entries = append(s.Entries, server.NewEntry(strings.TrimPrefix(a, "http://"), nil, nil))
 	}
-	return s
+	return s, nil
 }
 
 // ready waits until a quarter of the settling time passes or, with an operator's
--- a/internal/cli/remote/remote.go
+++ b/internal/cli/remote/remote.go
@@ -64,7 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
-	cfg, err := f.secure()
+	cfg, err := f.TLS()
 	if err != nil {
 		return nil, err
 	}
@@ -87,7 +87,8 @@
 	return out, nil
 }
 
-func (f Flags) secure() (*tls.Config, error) {
+// TLS returns the configuration for https addresses.
+func (f Flags) TLS() (*tls.Config, error) {
 	cfg := &tls.Config{MinVersion: tls.VersionTLS13}
 	if f.Authority != "" {
 		pem, err := os.ReadFile(f.Authority)
