--- a/internal/cli/control/control.go
+++ b/internal/cli/control/control.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		return err
 	}
-	n.Init, n.Log = c.Init, event.New(env.Err, s.Log)
+	n.Init, n.Log, n.Abort = c.Init, event.New(env.Err, s.Log), verb.Again(ctx)
 	if err := protect(context.WithoutCancel(ctx), s, n); err != nil {
 		return err
 	}
@@ -72,7 +72,7 @@
 	for _, p := range s.Control {
 		names = append(names, p.Name)
 	}
-	n.Server, n.Client, n.Outside = inside.Server(), inside.Client(names...), outside.Server()
+	n.Server, n.Client, n.Peers, n.Outside = inside.Server(), inside.Client(names...), inside.Client(names...), outside.Server()
 	return nil
 }
 
