--- a/internal/base/event/event.go
+++ b/internal/base/event/event.go
@@ -5,7 +5,9 @@
 
 import (
 	"io"
+	"log"
 	"log/slog"
+	"strings"
 
 	"github.com/go-logr/logr"
 
@@ -104,3 +106,21 @@
 	}
 	return slog.LevelInfo
 }
+
+// HTTPLog returns what net/http servers log to, as their ErrorLog. Handshakes
+// that failed become event 707; the rest is for developers.
+func HTTPLog(logger logr.Logger) *log.Logger {
+	return log.New(httpWriter{logger}, "", 0)
+}
+
+type httpWriter struct{ logger logr.Logger }
+
+func (w httpWriter) Write(b []byte) (int, error) {
+	text := strings.TrimSpace(string(b))
+	if strings.Contains(text, "TLS handshake error") && !strings.HasSuffix(text, "EOF") {
+		Log(w.logger, TLSRefused, "cause", text)
+		return len(b), nil
+	}
+	Log(w.logger, RequestMalformed, "cause", text)
+	return len(b), nil
+}
--- a/internal/base/event/event_test.go
+++ b/internal/base/event/event_test.go
@@ -84,3 +84,19 @@
 		}
 	}
 }
+
+// net/http writes lines of its own when a handshake fails. Whoever searches the
+// log by number must find them, and a probe that just hangs up is no alarm.
+func TestHandshakesBecomeEvents(t *testing.T) {
+	for text, want := range map[string]string{
+		"http: TLS handshake error from 10.0.0.1:5: tls: client didn't provide a certificate": `"event":707`,
+		"http: TLS handshake error from 10.0.0.1:5: EOF":                                      `"event":709`,
+		"http2: server: error reading preface":                                                `"event":709`,
+	} {
+		var b bytes.Buffer
+		event.HTTPLog(event.New(&b, "debug")).Println(text)
+		if !strings.Contains(b.String(), want) {
+			t.Errorf("%s: %s", text, b.String())
+		}
+	}
+}
