List only settings that are in force

Twelve of the 22 times and limits were read and checked and used by nothing: an operator could change them and nothing would happen. Five now reach the entry (call, fresh, batch, queue, connections); those without a counterpart are gone until there is one (ping, age, body, answer, inner, jobs, free). A test looks for every remaining one in the daemons' verbs. Times and limits of one role are refused in files of the other. A drain of 0s counts as such instead of standing for the default. Start, stop and plain text are events.

--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -102,7 +102,7 @@
 
 // Connections.
 var (
-	ConnectionSilent = def(700, "connection-silent", Warn, "connection went silent; closed and dialled anew", "None. Often: something between the ends forgets connections; lower time.ping.")
+	ConnectionSilent = def(700, "connection-silent", Warn, "connection went silent; closed and dialled anew", "None. Often: something between the ends forgets connections, or time.call is too short.")
 	LeaderDialled    = def(701, "leader-dialled", Debug, "connected to the leader", "None.")
 	LeaderAway       = def(702, "leader-away", Warn, "leader can't be reached from this entry", "Check the network between the entry and the control instances.")
 	TLSLoaded        = def(703, "tls-loaded", Info, "TLS files loaded", "None.")
--- a/internal/base/settings/check.go
+++ b/internal/base/settings/check.go
@@ -15,9 +15,6 @@
 	r.checkSide("tls.outside", s.TLS.Outside, false, root)
 	r.checkSide("tls.inside", s.TLS.Inside, true, root)
 	r.checkTimes(s, root)
-	if s.Limits.Inner <= s.Limits.Body {
-		r.report(r.at("limits.inner", root), fmt.Sprintf("%d; allowed: more than limits.body, %d", s.Limits.Inner, s.Limits.Body))
-	}
 }
 
 // at returns the node of a key, or the whole file with the key's path.
--- a/internal/base/settings/keys.go
+++ b/internal/base/settings/keys.go
@@ -16,23 +16,16 @@
 	DefaultElection  = time.Second
 	DefaultRetention = 24 * time.Hour
 	DefaultPoll      = 5 * time.Second
-	DefaultCall      = 3 * time.Second
-	DefaultPing      = 3 * time.Second
-	DefaultAge       = 10 * time.Minute
-	DefaultFresh     = 3 * time.Second
+	DefaultCall      = 400 * time.Millisecond
+	DefaultFresh     = 2 * time.Second
 	DefaultDrain     = 10 * time.Second
 	DefaultFinish    = 30 * time.Second
 	DefaultReload    = 5 * time.Second
 
-	DefaultBody        = 4 << 20
-	DefaultAnswer      = 16 << 20
-	DefaultInner       = 32 << 20
-	DefaultBatch       = 1_024
-	DefaultQueue       = 16_384
-	DefaultJobs        = 262_144
+	DefaultBatch       = 512
+	DefaultQueue       = 8_192
 	DefaultConnections = 8_192
 	DefaultSnapshot    = 20_000
-	DefaultFree        = 256
 	DefaultDump        = 1 << 20
 
 	// MaxReplicas bounds the list of control replicas.
@@ -129,28 +122,21 @@
 	text("tls.inside.key", "", allowedPath, "", isPath, "Private key in PEM; required unless plain.", func(s *Settings) *string { return &s.TLS.Inside.Key }),
 	text("tls.inside.authority", "", allowedPath, "", isPath, "Authorities in PEM that sign the cell's certificates; required unless plain.", func(s *Settings) *string { return &s.TLS.Inside.Authority }),
 
-	span("time.lease", DefaultLease, time.Second, 5*time.Minute, "How long a backend server may run work without hearing from the cell; all control replicas need the same. At least twice time.election.", func(s *Settings) *time.Duration { return &s.Time.Lease }),
-	span("time.heartbeat", DefaultHeartbeat, 5*time.Millisecond, 5*time.Second, "Interval between the leader's heartbeats.", func(s *Settings) *time.Duration { return &s.Time.Heartbeat }),
-	span("time.election", DefaultElection, 20*time.Millisecond, time.Minute, "Least silence of the leader that starts an election; at least four heartbeats.", func(s *Settings) *time.Duration { return &s.Time.Election }),
-	span("time.retention", DefaultRetention, time.Minute, 30*24*time.Hour, "How long an outcome is kept that nobody acknowledged.", func(s *Settings) *time.Duration { return &s.Time.Retention }),
-	span("time.poll", DefaultPoll, 50*time.Millisecond, 30*time.Second, "Longest long poll; short, so that a silent connection shows.", func(s *Settings) *time.Duration { return &s.Time.Poll }),
-	span("time.call", DefaultCall, 50*time.Millisecond, time.Minute, "Deadline of a call between processes, beyond the poll it may hold.", func(s *Settings) *time.Duration { return &s.Time.Call }),
-	span("time.ping", DefaultPing, 50*time.Millisecond, time.Minute, "Silence after which a connection is probed; after as long again it is closed.", func(s *Settings) *time.Duration { return &s.Time.Ping }),
-	span("time.age", DefaultAge, time.Second, 24*time.Hour, "Longest life of a connection.", func(s *Settings) *time.Duration { return &s.Time.Age }),
-	span("time.fresh", DefaultFresh, 100*time.Millisecond, time.Minute, "Age of the last proof of the table's revision past which reads are refused.", func(s *Settings) *time.Duration { return &s.Time.Fresh }),
-	span("time.drain", DefaultDrain, 0, 10*time.Minute, "How long a stopping process serves on after its readiness fails; the balancer's own delay or more.", func(s *Settings) *time.Duration { return &s.Time.Drain }),
-	span("time.finish", DefaultFinish, time.Second, 10*time.Minute, "Longest wait for requests in flight at a planned stop.", func(s *Settings) *time.Duration { return &s.Time.Finish }),
+	only(Control, span("time.lease", DefaultLease, time.Second, 5*time.Minute, "How long a backend server may run work without hearing from the cell; all control replicas need the same. At least twice time.election.", func(s *Settings) *time.Duration { return &s.Time.Lease })),
+	only(Control, span("time.heartbeat", DefaultHeartbeat, 5*time.Millisecond, 5*time.Second, "Interval between the leader's heartbeats.", func(s *Settings) *time.Duration { return &s.Time.Heartbeat })),
+	only(Control, span("time.election", DefaultElection, 20*time.Millisecond, time.Minute, "Least silence of the leader that starts an election; at least four heartbeats.", func(s *Settings) *time.Duration { return &s.Time.Election })),
+	only(Control, span("time.retention", DefaultRetention, time.Minute, 30*24*time.Hour, "How long an outcome is kept that nobody acknowledged.", func(s *Settings) *time.Duration { return &s.Time.Retention })),
+	only(Control, span("time.poll", DefaultPoll, 50*time.Millisecond, 30*time.Second, "Longest long poll; short, so that a silent connection shows.", func(s *Settings) *time.Duration { return &s.Time.Poll })),
+	only(Entry, span("time.call", DefaultCall, 50*time.Millisecond, time.Minute, "Deadline of an entry's call to a control replica, beyond the poll it may hold; after it the connection is left behind.", func(s *Settings) *time.Duration { return &s.Time.Call })),
+	only(Entry, span("time.fresh", DefaultFresh, 100*time.Millisecond, time.Minute, "Age of the last contact with the leader past which an entry refuses everything.", func(s *Settings) *time.Duration { return &s.Time.Fresh })),
+	only(Entry, span("time.drain", DefaultDrain, 0, 10*time.Minute, "How long a stopping entry serves on after its readiness fails; the balancer's own delay or more.", func(s *Settings) *time.Duration { return &s.Time.Drain })),
+	only(Entry, span("time.finish", DefaultFinish, time.Second, 10*time.Minute, "Longest wait for requests in flight at a planned stop.", func(s *Settings) *time.Duration { return &s.Time.Finish })),
 	span("time.reload", DefaultReload, 50*time.Millisecond, time.Hour, "Interval at which the TLS files are looked at for a change.", func(s *Settings) *time.Duration { return &s.Time.Reload }),
 
-	count("limits.body", "bytes", DefaultBody, 1<<10, 64<<20, "Largest request from outside.", func(s *Settings) *int64 { return &s.Limits.Body }),
-	count("limits.answer", "bytes", DefaultAnswer, 1<<10, 256<<20, "Largest whole answer of a job.", func(s *Settings) *int64 { return &s.Limits.Answer }),
-	count("limits.inner", "bytes", DefaultInner, 1<<16, 256<<20, "Largest message between processes; more than limits.body.", func(s *Settings) *int64 { return &s.Limits.Inner }),
-	count("limits.batch", "items", DefaultBatch, 1, 65_536, "Most items in one message to the leader.", func(s *Settings) *int64 { return &s.Limits.Batch }),
-	count("limits.queue", "requests", DefaultQueue, 1, 1<<20, "Most requests that wait at an entry; more are refused as not run.", func(s *Settings) *int64 { return &s.Limits.Queue }),
-	count("limits.jobs", "jobs", DefaultJobs, 1, 1<<24, "Most jobs that wait in the cell; more are refused as not run.", func(s *Settings) *int64 { return &s.Limits.Jobs }),
-	count("limits.connections", "connections", DefaultConnections, 8, 1<<20, "Most open connections of one listener.", func(s *Settings) *int64 { return &s.Limits.Connections }),
-	count("limits.snapshot", "entries", DefaultSnapshot, 16, 10_000_000, "Journal entries between two snapshots.", func(s *Settings) *int64 { return &s.Limits.Snapshot }),
-	count("limits.free", "MiB", DefaultFree, 1, 1<<20, "Room on the disk below which new work is refused.", func(s *Settings) *int64 { return &s.Limits.Free }),
+	only(Entry, count("limits.batch", "items", DefaultBatch, 1, 65_536, "Most items in one message to the leader.", func(s *Settings) *int64 { return &s.Limits.Batch })),
+	only(Entry, count("limits.queue", "requests", DefaultQueue, 1, 1<<20, "Most requests that wait at an entry; more are refused as not run.", func(s *Settings) *int64 { return &s.Limits.Queue })),
+	only(Entry, count("limits.connections", "connections", DefaultConnections, 8, 1<<20, "Most open connections of one listener.", func(s *Settings) *int64 { return &s.Limits.Connections })),
+	only(Control, count("limits.snapshot", "entries", DefaultSnapshot, 16, 10_000_000, "Journal entries between two snapshots.", func(s *Settings) *int64 { return &s.Limits.Snapshot })),
 	count("limits.dump", "bytes", DefaultDump, 1<<10, 64<<20, "Largest state dump; what exceeds it is cut and marked.", func(s *Settings) *int64 { return &s.Limits.Dump }),
 
 	choice("log", []string{"debug", "info", "warn", "error"}, DefaultLog, "Least level of the events that are logged.", func(s *Settings) *string { return &s.Log }),
--- a/internal/base/settings/kind.go
+++ b/internal/base/settings/kind.go
@@ -124,6 +124,12 @@
 	}
 }
 
+// only makes a key one of a single role.
+func only(role Role, k Key) Key {
+	k.Role = role
+	return k
+}
+
 // short prints a duration without zero minutes and seconds at its end.
 func short(d time.Duration) string {
 	t := d.String()
--- a/internal/base/settings/settings.go
+++ b/internal/base/settings/settings.go
@@ -94,13 +94,9 @@
 	Retention time.Duration
 	// Poll is the longest long poll.
 	Poll time.Duration
-	// Call is the deadline of a call between processes, beyond a poll.
+	// Call is the deadline of an entry's call to a control replica, beyond a poll.
 	Call time.Duration
-	// Ping is the silence after which a connection is probed, and given up after as long again.
-	Ping time.Duration
-	// Age is the longest life of a connection.
-	Age time.Duration
-	// Fresh is the age of a revision past which an entry refuses reads.
+	// Fresh is the age of the last contact with the leader past which an entry refuses.
 	Fresh time.Duration
 	// Drain is how long a stopping entry serves on after it fails its readiness.
 	Drain time.Duration
@@ -112,24 +108,14 @@
 
 // Limits bounds sizes and queues.
 type Limits struct {
-	// Body is the largest request from outside in bytes.
-	Body int64
-	// Answer is the largest whole answer of a job in bytes.
-	Answer int64
-	// Inner is the largest message between processes in bytes.
-	Inner int64
 	// Batch is the most items in one message to the leader.
 	Batch int64
 	// Queue is the most requests that wait at an entry.
 	Queue int64
-	// Jobs is the most jobs that wait in the cell.
-	Jobs int64
 	// Connections is the most open connections of a listener.
 	Connections int64
 	// Snapshot is the number of entries between two snapshots.
 	Snapshot int64
-	// Free is the room on the disk, in MiB, below which new work is refused.
-	Free int64
 	// Dump is the largest state dump in bytes.
 	Dump int64
 }
--- a/internal/base/settings/settings_test.go
+++ b/internal/base/settings/settings_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -31,14 +32,14 @@
 func TestFileOverridesDefaults(t *testing.T) {
 	got, err := settings.Parse("f", []byte(`// a comment
 {"role": "control", "name": "c-2", "data": "d", "control": [{"name": "c-2", "address": "10.0.0.1:7"}], // another
- "time": {"lease": "20s"}, "limits": {"queue": 7,}, `+open+`}`))
+ "time": {"lease": "20s"}, "limits": {"snapshot": 70,}, `+open+`}`))
 	if err != nil {
 		t.Fatal(err)
 	}
 	want := settings.Default(settings.Control)
 	want.Name, want.Data = "c-2", "d"
 	want.Control = []settings.Peer{{Name: "c-2", Address: "10.0.0.1:7"}}
-	want.Time.Lease, want.Limits.Queue = 20*time.Second, 7
+	want.Time.Lease, want.Limits.Snapshot = 20*time.Second, 70
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Error(diff)
 	}
@@ -52,7 +53,7 @@
   "name": "Upper",
   "rolle": "entry",
   "time": {"lease": "soon", "lease": "3s", "poll": 5},
-  "limits": {"queue": 1e3, "body": 99999999999},
+  "limits": {"snapshot": 1e3, "batch": 99999999999},
   "control": [{"name": "a", "port": 1}],
   "enrolment": ["00"],
   "time.fresh": "1s",
@@ -81,8 +82,9 @@
 		{4, 21, "time.lease"},
 		{4, 29, "time.lease"},
 		{4, 52, "time.poll"},
-		{5, 23, "limits.queue"},
-		{5, 36, "limits.body"},
+		{5, 26, "limits.snapshot"},
+		{5, 40, "limits.batch"}, // out of bounds
+		{5, 40, "limits.batch"}, // of the other role
 		{6, 15, "control[0]"},
 		{6, 29, "control[0].port"},
 		{7, 16, "enrolment"},
@@ -101,7 +103,6 @@
 		`{"role": "entry", "data": "d", ` + open + `}`:                                                                           "f:1:27: data: not a setting of role entry",
 		`{"time": {"election": "300ms"}, ` + open + `}`:                                                                          "f:1:23: time.election: 300ms; allowed: at least 4 times",
 		`{"time": {"lease": "1s"}, ` + open + `}`:                                                                                "f:1:20: time.lease: 1s; allowed: at least twice",
-		`{"limits": {"inner": 65536}, ` + open + `}`:                                                                             "f:1:22: limits.inner: 65536; allowed: more than",
 		`{"control": [{"name": "x", "address": "10.0.0.1:1"}], ` + open + `}`:                                                    "f:1:13: control: does not list this replica",
 		`{"role": "entry", "control": [{"name": "x", "address": "host:1"}], ` + open + `}`:                                       "f:1:56: control[0].address: not allowed",
 		`{"tls": {"outside": {"plain": true}, "inside": {"certificate": "c", "key": "k"}}}`:                                      "f:1:1: tls.inside.plain: not secured",
@@ -139,6 +140,28 @@
 	page.Check(t, "../../../docs/SETTINGS.md", settings.Markdown())
 }
 
+// A setting that is read and checked but used by nothing is worse than none: an
+// operator changes it on a bad night and nothing happens.
+func TestEverySettingIsInForce(t *testing.T) {
+	var verbs []byte
+	for _, name := range []string{"control", "entry"} {
+		b, err := os.ReadFile("../../cli/" + name + "/" + name + ".go")
+		if err != nil {
+			t.Fatal(err)
+		}
+		verbs = append(verbs, b...)
+	}
+	s := reflect.TypeFor[settings.Settings]()
+	for _, group := range []string{"Listen", "Time", "Limits"} {
+		f, _ := s.FieldByName(group)
+		for i := range f.Type.NumField() {
+			if use := "s." + group + "." + f.Type.Field(i).Name; !strings.Contains(string(verbs), use) {
+				t.Errorf("%s is used by no daemon", use)
+			}
+		}
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	for _, name := range []string{"control", "entry", "single"} {
 		b, err := os.ReadFile("../../../examples/" + name + ".json")
--- a/internal/cli/control/control.go
+++ b/internal/cli/control/control.go
@@ -52,6 +52,8 @@
 	if err := protect(context.WithoutCancel(ctx), s, n); err != nil {
 		return err
 	}
+	event.Log(n.Log, event.Started, "role", s.Role, "process", s.Name, "cell", s.Cell, "zone", s.Zone)
+	defer event.Log(n.Log, event.Stopped, "process", s.Name)
 	signal := &dump.Signal{Dir: s.Data, Name: s.Name, State: n.State, Max: int(s.Limits.Dump), Log: n.Log}
 	go func() { _ = signal.Run(ctx) }()
 	return n.Run(ctx)
--- a/internal/cli/entry/entry.go
+++ b/internal/cli/entry/entry.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/hex"
 	"net"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -47,6 +48,10 @@
 	if err := protect(context.WithoutCancel(ctx), s, e); err != nil {
 		return err
 	}
+	pool := e.Pool()
+	pool.Timeout, pool.Freshness, pool.Batch = s.Time.Call, s.Time.Fresh, int(s.Limits.Batch)
+	event.Log(e.Log, event.Started, "role", s.Role, "process", s.Name, "cell", s.Cell, "zone", s.Zone)
+	defer event.Log(e.Log, event.Stopped, "process", s.Name)
 	signal := &dump.Signal{Name: s.Name, State: e.Dump, Max: int(s.Limits.Dump), Log: e.Log}
 	go func() { _ = signal.Run(ctx) }()
 	return e.Run(ctx)
@@ -73,7 +78,12 @@
 
 // build makes the daemon from its settings.
 func build(s *settings.Settings) (*entry.Entry, error) {
-	e := &entry.Entry{Cell: s.Cell, Name: s.Name, Linger: s.Time.Drain, Drain: s.Time.Finish}
+	e := &entry.Entry{
+		Cell: s.Cell, Name: s.Name, Drain: s.Time.Finish,
+		// Zero would stand for the entry's own default.
+		Linger:      max(s.Time.Drain, time.Nanosecond),
+		Connections: int(s.Limits.Connections), Limit: int(s.Limits.Queue),
+	}
 	for _, l := range []struct {
 		setting string
 		address string
--- a/internal/cli/verb/exit.go
+++ b/internal/cli/verb/exit.go
@@ -71,7 +71,7 @@
 	code.Leaving:      "Run the same command again: another entry answers.",
 	code.DiskFull:     "An operator has to make room on the control instances' disks.",
 	code.Internal:     "Look at the events of the control processes (docs/EVENTS.md).",
-	code.TooLarge:     "Split the request, or see limits.body in docs/SETTINGS.md.",
+	code.TooLarge:     "Split the request.",
 	code.BadEnrolment: "Compare the secret with the entries' setting enrolment.",
 }
 
--- a/internal/cli/verb/secure.go
+++ b/internal/cli/verb/secure.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-logr/logr"
 
+	"gypsumreel/internal/base/event"
 	"gypsumreel/internal/base/secure"
 	"gypsumreel/internal/base/settings"
 )
@@ -20,6 +21,7 @@
 // NewSide reads the files of a side and looks at them again until ctx ends.
 func NewSide(ctx context.Context, s settings.Side, reload time.Duration, log logr.Logger) (Side, error) {
 	if s.Plain {
+		event.Log(log, event.PlainInUse)
 		return Side{}, nil
 	}
 	store := secure.New(secure.Files{Certificate: s.Certificate, Key: s.Key, Authority: s.Authority}, log)
