--- a/internal/edge/entry/leader_test.go
+++ b/internal/edge/entry/leader_test.go
@@ -15,8 +15,7 @@
 type replica struct {
 	cell *cell
 	name string
-	// pausing holds every call while it is locked, as a stopped process would.
-	pausing sync.RWMutex
+	gate gate
 	// room bounds the items of one Push; 0 for no bound.
 	room int
 
@@ -24,6 +23,39 @@
 	server   *http.Server
 }
 
+// gate holds everything while it is shut, as a stopped process would. It waits
+// on a channel, since a virtual clock stands still while a mutex is waited for.
+type gate struct {
+	mu   sync.Mutex
+	shut chan struct{}
+}
+
+func (g *gate) close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.shut == nil {
+		g.shut = make(chan struct{})
+	}
+}
+
+func (g *gate) open() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.shut != nil {
+		close(g.shut)
+		g.shut = nil
+	}
+}
+
+func (g *gate) pass() {
+	g.mu.Lock()
+	shut := g.shut
+	g.mu.Unlock()
+	if shut != nil {
+		<-shut
+	}
+}
+
 // session is one entry's, for as long as it stays with this replica.
 type session struct {
 	replies []*inner.Reply
@@ -38,8 +70,11 @@
 	until time.Time
 }
 
+// serve is one life of the replica: it ends with ctx, and its sessions with it.
 func (r *replica) serve(ctx context.Context, l net.Listener) {
+	r.cell.mu.Lock()
 	r.sessions = map[uint64]*session{}
+	r.cell.mu.Unlock()
 	r.server = &http.Server{Handler: inner.NewControlServer(r)}
 	go func() {
 		tick := time.NewTicker(10 * time.Millisecond)
@@ -47,14 +82,14 @@
 		for {
 			select {
 			case <-ctx.Done():
+				r.gate.open()
 				_ = r.server.Close()
 				return
 			case <-tick.C:
-				r.pausing.RLock()
+				r.gate.pass()
 				r.cell.mu.Lock()
 				r.settle()
 				r.cell.mu.Unlock()
-				r.pausing.RUnlock()
 			}
 		}
 	}()
@@ -78,8 +113,7 @@
 
 // Push queues items.
 func (r *replica) Push(_ context.Context, req *inner.PushRequest) (*inner.PushReply, error) {
-	r.pausing.RLock()
-	defer r.pausing.RUnlock()
+	r.gate.pass()
 	r.cell.mu.Lock()
 	defer r.cell.mu.Unlock()
 	if !r.leads() {
@@ -147,9 +181,8 @@
 func (r *replica) Pull(ctx context.Context, req *inner.PullRequest) (*inner.PullReply, error) {
 	until := time.After(time.Duration(req.GetPatience()) * time.Millisecond)
 	for over := false; ; {
-		r.pausing.RLock()
+		r.gate.pass()
 		reply, news := r.pull(req, over)
-		r.pausing.RUnlock()
 		if reply != nil {
 			return reply, nil
 		}
--- a/internal/edge/entry/world_test.go
+++ b/internal/edge/entry/world_test.go
@@ -50,8 +50,32 @@
 	limit    int
 	team     string
 	operator string
-	// cut counts the calls that a planned stop cut off.
-	cut atomic.Int32
+	// step is told of each step; injected is when the fault came.
+	step     func(string)
+	injected atomic.Pointer[time.Time]
+
+	mu    sync.Mutex
+	notes map[string][]string
+}
+
+// end stops a replica or a backend server at once.
+func (w *world) end(name string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stops[name]()
+}
+
+func (w *world) backend(name string) *server.Server {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.servers[name]
+}
+
+// process returns the present run of an entry.
+func (w *world) process(name string) *process {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.entries[name]
 }
 
 // process is one run of an entry.
@@ -91,17 +115,15 @@
 	w := &world{
 		memory: &relay.Memory{}, cell: newCell(), replicas: map[string]*replica{}, entries: map[string]*process{},
 		servers: map[string]*server.Server{}, stops: map[string]context.CancelFunc{}, relays: map[string]*relay.Relay{},
-		record: &server.Record{}, limit: limit,
+		record: &server.Record{}, limit: limit, notes: map[string][]string{},
 	}
 	w.ctx, w.cancel = context.WithCancel(context.Background())
 	w.team = w.cell.grant("team-key", "quarry", false)
 	w.operator = w.cell.grant("operator-key", "", true)
 	w.cell.leader = replicaNames[0]
 	for _, name := range replicaNames {
-		r := &replica{cell: w.cell, name: name}
-		w.replicas[name] = r
-		l := w.memory.Listen(name)
-		w.wg.Go(func() { r.serve(w.ctx, l) })
+		w.replicas[name] = &replica{cell: w.cell, name: name}
+		w.startReplica(name)
 	}
 	for _, e := range entryNames {
 		for _, c := range replicaNames {
@@ -122,6 +144,9 @@
 
 func (w *world) close() {
 	w.cancel()
+	for _, r := range w.replicas {
+		r.gate.open()
+	}
 	w.wg.Wait()
 }
 
@@ -141,6 +166,23 @@
 	}
 }
 
+func (w *world) startReplica(name string) {
+	ctx, stop := context.WithCancel(w.ctx)
+	w.mu.Lock()
+	w.stops[name] = stop
+	w.mu.Unlock()
+	l := w.memory.Listen(name)
+	r := w.replicas[name]
+	w.wg.Go(func() { r.serve(ctx, l) })
+}
+
+// lead makes another replica the leader.
+func (w *world) lead(name string) {
+	w.cell.mu.Lock()
+	defer w.cell.mu.Unlock()
+	w.cell.leader = name
+}
+
 func (w *world) startEntry(name string) {
 	ctx, stop := context.WithCancel(w.ctx)
 	abort := make(chan struct{})
@@ -157,13 +199,16 @@
 		Linger: time.Second, Drain: 5 * time.Second,
 	}
 	var once sync.Once
-	w.entries[name] = &process{entry: e, stop: stop, kill: func() {
+	p := &process{entry: e, stop: stop, kill: func() {
 		once.Do(func() { close(abort) })
 		callers.kill()
 		backends.kill()
 		operators.kill()
 		stop()
 	}}
+	w.mu.Lock()
+	w.entries[name] = p
+	w.mu.Unlock()
 	w.wg.Go(func() { _ = e.Run(ctx) })
 }
 
@@ -173,7 +218,9 @@
 	for _, e := range entryNames {
 		s.Entries = append(s.Entries, server.NewEntry(e+"-backends:1", nil, w.dial(name)))
 	}
+	w.mu.Lock()
 	w.servers[name], w.stops[name] = s, stop
+	w.mu.Unlock()
 	w.wg.Go(func() {
 		_ = s.Run(ctx)
 		for _, e := range s.Entries {
@@ -216,7 +263,8 @@
 		reply, err := call(i%len(entryNames), ctx, req)
 		cancel()
 		if c.world.ctx.Err() != nil {
-			return nil
+			var none Rep
+			return &none
 		}
 		if err == nil && final(reply.Msg) {
 			return reply.Msg
@@ -241,8 +289,8 @@
 	reply := ask(c, at, func(i int, ctx context.Context, r *connect.Request[v1.SubmitRequest]) (*connect.Response[v1.SubmitReply], error) {
 		return c.callers[i].Submit(ctx, r)
 	}, &v1.SubmitRequest{Jobs: []*v1.Spec{spec}}, func(m *v1.SubmitReply) bool { return !transient(m.GetJobs()[0].GetStatus()) })
-	if reply == nil {
-		return nil
+	if len(reply.GetJobs()) == 0 {
+		return &v1.Accepted{}
 	}
 	return reply.GetJobs()[0]
 }
--- a/internal/fake/server/record.go
+++ b/internal/fake/server/record.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"time"
 )
 
 // Record keeps what all servers of a test started and stopped, and what of it
@@ -12,8 +13,10 @@
 	// starts holds the attempts of each task that started, in order.
 	starts  map[Task][]Attempt
 	running map[Task]*Server
-	faults  []string
-	total   int
+	// latest is when a server last started something.
+	latest map[string]time.Time
+	faults []string
+	total  int
 }
 
 func (r *Record) started(s *Server, a Attempt) {
@@ -23,7 +26,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.starts == nil {
-		r.starts, r.running = make(map[Task][]Attempt), make(map[Task]*Server)
+		r.starts, r.running, r.latest = make(map[Task][]Attempt), make(map[Task]*Server), make(map[string]time.Time)
 	}
 	if other := r.running[a.Task]; other != nil && other.goesOn(s) {
 		r.faults = append(r.faults, fmt.Sprintf("task %v runs on %s and %s", a.Task, other.Name, s.Name))
@@ -35,6 +38,7 @@
 	}
 	r.starts[a.Task] = append(r.starts[a.Task], a)
 	r.running[a.Task] = s
+	r.latest[s.Name] = time.Now()
 	r.total++
 }
 
@@ -62,6 +66,13 @@
 	return len(r.starts[t])
 }
 
+// Latest returns when the server of that name last started something.
+func (r *Record) Latest(name string) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.latest[name]
+}
+
 // Total returns how many attempts started in all.
 func (r *Record) Total() int {
 	r.mu.Lock()
--- a/internal/fake/server/server.go
+++ b/internal/fake/server/server.go
@@ -12,6 +12,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/cenkalti/backoff/v5"
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 
 	v1 "gypsumreel/internal/api/v1"
@@ -33,7 +34,7 @@
 // Server is one fake backend server. Set the fields, then call Run.
 type Server struct {
 	Name string
-	// Entries are tried in turn; NewEntry makes one.
+	// Entries are tried in turn, from one that the name picks; NewEntry makes one.
 	Entries []Entry
 	// Secret is the enrolment secret.
 	Secret   string
@@ -93,7 +94,7 @@
 		s.leaseEnd.Store(&time.Time{})
 		s.runs = make(map[Attempt]*run)
 		s.seen = make(map[Attempt]struct{})
-		s.entry = rand.IntN(max(1, len(s.Entries)))
+		s.entry = int(xxhash.Sum64String(s.Name) % uint64(max(1, len(s.Entries))))
 		s.done = make(chan struct{})
 	})
 }
