--- a/internal/edge/entry/cell_test.go
+++ b/internal/edge/entry/cell_test.go
@@ -50,8 +50,10 @@
 	// server is where the attempt is; empty while none is.
 	server    string
 	cancelled bool
-	parts     answer.Parts
-	whole     []byte
+	// ordered is the number of the sync whose answer last carried the order to start.
+	ordered uint64
+	parts   answer.Parts
+	whole   []byte
 }
 
 type backendServer struct {
@@ -60,8 +62,10 @@
 	incarnation uint64
 	slots       int64
 	expires     time.Time
-	draining    bool
-	gone        bool
+	// number is that of the newest sync.
+	number   uint64
+	draining bool
+	gone     bool
 }
 
 func newCell() *cell {
@@ -241,6 +245,11 @@
 	if !ok || s.incarnation != req.GetIncarnation() || s.gone {
 		return &v1.SyncReply{Number: req.GetNumber(), Status: &v1.Status{Code: uint32(code.Stale)}}
 	}
+	if req.GetNumber() < s.number {
+		// A late copy: what it shows is past, and its answer would be dropped.
+		return &v1.SyncReply{Status: &v1.Status{}, Number: req.GetNumber()}
+	}
+	s.number = req.GetNumber()
 	orders := c.orders(s, req)
 	if len(orders) == 0 && !over {
 		return nil
@@ -275,6 +284,16 @@
 		if j.server != s.name || held[j.number] || j.final() {
 			continue
 		}
+		// A sync later than the order does not show the attempt, so the order was
+		// lost and will be dropped if it comes: a leaving server is not sent it again.
+		if s.draining && req.GetNumber() > j.ordered {
+			j.server, j.outcome = "", v1.Outcome_OUTCOME_QUEUED
+			if j.cancelled {
+				j.outcome, j.code = v1.Outcome_OUTCOME_NOT_RUN, code.Cancelled
+			}
+			continue
+		}
+		j.ordered = req.GetNumber()
 		out = append(out, &v1.Order{
 			Verb: v1.Verb_VERB_START, Attempt: &v1.Attempt{Job: j.number, Number: j.attempt},
 			Size: j.spec.GetSize(), Input: j.spec.GetInput(), Name: j.spec.GetName(),
@@ -355,6 +374,7 @@
 		}
 		j.server, j.outcome = name, v1.Outcome_OUTCOME_RUNNING
 		j.attempt++
+		j.ordered = 0
 		j.parts = answer.Parts{}
 		c.placed[name] = time.Now()
 		return
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -47,6 +47,8 @@
 	maxStreams    = 256
 	pingAfter     = 10 * time.Second
 	pingTimeout   = 5 * time.Second
+	// noCompression is a size that no answer reaches: an entry's processor time is worth more than its bytes.
+	noCompression = 1 << 30
 )
 
 // Entry is the entry daemon. Set the fields, then call Run.
@@ -138,7 +140,7 @@
 
 // services returns what there is to serve.
 func (e *Entry) services() []service {
-	count := connect.WithInterceptors(newCount(e.meters))
+	count := connect.WithHandlerOptions(connect.WithInterceptors(newCount(e.meters)), connect.WithCompressMinBytes(noCompression))
 	all := []service{
 		{e.Callers, e.server(mounted((&caller.Handler{Leader: e.pool}).Route(count)))},
 		{e.Backends, e.server(mounted((&backend.Handler{Leader: e.pool, Enrolment: e.Enrolment, Log: e.Log}).Route(count)))},
