--- a/internal/edge/entry/faults_test.go
+++ b/internal/edge/entry/faults_test.go
@@ -1,7 +1,9 @@
 package entry_test
 
 import (
+	"net"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -115,20 +117,27 @@
 // slowReaders opens connections that ask for much and read nothing.
 func slowReaders(w *world) {
 	for range 20 {
-		conn, err := w.memory.Dial(w.ctx, "memory", "caller>e1-callers")
-		if err != nil {
-			continue
+		if conn := w.slowReader(); conn != nil {
+			w.wg.Go(func() {
+				<-w.ctx.Done()
+				_ = conn.Close()
+			})
 		}
-		w.wg.Go(func() {
-			body := `{"id":"big","patience":"5000"}`
-			_, _ = conn.Write([]byte("POST /gypsumreel.v1.Caller/Wait HTTP/1.1\r\nHost: e1\r\nContent-Type: application/json\r\n" +
-				"Authorization: Bearer " + w.team + "\r\nContent-Length: 30\r\n\r\n" + body))
-			<-w.ctx.Done()
-			_ = conn.Close()
-		})
 	}
 }
 
+// slowReader asks for a long answer, past any relay that would read it instead.
+func (w *world) slowReader() net.Conn {
+	conn, err := w.memory.Dial(w.ctx, "memory", "e1-callers")
+	if err != nil {
+		return nil
+	}
+	body := `{"id":"big","patience":"5000"}`
+	_, _ = conn.Write([]byte("POST /gypsumreel.v1.Caller/Wait HTTP/1.1\r\nHost: e1\r\nContent-Type: application/json\r\n" +
+		"Authorization: Bearer " + w.team + "\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body))
+	return conn
+}
+
 // burst submits more at once than the first entry may hold. Each id is sent
 // once only, so the entry may say not run, and then it must be true for good.
 func (w *world) burst() {
--- /dev/null
+++ b/internal/edge/entry/stop_test.go
@@ -0,0 +1,185 @@
+package entry_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+
+	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/fake/relay"
+	"gypsumreel/internal/fake/server"
+)
+
+// A user's request is cut off while an instance is replaced as planned. The
+// entry is told to stop while callers and backend servers are in the middle of
+// long polls and submissions; closing its listeners at once would break them.
+// Every call that was begun must get an answer, and long polls the word to go
+// elsewhere.
+func TestPlannedStopUnderLoadCutsNoRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(0)
+		defer w.close()
+		time.Sleep(time.Second)
+		for name, r := range w.relays {
+			if innerLink(name) || outerLink(name) {
+				r.Delay(relay.Up, 3*time.Millisecond)
+				r.Delay(relay.Down, 3*time.Millisecond)
+			}
+		}
+		var calls, broken, leaving atomic.Int32
+		ctx, halt := context.WithCancel(w.ctx)
+		var wg sync.WaitGroup
+		for i := range 40 {
+			c := w.client(w.team)
+			defer c.reset()
+			wg.Go(func() {
+				for n := 0; ctx.Err() == nil; n++ {
+					id := fmt.Sprintf("job-%d-%d", i, n)
+					calls.Add(2)
+					submit := connect.NewRequest(&v1.SubmitRequest{Jobs: []*v1.Spec{spec(id, false, server.Wish{Sleep: "100ms"}.Input())}})
+					submit.Header().Set("Authorization", "Bearer "+c.key)
+					_, err := c.callers[0].Submit(w.ctx, submit)
+					wait := connect.NewRequest(&v1.WaitRequest{Id: id, Patience: 10_000})
+					wait.Header().Set("Authorization", "Bearer "+c.key)
+					reply, err2 := c.callers[0].Wait(w.ctx, wait)
+					if refusedDial(err) || refusedDial(err2) {
+						return // the entry is gone as planned, before the call began
+					}
+					if err != nil || err2 != nil {
+						broken.Add(1)
+						return
+					}
+					if reply.Msg.GetStatus().GetCode() == uint32(code.Leaving) {
+						leaving.Add(1)
+						return
+					}
+				}
+			})
+		}
+		time.Sleep(500 * time.Millisecond)
+		p := w.process("e1")
+		began := time.Now()
+		p.stop()
+		<-p.entry.Done()
+		took := time.Since(began)
+		halt()
+		wg.Wait()
+		if broken.Load() > 0 || leaving.Load() == 0 || took > 7*time.Second {
+			t.Errorf("of %d calls %d were cut off, %d told to go elsewhere; the stop took %v", calls.Load(), broken.Load(), leaving.Load(), took)
+		}
+	})
+}
+
+// refusedDial tells whether a call never began because nobody listens any more.
+func refusedDial(err error) bool {
+	return err != nil && connect.CodeOf(err) == connect.CodeUnavailable && errors.Is(err, relay.ErrRefused)
+}
+
+// Whoever is on duty sends the signal a second time because the stop takes too
+// long. The entry must go at once, though the balancer's delay is not over.
+func TestSecondSignalEndsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(0)
+		defer w.close()
+		p := w.process("e1")
+		began := time.Now()
+		p.stop()
+		time.Sleep(100 * time.Millisecond)
+		p.kill()
+		<-p.entry.Done()
+		if took := time.Since(began); took > 200*time.Millisecond {
+			t.Errorf("the stop took %v", took)
+		}
+	})
+}
+
+// The balancer must see readiness fail before anything is refused: first when
+// the stop begins, and for as long as no leader is in contact.
+func TestReadinessFollowsTheLeaderAndTheStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(0)
+		defer w.close()
+		wire := &http.Transport{DialContext: w.dial("probe")}
+		defer wire.CloseIdleConnections()
+		ready := func() int {
+			resp, err := (&http.Client{Transport: wire}).Get("http://e1-platform:1/readyz")
+			if err != nil {
+				return 0
+			}
+			_ = resp.Body.Close()
+			return resp.StatusCode
+		}
+		time.Sleep(time.Second)
+		first := ready()
+		set(innerLink, relay.Lose, bothWays...)(w)
+		time.Sleep(3 * time.Second)
+		cut := ready()
+		set(innerLink, relay.Pass, bothWays...)(w)
+		time.Sleep(2 * time.Second)
+		back := ready()
+		w.process("e1").stop()
+		time.Sleep(500 * time.Millisecond)
+		stopping := ready()
+		if got, want := [4]int{first, cut, back, stopping}, [4]int{200, 503, 200, 503}; got != want {
+			t.Errorf("readiness %v, want %v", got, want)
+		}
+	})
+}
+
+// A caller reads its answer so slowly that the entry's memory would fill. Its
+// connection must be ended, and others must be served meanwhile.
+func TestSlowReadersAreEndedAndHoldNobodyUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(0)
+		defer w.close()
+		c := w.client(w.team)
+		defer c.reset()
+		if fault := c.runs(0, "big", server.Wish{Size: 500_000}); fault != "" {
+			t.Fatal(fault)
+		}
+		slow := w.slowReader()
+		defer func() { _ = slow.Close() }()
+		began := time.Now()
+		if fault := c.runs(0, "other", server.Wish{Size: 500_000}); fault != "" || time.Since(began) > time.Second {
+			t.Errorf("%s after %v", fault, time.Since(began))
+		}
+		time.Sleep(2 * time.Minute)
+		if _, err := slow.Write([]byte("x")); !errors.Is(err, io.ErrClosedPipe) {
+			t.Errorf("the slow reader's connection is still open: %v", err)
+		}
+	})
+}
+
+// A backend server must stay well under its 60 connections, also after its
+// entries were silent for a while.
+func TestBackendServerUsesFewConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(0)
+		defer w.close()
+		c := w.client(w.team)
+		defer c.reset()
+		most := 0
+		for i := range 20 {
+			if i == 10 {
+				each(outerLink, func(r *relay.Relay) { r.Forget(bothWays...) })(w)
+			}
+			if fault := c.runs(i, fmt.Sprintf("job-%d", i), server.Wish{Sleep: "300ms"}); fault != "" {
+				t.Error(fault)
+			}
+			most = max(most, w.relays["s1>e1-backends"].Open()+w.relays["s1>e2-backends"].Open())
+		}
+		if most > 6 {
+			t.Errorf("%d connections at once", most)
+		}
+	})
+}
--- a/internal/edge/entry/world_test.go
+++ b/internal/edge/entry/world_test.go
@@ -131,6 +131,7 @@
 		}
 		w.link("caller", e+"-callers")
 		w.link("operator", e+"-operators")
+		w.link("probe", e+"-platform")
 		for _, s := range serverNames {
 			w.link(s, e+"-backends")
 		}
@@ -189,12 +190,13 @@
 	callers := &trackedListener{Listener: w.memory.Listen(name + "-callers")}
 	backends := &trackedListener{Listener: w.memory.Listen(name + "-backends")}
 	operators := &trackedListener{Listener: w.memory.Listen(name + "-operators")}
+	platform := &trackedListener{Listener: w.memory.Listen(name + "-platform")}
 	var replicas []control.Replica
 	for _, c := range replicaNames {
 		replicas = append(replicas, control.Replica{Name: c, Address: c + ":1"})
 	}
 	e := &entry.Entry{
-		Cell: "test", Name: name, Callers: callers, Backends: backends, Operators: operators, Replicas: replicas, Dial: w.dial(name), Limit: w.limit,
+		Cell: "test", Name: name, Callers: callers, Backends: backends, Operators: operators, Platform: platform, Replicas: replicas, Dial: w.dial(name), Limit: w.limit,
 		Enrolment: []backend.Digest{key.Digest(enrolment)}, Log: logr.Discard(), Abort: abort,
 		Linger: time.Second, Drain: 5 * time.Second,
 	}
@@ -204,6 +206,7 @@
 		callers.kill()
 		backends.kill()
 		operators.kill()
+		platform.kill()
 		stop()
 	}}
 	w.mu.Lock()
--- a/internal/fake/relay/memory.go
+++ b/internal/fake/relay/memory.go
@@ -8,8 +8,8 @@
 	"github.com/cockroachdb/errors"
 )
 
-// errRefused is what a dial of an address without a listener returns.
-var errRefused = errors.New("connection refused")
+// ErrRefused is what a dial of an address without a listener returns.
+var ErrRefused = errors.New("connection refused")
 
 // Memory is a network of in-memory connections, for tests on a virtual clock.
 // The zero value is ready.
@@ -35,7 +35,7 @@
 	m.mu.Lock()
 	l := m.listeners[address]
 	m.mu.Unlock()
-	refused := &net.OpError{Op: "dial", Net: network, Addr: memoryAddr(address), Err: errRefused}
+	refused := &net.OpError{Op: "dial", Net: network, Addr: memoryAddr(address), Err: ErrRefused}
 	if l == nil {
 		return nil, refused
 	}
