--- a/internal/client/link/link.go
+++ b/internal/client/link/link.go
@@ -7,6 +7,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -46,6 +47,8 @@
 	Key string
 	// TLS is for https addresses; nil for the system's authorities.
 	TLS *tls.Config
+	// Dial opens connections; nil for TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Timeout bounds one call to one entry.
 	Timeout time.Duration
 	// Shared puts all calls on few connections with http addresses too, by
@@ -162,6 +165,7 @@
 		protocols.SetUnencryptedHTTP2(true)
 	}
 	return &http.Client{Transport: &http.Transport{
+		DialContext:         l.Dial,
 		Protocols:           protocols,
 		TLSClientConfig:     l.TLS,
 		ForceAttemptHTTP2:   true,
--- a/internal/control/leader/leader_test.go
+++ b/internal/control/leader/leader_test.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/testing/protocmp"
 
 	"gypsumreel/internal/api/inner"
+	"gypsumreel/internal/api/record"
 	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/base/code"
 	"gypsumreel/internal/domain/answer"
@@ -306,3 +307,20 @@
 		wantCode(t, code.Unknown, r.GetStatus())
 	})
 }
+
+// A task is preempted in the same turn in which it was placed, so its server
+// never heard of it. An order to save it would never be answered, and the task
+// would hold its place for ever: it is stopped, and told apart from one that ran.
+func TestATaskHaltedBeforeItsOrderLeftIsStopped(t *testing.T) {
+	run(t, func(c *cell) {
+		s := c.announce("b1", 8000)
+		c.accepted(spec("plan"))
+		c.ledger(func(st *state.State) {
+			st.Apply(&record.Command{What: &record.Command_Halt{Halt: &record.Halt{Job: 1, Indexes: []uint32{0}, Checkpoint: true}}})
+		})
+		r := s.sync()
+		if len(r.GetOrders()) != 1 || r.GetOrders()[0].GetVerb() != v1.Verb_VERB_STOP {
+			t.Errorf("orders %v", r.GetOrders())
+		}
+	})
+}
--- a/internal/control/leader/session.go
+++ b/internal/control/leader/session.go
@@ -219,7 +219,10 @@
 	m := attemptMessage(a)
 	switch {
 	case t.Phase == state.Stopping && s.due(a, now):
-		if t.Save {
+		// A server that does not know the attempt has nothing to save: the
+		// start may be lost on its way, or was never sent. It must note the
+		// stop all the same, and says that nothing was started.
+		if t.Save && known {
 			return &v1.Order{Verb: v1.Verb_VERB_CHECKPOINT, Attempt: m}
 		}
 		return &v1.Order{Verb: v1.Verb_VERB_STOP, Attempt: m}
--- a/internal/demo/fault/world_test.go
+++ b/internal/demo/fault/world_test.go
@@ -5,19 +5,19 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/go-logr/logr"
 
 	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/client/caller"
+	"gypsumreel/internal/client/link"
+	"gypsumreel/internal/client/operator"
 	"gypsumreel/internal/demo/cell"
-	"gypsumreel/internal/domain/answer"
 	"gypsumreel/internal/domain/key"
 	"gypsumreel/internal/fake/server"
 	"gypsumreel/internal/ledger/state"
@@ -26,15 +26,14 @@
 // world is a whole cell on a network in memory, with what its promises are
 // checked against.
 type world struct {
-	t      *testing.T
-	ctx    context.Context
-	cancel context.CancelFunc
-	net    *network
-	cell   *cell.Cell
-	record *server.Record
-	client *http.Client
-	key    string
-	cpu    int64
+	t        *testing.T
+	ctx      context.Context
+	cancel   context.CancelFunc
+	net      *network
+	cell     *cell.Cell
+	record   *server.Record
+	caller   *caller.Client
+	operator *operator.Client
 
 	mu   sync.Mutex
 	runs map[string]int
@@ -69,23 +68,24 @@
 		Capacity:  &v1.Size{Cpu: coresEach, Memory: 64_000, Accel: 4, Slots: 8},
 		Transport: w.net.wire, Record: w.record, Work: w.work, Log: logr.Discard(), Linger: time.Second,
 	}
-	w.client = &http.Client{Transport: &http.Transport{DialContext: w.net.Dialer("caller"), IdleConnTimeout: time.Second}}
 	if err := w.cell.Start(ctx); err != nil {
 		t.Fatal(err)
 	}
+	w.operator = &operator.Client{Link: w.link("operators", w.cell.Operator)}
 	limit := &v1.Size{Cpu: teamCores, Memory: -1, Accel: -1, Slots: -1}
 	w.change(&v1.ChangeRequest{Id: "table", Change: &v1.ChangeRequest_Table{Table: &v1.TableChange{Edits: []*v1.Edit{
 		{Row: &v1.Row{Team: "rail", Weight: 1, Queue: 100, Limit: limit}},
 	}}}})
 	digest := key.Digest("secret")
 	w.change(&v1.ChangeRequest{Id: "grant", Change: &v1.ChangeRequest_Grant{Grant: &v1.KeyGrant{Id: "k", Team: "rail", Digest: digest[:]}}})
-	w.key = "k.secret"
+	w.caller = &caller.Client{Link: w.link("callers", "k.secret"), Patience: patience}
 	return w
 }
 
 func (w *world) close() {
 	w.cell.Close()
-	w.client.CloseIdleConnections()
+	w.caller.Link.Close()
+	w.operator.Link.Close()
 	w.cancel()
 }
 
@@ -109,73 +109,22 @@
 	return bytes.Repeat([]byte(id+";"), answerSize/(len(id)+1))
 }
 
-func bearer[T any](m *T, k string) *connect.Request[T] {
-	r := connect.NewRequest(m)
-	r.Header().Set("Authorization", "Bearer "+k)
-	return r
-}
-
-// ask calls an entry until one answers; the same request each time. patient
-// codes are asked again as well.
-func ask[Req, Rep any](w *world, peer string, k string, m *Req, call func(url string) func(context.Context, *connect.Request[Req]) (*connect.Response[Rep], error)) (*Rep, error) {
-	var last error
-	until := time.Now().Add(deadline)
-	for n := 0; time.Now().Before(until); n++ {
-		name := fmt.Sprintf("e%d", n%entries+1)
-		ctx, cancel := context.WithTimeout(w.ctx, callTimeout)
-		rep, err := call("http://"+w.net.Address(name+"-"+peer))(ctx, bearer(m, k))
-		cancel()
-		if err == nil {
-			return rep.Msg, nil
-		}
-		last = err
-		if final(err) {
-			return nil, err
-		}
-		time.Sleep(100 * time.Millisecond)
-	}
-	return nil, last
-}
-
-// final tells whether asking again with the same id makes no sense.
-func final(err error) bool {
-	var c *connect.Error
-	if !errors.As(err, &c) {
-		return false
-	}
-	switch c.Code() {
-	case connect.CodeUnauthenticated, connect.CodePermissionDenied, connect.CodeInvalidArgument, connect.CodeNotFound:
-		return true
-	}
-	return false
-}
-
-func (w *world) change(req *v1.ChangeRequest) *v1.ChangeReply {
+func (w *world) change(req *v1.ChangeRequest) {
 	w.t.Helper()
-	rep, err := ask(w, "operators", w.cell.Operator, req, func(url string) func(context.Context, *connect.Request[v1.ChangeRequest]) (*connect.Response[v1.ChangeReply], error) {
-		return v1.NewOperatorClient(w.client, url).Change
-	})
-	if err != nil {
+	ctx, cancel := context.WithTimeout(w.ctx, deadline)
+	defer cancel()
+	if _, err := w.operator.Change(ctx, req); err != nil {
 		w.t.Fatalf("change %s: %v", req.GetId(), err)
 	}
-	return rep
 }
 
-func (w *world) submit(spec *v1.Spec) (*v1.Accepted, error) {
-	rep, err := ask(w, "callers", w.key, &v1.SubmitRequest{Jobs: []*v1.Spec{spec}}, func(url string) func(context.Context, *connect.Request[v1.SubmitRequest]) (*connect.Response[v1.SubmitReply], error) {
-		return v1.NewCallerClient(w.client, url).Submit
-	})
-	if err != nil {
-		return nil, err
+// link returns a client's way to a service of all entries.
+func (w *world) link(service, k string) *link.Link {
+	l := &link.Link{Key: k, Timeout: callTimeout, Dial: w.net.Dialer("caller")}
+	for _, e := range w.cell.Names("e", entries) {
+		l.Addresses = append(l.Addresses, "http://"+w.net.Address(e+"-"+service))
 	}
-	return rep.GetJobs()[0], nil
-}
-
-func (w *world) wait(id string, chunk uint32) (*v1.WaitReply, error) {
-	req := &v1.WaitRequest{Id: id, Chunk: chunk, Patience: uint64(patience.Milliseconds())}
-	return ask(w, "callers", w.key, req, func(url string) func(context.Context, *connect.Request[v1.WaitRequest]) (*connect.Response[v1.WaitReply], error) {
-		return v1.NewCallerClient(w.client, url).Wait
-	})
+	return l
 }
 
 // result is how a job ended for its caller.
@@ -190,45 +139,26 @@
 
 // serve submits a job and waits for its outcome and whole answer.
 func (w *world) serve(spec *v1.Spec) result {
+	ctx, cancel := context.WithTimeout(w.ctx, deadline)
+	defer cancel()
 	r := result{id: spec.GetId(), spec: spec}
 	w.at("submit")
-	a, err := w.submit(spec)
+	as, err := w.caller.Submit(ctx, []*v1.Spec{spec}, true)
 	if err != nil {
 		r.err = err
 		return r
 	}
 	w.at("accepted")
-	if a.GetOutcome() == v1.Outcome_OUTCOME_NOT_RUN || a.GetOutcome() == v1.Outcome_OUTCOME_UNSPECIFIED {
+	if a := as[0]; a.GetOutcome() == v1.Outcome_OUTCOME_NOT_RUN || a.GetStatus().GetCode() != 0 {
 		r.outcome, r.code = a.GetOutcome(), code.Code(a.GetStatus().GetCode())
 		return r
 	}
-	until := time.Now().Add(deadline)
-	var parts answer.Parts
-	for chunk := uint32(0); time.Now().Before(until); {
-		rep, err := w.wait(spec.GetId(), chunk)
-		if err != nil {
-			r.err = err
-			return r
-		}
-		r.outcome, r.code = rep.GetOutcome(), code.Code(rep.GetStatus().GetCode())
-		if r.outcome < v1.Outcome_OUTCOME_DONE {
-			continue
-		}
-		if r.outcome != v1.Outcome_OUTCOME_DONE {
-			return r
-		}
-		w.at("answer")
-		if r.err = parts.Add(rep.GetChunk()); r.err != nil {
-			return r
-		}
-		data, whole, err := parts.Whole()
-		if whole || err != nil {
-			r.answer, r.err = data, err
-			return r
-		}
-		chunk = rep.GetChunk().GetNumber() + 1
+	res, err := w.caller.Wait(ctx, spec.GetId())
+	w.at("answer")
+	r.outcome, r.code, r.answer, r.err = res.Outcome, res.Code, res.Data, err
+	if err == nil && !caller.Final(r.outcome) {
+		r.err = errors.New("no outcome in time")
 	}
-	r.err = errors.New("no outcome in time")
 	return r
 }
 
@@ -286,3 +216,28 @@
 	}
 	return faults
 }
+
+// story tells how the leader's ledger holds the jobs that have not ended.
+func (w *world) story() string {
+	var b strings.Builder
+	name, ok := w.cell.Leader()
+	if !ok {
+		return "no leader"
+	}
+	_ = w.cell.Node(name).Control.Do(w.ctx, func(st *state.State) {
+		for _, j := range st.Jobs("") {
+			if j.Final() {
+				continue
+			}
+			fmt.Fprintf(&b, "%s: job %d %v held %d waiting %d", j.Spec.ID, j.Number, j.Outcome, j.Held, j.Waiting)
+			st.Tasks(j, func(k *state.Task) {
+				fmt.Fprintf(&b, "; task %d %v attempt %d on %s/%d since %v", k.ID.Index, k.Phase, k.Attempt, k.Server, k.Incarnation, st.At()-k.Since)
+			})
+			b.WriteString("\n")
+		}
+		for _, s := range st.Servers() {
+			fmt.Fprintf(&b, "%s/%d %v held %v of %v drain %v\n", s.ID, s.Incarnation, s.Server.State, s.Held, s.Capacity, s.Drain)
+		}
+	})
+	return b.String()
+}
