Bound reports of faults; say what a failed connection needs

The fuzz target of the settings stood still: 40,000 unknown keys on one line took 11.3 to 13.9 s, since each fault's place is found by a walk over the file. Sheets stop after 100 faults too, and both inputs are tests.

Mixed up http and https, a missing authority and a port where nothing listens each get their own advice.

--- a/internal/base/settings/read.go
+++ b/internal/base/settings/read.go
@@ -70,6 +70,8 @@
 	// bad holds the keys whose value was refused; they keep their defaults, so
 	// that one slip is reported once and not again where settings are compared.
 	bad map[string]bool
+	// more counts the faults past MaxFaults.
+	more int
 }
 
 // placed is a fault with its offset in the file, by which reports are sorted.
@@ -79,11 +81,15 @@
 }
 
 func (r *reader) report(v value, text string) {
+	key, _, _ := strings.Cut(v.path, "[")
+	r.bad[key] = true
+	if len(r.faults) >= MaxFaults {
+		r.more++
+		return
+	}
 	offset := v.node.StartOffset
 	line, column := position(r.text, offset)
 	f := Fault{File: r.file, Line: line, Column: column, Setting: v.path, Text: text}
-	key, _, _ := strings.Cut(v.path, "[")
-	r.bad[key] = true
 	r.faults = append(r.faults, placed{f, offset})
 }
 
@@ -145,6 +151,9 @@
 	for i, p := range r.faults {
 		out[i] = p.Fault
 	}
+	if r.more > 0 {
+		out = append(out, Fault{File: r.file, Text: fmt.Sprintf("%d more faults are not shown", r.more)})
+	}
 	return out
 }
 
--- a/internal/base/settings/settings_test.go
+++ b/internal/base/settings/settings_test.go
@@ -119,6 +119,21 @@
 	}
 }
 
+// Someone gives the daemon a large data file for its settings: 40,000 unknown
+// keys on one line. Finding the place of each took 12 seconds in all, on a
+// machine of today, before the first word was printed.
+func TestFaultsShownAreBounded(t *testing.T) {
+	const n = 40_000
+	_, err := settings.Parse("f", []byte("{"+strings.Repeat(`"a":1,`, n)+open+"}"))
+	var faults settings.Faults
+	if !errors.As(err, &faults) || len(faults) != settings.MaxFaults+1 {
+		t.Fatalf("%d faults", len(faults))
+	}
+	if got, want := faults[settings.MaxFaults].String(), "f: 39900 more faults are not shown"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
+
 func TestLoadResolvesPathsFromTheFile(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "s.json")
 	if err := os.WriteFile(path, []byte(`{`+open+`}`), 0o600); err != nil {
@@ -173,6 +188,7 @@
 	f.Add([]byte(`{"": 1, "time": [], "control": {}, "tls": {"inside": {"plain": "true"}}}`))
 	f.Add([]byte("{\"name\": \"\xff\"}"))
 	f.Add([]byte(strings.Repeat("[", 1000)))
+	f.Add([]byte("{" + strings.Repeat(`"a":1,`, 1000) + "}"))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		s, err := settings.Parse("f", b)
 		var faults settings.Faults
--- a/internal/cli/remote/remote.go
+++ b/internal/cli/remote/remote.go
@@ -120,8 +120,34 @@
 // Explain turns an error of a client into one with an exit code and advice.
 func Explain(err error) error {
 	var refusal *code.Error
-	if errors.As(err, &refusal) {
-		return verb.Refusal(refusal.Code, refusal.Detail)
+	if !errors.As(err, &refusal) {
+		return err
 	}
-	return err
+	out := verb.Refusal(refusal.Code, refusal.Detail)
+	if next := transport(refusal); next != "" {
+		out.Next = next
+	}
+	return out
+}
+
+// hints tells by a part of the transport's message what the user can mend.
+var hints = []struct{ part, next string }{
+	{"certificate required", "The entry wants a certificate of its clients: give --certificate; or the address is not that of an entry."},
+	{"x509:", "The entry's certificate is not trusted: check --authority (GYPSUMREEL_AUTHORITY) and that the certificate names the address."},
+	{"HTTP response to HTTPS client", "The entry speaks plain text there: use http://, if its settings are meant to."},
+	{"400 Bad Request", "The entry may speak TLS there: use https://."},
+	{"connection refused", "Nothing listens there: check the address, and whether the entry runs."},
+}
+
+// transport returns advice about a call that never got an answer.
+func transport(refusal *code.Error) string {
+	if refusal.Code != code.Unanswered {
+		return ""
+	}
+	for _, h := range hints {
+		if strings.Contains(refusal.Detail, h.part) {
+			return h.next
+		}
+	}
+	return ""
 }
--- a/internal/cli/sheet/sheet.go
+++ b/internal/cli/sheet/sheet.go
@@ -31,6 +31,9 @@
 	MaxBytes = 8 << 20
 	// MaxRows is the most teams.
 	MaxRows = 10_000
+	// MaxFaults is the most faults that are looked for: a large file that is no
+	// sheet would else make a report far larger than itself.
+	MaxFaults = 100
 )
 
 // Sheet is what a file asks for.
@@ -134,6 +137,10 @@
 		if !ok {
 			return
 		}
+		if len(r.faults) >= MaxFaults {
+			r.report(0, "and perhaps more; mend these first")
+			return
+		}
 		if len(r.sheet.Edits) >= MaxRows {
 			r.report(0, fmt.Sprintf("more than %d teams", MaxRows))
 			return
--- a/internal/cli/sheet/sheet_test.go
+++ b/internal/cli/sheet/sheet_test.go
@@ -87,6 +87,16 @@
 	}
 }
 
+// A data file of millions of short lines is imported by mistake. The report must
+// stay something a person reads, and the command must not eat the memory.
+func TestFaultsShownAreBounded(t *testing.T) {
+	_, err := sheet.Read("f", []byte("team,queue\n"+strings.Repeat("x\n", 100_000)))
+	var faults sheet.Faults
+	if !errors.As(err, &faults) || len(faults) != sheet.MaxFaults+1 {
+		t.Errorf("%d faults", len(faults))
+	}
+}
+
 func FuzzRead(f *testing.F) {
 	for _, s := range []string{
 		"team,weight,share,cpu,memory,accel,slots,queue,revision\na,1,5%,1.5,unlimited,-1,0,9,3\n",
