Mark the events that nothing raises yet

An alarm on an event that no code logs stays silent through the fault it is meant for. The daemons raise settings-bad and listen-failed.

--- a/internal/base/event/registry.go
+++ b/internal/base/event/registry.go
@@ -22,12 +22,19 @@
 	return all
 }
 
+// Planned returns the events that nothing raises yet.
+func Planned() []ID { return slices.Clone(planned) }
+
 // Markdown returns the table that docs/EVENTS.md holds.
 func Markdown() string {
 	var b strings.Builder
 	b.WriteString("| event | name | level | what happened | what to do |\n|---|---|---|---|---|\n")
 	for _, id := range All() {
-		fmt.Fprintf(&b, "| %d | %s | %s | %s | %s |\n", id.Number, id.Name, id.Level, id.Text, id.Advice)
+		text := id.Text
+		if slices.Contains(planned, id) {
+			text += " (not raised yet)"
+		}
+		fmt.Fprintf(&b, "| %d | %s | %s | %s | %s |\n", id.Number, id.Name, id.Level, text, id.Advice)
 	}
 	return b.String()
 }
--- a/internal/cli/entry/entry.go
+++ b/internal/cli/entry/entry.go
@@ -35,6 +35,7 @@
 func (c *command) Run(ctx context.Context, env verb.Env, _ []string) error {
 	s, err := settings.Load(c.Settings)
 	if err != nil {
+		event.Fail(event.New(env.Err, settings.DefaultLog), event.SettingsBad, err, "file", c.Settings)
 		return &verb.Error{Exit: verb.Usage, Text: err.Error()}
 	}
 	if s.Role != settings.Entry {
@@ -42,6 +43,7 @@
 	}
 	e, err := build(s)
 	if err != nil {
+		event.Fail(event.New(env.Err, s.Log), event.ListenFailed, err)
 		return err
 	}
 	e.Log, e.Abort = event.New(env.Err, s.Log), verb.Again(ctx)
