--- a/internal/cli/status/status.go
+++ b/internal/cli/status/status.go
@@ -15,7 +15,7 @@
 func New() verb.Verb {
 	return verb.Verb{
 		Name: "status", Short: "show where jobs stand",
-		Long:   "Shows the jobs with the given IDs, or a page of all the team's jobs.",
+		Long:   "Shows the jobs with the given IDs, or a page of all the team's jobs. With --all and an operator's key, the jobs of all teams.",
 		Runner: &command{},
 	}
 }
@@ -24,6 +24,7 @@
 	remote.Flags
 	verb.Output
 	After string `long:"after" description:"start after this id"`
+	All   bool   `long:"all" description:"the jobs of all teams, with an operator's key and the operators' address"`
 	Limit uint32 `long:"limit" default:"100" description:"most jobs to show"`
 }
 
@@ -42,6 +43,9 @@
 
 // Run lists.
 func (c *command) Run(ctx context.Context, env verb.Env, args []string) error {
+	if c.All {
+		return c.everyone(ctx, env, args)
+	}
 	client, ctx, cancel, err := c.Caller(ctx)
 	if err != nil {
 		return err
@@ -54,6 +58,25 @@
 	return c.Print(env.Out, Lines(jobs), Grid(jobs))
 }
 
+// everyone lists the jobs of all teams.
+func (c *command) everyone(ctx context.Context, env verb.Env, args []string) error {
+	if len(args) > 0 {
+		return verb.Misuse("Leave the ids or --all out.", "ids belong to one team, --all to none")
+	}
+	client, ctx, cancel, err := c.Operator(ctx)
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	r, err := client.Show(ctx, v1.Part_PART_JOBS)
+	if err != nil {
+		return remote.Explain(err)
+	}
+	jobs := r.GetJobs()
+	jobs = jobs[:min(len(jobs), int(c.Limit))]
+	return c.Print(env.Out, Lines(jobs), Grid(jobs))
+}
+
 // Lines returns jobs as they are printed in JSON.
 func Lines(jobs []*v1.Summary) []Line {
 	out := make([]Line, len(jobs))
