--- a/internal/replica/quorum/core.go
+++ b/internal/replica/quorum/core.go
@@ -335,7 +335,17 @@
 }
 
 // resetDeadline draws a new election timeout.
-func (c *Core) resetDeadline() {
-	jitter := time.Duration(c.rng.Int64N(int64(c.cfg.Election)))
-	c.deadline = c.now + c.cfg.Election + jitter
+func (c *Core) resetDeadline() { c.deadline = c.now + c.between(c.cfg.Election) }
+
+// retryDeadline draws the time to the next try of an election that was not won:
+// shorter than a timeout, as no leader can be missed meanwhile.
+func (c *Core) retryDeadline() { c.deadline = c.now + c.between(c.cfg.Election/retryPart) }
+
+// retryPart is the part of an election timeout after which a candidate tries
+// again; it leaves time for a round trip between regions and two syncs.
+const retryPart = 4
+
+// between draws a time of d to twice that.
+func (c *Core) between(d time.Duration) time.Duration {
+	return d + time.Duration(c.rng.Int64N(int64(d)))
 }
--- a/internal/replica/quorum/election.go
+++ b/internal/replica/quorum/election.go
@@ -27,7 +27,7 @@
 // campaign asks whether an election could be won, before it disturbs anyone with
 // a new term.
 func (c *Core) campaign() {
-	c.resetDeadline()
+	c.retryDeadline()
 	c.leader = ""
 	if !c.members().voter(c.cfg.ID) {
 		return
@@ -47,7 +47,7 @@
 func (c *Core) elect(force bool) {
 	c.turn(c.hard.Term+1, candidate, "")
 	c.hard.Vote = c.cfg.ID
-	c.resetDeadline()
+	c.retryDeadline()
 	c.votes = map[string]bool{}
 	c.hold(Message{Kind: VoteReply, To: c.cfg.ID, Term: c.hard.Term})
 	c.ask(Message{Kind: Vote, Term: c.hard.Term, Force: force}, c.hold)
--- a/internal/replica/quorum/measure_test.go
+++ b/internal/replica/quorum/measure_test.go
@@ -8,14 +8,14 @@
 	"gypsumreel/internal/replica/quorum"
 )
 
-// A leader's instance dies under load. Callers wait until another leads.
-// Over 500 seeds the time from the crash to the new leader's first decision has
-// a p99 of at most three election timeouts, and at most 2 s.
-func TestFailoverTime(t *testing.T) {
+// failovers gives the sorted times from the crash of a leader to the first
+// decision of the next, one for each seed.
+func failovers(way time.Duration, seeds uint64) []time.Duration {
 	var took []time.Duration
-	for seed := range uint64(500) {
+	for seed := range seeds {
 		s := newSim(3, seed)
-		s.run(2*time.Second + time.Duration(seed)*time.Millisecond)
+		s.way = way
+		s.run(3*time.Second + time.Duration(seed)*time.Millisecond)
 		old := s.leader()
 		s.propose(old, 5)
 		s.run(time.Duration(seed%7) * time.Millisecond)
@@ -27,25 +27,37 @@
 		took = append(took, s.now-began)
 	}
 	slices.Sort(took)
-	p50, p99, worst := took[250], took[495], took[499]
-	t.Logf("failover p50 %v, p99 %v, worst of %d %v", p50, p99, len(took), worst)
-	if p99 > 3*quorum.DefaultElection || p99 > 2*time.Second {
-		t.Errorf("p99 %v", p99)
+	return took
+}
+
+// A leader's instance dies under load. Callers wait until another leads.
+// Over 500 seeds the time from the crash to the new leader's first decision has
+// a p99 of at most three election timeouts, and at most 2 s, between zones that
+// are 1.5 ms apart; the other distances show the slope.
+func TestFailoverTime(t *testing.T) {
+	for _, way := range []time.Duration{0, oneWay, 10 * time.Millisecond, 20 * time.Millisecond} {
+		took := failovers(way, 500)
+		p50, p99, worst := took[250], took[495], took[499]
+		t.Logf("%v one way: p50 %v, p99 %v, worst of %d %v", way, p50, p99, len(took), worst)
+		if way <= oneWay && (p99 > 3*quorum.DefaultElection || p99 > 2*time.Second) {
+			t.Errorf("p99 %v", p99)
+		}
 	}
 }
 
 // An idle group's heartbeats cost every instance bytes all day.
-// A replica sends and receives at most 2 KB of messages a second.
+// A replica of three sends and receives at most 2 KB of messages a second.
 func TestIdleBytes(t *testing.T) {
-	s := newSim(3, 1)
-	s.run(5 * time.Second)
-	clear(s.bytes)
-	s.run(60 * time.Second)
-	for id, n := range s.bytes {
-		perSecond := n / 60
-		t.Logf("%s: %d bytes a second sent and received", id, perSecond)
-		if perSecond > 2048 {
-			t.Errorf("%s: %d bytes a second", id, perSecond)
+	for _, size := range []int{3, 5, 7} {
+		s := newSim(size, 1)
+		s.run(5 * time.Second)
+		clear(s.bytes)
+		s.run(60 * time.Second)
+		lead := s.bytes[s.leader().id] / 60
+		other := s.bytes[s.other().id] / 60
+		t.Logf("%d replicas: leader %d, another %d bytes a second", size, lead, other)
+		if size == 3 && lead > 2048 {
+			t.Errorf("%d bytes a second", lead)
 		}
 	}
 }
--- a/internal/replica/quorum/sim_test.go
+++ b/internal/replica/quorum/sim_test.go
@@ -58,6 +58,8 @@
 	loss   float64
 	double float64
 	jitter time.Duration
+	// way is the time of a message, one way.
+	way    time.Duration
 	trace  func(label string, n *node)
 	failed string
 
@@ -76,7 +78,7 @@
 
 func newSim(n int, seed uint64) *sim {
 	s := &sim{
-		rng: rand.New(rand.NewPCG(seed, 7)), cut: map[[2]string]bool{},
+		rng: rand.New(rand.NewPCG(seed, 7)), way: oneWay, cut: map[[2]string]bool{},
 		leaders: map[uint64]string{}, prefix: map[[2]uint64][2]uint64{}, dead: map[string]bool{},
 		committed: map[uint64]quorum.Entry{}, digests: map[uint64]uint64{0: 0}, bytes: map[string]int{},
 	}
@@ -267,7 +269,7 @@
 		copies = 2
 	}
 	for range copies {
-		d := oneWay
+		d := s.way
 		if s.jitter > 0 {
 			d += time.Duration(s.rng.Int64N(int64(s.jitter)))
 		}
