--- a/internal/control/leader/lead.go
+++ b/internal/control/leader/lead.go
@@ -8,6 +8,8 @@
 	"gypsumreel/internal/api/record"
 	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/base/event"
+	"gypsumreel/internal/domain/backend"
 	"gypsumreel/internal/domain/lease"
 	"gypsumreel/internal/ledger/command"
 	"gypsumreel/internal/ledger/state"
@@ -27,16 +29,18 @@
 	planner   plan.Planner
 	book      *lease.Book
 	// pending are the commands that the group has not taken yet.
-	pending [][]byte
-	held    []heldReply
-	reads   []heldRead
-	waits   map[state.RequestID][]*waiter
-	servers map[string]*session
-	news    map[string]bool
-	due     dueHeap
-	checked time.Duration
-	swept   time.Duration
-	dirty   bool
+	pending  [][]byte
+	held     []heldReply
+	reads    []heldRead
+	waits    map[state.RequestID][]*waiter
+	servers  map[string]*session
+	news     map[string]bool
+	due      dueHeap
+	checked  time.Duration
+	swept    time.Duration
+	looked   time.Duration
+	promoted time.Duration
+	dirty    bool
 }
 
 // heldReply is a reply whose cause is not committed yet.
@@ -101,6 +105,7 @@
 		}}})
 	}
 	l.status.Store(&Status{Leads: true, Term: n.Term})
+	event.Log(l.Log, event.LeaderElected, "term", n.Term, "index", n.Last)
 }
 
 // replay tells a new planner everything that the ledger holds.
@@ -109,6 +114,9 @@
 	p.SetTable(l.st.Table())
 	for _, b := range l.st.Servers() {
 		watch{l}.Server(b)
+		if b.Server.State != backend.Gone {
+			l.session(b).heard = l.Now()
+		}
 	}
 	for _, j := range l.st.Jobs("") {
 		if j.Final() {
@@ -129,6 +137,7 @@
 // is dropped, and with it every held effect: nobody was told of them.
 func (l *Leader) follow(n group.Follow) {
 	if ld := l.lead; ld != nil {
+		event.Log(l.Log, event.LeaderLost, "term", ld.term, "next", n.Leader)
 		l.lead = nil
 		l.st.Watch = nil
 		if l.applied > ld.committed {
@@ -237,7 +246,11 @@
 		heap.Pop(&ld.due).(due).run()
 	}
 	ld.dirty = true
-	l.watchServers(now)
+	l.promote(now)
+	if now-ld.looked >= lookEvery {
+		ld.looked = now
+		l.watchServers(now)
+	}
 	if now-ld.checked >= checkEvery {
 		ld.checked = now
 		l.do(&record.Command{What: &record.Command_Check{Check: &record.Check{Digest: l.st.Digest()}}})
@@ -251,7 +264,7 @@
 // sweep forgets what retention lets go.
 func (l *Leader) sweep() {
 	const most = 1000
-	f := l.st.EndedBefore(int64(l.clock()-l.Retention), most)
+	f := l.st.Expired(l.clock()-l.Retention, most)
 	if len(f.Jobs)+len(f.Changes)+len(f.Servers) > 0 {
 		l.do(&record.Command{What: &record.Command_Forget{Forget: f}})
 	}
--- /dev/null
+++ b/internal/policy/cell/claim.go
@@ -0,0 +1,300 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"gypsumreel/internal/domain/backend"
+	"gypsumreel/internal/domain/capacity"
+	"gypsumreel/internal/domain/job"
+	"gypsumreel/internal/policy/plan"
+	"gypsumreel/internal/policy/preempt"
+)
+
+// Bounds of claims and of the search for victims.
+const (
+	// claimLife is how long a claim of one task waits for its victims.
+	claimLife = 15 * time.Second
+	// gangTerm is the time that a gang may run before it is preempted for others:
+	// gathering its room was dear, and it may lose the work of all its tasks.
+	gangTerm = 30 * time.Second
+	// mostCrews and mostTasks bound the victims that are weighed.
+	mostCrews = 6
+	// mostBackfills is the number of claims whose room is looked at for backfill.
+	mostBackfills = 8
+	mostTasks     = 12
+)
+
+// claim is room that is kept for a unit until what is in it has left.
+type claim struct {
+	unit  *unit
+	parts []part
+	made  time.Duration
+	// forced is when tasks were last preempted for it.
+	forced time.Duration
+}
+
+// part is the room kept for one task.
+type part struct {
+	srv  *server
+	size capacity.Size
+}
+
+// keep keeps room for one task of the unit on the server.
+func (p *Planner) keep(u *unit, s *server) {
+	if u.claim == nil {
+		u.claim = &claim{unit: u, made: p.now}
+		p.claims = append(p.claims, u.claim)
+		if u.work.spec.Whole() {
+			p.gangs++
+			u.work.crew.gathers = u
+		}
+	}
+	t := part{srv: s, size: u.work.spec.Size}
+	u.claim.parts = append(u.claim.parts, t)
+	p.reserveOn(s, t.size)
+	p.await(u.work.crew, t.size)
+}
+
+func (p *Planner) unkeep(u *unit, t part) {
+	p.reserveOn(t.srv, capacity.Size{}.Sub(t.size))
+	p.await(u.work.crew, capacity.Size{}.Sub(t.size))
+}
+
+func (p *Planner) reserveOn(s *server, more capacity.Size) {
+	s.reserved = s.reserved.Add(more)
+	p.touch(s)
+}
+
+// await changes the room that is on its way to the team; it counts as held in
+// the order of need.
+func (p *Planner) await(c *crew, more capacity.Size) {
+	p.order.Remove(c.name)
+	c.coming = c.coming.Add(more)
+	c.ratio = p.ratio(c)
+	p.order.Add(c)
+}
+
+func (p *Planner) dropClaim(u *unit) {
+	c := u.claim
+	if c == nil {
+		return
+	}
+	u.claim, u.tried = nil, 0
+	p.claims = slices.DeleteFunc(p.claims, func(o *claim) bool { return o == c })
+	for _, t := range c.parts {
+		p.unkeep(u, t)
+	}
+	if u.work.spec.Whole() {
+		p.gangs--
+		u.work.crew.gathers = nil
+	}
+}
+
+// claimed starts the units whose room has become free, urgent ones first.
+func (p *Planner) claimed() {
+	for _, urgent := range []bool{true, false} {
+		for _, c := range slices.Clone(p.claims) {
+			if p.full() {
+				return
+			}
+			if (c.unit.work.spec.Kind == job.Urgent) == urgent {
+				p.tryClaim(c)
+			}
+		}
+	}
+}
+
+func (p *Planner) tryClaim(c *claim) {
+	u := c.unit
+	p.prune(c)
+	if len(c.parts) == 0 || len(c.parts) > len(u.tasks) || u.where != inQueue {
+		p.dropClaim(u)
+		return
+	}
+	if len(c.parts) == len(u.tasks) && c.free() && p.within(u.work.crew, u.size()) {
+		on := make([]*server, 0, len(c.parts))
+		for _, t := range c.parts {
+			on = append(on, t.srv)
+		}
+		p.start(u, on)
+		return
+	}
+	switch {
+	case u.work.spec.Whole():
+		p.hasten(c)
+	case p.now-c.made > claimLife:
+		p.dropClaim(u)
+	}
+}
+
+// prune gives up the parts on servers that take nothing new.
+func (p *Planner) prune(c *claim) {
+	c.parts = slices.DeleteFunc(c.parts, func(t part) bool {
+		if t.srv.State == backend.Ready {
+			return false
+		}
+		p.unkeep(c.unit, t)
+		return true
+	})
+}
+
+// free tells whether all the room kept is free now.
+func (c *claim) free() bool {
+	taken := map[*server]capacity.Size{}
+	for _, t := range c.parts {
+		taken[t.srv] = taken[t.srv].Add(t.size)
+		if !taken[t.srv].Fits(t.srv.actual()) {
+			return false
+		}
+	}
+	return true
+}
+
+// due is when the gang is expected to have all its room.
+func (c *claim) due(now time.Duration) time.Duration {
+	pace := (now - c.made) / time.Duration(len(c.parts))
+	return now + pace*time.Duration(len(c.unit.tasks)-len(c.parts))
+}
+
+// backfill returns a server on which room is kept for a gang that will not need
+// it before the unit is expected to have ended.
+func (p *Planner) backfill(u *unit) *server {
+	if p.gangs == 0 || p.lacks(Backfill) || u.work.spec.Once {
+		return nil
+	}
+	longest := p.estimates.Longest(u.work.spec)
+	for _, c := range p.claims[:min(len(p.claims), mostBackfills)] {
+		if !c.unit.work.spec.Whole() || len(c.parts) == 0 || p.now+longest > c.due(p.now) {
+			continue
+		}
+		for _, t := range c.parts {
+			if t.srv.State == backend.Ready && u.work.spec.Size.Fits(t.srv.room().Add(t.size)) && !u.work.budget.Avoids(t.srv.num) {
+				return t.srv
+			}
+		}
+	}
+	return nil
+}
+
+// rule tells whether a task may be stopped for a claim.
+type rule func(h *holding) bool
+
+// overdue allows the tasks of teams that hold more than their due.
+func (p *Planner) overdue(slack float64) rule {
+	return func(h *holding) bool {
+		size := h.size
+		if h.Job.Whole() {
+			if p.now < h.Since+gangTerm {
+				return false
+			}
+			size = size.Times(int64(len(h.work.held)))
+		}
+		rest := h.crew.held.Sub(h.crew.leaving).Sub(size)
+		return rest.Dominant(p.total) >= h.crew.fair-slack
+	}
+}
+
+// victims returns the server on which the least work is lost to make room for
+// need, and what to stop there.
+func (p *Planner) victims(u *unit, need capacity.Size, own bool, may rule) (*server, []*holding) {
+	v := search{p: p, unit: u, need: need, may: may, seen: map[*server]bool{}}
+	if own {
+		v.look(u.work.crew)
+	}
+	n := 0
+	p.order.EachDown(func(c *crew) bool {
+		if c != u.work.crew && c.victims.Len() > 0 {
+			v.look(c)
+			n++
+		}
+		return n < mostCrews && c.ratio > 0
+	})
+	return v.best, v.stop
+}
+
+// search is the state of one search for victims.
+type search struct {
+	p    *Planner
+	unit *unit
+	need capacity.Size
+	may  rule
+	seen map[*server]bool
+	best *server
+	stop []*holding
+	lost float64
+}
+
+// look weighs the servers on which the team's youngest tasks run.
+func (v *search) look(c *crew) {
+	n := 0
+	c.victims.Each(func(h *holding) bool {
+		if n++; v.may(h) && !v.seen[h.srv] && h.srv.State == backend.Ready && !v.unit.work.budget.Avoids(h.srv.num) {
+			v.seen[h.srv] = true
+			v.weigh(h.srv)
+		}
+		return n < mostTasks
+	})
+}
+
+func (v *search) weigh(s *server) {
+	stop, lost, ok := v.p.room(s, v.need, s.room(), v.may)
+	if ok && (v.best == nil || lost < v.lost) {
+		v.best, v.stop, v.lost = s, stop, lost
+	}
+}
+
+// room returns what to stop on the server so that need fits.
+func (p *Planner) room(s *server, need, free capacity.Size, may rule) ([]*holding, float64, bool) {
+	var candidates []preempt.Victim[*holding]
+	for _, h := range s.tasks {
+		if h.victim() && may(h) {
+			candidates = append(candidates, preempt.Victim[*holding]{Item: h, Room: h.size, Lost: p.lost(h)})
+		}
+	}
+	slices.SortStableFunc(candidates, func(a, b preempt.Victim[*holding]) int {
+		switch {
+		case a.Lost < b.Lost:
+			return -1
+		case a.Lost > b.Lost:
+			return 1
+		}
+		return 0
+	})
+	chosen, lost, ok := preempt.Choose(need, free, candidates)
+	stop := make([]*holding, 0, len(chosen))
+	for _, v := range chosen {
+		stop = append(stop, v.Item)
+	}
+	return stop, lost, ok
+}
+
+// lost is the work thrown away by stopping the task; a gang stops as a whole.
+// Each time that a job was preempted before makes it dearer, so that the same
+// youngest job is not stopped again and again.
+func (p *Planner) lost(h *holding) float64 {
+	one := preempt.Work(h.size.Dominant(p.total), h.Since, p.now)
+	if !h.Job.Whole() {
+		return one * float64(1+h.attempts)
+	}
+	return one * float64(len(h.work.held)) * float64(1+h.attempts)
+}
+
+// preempt stops the task, and with it the gang that it belongs to.
+func (p *Planner) preempt(h *holding, reason string) {
+	if !h.Job.Whole() {
+		p.preemptOne(h, reason)
+		return
+	}
+	for _, o := range h.work.held {
+		p.preemptOne(o, reason)
+	}
+}
+
+func (p *Planner) preemptOne(h *holding, reason string) {
+	if h.Stopping {
+		return
+	}
+	p.stop(h)
+	p.emit(plan.Decision{Verb: plan.Preempt, Task: h.ID, Reason: reason})
+}
