--- a/internal/edge/entry/matrix_test.go
+++ b/internal/edge/entry/matrix_test.go
@@ -161,9 +161,9 @@
 	}
 }
 
-// work submits jobs that may be repeated and wants the whole right answer to each.
+// work submits jobs that may be repeated, one of them longer than a lease, and wants the whole right answer to each.
 func (s *story) work() {
-	for i, wish := range []server.Wish{{}, {Size: 150_000}, {Sleep: "1s"}, {Sleep: "200ms", Size: 10}} {
+	for i, wish := range []server.Wish{{}, {Size: 150_000}, {Sleep: "4s"}, {Sleep: "200ms", Size: 10}} {
 		id := []string{"quick", "big", "long", "last"}[i]
 		fault := s.team.runs(0, id, wish)
 		s.check(fault == "", "%s", fault)
--- a/internal/fake/server/run.go
+++ b/internal/fake/server/run.go
@@ -46,7 +46,7 @@
 func (s *Server) state(number uint64) *v1.SyncRequest {
 	req := &v1.SyncRequest{
 		Server: s.Name, Incarnation: s.incarnation, Number: number,
-		Patience: uint64(s.Patience.Milliseconds()),
+		Patience: uint64(s.poll.Milliseconds()),
 	}
 	room := windowBytes
 	for _, r := range s.runs {
--- a/internal/fake/server/server.go
+++ b/internal/fake/server/server.go
@@ -27,6 +27,8 @@
 	DefaultTimeout = time.Second
 	// DefaultGather is how long news is gathered before it is reported.
 	DefaultGather = time.Millisecond
+	// pollsPerLease is how many polls fit into a lease.
+	pollsPerLease = 3
 	// windowBytes bounds the pieces sent in one Sync.
 	windowBytes = 1 << 20
 )
@@ -62,9 +64,11 @@
 	nonce       uint64
 	incarnation uint64
 	number      uint64
-	watchdog    *time.Timer
-	runs        map[Attempt]*run
-	seen        map[Attempt]struct{}
+	// poll is the patience of a Sync in this session.
+	poll     time.Duration
+	watchdog *time.Timer
+	runs     map[Attempt]*run
+	seen     map[Attempt]struct{}
 	// news is true when something is to be reported at once.
 	news bool
 	// abandon ends the Sync under way; nil when none is.
@@ -196,6 +200,8 @@
 
 func (s *Server) isLeaving() bool { s.lock(); defer s.mu.Unlock(); return s.leaving }
 
+func (s *Server) patience() time.Duration { s.lock(); defer s.mu.Unlock(); return s.poll }
+
 func (s *Server) idle() bool { s.lock(); defer s.mu.Unlock(); return len(s.runs) == 0 }
 
 // turn moves on to the next entry, leaving the connections to this one behind.
@@ -237,6 +243,10 @@
 	s.lock()
 	defer s.mu.Unlock()
 	s.incarnation, s.number = reply.Msg.GetIncarnation(), 0
+	// A lease counts from the send, so it has run for a whole poll when it comes
+	// and must last through the next one: a poll may take a third of it at most.
+	lease := time.Duration(reply.Msg.GetLease()) * time.Millisecond
+	s.poll = min(s.Patience, lease/pollsPerLease)
 	return nil
 }
 
@@ -266,7 +276,7 @@
 
 // sync makes one Sync call and obeys its answer.
 func (s *Server) sync(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, s.Patience+s.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, s.patience()+s.Timeout)
 	defer cancel()
 	s.lock()
 	s.checkLease()
