--- a/internal/policy/bench/meter.go
+++ b/internal/policy/bench/meter.go
@@ -15,6 +15,8 @@
 type Meter struct {
 	// From is when measuring begins.
 	From time.Duration
+	// Fault is when something went wrong.
+	Fault time.Duration
 
 	w       *World
 	waits   [job.Service + 1][]time.Duration
@@ -35,6 +37,7 @@
 	slow    []float64
 	// racks and zones hold 1 for each gang that started in one of them, else 0.
 	racks, zones []float64
+	after, again []time.Duration
 }
 
 func newMeter(w *World) *Meter {
@@ -88,6 +91,13 @@
 		return
 	}
 	wait := m.w.now - r.waits
+	if m.Fault > 0 && r.spec.Kind == job.Urgent {
+		if r.attempts > 0 && r.waits != r.accepted {
+			m.again = append(m.again, wait)
+		} else if r.accepted >= m.Fault && r.accepted < m.Fault+30*time.Second {
+			m.after = append(m.after, wait)
+		}
+	}
 	m.waits[r.spec.Kind] = append(m.waits[r.spec.Kind], wait)
 	if alone, ok := m.alone[r.id.Job]; ok && r.id.Index == 0 && r.attempts == 0 {
 		m.slow = append(m.slow, wait.Seconds()/max(1, alone.Seconds()))
--- a/internal/policy/cell/cell.go
+++ b/internal/policy/cell/cell.go
@@ -31,9 +31,8 @@
 	DefaultRebalance = 100 * time.Millisecond
 	// DefaultGrace is the time a throttled task is given to fall back to its size.
 	DefaultGrace = 10 * time.Second
-	// DefaultPatience is how far past its expected start a reservation waits
-	// before it preempts.
-	DefaultPatience = 5 * time.Second
+	// DefaultPatience is how long a gang gathers room before it preempts.
+	DefaultPatience = time.Second
 )
 
 // Part names a mechanism that a comparison can leave out.
--- a/internal/policy/plan/plan.go
+++ b/internal/policy/plan/plan.go
@@ -20,11 +20,16 @@
 	SetTable(t table.Table)
 	// SetServer tells of a new or changed backend server.
 	SetServer(s backend.Server)
-	// Queue tells that a task waits to be placed, not before ready.
+	// Queue tells that a task waits to be placed, not before ready. All tasks of a
+	// job that wait are told of before the next Decide: those of a new job at once,
+	// and one that is to run again together with its Release. A gang is so seen
+	// whole, and what is not told of again is over.
 	Queue(q Queued)
 	// Unqueue tells that a task waits no more and was not placed.
 	Unqueue(id task.ID)
-	// Hold tells that a task was placed; it counts until Release.
+	// Hold tells that a task was placed; it counts until Release. It is told again
+	// when an order to stop the task is under way. What Decide placed and Hold does
+	// not confirm before the next Decide waits again.
 	Hold(h Held)
 	// Use tells what a held task was reported to use, and when that was measured.
 	Use(id task.ID, used capacity.Size, at time.Duration)
