--- a/internal/demo/fault/world_test.go
+++ b/internal/demo/fault/world_test.go
@@ -54,6 +54,7 @@
 	patience    = 1500 * time.Millisecond
 	deadline    = 90 * time.Second
 	callTimeout = 3 * time.Second
+	linger      = 5 * time.Second
 )
 
 // newWorld starts a cell and sets up a team with a key and a limit.
@@ -87,6 +88,8 @@
 	w.caller.Link.Close()
 	w.operator.Link.Close()
 	w.cancel()
+	// A server of package http lets a connection linger before it closes it.
+	time.Sleep(linger)
 }
 
 // work runs a task: it takes a moment, counts its runs by request, and gives an
