Test each main guard of the consensus core by itself

Mutations by hand showed guards that the random tests and the fault matrix do not reach: entries of an earlier term committed by count, two changes at a time, promotion before catching up, vote requests before the sync, the lease against votes and pre-votes. Each has a directed test now.

The guard that held acknowledgements back until the term is synced is gone: no failure rests on it, as the entries of a term are written after the term and without one of them a leader commits nothing.

--- a/internal/replica/quorum/core_test.go
+++ b/internal/replica/quorum/core_test.go
@@ -87,3 +87,46 @@
 		t.Error(d)
 	}
 }
+
+// elected gives a core that has just won term 4 with the vote of b, with entries
+// of the terms 1 and 2 in its log.
+func elected(t *testing.T) *quorum.Core {
+	t.Helper()
+	members := []quorum.Member{{ID: "a/0", Address: "a"}, {ID: "b/0", Address: "b"}, {ID: "c/0", Address: "c"}}
+	c := quorum.New(quorum.Config{ID: "a/0", Seed: 1}, quorum.Saved{
+		Hard: quorum.Hard{Term: 3},
+		Entries: []quorum.Entry{
+			{Index: 1, Term: 1, Kind: quorum.Change, Data: quorum.EncodeMembers(members)},
+			{Index: 2, Term: 2, Kind: quorum.Command, Data: []byte("x")},
+		},
+	})
+	c.Step(2*time.Second, quorum.Tick{})
+	c.Step(2*time.Second, reply(quorum.PreVoteReply, 4, 0))
+	c.Step(2*time.Second, quorum.Synced{Seq: 1})
+	c.Step(2*time.Second, reply(quorum.VoteReply, 4, 0))
+	if term, leads := c.Leads(); term != 4 || !leads {
+		t.Fatalf("term %d, leads %v", term, leads)
+	}
+	return c
+}
+
+func reply(kind quorum.MessageKind, term, index uint64) quorum.Event {
+	return quorum.Receive{Message: quorum.Message{Kind: kind, From: "b/0", To: "a/0", Term: term, Index: index}}
+}
+
+// A caller is told that its work was taken, and a later leader does not know it.
+// A leader finds an entry of an earlier term on a majority and takes it for
+// committed. A replica with an entry of a term between could still be elected,
+// by those that lack any entry of the leader's own term, and replace it.
+func TestEntryOfEarlierTermIsNotCommittedByCount(t *testing.T) {
+	c := elected(t)
+	c.Step(2*time.Second, reply(quorum.AppendReply, 4, 2))
+	if s := c.Status(); s.Commit != 0 {
+		t.Errorf("commit %d with entry 2 of term 2 on a majority", s.Commit)
+	}
+	c.Step(2*time.Second, quorum.Synced{Seq: 2})
+	c.Step(2*time.Second, reply(quorum.AppendReply, 4, 3))
+	if s := c.Status(); s.Commit != 3 {
+		t.Errorf("commit %d with entry 3 of term 4 on a majority", s.Commit)
+	}
+}
--- a/internal/replica/quorum/disk.go
+++ b/internal/replica/quorum/disk.go
@@ -6,10 +6,8 @@
 	// seq is the number of the last write, synced of the last one synced.
 	seq    uint64
 	synced uint64
-	// hardDirty tells that the hard state waits for a write; hardSeq is the write
-	// that took it last.
+	// hardDirty tells that the hard state waits for a write.
 	hardDirty bool
-	hardSeq   uint64
 	// saved is the last index given to a write, stable the last synced.
 	saved  uint64
 	stable uint64
@@ -33,9 +31,6 @@
 	return d.seq
 }
 
-// hardSynced tells whether the term and the vote are on the disk.
-func (d *disk) hardSynced() bool { return !d.hardDirty && d.hardSeq <= d.synced }
-
 // truncate takes back the entry at index and all after it.
 func (d *disk) truncate(index uint64) {
 	d.saved = min(d.saved, index-1)
@@ -64,7 +59,7 @@
 	w := &Write{Seq: d.seq, Entries: entries}
 	if d.hardDirty {
 		hard := c.hard
-		w.Hard, d.hardDirty, d.hardSeq = &hard, false, d.seq
+		w.Hard, d.hardDirty = &hard, false
 	}
 	if d.anchor != nil {
 		w.Entries = append([]Entry{*d.anchor}, entries...)
--- a/internal/replica/quorum/follow.go
+++ b/internal/replica/quorum/follow.go
@@ -78,15 +78,11 @@
 	})
 }
 
-// durable is how far the log is synced and known to match the leader's. It is 0
-// until the term is synced: a replica that forgot the term after a crash could
-// take other entries from an earlier leader in the place of these.
-func (c *Core) durable() uint64 {
-	if !c.disk.hardSynced() {
-		return 0
-	}
-	return min(c.disk.stable, c.verified)
-}
+// durable is how far the log is synced and known to match the leader's: what is
+// only in memory would be acknowledged, committed and then lost in a crash. The
+// term of the leader is synced with its first entry or before, and without one
+// of its own entries the leader commits nothing.
+func (c *Core) durable() uint64 { return min(c.disk.stable, c.verified) }
 
 // acknowledge tells the leader what is synced, once for all that one sync covers.
 func (c *Core) acknowledge() {
@@ -94,9 +90,6 @@
 		return
 	}
 	n := c.durable()
-	if n == 0 && c.verified > 0 {
-		return
-	}
 	if n <= c.acked && !(c.ackDue && c.disk.stable >= c.verified) {
 		return
 	}
--- /dev/null
+++ b/internal/replica/quorum/guard_test.go
@@ -0,0 +1,182 @@
+package quorum_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"gypsumreel/internal/replica/quorum"
+)
+
+// lead commits the first entry of elected's term, so that it takes proposals.
+func lead(t *testing.T) *quorum.Core {
+	t.Helper()
+	c := elected(t)
+	c.Step(2*time.Second, quorum.Synced{Seq: 2})
+	c.Step(2*time.Second, answer(quorum.HeartbeatReply, "b/0", 0, 1))
+	c.Step(2*time.Second, reply(quorum.AppendReply, 4, 3))
+	if s := c.Status(); s.Commit != 3 {
+		t.Fatalf("commit %d", s.Commit)
+	}
+	return c
+}
+
+func answer(kind quorum.MessageKind, from string, index, round uint64) quorum.Event {
+	return quorum.Receive{Message: quorum.Message{Kind: kind, From: from, To: "a/0", Term: 4, Index: index, Round: round}}
+}
+
+func lastKind(c *quorum.Core) quorum.Kind {
+	entries := c.Entries()
+	return entries[len(entries)-1].Kind
+}
+
+// An operator adds two replicas at once, and the leader is cut off in between.
+// Majorities of memberships that differ by two voters need not overlap, so two
+// leaders could be elected; the second change waits for the commit of the first.
+func TestOneChangeAtATime(t *testing.T) {
+	c := lead(t)
+	learner := quorum.Member{ID: "d/0", Address: "d", Learner: true}
+	c.Step(2*time.Second, quorum.Alter{Term: 4, First: 4, Member: learner})
+	if k := lastKind(c); k != quorum.Change {
+		t.Fatalf("the first change became an entry of kind %d", k)
+	}
+	learner.ID = "e/0"
+	c.Step(2*time.Second, quorum.Alter{Term: 4, First: 5, Member: learner})
+	if k := lastKind(c); k != quorum.Empty {
+		t.Errorf("the second change became an entry of kind %d", k)
+	}
+}
+
+// A replica is repaired, and a second instance dies right after.
+// Had the learner counted before it had synced what was committed, the majority
+// that is left would lack it; so it is promoted only then.
+func TestPromotionWaitsForCatchUp(t *testing.T) {
+	c := lead(t)
+	d := quorum.Member{ID: "d/0", Address: "d", Learner: true}
+	c.Step(2*time.Second, quorum.Alter{Term: 4, First: 4, Member: d})
+	c.Step(2*time.Second, quorum.Synced{Seq: 3})
+	c.Step(2*time.Second, reply(quorum.AppendReply, 4, 4))
+	c.Step(2*time.Second, quorum.Confirm{})
+	c.Step(2*time.Second, answer(quorum.HeartbeatReply, "b/0", 4, 2))
+	c.Step(2*time.Second, answer(quorum.HeartbeatReply, "d/0", 0, 2))
+	d.Learner = false
+	c.Step(2*time.Second, quorum.Alter{Term: 4, First: 5, Member: d})
+	if k := lastKind(c); k != quorum.Empty {
+		t.Errorf("a learner without an entry was promoted: kind %d", k)
+	}
+	c.Step(2*time.Second, answer(quorum.AppendReply, "d/0", 5, 0))
+	c.Step(2*time.Second, quorum.Alter{Term: 4, First: 6, Member: d})
+	if k := lastKind(c); k != quorum.Change {
+		t.Errorf("a learner that has everything was not promoted: kind %d", k)
+	}
+}
+
+// A candidate asks for votes, dies before its own term is on the disk, starts
+// again and campaigns in the same term. Whoever voted for it would vote again,
+// and two leaders of one name would write different entries in one term.
+func TestVoteRequestsWaitForTheSync(t *testing.T) {
+	members := []quorum.Member{{ID: "a/0", Address: "a"}, {ID: "b/0", Address: "b"}, {ID: "c/0", Address: "c"}}
+	c := quorum.New(quorum.Config{ID: "a/0", Seed: 1}, quorum.Saved{
+		Hard:     quorum.Hard{Term: 3},
+		Snapshot: quorum.Snapshot{Index: 2, Term: 3, Members: members},
+	})
+	c.Step(0, quorum.Tick{})
+	c.Step(0, quorum.Synced{Seq: 1})
+	c.Step(2*time.Second, quorum.Tick{})
+	fx := c.Step(2*time.Second, reply(quorum.PreVoteReply, 4, 0))
+	if len(fx.Out) > 0 || fx.Write == nil {
+		t.Errorf("before the sync: sent %v, wrote %v", fx.Out, fx.Write)
+	}
+	c.Step(2*time.Second, reply(quorum.VoteReply, 4, 0))
+	if _, leads := c.Leads(); leads {
+		t.Error("leads before its own vote is synced")
+	}
+	if fx := c.Step(2*time.Second, quorum.Synced{Seq: fx.Write.Seq}); len(fx.Out) == 0 {
+		t.Error("no request after the sync")
+	}
+}
+
+// The way from the leader to one replica goes silent, the way back works.
+// The replica hears nothing and would depose a leader that a quorum follows, and
+// with it every round of a lease, again and again.
+func TestSilentReplicaDisturbsNobody(t *testing.T) {
+	s := newSim(3, 1)
+	s.run(2 * time.Second)
+	l := s.leader()
+	before, _ := l.core.Leads()
+	s.cut[[2]string{l.name, s.other().name}] = true
+	s.run(20 * time.Second)
+	after, leads := l.core.Leads()
+	if after != before || !leads {
+		t.Errorf("term %d became %d, still leading: %v", before, after, leads)
+	}
+}
+
+// A request for a vote was held up in the network until a leader of an earlier
+// term had a quorum. It must not depose that leader.
+func TestLateVoteRequestDisturbsNobody(t *testing.T) {
+	c := lead(t)
+	late := quorum.Message{Kind: quorum.Vote, From: "c/0", To: "a/0", Term: 9, Index: 3, LogTerm: 4}
+	c.Step(2*time.Second, quorum.Receive{Message: late})
+	if term, leads := c.Leads(); term != 4 || !leads {
+		t.Errorf("term %d, leads %v", term, leads)
+	}
+}
+
+// An operator adds a replica and removes one while a third is down.
+// Without a majority alive the change would never commit, nor anything after it.
+func TestChangeWithoutLivingMajority(t *testing.T) {
+	c := lead(t)
+	c.Step(2*time.Second, quorum.Alter{Term: 4, First: 4, Member: quorum.Member{ID: "b/0"}, Remove: true})
+	if k := lastKind(c); k != quorum.Empty {
+		t.Errorf("removing b with c silent became an entry of kind %d", k)
+	}
+	c.Step(2*time.Second, quorum.Alter{Term: 4, First: 5, Member: quorum.Member{ID: "a/0"}, Remove: true})
+	if k := lastKind(c); k != quorum.Empty {
+		t.Errorf("the leader's own removal became an entry of kind %d", k)
+	}
+}
+
+// A snapshot arrives with a byte changed. It must not become the state.
+func TestDamagedSnapshotStartsOver(t *testing.T) {
+	c := quorum.New(quorum.Config{ID: "d/0", Seed: 1}, quorum.Saved{})
+	chunk := quorum.Message{
+		Kind: quorum.Chunk, From: "a/0", To: "d/0", Term: 4, Index: 50, LogTerm: 4, Address: "a",
+		Total: 4, Sum: 1, Data: []byte("abcd"),
+	}
+	fx := c.Step(time.Second, quorum.Receive{Message: chunk})
+	if fx.Save != nil {
+		t.Error("a damaged snapshot is saved")
+	}
+	want := []quorum.Outgoing{{Address: "a", Message: quorum.Message{
+		Kind: quorum.ChunkReply, From: "d/0", To: "a/0", Term: 4, Index: 50, Sum: 1,
+	}}}
+	if d := cmp.Diff(want, fx.Out); d != "" {
+		t.Error(d)
+	}
+}
+
+// The connection breaks in the middle of a snapshot, and a late chunk comes twice.
+// The replica asks for what it lacks, and takes each byte once.
+func TestSnapshotResumes(t *testing.T) {
+	c := quorum.New(quorum.Config{ID: "d/0", Seed: 1}, quorum.Saved{})
+	state := quorum.Snapshot{State: []byte("abcdef")}
+	send := func(offset uint64, data string) quorum.Effects {
+		return c.Step(time.Second, quorum.Receive{Message: quorum.Message{
+			Kind: quorum.Chunk, From: "a/0", To: "d/0", Term: 4, Index: 50, LogTerm: 4, Address: "a",
+			Offset: offset, Total: 6, Sum: state.Sum(), Data: []byte(data),
+		}})
+	}
+	send(0, "abc")
+	for _, late := range []string{"abc", ""} {
+		fx := send(0, late)
+		if got := fx.Out[0].Message.Offset; got != 3 {
+			t.Errorf("asks to go on at %d", got)
+		}
+	}
+	fx := send(3, "def")
+	if fx.Save == nil || string(fx.Save.State) != "abcdef" {
+		t.Errorf("saves %v", fx.Save)
+	}
+}
--- a/internal/replica/quorum/matrix_test.go
+++ b/internal/replica/quorum/matrix_test.go
@@ -173,11 +173,18 @@
 // faultTime is longer than an election takes.
 const faultTime = 1200 * time.Millisecond
 
+// begin gives a group that has a leader; few ticks save time.
+func begin() *sim {
+	s := newSim(3, 1)
+	s.tickEvery = 3 * tickTime
+	s.run(1500 * time.Millisecond)
+	return s
+}
+
 // steps runs a scenario without faults and gives the labels of its events: the
 // first of each kind at each replica.
 func (sc scenario) steps() []string {
-	s := newSim(3, 1)
-	s.run(1500 * time.Millisecond)
+	s := begin()
 	var out []string
 	seen := map[string]bool{}
 	s.trace = func(label string, n *node) {
@@ -196,8 +203,7 @@
 // play runs a scenario with faults at steps and tells what broke, and whether
 // all faults struck: the first may keep the step of the second from happening.
 func (sc scenario) play(steps []string, strikes ...strike) (broken string, struck bool) {
-	s := newSim(3, 1)
-	s.run(1500 * time.Millisecond)
+	s := begin()
 	done := make([]bool, len(strikes))
 	s.trace = func(label string, n *node) {
 		label += " at " + n.name
--- a/internal/replica/quorum/snapshot.go
+++ b/internal/replica/quorum/snapshot.go
@@ -93,12 +93,13 @@
 	end := min(uint64(len(s.State)), p.offset+uint64(c.cfg.Message))
 	c.send(Message{
 		Kind: Chunk, To: id, Term: c.hard.Term, Index: s.Index, LogTerm: s.Term,
-		Offset: p.offset, Total: uint64(len(s.State)), Sum: s.sum(),
+		Offset: p.offset, Total: uint64(len(s.State)), Sum: s.Sum(),
 		Data: s.State[p.offset:end], Members: s.Members,
 	})
 }
 
-func (s *Snapshot) sum() uint64 { return xxhash.Sum64(s.State) }
+// Sum is the checksum of the state.
+func (s *Snapshot) Sum() uint64 { return xxhash.Sum64(s.State) }
 
 // takeChunk adds a part to the snapshot that is being received. It goes on where
 // it was when the connection or the leader changed, if the snapshot is the same.
@@ -142,7 +143,7 @@
 		return
 	}
 	s := &Snapshot{Index: in.index, Term: in.term, Members: in.members, State: in.data}
-	if s.sum() != in.sum {
+	if s.Sum() != in.sum {
 		in.data = nil
 		return
 	}
