Let the planned stop's test see calls in flight

Closing connections instead of letting calls finish passed the test: its callers were all in long polls, which the stop ends first.

--- a/internal/edge/entry/stop_test.go
+++ b/internal/edge/entry/stop_test.go
@@ -1,7 +1,6 @@
 package entry_test
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -30,6 +29,9 @@
 		w := newWorld(0)
 		defer w.close()
 		time.Sleep(time.Second)
+		c := w.client(w.team)
+		defer c.reset()
+		c.submit(0, spec("held", false, server.Wish{Sleep: "1h"}.Input()))
 		for name, r := range w.relays {
 			if innerLink(name) || outerLink(name) {
 				r.Delay(relay.Up, 3*time.Millisecond)
@@ -37,33 +39,39 @@
 			}
 		}
 		var calls, broken, leaving atomic.Int32
-		ctx, halt := context.WithCancel(w.ctx)
 		var wg sync.WaitGroup
+		// note counts the call and tells whether the caller goes on.
+		note := func(err error, status *v1.Status) bool {
+			if refusedDial(err) {
+				return false // the entry was gone before the call began
+			}
+			calls.Add(1)
+			if err != nil {
+				broken.Add(1)
+			}
+			if status.GetCode() == uint32(code.Leaving) {
+				leaving.Add(1)
+			}
+			return err == nil && status.GetCode() != uint32(code.Leaving)
+		}
 		for i := range 40 {
-			c := w.client(w.team)
+			c := w.near()
 			defer c.reset()
 			wg.Go(func() {
-				time.Sleep(time.Duration(i) * 5 * time.Millisecond) // each is at another point of its round
-				for n := 0; ctx.Err() == nil; n++ {
-					id := fmt.Sprintf("job-%d-%d", i, n)
-					calls.Add(2)
-					submit := connect.NewRequest(&v1.SubmitRequest{Jobs: []*v1.Spec{spec(id, false, server.Wish{Sleep: "100ms"}.Input())}})
-					submit.Header().Set("Authorization", "Bearer "+c.key)
-					_, err := c.callers[0].Submit(w.ctx, submit)
-					wait := connect.NewRequest(&v1.WaitRequest{Id: id, Patience: 10_000})
-					wait.Header().Set("Authorization", "Bearer "+c.key)
-					reply, err2 := c.callers[0].Wait(w.ctx, wait)
-					if refusedDial(err) || refusedDial(err2) {
-						return // the entry is gone as planned, before the call began
-					}
-					if err != nil || err2 != nil {
-						broken.Add(1)
-						return
-					}
-					if reply.Msg.GetStatus().GetCode() == uint32(code.Leaving) {
-						leaving.Add(1)
-						return
+				for n, on := 0, i%8 == 0; on; n++ {
+					reply, err := c.callers[0].Submit(w.ctx, with(w.team, &v1.SubmitRequest{Jobs: []*v1.Spec{spec(fmt.Sprintf("job-%d-%d", i, n), false, nil)}}))
+					on = note(err, nil) && reply != nil
+					time.Sleep(time.Millisecond)
+				}
+			})
+			wg.Go(func() {
+				for on := true; on; {
+					reply, err := c.callers[0].Wait(w.ctx, with(w.team, &v1.WaitRequest{Id: "held", Patience: 10_000}))
+					var status *v1.Status
+					if err == nil {
+						status = reply.Msg.GetStatus()
 					}
+					on = note(err, status)
 				}
 			})
 		}
@@ -73,14 +81,22 @@
 		p.stop()
 		<-p.entry.Done()
 		took := time.Since(began)
-		halt()
 		wg.Wait()
-		if broken.Load() > 0 || leaving.Load() == 0 || took > 7*time.Second {
+		if broken.Load() > 0 || leaving.Load() != 40 || took > 7*time.Second {
 			t.Errorf("of %d calls %d were cut off, %d told to go elsewhere; the stop took %v", calls.Load(), broken.Load(), leaving.Load(), took)
 		}
 	})
 }
 
+// near returns a client without a relay, which tells a refused dial from a call that was cut off.
+func (w *world) near() *client {
+	wire := &http.Transport{DialContext: w.memory.DialHost}
+	return &client{
+		world: w, key: w.team, reset: wire.CloseIdleConnections,
+		callers: []v1.CallerClient{v1.NewCallerClient(&http.Client{Transport: wire}, "http://e1-callers:1")},
+	}
+}
+
 // refusedDial tells whether a call never began because nobody listens any more.
 func refusedDial(err error) bool {
 	return err != nil && connect.CodeOf(err) == connect.CodeUnavailable && errors.Is(err, relay.ErrRefused)
--- a/internal/fake/relay/memory.go
+++ b/internal/fake/relay/memory.go
@@ -50,6 +50,15 @@
 	}
 }
 
+// DialHost connects to the host of an address, whatever its port.
+func (m *Memory) DialHost(ctx context.Context, network, address string) (net.Conn, error) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, err
+	}
+	return m.Dial(ctx, network, host)
+}
+
 // To returns a dial function for one address, as Relay takes it.
 func (m *Memory) To(address string) func(ctx context.Context) (net.Conn, error) {
 	return func(ctx context.Context) (net.Conn, error) { return m.Dial(ctx, "memory", address) }
