--- a/internal/edge/control/pool_test.go
+++ b/internal/edge/control/pool_test.go
@@ -313,3 +313,21 @@
 		}
 	})
 }
+
+// The answers of a slow path arrive when what they tell is old already. The age
+// of the contact must count from when the call was sent, or a key would work
+// for longer than the bound by as much as an answer takes.
+func TestAgeOfContactCountsFromTheSend(t *testing.T) {
+	run(t, map[string]*script{"c1": {mute: true}}, func(b *bench) {
+		const slow = 300 * time.Millisecond
+		b.relays["c1"].Delay(relay.Down, slow)
+		time.Sleep(3 * time.Second)
+		b.relays["c1"].Set(relay.Up, relay.Lose)
+		b.relays["c1"].Set(relay.Down, relay.Lose)
+		began := time.Now()
+		b.listWithin(time.Minute)
+		if took := time.Since(began); took > control.DefaultFreshness-slow+100*time.Millisecond {
+			t.Errorf("refused %v after the last answer could have left", took)
+		}
+	})
+}
--- a/internal/edge/entry/measure_test.go
+++ b/internal/edge/entry/measure_test.go
@@ -141,7 +141,7 @@
 	}()
 	go func() { _ = http.Serve(&countedListener{l, m.inside}, inner.NewControlServer(q)) }()
 	m.leader = l.Addr().String()
-	m.child = startProcess(t, m.leader)
+	m.child = startProcess(t, m.leader, "GOMAXPROCS=2") // entry instances are small
 	return m
 }
 
--- a/internal/edge/entry/process_test.go
+++ b/internal/edge/entry/process_test.go
@@ -62,10 +62,10 @@
 	cmd *exec.Cmd
 }
 
-func startProcess(t testing.TB, leader string) *entryProcess {
+func startProcess(t testing.TB, leader string, env ...string) *entryProcess {
 	t.Helper()
 	p := &entryProcess{cmd: exec.Command(os.Args[0])}
-	p.cmd.Env = append(os.Environ(), childVariable+"="+leader)
+	p.cmd.Env = append(append(os.Environ(), childVariable+"="+leader), env...)
 	out, err := p.cmd.StdoutPipe()
 	if err != nil {
 		t.Fatal(err)
--- a/internal/edge/entry/service_test.go
+++ b/internal/edge/entry/service_test.go
@@ -200,6 +200,25 @@
 	}
 }
 
+// An operator changes the table and looks who serves it. Idle entries must have
+// the new revision within a second, without any traffic that carries it.
+func TestTableIsInForceEverywhereWithinASecond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(0)
+		defer w.close()
+		time.Sleep(time.Second)
+		c := w.client(w.operator)
+		defer c.reset()
+		c.change(0, &v1.ChangeRequest{Id: "one", Change: &v1.ChangeRequest_Table{Table: &v1.TableChange{}}})
+		time.Sleep(600 * time.Millisecond)
+		for _, name := range entryNames {
+			if got := w.process(name).entry.Pool().Revision(); got != 1 {
+				t.Errorf("%s serves revision %d", name, got)
+			}
+		}
+	})
+}
+
 // A backend server is cut off from everything while its task runs. Nobody can
 // tell it to stop, so it must stop by its own clock before the cell places the
 // task again.
