--- a/internal/policy/bench/bench.go
+++ b/internal/policy/bench/bench.go
@@ -22,8 +22,10 @@
 const (
 	None     Fault = "none"
 	ZoneLost Fault = "zone lost"
-	// Unmarked is ZoneLost with the servers given work until their lease is over.
-	Unmarked Fault = "zone lost unmarked"
+	// Racks goes on: every 20 s a rack goes silent, for 15 s.
+	Racks Fault = "racks lost"
+	// Unmarked is Racks with the servers given work until their lease is over.
+	Unmarked Fault = "racks lost unmarked"
 	WrongRun Fault = "run times off"
 	Greedy   Fault = "use beyond size"
 	Crashing Fault = "crashing jobs"
@@ -35,7 +37,7 @@
 )
 
 // Faults lists all of them.
-var Faults = []Fault{None, ZoneLost, Unmarked, WrongRun, Greedy, Crashing, Hole, Wave, Lowered, Weights, Endless}
+var Faults = []Fault{None, ZoneLost, Racks, Unmarked, WrongRun, Greedy, Crashing, Hole, Wave, Lowered, Weights, Endless}
 
 // Setup is one run.
 type Setup struct {
@@ -129,8 +131,10 @@
 	small := capacity.Size{CPU: 1000, Memory: 1 << 10, Slots: 1}
 	flood := &job.Spec{Team: "dov", Kind: job.Batch, Name: "flood", Count: 10_000, Size: small, Runtime: time.Minute}
 	switch s.Fault {
-	case ZoneLost, Unmarked:
-		w.Lose(func(b backend.Server) bool { return b.Zone == "z00" }, s.Length/4, s.Fault == ZoneLost)
+	case ZoneLost:
+		w.Lose(func(b backend.Server) bool { return b.Zone == "z00" }, s.Length/4, true)
+	case Racks, Unmarked:
+		w.loseRacks(0, s.Fault == Racks)
 	case Hole:
 		w.holes[w.order[len(w.order)/2]] = true
 	case Wave:
@@ -212,6 +216,13 @@
 	}
 }
 
+// loseRacks takes one rack after the other away for a while.
+func (w *World) loseRacks(n int, mark bool) {
+	rack := w.servers[w.order[n*7%len(w.order)]].Rack
+	w.Lose(func(b backend.Server) bool { return b.Rack == rack }, 15*time.Second, mark)
+	w.At(w.now+20*time.Second, func() { w.loseRacks(n+1, mark) })
+}
+
 // part returns one nth of a size.
 func part(s capacity.Size, n int64) capacity.Size {
 	return capacity.Size{CPU: s.CPU / n, Memory: s.Memory / n, Accel: capacity.Unlimited, Slots: s.Slots / n}
--- a/internal/policy/bench/bench_test.go
+++ b/internal/policy/bench/bench_test.go
@@ -35,6 +35,11 @@
 			for _, slack := range []float64{0.005, 0.01, 0.02, 0.03} {
 				run(cell.New(cell.Config{Slack: slack}), site, 1.2, bench.None, fmt.Sprint("slack ", slack))
 			}
+		case "racks":
+			run(bench.Cell(0), site, 0.9, bench.Racks, "cell")
+			run(bench.Cell(0), site, 0.9, bench.Unmarked, "cell")
+			run(bench.Cell(0), bench.Heavy(), 1.2, bench.None, "cell")
+			run(bench.Cell(cell.BestFit), bench.Heavy(), 1.2, bench.None, "without best fit")
 		case "parts":
 			parts(site)
 		case "one":
--- a/internal/policy/bench/meter.go
+++ b/internal/policy/bench/meter.go
@@ -92,7 +92,7 @@
 	}
 	wait := m.w.now - r.waits
 	if m.Fault > 0 && r.spec.Kind == job.Urgent {
-		if r.attempts > 0 && r.waits != r.accepted {
+		if r.attempts > 0 {
 			m.again = append(m.again, wait)
 		} else if r.accepted >= m.Fault && r.accepted < m.Fault+30*time.Second {
 			m.after = append(m.after, wait)
--- a/internal/policy/bench/workload.go
+++ b/internal/policy/bench/workload.go
@@ -47,6 +47,13 @@
 	}
 }
 
+// Heavy is Balastas with batch of up to half a server.
+func Heavy() Site {
+	s := Balastas()
+	s.Name, s.Batch = "heavy", capacity.Size{CPU: 8000, Memory: 16 << 10, Slots: 4}
+	return s
+}
+
 // servers returns the servers of the site.
 func (s Site) servers() []backend.Server {
 	var list []backend.Server
--- a/internal/policy/cell/cell_test.go
+++ b/internal/policy/cell/cell_test.go
@@ -172,6 +172,19 @@
 	want(t, "urgent task placed", 1, len(w.On(urgent)))
 }
 
+// A team at its limit runs small tasks one after the other and has a gang to
+// start. Each freed part of the limit would go to the next small task; the gang
+// gathers those as well.
+func TestGangAtTheLimitIsNotStarved(t *testing.T) {
+	w := world(4)
+	w.SetTable(w.Table().With([]team.Row{team.New("a").WithLimit(one.Times(6))}, nil))
+	submit(w, job.Spec{Name: "small"}, 500, 5*time.Second)
+	run(t, w, time.Minute)
+	gang := submit(w, job.Spec{Kind: job.Gang}, 5, time.Minute)
+	run(t, w, time.Minute+15*time.Second)
+	want(t, "gang tasks running", 5, len(w.On(gang)))
+}
+
 // A deadline passes while the cell is full. The job is dropped as not run, and
 // one of which a task ran before is not, for that would not be true.
 func TestDeadlineDropsOnlyWhatNeverRan(t *testing.T) {
--- a/internal/policy/cell/claim.go
+++ b/internal/policy/cell/claim.go
@@ -112,7 +112,7 @@
 		p.dropClaim(u)
 		return
 	}
-	if len(c.parts) == len(u.tasks) && c.free() && p.within(u.work.crew, u.size()) {
+	if len(c.parts) == len(u.tasks) && c.free() && p.allowed(u) {
 		on := make([]*server, 0, len(c.parts))
 		for _, t := range c.parts {
 			on = append(on, t.srv)
--- a/internal/policy/cell/decide.go
+++ b/internal/policy/cell/decide.go
@@ -146,9 +146,29 @@
 	return part / c.fair
 }
 
-// within tells whether the team may hold that much more.
+// within tells whether the team may hold that much more beside what it holds and
+// what room is kept for.
 func (p *Planner) within(c *crew, more capacity.Size) bool {
-	return c.known && c.held.Add(more).Within(c.row.Limit)
+	return c.known && c.held.Add(c.coming).Add(more).Within(c.row.Limit)
+}
+
+// allowed tells whether the limit of its team lets the unit start.
+func (p *Planner) allowed(u *unit) bool {
+	more := u.size()
+	if u.claim != nil {
+		more = more.Sub(u.need.Times(int64(len(u.claim.parts))))
+	}
+	return p.within(u.work.crew, more)
+}
+
+// eligible tells whether the unit may take a turn of its team. A gang may as long
+// as one more of its tasks is within the limit, or the team's smaller work would
+// use up the limit each time that a part of it becomes free.
+func (p *Planner) eligible(u *unit) bool {
+	if !u.work.spec.Whole() {
+		return u.claim == nil && p.allowed(u)
+	}
+	return u.size().Within(u.work.crew.row.Limit) && p.within(u.work.crew, u.need)
 }
 
 // start places the unit's tasks on the servers, one each.
@@ -250,7 +270,7 @@
 	p.scratch = c.queues[job.Service].First(p.cfg.Depth, p.scratch[:0])
 	p.scratch = c.queues[job.Batch].First(p.cfg.Depth, p.scratch)
 	for _, u := range p.scratch {
-		if !p.within(c, u.size()) || u.claim != nil && !u.work.spec.Whole() {
+		if !p.eligible(u) {
 			continue
 		}
 		if p.place(u) {
--- a/internal/policy/cell/gang.go
+++ b/internal/policy/cell/gang.go
@@ -24,7 +24,7 @@
 // placeGang starts all tasks of the gang or none: in one rack if it fits, else in
 // one zone, else anywhere.
 func (p *Planner) placeGang(u *unit) bool {
-	if u.tried == p.grown || !u.size().Fits(p.free) {
+	if u.tried == p.grown || !u.size().Fits(p.free) || !p.allowed(u) {
 		return false
 	}
 	u.tried = p.grown
@@ -252,7 +252,7 @@
 	may := p.overdue(p.cfg.Slack / 2)
 	if own {
 		due, c := may, u.work.crew
-		poor := c.held.Add(c.coming).Sub(c.leaving).Dominant(p.total) <= c.fair+p.cfg.Slack
+		poor := p.within(c, u.need) && c.held.Add(c.coming).Sub(c.leaving).Dominant(p.total) <= c.fair+p.cfg.Slack
 		may = func(h *holding) bool { return h.crew == c && !h.Job.Whole() || poor && due(h) }
 	}
 	srv, stop := p.victimsAt(u.home(), u, own, may)
--- a/internal/policy/cell/reclaim.go
+++ b/internal/policy/cell/reclaim.go
@@ -50,7 +50,7 @@
 		if left == 0 || p.full() || p.lack(c) <= p.cfg.Slack {
 			return left
 		}
-		if !p.within(c, u.size()) {
+		if !p.eligible(u) {
 			continue
 		}
 		if u.work.spec.Whole() {
@@ -62,9 +62,6 @@
 			}
 			continue
 		}
-		if u.claim != nil {
-			continue
-		}
 		left--
 		srv, stop := p.victims(u, u.work.spec.Size, false, p.overdue(p.cfg.Slack/2))
 		if srv == nil {
--- a/internal/policy/cell/service.go
+++ b/internal/policy/cell/service.go
@@ -21,7 +21,7 @@
 		if u.claim != nil {
 			return false
 		}
-		if p.full() || !p.within(u.work.crew, u.size()) {
+		if p.full() || !p.allowed(u) {
 			return false
 		}
 		if p.placeService(u) {
--- a/internal/policy/cell/urgent.go
+++ b/internal/policy/cell/urgent.go
@@ -45,7 +45,7 @@
 			if p.full() || vain == mostVain {
 				return
 			}
-			if !p.within(c, u.size()) {
+			if !p.allowed(u) {
 				p.yield(c, waiting[i:])
 				break
 			}
