--- /dev/null
+++ b/internal/base/settings/keys.go
@@ -0,0 +1,143 @@
+package settings
+
+import (
+	"time"
+)
+
+// The defaults and bounds of settings that other packages may want to name.
+const (
+	DefaultCell  = "main"
+	DefaultZone  = "zone-1"
+	DefaultData  = "data"
+	DefaultLog   = "info"
+	DefaultLease = 10 * time.Second
+
+	DefaultHeartbeat = 100 * time.Millisecond
+	DefaultElection  = time.Second
+	DefaultRetention = 24 * time.Hour
+	DefaultPoll      = 5 * time.Second
+	DefaultCall      = 400 * time.Millisecond
+	DefaultFresh     = 2 * time.Second
+	DefaultDrain     = 10 * time.Second
+	DefaultFinish    = 30 * time.Second
+	DefaultReload    = 5 * time.Second
+
+	DefaultBatch       = 512
+	DefaultQueue       = 8_192
+	DefaultConnections = 8_192
+	DefaultSnapshot    = 20_000
+	DefaultDump        = 1 << 20
+
+	// MaxReplicas bounds the list of control replicas.
+	MaxReplicas = 7
+	// MaxDigests bounds the list of enrolment digests.
+	MaxDigests = 4
+	// ElectionBeats is the least number of heartbeats in an election timeout.
+	ElectionBeats = 4
+)
+
+// The default addresses.
+const (
+	defaultControl   = "127.0.0.1:7400"
+	defaultCallers   = "127.0.0.1:7401"
+	defaultBackends  = "127.0.0.1:7402"
+	defaultOperators = "127.0.0.1:7403"
+	defaultPlatform  = "127.0.0.1:7404"
+	defaultWatched   = "127.0.0.1:7405"
+)
+
+// Key describes one setting.
+type Key struct {
+	// Path is the names from the outermost object inwards, joined by dots.
+	Path string
+	// Role is empty for a setting of both roles.
+	Role Role
+	// Allowed is the form, unit and bounds.
+	Allowed string
+	// Default is what holds when the key is left out.
+	Default string
+	// Help says what the setting does.
+	Help string
+
+	read func(r *reader, s *Settings, v value)
+	fill func(s *Settings)
+}
+
+// Keys returns every setting in the order of the documentation.
+func Keys() []Key { return keys }
+
+var keys = []Key{
+	text("cell", "", allowedName, DefaultCell, isName, "Names the cell; processes of different cells refuse each other.", func(s *Settings) *string { return &s.Cell }),
+	choice("role", []string{string(Control), string(Entry)}, string(Control), "Which daemon the file is for.", func(s *Settings) *string { return (*string)(&s.Role) }),
+	{
+		Path: "name", Allowed: allowedName, Default: "the role followed by -1",
+		Help: "Unique in the cell. The inside certificate must bear it as a DNS name.",
+		read: readText(allowedName, isName, func(s *Settings) *string { return &s.Name }),
+		fill: func(s *Settings) { s.Name = string(s.Role) + "-1" },
+	},
+	text("zone", "", allowedName, DefaultZone, isName, "Availability zone of the instance.", func(s *Settings) *string { return &s.Zone }),
+	text("data", Control, allowedPath, DefaultData, isPath, "Folder of the journal and the snapshots; made when missing. Relative paths start at the file's folder.", func(s *Settings) *string { return &s.Data }),
+
+	text("listen.control", Control, allowedListen, defaultControl, isListen, "For entries and other control replicas.", func(s *Settings) *string { return &s.Listen.Control }),
+	text("listen.callers", Entry, allowedListen, defaultCallers, isListen, "For callers; the balancer's target.", func(s *Settings) *string { return &s.Listen.Callers }),
+	text("listen.backends", Entry, allowedListen, defaultBackends, isListen, "For backend servers.", func(s *Settings) *string { return &s.Listen.Backends }),
+	text("listen.operators", Entry, allowedListen, defaultOperators, isListen, "For operators.", func(s *Settings) *string { return &s.Listen.Operators }),
+	{
+		Path: "listen.platform", Allowed: allowedListen, Default: defaultPlatform + " for an entry, " + defaultWatched + " for control",
+		Help: "Serves /healthz, /readyz and /metrics.",
+		read: readText(allowedListen, isListen, func(s *Settings) *string { return &s.Listen.Platform }),
+		fill: func(s *Settings) {
+			s.Listen.Platform = defaultPlatform
+			if s.Role == Control {
+				s.Listen.Platform = defaultWatched
+			}
+		},
+	},
+	{
+		Path: "control", Allowed: allowedPeers, Default: "one replica: this one, or control-1 at " + defaultControl + " for an entry",
+		Help: "The control replicas: at first start the founding members, later where to look for the leader.",
+		read: readPeers,
+		fill: func(s *Settings) {
+			s.Control = []Peer{{Name: string(Control) + "-1", Address: defaultControl}}
+			if s.Role == Control {
+				s.Control = []Peer{{Name: s.Name, Address: s.Listen.Control}}
+			}
+		},
+	},
+	{
+		Path: "enrolment", Role: Entry, Allowed: allowedDigests, Default: "none: every backend server is refused",
+		Help: "Digests of the enrolment secrets that backend servers may show. `gypsumreel key secret` makes a secret and its digest. List the old and the new one while a secret is changed.",
+		read: readDigests,
+		fill: func(*Settings) {},
+	},
+
+	text("operator", Control, allowedDigest, "", isDigest, "Digest of the first operator's secret; `gypsumreel key secret` makes both. Its key is operator.SECRET, and counts only while the cell has no other key.", func(s *Settings) *string { return &s.Operator }),
+
+	flag("tls.outside.plain", "No TLS towards callers, backend servers, operators and the platform.", func(s *Settings) *bool { return &s.TLS.Outside.Plain }),
+	text("tls.outside.certificate", "", allowedPath, "", isPath, "Certificate chain in PEM; required unless plain.", func(s *Settings) *string { return &s.TLS.Outside.Certificate }),
+	text("tls.outside.key", "", allowedPath, "", isPath, "Private key in PEM; required unless plain.", func(s *Settings) *string { return &s.TLS.Outside.Key }),
+	text("tls.outside.authority", "", allowedPath, "", isPath, "Authorities in PEM. When given, whoever connects must show a certificate that one of them signed.", func(s *Settings) *string { return &s.TLS.Outside.Authority }),
+	flag("tls.inside.plain", "No TLS between the processes of the cell.", func(s *Settings) *bool { return &s.TLS.Inside.Plain }),
+	text("tls.inside.certificate", "", allowedPath, "", isPath, "Certificate chain in PEM for both ends of a connection; required unless plain.", func(s *Settings) *string { return &s.TLS.Inside.Certificate }),
+	text("tls.inside.key", "", allowedPath, "", isPath, "Private key in PEM; required unless plain.", func(s *Settings) *string { return &s.TLS.Inside.Key }),
+	text("tls.inside.authority", "", allowedPath, "", isPath, "Authorities in PEM that sign the cell's certificates; required unless plain.", func(s *Settings) *string { return &s.TLS.Inside.Authority }),
+
+	only(Control, span("time.lease", DefaultLease, time.Second, 5*time.Minute, "How long a backend server may run work without hearing from the cell; all control replicas need the same. At least twice time.election.", func(s *Settings) *time.Duration { return &s.Time.Lease })),
+	only(Control, span("time.heartbeat", DefaultHeartbeat, 5*time.Millisecond, 5*time.Second, "Interval between the leader's heartbeats.", func(s *Settings) *time.Duration { return &s.Time.Heartbeat })),
+	only(Control, span("time.election", DefaultElection, 20*time.Millisecond, time.Minute, "Least silence of the leader that starts an election; at least four heartbeats.", func(s *Settings) *time.Duration { return &s.Time.Election })),
+	only(Control, span("time.retention", DefaultRetention, time.Minute, 30*24*time.Hour, "How long an outcome is kept that nobody acknowledged.", func(s *Settings) *time.Duration { return &s.Time.Retention })),
+	only(Control, span("time.poll", DefaultPoll, 50*time.Millisecond, 30*time.Second, "Longest long poll; short, so that a silent connection shows.", func(s *Settings) *time.Duration { return &s.Time.Poll })),
+	only(Entry, span("time.call", DefaultCall, 50*time.Millisecond, time.Minute, "Deadline of an entry's call to a control replica, beyond the poll it may hold; after it the connection is left behind.", func(s *Settings) *time.Duration { return &s.Time.Call })),
+	only(Entry, span("time.fresh", DefaultFresh, 100*time.Millisecond, time.Minute, "Age of the last contact with the leader past which an entry refuses everything.", func(s *Settings) *time.Duration { return &s.Time.Fresh })),
+	only(Entry, span("time.drain", DefaultDrain, 0, 10*time.Minute, "How long a stopping entry serves on after its readiness fails; the balancer's own delay or more.", func(s *Settings) *time.Duration { return &s.Time.Drain })),
+	only(Entry, span("time.finish", DefaultFinish, time.Second, 10*time.Minute, "Longest wait for requests in flight at a planned stop.", func(s *Settings) *time.Duration { return &s.Time.Finish })),
+	span("time.reload", DefaultReload, 50*time.Millisecond, time.Hour, "Interval at which the TLS files are looked at for a change.", func(s *Settings) *time.Duration { return &s.Time.Reload }),
+
+	only(Entry, count("limits.batch", "items", DefaultBatch, 1, 65_536, "Most items in one message to the leader.", func(s *Settings) *int64 { return &s.Limits.Batch })),
+	only(Entry, count("limits.queue", "requests", DefaultQueue, 1, 1<<20, "Most requests that wait at an entry; more are refused as not run.", func(s *Settings) *int64 { return &s.Limits.Queue })),
+	only(Entry, count("limits.connections", "connections", DefaultConnections, 8, 1<<20, "Most open connections of one listener.", func(s *Settings) *int64 { return &s.Limits.Connections })),
+	only(Control, count("limits.snapshot", "entries", DefaultSnapshot, 16, 10_000_000, "Journal entries between two snapshots.", func(s *Settings) *int64 { return &s.Limits.Snapshot })),
+	count("limits.dump", "bytes", DefaultDump, 1<<10, 64<<20, "Largest state dump; what exceeds it is cut and marked.", func(s *Settings) *int64 { return &s.Limits.Dump }),
+
+	choice("log", []string{"debug", "info", "warn", "error"}, DefaultLog, "Least level of the events that are logged.", func(s *Settings) *string { return &s.Log }),
+}
--- /dev/null
+++ b/internal/control/node/node.go
@@ -0,0 +1,356 @@
+// Package node assembles the control daemon: the replica's disk, its consensus
+// group, the control thread, and the services for entries and other replicas.
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/binary"
+	"net"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/base/event"
+	"gypsumreel/internal/base/meter"
+	"gypsumreel/internal/control/entry"
+	"gypsumreel/internal/control/leader"
+	"gypsumreel/internal/edge/platform"
+	"gypsumreel/internal/policy/cell"
+	"gypsumreel/internal/policy/plan"
+	"gypsumreel/internal/replica/birth"
+	"gypsumreel/internal/replica/group"
+	"gypsumreel/internal/replica/journal"
+	"gypsumreel/internal/replica/member"
+	"gypsumreel/internal/replica/peer"
+	"gypsumreel/internal/replica/quorum"
+	"gypsumreel/internal/replica/snapshot"
+)
+
+// DefaultHandover bounds the handing over of the lead at a planned stop.
+const DefaultHandover = 5 * time.Second
+
+// headerTimeout bounds the reading of a request's header.
+const headerTimeout = 5 * time.Second
+
+// Node is the control daemon. The exported fields are set before Run.
+type Node struct {
+	Cell string
+	Name string
+	// Data is the folder of everything that must last.
+	Data string
+	// Init founds a new cell together with the other replicas.
+	Init bool
+	// Listener takes entries and other replicas.
+	Listener net.Listener
+	// Platform takes the platform's probes; nil for none.
+	Platform net.Listener
+	// Outside secures Platform; nil for plain text.
+	Outside *tls.Config
+	// Address is where the others reach this replica.
+	Address string
+	// Replicas are all control replicas of the settings, by name; this one among them.
+	Replicas []quorum.Member
+	// Server and Client secure connections inside the cell; nil for plain ones.
+	Server *tls.Config
+	Client *tls.Config
+	// Peers secures the way between replicas, for both ends; nil for plain text.
+	Peers *tls.Config
+	// Root is the first operator's key.
+	Root *v1.KeyGrant
+	// Control is the control thread, set up but for what Run adds.
+	Control   *leader.Leader
+	Heartbeat time.Duration
+	Election  time.Duration
+	Handover  time.Duration
+	// Transport makes the way to the other replicas; receive takes what they
+	// send. Nil for package peer.
+	Transport func(id string, receive func(from string, data []byte)) Transport
+	// Dial opens connections to other replicas at the founding; nil for TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Abort ends a planned stop at once when closed: the second signal.
+	Abort <-chan struct{}
+	Log   logr.Logger
+
+	once  sync.Once
+	begin time.Time
+	done  chan struct{}
+	group atomic.Pointer[group.Group]
+	self  atomic.Value
+}
+
+// Transport carries consensus messages until Close.
+type Transport interface {
+	group.Peer
+	Handler() http.Handler
+	Close()
+}
+
+func (n *Node) init() {
+	n.once.Do(func() {
+		n.begin = time.Now()
+		n.done = make(chan struct{})
+		if n.Control == nil {
+			n.Control = leader.New()
+		}
+		if n.Handover == 0 {
+			n.Handover = DefaultHandover
+		}
+	})
+}
+
+// Done is closed when Run has returned.
+func (n *Node) Done() <-chan struct{} { n.init(); return n.done }
+
+// now is the monotonic clock that group and control thread share. It starts
+// above zero, so that zero can mean never.
+func (n *Node) now() time.Duration { return time.Since(n.begin) + time.Hour }
+
+// Run serves until ctx ends, then hands the lead over and stops. An error means
+// that this replica cannot go on, with the way out in its text.
+func (n *Node) Run(ctx context.Context) error {
+	n.init()
+	defer close(n.done)
+	lock, err := member.Take(n.Data)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = lock.Release() }()
+	self, fresh, err := n.identity()
+	if err != nil {
+		return err
+	}
+	n.self.Store(self.ID)
+	store := snapshot.Store{Dir: filepath.Join(n.Data, "snapshot")}
+	saved, err := load(store)
+	if err != nil {
+		return err
+	}
+	log, recovered, err := journal.Open(filepath.Join(n.Data, "journal"))
+	if err != nil {
+		return err
+	}
+	saved.Hard, saved.Entries = recovered.Hard, recovered.Entries
+	return n.serve(ctx, self, fresh && n.Init, saved, log, store)
+}
+
+func load(store snapshot.Store) (quorum.Saved, error) {
+	meta, data, err := store.Load()
+	if err != nil {
+		return quorum.Saved{}, err
+	}
+	return quorum.Saved{Snapshot: quorum.Snapshot{Index: meta.Index, Term: meta.Term, Members: meta.Members, State: data}}, nil
+}
+
+// identity returns this replica's own, and whether its disk is blank.
+func (n *Node) identity() (quorum.Member, bool, error) {
+	store := member.Store{Dir: n.Data}
+	id, err := store.Load(n.Cell, n.Name)
+	fresh := errors.Is(err, member.ErrNone)
+	if fresh {
+		id, err = store.Make(n.Cell, n.Name, rand.Reader)
+	}
+	return quorum.Member{ID: id.ID(), Address: n.Address}, fresh, err
+}
+
+// serve runs all parts until ctx ends or one of them fails.
+func (n *Node) serve(ctx context.Context, self quorum.Member, found bool, saved quorum.Saved, log *journal.Journal, store snapshot.Store) error {
+	running, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	founder := n.founder(self)
+	g := &group.Group{Journal: log, Snapshots: &store, Saved: saved, Now: n.now, Log: n.Log}
+	n.group.Store(g)
+	service := &entry.Server{Cell: n.Cell, Leader: n.Control, Now: n.now, Dumper: n.State}
+	mux := http.NewServeMux()
+	mux.Handle("/twirp/gypsumreel.inner.Control/", service.Handler())
+	mux.Handle("/twirp/gypsumreel.inner.Birth/", founder.Handler())
+	transport := n.transport(self.ID, g.Receive)
+	defer transport.Close()
+	g.Peer = transport
+	mux.Handle("/", transport.Handler())
+	server := n.server(mux, n.Server)
+	faults := make(chan error, 4)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer end()
+	defer func() { _ = server.Close() }()
+	run := func(what string, fn func() error) {
+		wg.Go(func() {
+			if err := fn(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+				faults <- errors.Wrap(err, what)
+			}
+		})
+	}
+	run("listen", func() error { return listen(server, n.Listener) })
+	if n.Platform != nil {
+		probes := n.server(n.probes(), n.Outside)
+		defer func() { _ = probes.Close() }()
+		run("platform", func() error { return listen(probes, n.Platform) })
+	}
+	if found {
+		first, err := founder.Found(ctx)
+		if err != nil {
+			return err
+		}
+		g.Config.Bootstrap = first
+	} else {
+		founder.Know(ids(saved.Snapshot.Members, self))
+	}
+	n.configure(self, g)
+	n.Control.Deposed = service.CloseAll
+	run("group", func() error { return g.Run(running) })
+	run("control", func() error { return n.Control.Run(running) })
+	select {
+	case err := <-faults:
+		return err
+	case <-ctx.Done():
+		n.handOver()
+		return nil
+	}
+}
+
+func (n *Node) transport(id string, receive func(from string, data []byte)) Transport {
+	if n.Transport != nil {
+		return n.Transport(id, receive)
+	}
+	return &peer.Pool{Cell: n.Cell, Self: id, TLS: n.Peers, Deliver: receive, Event: n.event}
+}
+
+// event logs what an operator may want to know of the way to the others.
+func (n *Node) event(e peer.Event) {
+	switch e.Kind {
+	case peer.Refused:
+		event.Log(n.Log, event.PeerRefused, "peer", e.Peer, "error", e.Err.Error())
+	case peer.Failed:
+		event.Log(n.Log, event.ConnectionSilent, "replica", e.Peer, "error", e.Err.Error())
+	case peer.TooLarge:
+		n.Log.Info("message to a replica is too large", "replica", e.Peer, "error", e.Err.Error())
+	case peer.Recovered:
+		n.Log.V(1).Info("a replica answers again", "replica", e.Peer)
+	}
+}
+
+func (n *Node) founder(self quorum.Member) *birth.Founder {
+	f := &birth.Founder{Cell: n.Cell, Self: self, Scheme: "http"}
+	if n.Client != nil {
+		f.Scheme = "https"
+	}
+	// No connection is kept: the founding happens once.
+	f.Client = &http.Client{Transport: &http.Transport{TLSClientConfig: n.Client, DialContext: n.Dial, DisableKeepAlives: true}}
+	for _, r := range n.Replicas {
+		if r.ID != n.Name {
+			f.Peers = append(f.Peers, r)
+		}
+	}
+	return f
+}
+
+// ids lists a membership that was saved, or this replica alone.
+func ids(members []quorum.Member, self quorum.Member) []string {
+	out := []string{self.ID}
+	for _, m := range members {
+		if m.ID != self.ID {
+			out = append(out, m.ID)
+		}
+	}
+	return out
+}
+
+func (n *Node) configure(self quorum.Member, g *group.Group) {
+	cfg := &g.Config
+	cfg.ID, cfg.Address = self.ID, self.Address
+	cfg.Heartbeat, cfg.Election = n.Heartbeat, n.Election
+	var seed [8]byte
+	_, _ = rand.Read(seed[:])
+	cfg.Seed = binary.LittleEndian.Uint64(seed[:])
+	l := n.Control
+	l.Group, l.Now, l.Root, l.Log = g, n.now, n.Root, n.Log
+	if l.Planner == nil {
+		l.Planner = func() plan.Planner { return cell.New(cell.Config{}) }
+	}
+}
+
+func (n *Node) server(h http.Handler, cfg *tls.Config) *http.Server {
+	both := new(http.Protocols)
+	both.SetHTTP1(true)
+	both.SetHTTP2(true)
+	both.SetUnencryptedHTTP2(true)
+	return &http.Server{Handler: h, Protocols: both, ReadHeaderTimeout: headerTimeout, TLSConfig: cfg}
+}
+
+func listen(s *http.Server, l net.Listener) error {
+	if s.TLSConfig == nil {
+		return s.Serve(l)
+	}
+	return s.ServeTLS(l, "", "")
+}
+
+// probes serves health, readiness and metrics. A replica is ready while it
+// knows a leader, itself or another.
+func (n *Node) probes() http.Handler {
+	set := metrics.NewSet()
+	set.NewGauge(meter.Name("control", "leads"), func() float64 {
+		if n.Control.Status().Leads {
+			return 1
+		}
+		return 0
+	})
+	set.NewGauge(meter.Name("control", "term"), func() float64 { return float64(n.Control.Status().Term) })
+	set.NewGauge(meter.Name("control", "revision"), func() float64 { return float64(n.Control.Status().Revision) })
+	return (&platform.Probes{Ready: n.ready, Meters: []*metrics.Set{set}}).Route()
+}
+
+// ready returns nil while a leader is known. A replica that belongs to no group
+// yet says what its operator has to do.
+func (n *Node) ready() error {
+	st := n.Control.Status()
+	if st.Leads || st.Leader != "" {
+		return nil
+	}
+	return errors.Newf("no leader is known to %s; if it is new, run: gypsumreel member add %s %s", n.self.Load(), n.self.Load(), n.Address)
+}
+
+// handOver gives the lead to another replica before a planned stop, so that
+// requests wait for one round trip and not for an election.
+func (n *Node) handOver() {
+	if !n.Control.Status().Leads {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), n.Handover)
+	defer cancel()
+	go func() {
+		select {
+		case <-n.Abort:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	if err := n.group.Load().Transfer(ctx); err != nil && !errors.Is(err, group.ErrAlone) {
+		n.Log.Info("the lead was not handed over", "cause", err.Error())
+	}
+}
+
+// Dump is the state of a control process for a person to read.
+type Dump struct {
+	Cell   string
+	Name   string
+	Status leader.Status
+	Group  group.Dump
+}
+
+// State returns the state of the process for a person to read.
+func (n *Node) State() any {
+	d := Dump{Cell: n.Cell, Name: n.Name, Status: n.Control.Status()}
+	if g := n.group.Load(); g != nil {
+		d.Group = g.Dump()
+	}
+	return d
+}
