--- a/internal/policy/cell/fault_test.go
+++ b/internal/policy/cell/fault_test.go
@@ -145,6 +145,22 @@
 	want(t, "stops and parks", []int{3, 1}, []int{w.Count(plan.Stop), w.Count(plan.Park)})
 }
 
+// The same use by a task that may run only once: stopped, it would be lost, and
+// the ledger refuses the order. It is throttled once, and its server takes nothing
+// more until it has ended.
+func TestUseBeyondSizeOfAOnceTaskIsOnlyThrottled(t *testing.T) {
+	w := world(1)
+	spec := &job.Spec{Team: "a", Kind: job.Batch, Count: 1, Size: one, Once: true}
+	greedy := w.Submit(spec, []time.Duration{time.Minute}, capacity.Size{CPU: 1000, Memory: 4096, Slots: 1}, false)
+	run(t, w, 12*time.Second)
+	rest := submit(w, job.Spec{Team: "b"}, 3, time.Hour)
+	run(t, w, 50*time.Second)
+	want(t, "running of it, placed beside it", []int{1, 0}, []int{w.Running(greedy), len(w.On(rest))})
+	run(t, w, 2*time.Minute)
+	want(t, "left of it, placed after it", []int{0, 3}, []int{w.Left(greedy), len(w.On(rest))})
+	want(t, "throttles, stops", []int{1, 0}, []int{w.Count(plan.Throttle), w.Count(plan.Stop)})
+}
+
 // A task uses more processor time than it declared. It is throttled, which puts
 // it back into its size, and goes on to its end.
 func TestProcessorUseBeyondSizeIsThrottled(t *testing.T) {
--- a/internal/policy/cell/watch.go
+++ b/internal/policy/cell/watch.go
@@ -43,7 +43,8 @@
 
 // watchUse throttles tasks beyond their declared size, and stops those that stay
 // beyond it. The grace is short where the server has no room for the excess, and
-// there is none for what throttling does not give back.
+// there is none for what throttling does not give back. A task that may run only
+// once is throttled and never stopped: to stop it would be to lose it.
 func (p *Planner) watchUse() {
 	p.over = slices.DeleteFunc(p.over, func(h *holding) bool {
 		if p.held[h.ID] != h || !h.exceeds || h.Stopping {
@@ -61,7 +62,10 @@
 func (p *Planner) curb(h *holding) bool {
 	tight := !h.srv.actual().Valid()
 	hard := tight && beyond(h.size, h.Job.Size)
-	if h.throttled == 0 && !hard {
+	if h.Job.Once && h.throttled > 0 {
+		return true
+	}
+	if h.throttled == 0 && (!hard || h.Job.Once) {
 		h.throttled = max(p.now, 1)
 		p.emit(plan.Decision{Verb: plan.Throttle, Task: h.ID, Reason: "uses more than it declared"})
 		return false
