Test what three mutations of the planner showed to be untested

The floor of services under a lowered limit, the reserve on lost servers, and the forgiveness of failures on quarantined servers could each be taken out without a test failing; now each fails one.

--- a/internal/policy/cell/cell_test.go
+++ b/internal/policy/cell/cell_test.go
@@ -160,6 +160,17 @@
 	want(t, "once, old, young", []int{2, 4, 0}, []int{len(w.On(once)), len(w.On(old)), len(w.On(young))})
 }
 
+// The limit is lowered below what a service needs to answer at all. The service is
+// cut down to its floor and no further, though the team stays above its limit.
+func TestLoweredLimitLeavesServicesTheirFloor(t *testing.T) {
+	w := world(4)
+	service := submit(w, job.Spec{Kind: job.Service, Floor: 3}, 6, 1000*time.Hour)
+	run(t, w, time.Second)
+	w.SetTable(w.Table().With([]team.Row{team.New("a").WithLimit(one)}, nil))
+	run(t, w, time.Minute)
+	want(t, "running", 3, w.Running(service))
+}
+
 // A team at its limit has a quote to answer. Its own batch makes room within the
 // limit; without that the quote would wait for a batch task to end.
 func TestUrgentAtTheLimitReplacesOwnBatch(t *testing.T) {
--- a/internal/policy/cell/fault_test.go
+++ b/internal/policy/cell/fault_test.go
@@ -8,8 +8,10 @@
 	"gypsumreel/internal/domain/backend"
 	"gypsumreel/internal/domain/capacity"
 	"gypsumreel/internal/domain/job"
+	"gypsumreel/internal/domain/table"
 	"gypsumreel/internal/domain/task"
 	"gypsumreel/internal/domain/team"
+	"gypsumreel/internal/policy/cell"
 	"gypsumreel/internal/policy/plan"
 )
 
@@ -114,6 +116,35 @@
 	}
 }
 
+// The servers that hold the urgent reserve go silent. What is reserved there
+// helps nobody: the reserve is built up again elsewhere, and the next quotes need
+// not wait for a checkpoint.
+func TestReserveMovesFromLostServers(t *testing.T) {
+	w := world(6)
+	for range 2 {
+		submit(w, job.Spec{Team: "b", Kind: job.Urgent}, 1, 100*time.Millisecond)
+	}
+	run(t, w, 100*time.Millisecond)
+	flood := submit(w, job.Spec{}, 4000, time.Second)
+	run(t, w, 5*time.Second)
+	full := map[string]int{}
+	for _, id := range w.On(flood) {
+		full[id]++
+	}
+	for _, s := range servers(6) {
+		if full[s.ID] < 4 {
+			w.SetServer(s.WithState(backend.Suspect, w.Now()))
+		}
+	}
+	run(t, w, 10*time.Second)
+	w.Meter.From = 10 * time.Second
+	submit(w, job.Spec{Team: "b", Kind: job.Urgent}, 1, time.Second)
+	run(t, w, 11*time.Second)
+	if wait := w.Longest(job.Urgent); wait == 0 || wait > 10*time.Millisecond {
+		t.Errorf("urgent work waits %v", wait)
+	}
+}
+
 // A silent server may be up still. It takes nothing new from the moment that it
 // is suspect, before the wait for its lease begins, and its tasks count as
 // running until they are proved lost.
@@ -202,6 +233,50 @@
 	want(t, "left of it", 0, w.Left(bad))
 }
 
+// Four servers fail everything at once, and a sound job meets one after the other
+// before each is found out. Without forgiveness it would be given up, though
+// nothing is wrong with it.
+func TestSoundJobOutlivesFailingServers(t *testing.T) {
+	p := cell.New(cell.Config{})
+	p.SetTable(table.Restore(1, []team.Row{team.New("a")}))
+	list := servers(40)
+	for _, s := range list {
+		p.SetServer(s)
+	}
+	next := uint64(1)
+	attempt := func(id uint64, name, server string, failed bool) {
+		spec := &job.Spec{Team: "a", Kind: job.Batch, Name: name, Count: 1, Size: one}
+		p.Hold(plan.Held{ID: task.ID{Job: id}, Job: spec, Server: server})
+		p.Release(task.ID{Job: id}, plan.End{Ran: true, Failed: failed})
+		if failed && id == 1 {
+			p.Queue(plan.Queued{ID: task.ID{Job: 1}, Job: spec, Attempts: 1})
+		}
+	}
+	for range 20 {
+		next++
+		attempt(next, "good", "s39", false)
+	}
+	for i := range 4 {
+		for range 4 {
+			next++
+			attempt(next, "good", list[i].ID, true)
+		}
+		attempt(1, "sound", list[i].ID, true)
+		for range 8 {
+			next++
+			attempt(next, "good", "s39", false)
+		}
+		for _, d := range p.Decide(time.Duration(i)*time.Millisecond, 100) {
+			if d.Verb == plan.Park {
+				t.Fatalf("after %d servers: %+v", i+1, d)
+			}
+			if d.Verb == plan.Quarantine {
+				p.SetServer(list[i].WithState(backend.Quarantined, 0))
+			}
+		}
+	}
+}
+
 // Every server starts to fail everything: a bad image, or a fault of the network.
 // Quarantine of all of them would end the service of the cell; the cap holds.
 func TestQuarantineIsCapped(t *testing.T) {
