--- a/internal/policy/fit/fit.go
+++ b/internal/policy/fit/fit.go
@@ -36,7 +36,15 @@
 	most  capacity.Size
 	unit  capacity.Size
 	cells map[level]*cell[T]
-	list  []*cell[T]
+	heads []head[T]
+}
+
+// head is what a search reads of every cell; heads lie side by side in memory.
+type head[T any] struct {
+	low capacity.Size
+	// high is at least the free room of every item.
+	high capacity.Size
+	cell *cell[T]
 }
 
 // level is a free room counted in units.
@@ -45,9 +53,6 @@
 // cell holds the items whose free room is on one level.
 type cell[T any] struct {
 	level level
-	low   capacity.Size
-	// high is at least the free room of every item.
-	high  capacity.Size
 	spots []*Spot[T]
 	pos   int
 }
@@ -64,10 +69,10 @@
 	}
 	x.most = x.most.Max(most)
 	x.unit = capacity.Size{CPU: step(x.most.CPU), Memory: step(x.most.Memory), Accel: step(x.most.Accel), Slots: step(x.most.Slots)}
-	old := x.list
-	x.cells, x.list = map[level]*cell[T]{}, nil
-	for _, c := range old {
-		for _, s := range c.spots {
+	old := x.heads
+	x.cells, x.heads = map[level]*cell[T]{}, nil
+	for _, h := range old {
+		for _, s := range h.cell.spots {
 			x.insert(s)
 		}
 	}
@@ -82,7 +87,7 @@
 	}
 	if s.cell != nil && free.Valid() && x.level(free) == s.cell.level {
 		s.free = free
-		s.cell.high = s.cell.high.Max(free)
+		x.raise(s.cell, free)
 		return
 	}
 	x.Drop(s)
@@ -109,10 +114,10 @@
 }
 
 func (x *Index[T]) forget(c *cell[T]) {
-	end := x.list[len(x.list)-1]
-	x.list[c.pos] = end
-	end.pos = c.pos
-	x.list = x.list[:len(x.list)-1]
+	end := x.heads[len(x.heads)-1]
+	x.heads[c.pos] = end
+	end.cell.pos = c.pos
+	x.heads = x.heads[:len(x.heads)-1]
 	delete(x.cells, c.level)
 }
 
@@ -120,16 +125,21 @@
 	l := x.level(s.free)
 	c := x.cells[l]
 	if c == nil {
-		c = &cell[T]{level: l, pos: len(x.list), low: capacity.Size{
+		c = &cell[T]{level: l, pos: len(x.heads)}
+		x.cells[l] = c
+		x.heads = append(x.heads, head[T]{cell: c, low: capacity.Size{
 			CPU: int64(l.cpu) * x.unit.CPU, Memory: int64(l.memory) * x.unit.Memory,
 			Accel: int64(l.accel) * x.unit.Accel, Slots: int64(l.slots) * x.unit.Slots,
-		}}
-		x.cells[l] = c
-		x.list = append(x.list, c)
+		}})
 	}
 	s.cell, s.pos = c, len(c.spots)
 	c.spots = append(c.spots, s)
-	c.high = c.high.Max(s.free)
+	x.raise(c, s.free)
+}
+
+// raise lets the bound of a cell hold for one more free room.
+func (x *Index[T]) raise(c *cell[T], free capacity.Size) {
+	x.heads[c.pos].high = x.heads[c.pos].high.Max(free)
 }
 
 func (x *Index[T]) level(free capacity.Size) level {
@@ -140,31 +150,23 @@
 }
 
 // Cells returns the number of cells that a search looks at.
-func (x *Index[T]) Cells() int { return len(x.list) }
-
-// High returns a size that is at least the free room of every item.
-func (x *Index[T]) High() capacity.Size {
-	var high capacity.Size
-	for _, c := range x.list {
-		high = high.Max(c.high)
-	}
-	return high
-}
+func (x *Index[T]) Cells() int { return len(x.heads) }
 
 // Best returns the item on which need leaves the smallest dominant remainder,
 // within the accuracy of a cell, among those that ok accepts, and its score. Only
 // items that score below bound are found; ok may be nil.
 func (x *Index[T]) Best(need capacity.Size, bound float64, ok func(T) bool) (T, float64, bool) {
 	var best *Spot[T]
-	for _, c := range x.list {
-		if !need.Fits(c.high) {
+	for i := range x.heads {
+		h := &x.heads[i]
+		if !need.Fits(h.high) {
 			continue
 		}
-		score := x.score(need, c.low)
+		score := x.score(need, h.low)
 		if score >= bound {
 			continue
 		}
-		s := c.pick(need, ok)
+		s := h.pick(need, ok)
 		if s == nil {
 			continue
 		}
@@ -182,15 +184,15 @@
 
 // pick returns a spot of the cell with room for need. When none has it, the
 // cell's bound is set anew, so that the next search passes the cell over.
-func (c *cell[T]) pick(need capacity.Size, ok func(T) bool) *Spot[T] {
+func (h *head[T]) pick(need capacity.Size, ok func(T) bool) *Spot[T] {
 	var high capacity.Size
-	for _, s := range c.spots {
+	for _, s := range h.cell.spots {
 		if need.Fits(s.free) && (ok == nil || ok(s.Item)) {
 			return s
 		}
 		high = high.Max(s.free)
 	}
-	c.high = high
+	h.high = high
 	return nil
 }
 
