--- a/internal/replica/disk/disk.go
+++ b/internal/replica/disk/disk.go
@@ -141,8 +141,17 @@
 }
 
 func (f file) Truncate(size int64) error { return classify(f.f.Truncate(size)) }
-func (f file) Sync() error               { return classify(f.f.Sync()) }
-func (f file) Close() error              { return classify(f.f.Close()) }
+
+// Sync leaves out times, which nothing reads; the length is synced when it changed.
+func (f file) Sync() error {
+	for {
+		if err := unix.Fdatasync(int(f.f.Fd())); !errors.Is(err, unix.EINTR) {
+			return classify(err)
+		}
+	}
+}
+
+func (f file) Close() error { return classify(f.f.Close()) }
 
 // classify marks the errors that mean a full disk.
 func classify(err error) error {
--- a/internal/replica/disk/matrix_test.go
+++ b/internal/replica/disk/matrix_test.go
@@ -64,6 +64,7 @@
 // replica must start each time, with all that it had synced, and with nothing
 // that was never appended. What one start has shown, the next must show too.
 func TestCrashAtEveryOperation(t *testing.T) {
+	t.Parallel()
 	cases, operations := 0, 0
 	for _, size := range []int64{small, large} {
 		for n := 1; ; n++ {
@@ -167,6 +168,7 @@
 // journal whose disk it no longer knows, and must lose nothing synced; a sync
 // that is simply tried again would succeed without the data.
 func TestBrokenOperation(t *testing.T) {
+	t.Parallel()
 	for n := 1; ; n++ {
 		for _, o := range disk.Outcomes {
 			r := &replica{size: small, disk: &disk.Memory{Inject: at(n, disk.Broken)}}
@@ -195,6 +197,7 @@
 // operation after that the replica crashes. The refused work is not there, all
 // other work is, and the replica goes on without a restart.
 func TestFullDisk(t *testing.T) {
+	t.Parallel()
 	cases := 0
 	for n := 1; ; n++ {
 		for _, f := range []shortage{{large, n, 1}, {small, n, 4}} {
@@ -285,7 +288,7 @@
 // the file must not read as damage at the next start.
 func TestPartialWriteIsCutOff(t *testing.T) {
 	m := &disk.Memory{}
-	c := journal.Config{Disk: m, SegmentSize: 100}
+	c := journal.Config{Disk: m, SegmentSize: 100, Reserve: -1}
 	j, _, err := c.Open(journalDir)
 	must(t, "open", err)
 	m.Inject = at(m.Count()+1, disk.Full)
@@ -334,7 +337,7 @@
 func TestAppendDuringSync(t *testing.T) {
 	m := &disk.Memory{}
 	d := &eager{Disk: m}
-	j, _, err := journal.Config{Disk: d}.Open(journalDir)
+	j, _, err := journal.Config{Disk: d, Reserve: reserve}.Open(journalDir)
 	must(t, "open", err)
 	must(t, "append", j.Append(&quorum.Hard{Term: 1}, nil))
 	d.during = func() {
@@ -344,7 +347,7 @@
 	must(t, "sync", j.Sync())
 	must(t, "sync again", j.Sync())
 	m.Restart(disk.Lost)
-	_, got, err := journal.Config{Disk: m}.Open(journalDir)
+	_, got, err := journal.Config{Disk: m, Reserve: reserve}.Open(journalDir)
 	must(t, "open again", err)
 	if diff := cmp.Diff(journal.Recovered{Hard: quorum.Hard{Term: 2}}, got); diff != "" {
 		t.Error(diff)
--- a/internal/replica/disk/replica_test.go
+++ b/internal/replica/disk/replica_test.go
@@ -20,6 +20,9 @@
 	snapshotDir = "/data/snapshot"
 )
 
+// reserve is room for an append or two.
+const reserve = 120
+
 // history is what the replica was told to keep, and how much of it must last.
 type history struct {
 	// states are all that the journal may hold, in order.
@@ -58,7 +61,7 @@
 }
 
 func (r *replica) config() journal.Config {
-	return journal.Config{Disk: r.disk, SegmentSize: r.size}
+	return journal.Config{Disk: r.disk, SegmentSize: r.size, Reserve: reserve}
 }
 
 func (r *replica) store() snapshot.Store { return snapshot.Store{Dir: snapshotDir, Disk: r.disk} }
--- a/internal/replica/journal/bench_test.go
+++ b/internal/replica/journal/bench_test.go
@@ -11,15 +11,12 @@
 	"gypsumreel/internal/replica/quorum"
 )
 
-// Shape of the load: a batch of 64 concurrent commits of 256 bytes each.
-const (
-	batch   = 64
-	payload = 256
-)
+// payload is the size of an entry in bytes.
+const payload = 256
 
-// batchFrom returns a batch of entries.
-func batchFrom(first uint64) []quorum.Entry {
-	entries := make([]quorum.Entry, batch)
+// batchFrom returns n entries.
+func batchFrom(first uint64, n int) []quorum.Entry {
+	entries := make([]quorum.Entry, n)
 	for i := range entries {
 		entries[i] = quorum.Entry{Index: first + uint64(i), Term: 1, Kind: quorum.Command, Data: make([]byte, payload)}
 	}
@@ -29,6 +26,12 @@
 // BenchmarkSync takes turns between a batch into the journal and the same bytes
 // into a plain file, each with its sync, and reports both rates and their ratio.
 func BenchmarkSync(b *testing.B) {
+	for _, batch := range []int{1, 16, 64, 256} {
+		b.Run(fmt.Sprint(batch), func(b *testing.B) { syncBatches(b, batch) })
+	}
+}
+
+func syncBatches(b *testing.B, batch int) {
 	dir := b.TempDir()
 	j, _, err := journal.Open(filepath.Join(dir, "journal"))
 	fatal(b, err)
@@ -38,7 +41,7 @@
 	size := batch * payload
 	plain := make([]byte, size)
 	for i := 0; b.Loop(); i++ {
-		entries := batchFrom(uint64(i*batch + 1))
+		entries := batchFrom(uint64(i*batch+1), batch)
 		start := time.Now()
 		fatal(b, j.Append(nil, entries))
 		fatal(b, j.Sync())
@@ -63,8 +66,8 @@
 			dir := b.TempDir()
 			j, _, err := journal.Open(dir)
 			fatal(b, err)
-			for i := 1; i <= n; i += batch {
-				fatal(b, j.Append(nil, batchFrom(uint64(i))))
+			for i := 1; i <= n; i += 50 {
+				fatal(b, j.Append(nil, batchFrom(uint64(i), 50)))
 			}
 			fatal(b, j.Close())
 			for b.Loop() {
--- a/internal/replica/journal/fuzz_test.go
+++ b/internal/replica/journal/fuzz_test.go
@@ -20,7 +20,7 @@
 		must(t, err)
 		_, err = file.WriteAt(b, 0)
 		must(t, err)
-		c := journal.Config{Disk: m}
+		c := journal.Config{Disk: m, Reserve: 100}
 		j, first, err := c.Open("/j")
 		if err != nil {
 			return
--- a/internal/replica/journal/journal.go
+++ b/internal/replica/journal/journal.go
@@ -17,6 +17,10 @@
 	SegmentSize = 16 << 20
 	// MaxEntry bounds the data of one entry.
 	MaxEntry = 16 << 20
+	// Reserve is what a segment is lengthened by, in zeros, when it has no room.
+	// Overwriting synced zeros leaves the file's length alone, so that most
+	// syncs need not write it.
+	Reserve = 512 << 10
 	// maxBatch is the size from which on entries go into a further frame.
 	maxBatch = 1 << 20
 )
@@ -27,6 +31,8 @@
 	Disk disk.Disk
 	// SegmentSize in bytes; the constant of that name when 0.
 	SegmentSize int64
+	// Reserve in bytes; the constant of that name when 0, none when negative.
+	Reserve int64
 }
 
 // Journal is an open journal. Append and Sync may be called at the same time
@@ -35,6 +41,7 @@
 	disk  disk.Disk
 	dir   string
 	limit int64
+	zeros []byte
 
 	// syncing is held while a file is synced or replaced; taken before mu.
 	syncing sync.Mutex
@@ -45,6 +52,8 @@
 	file     disk.File
 	size     int64
 	synced   int64
+	// reserved is the length of the file; zeros follow from size on.
+	reserved int64
 	hard     quorum.Hard
 	last     uint64
 	buf      []byte
@@ -63,6 +72,10 @@
 	if j.limit == 0 {
 		j.limit = SegmentSize
 	}
+	if c.Reserve == 0 {
+		c.Reserve = Reserve
+	}
+	j.zeros = make([]byte, max(c.Reserve, 0))
 	r, err := j.recover()
 	if err != nil {
 		return nil, Recovered{}, errors.Wrap(err, "open the journal")
@@ -127,51 +140,10 @@
 	if err = errors.CombineErrors(err, j.disk.SyncFolder(j.dir)); err != nil {
 		return errors.CombineErrors(err, f.Close())
 	}
-	j.file, j.size, j.synced = f, end.good, end.good
+	j.file, j.size, j.synced, j.reserved = f, end.good, end.good, end.good
 	return nil
 }
 
-// begin makes a segment that opens with the hard state, and turns to it. On
-// failure the journal stays with the segment it had.
-func (j *Journal) begin(number uint64) error {
-	name := segmentName(j.dir, number)
-	f, err := j.disk.Create(name)
-	if err != nil {
-		return err
-	}
-	b := appendFrame(header(), number, headerBytes, record{hard: &j.hard})
-	if _, err = f.WriteAt(b, 0); err == nil {
-		err = f.Sync()
-	}
-	if err == nil {
-		err = j.disk.SyncFolder(j.dir)
-	}
-	if err != nil {
-		return j.discard(f, name, err)
-	}
-	if j.file != nil {
-		// Its data is synced; nothing hangs on the outcome.
-		_ = j.file.Close()
-	}
-	j.file, j.size, j.synced = f, int64(len(b)), int64(len(b))
-	j.segments = j.segments.with(number)
-	return nil
-}
-
-// discard removes a segment that could not be begun. Its predecessor is appended
-// to again, so the removal must last: after a crash the file would otherwise
-// make a torn tail of the predecessor look like damage.
-func (j *Journal) discard(f disk.File, name string, cause error) error {
-	err := errors.CombineErrors(f.Close(), j.disk.Remove(name))
-	if err == nil {
-		err = j.disk.SyncFolder(j.dir)
-	}
-	if err != nil {
-		return errors.Newf("%v, and then: %v", cause, err)
-	}
-	return cause
-}
-
 // Append writes a changed hard state and entries; they last once Sync returned.
 // An entry whose index is already present ends everything from it on. ErrFull,
 // ErrGap and ErrTooLarge leave the journal as it was; other errors break it.
@@ -237,21 +209,36 @@
 	return b
 }
 
-// write adds b to the newest segment. A full disk leaves part of it behind,
-// which is cut off, so that the next append stands where this one would have.
+// write adds b to the newest segment, and zeros where it has no room. A full
+// disk leaves part of it behind, which is cut off, so that the next append
+// stands where this one would have.
 func (j *Journal) write(b []byte) error {
-	_, err := j.file.WriteAt(b, j.size)
+	if j.size+int64(len(b)) > j.reserved && len(j.zeros) > 0 {
+		done, err := j.put(append(b, j.zeros...), len(b))
+		if done || !errors.Is(err, ErrFull) {
+			return err
+		}
+	}
+	_, err := j.put(b, len(b))
+	return err
+}
+
+// put writes b, of which the first n bytes count.
+func (j *Journal) put(b []byte, n int) (done bool, err error) {
+	_, err = j.file.WriteAt(b, j.size)
 	if err == nil {
-		j.size += int64(len(b))
-		return nil
+		j.reserved = max(j.reserved, j.size+int64(len(b)))
+		j.size += int64(n)
+		return true, nil
 	}
 	if !errors.Is(err, ErrFull) {
-		return j.fail("write", err)
+		return false, j.fail("write", err)
 	}
 	if cut := j.file.Truncate(j.size); cut != nil {
-		return j.fail("cut off a partial write", cut)
+		return false, j.fail("cut off a partial write", cut)
 	}
-	return errors.Wrap(err, "append to the journal")
+	j.reserved = j.size
+	return false, errors.Wrap(err, "append to the journal")
 }
 
 // fail breaks the journal for good.
@@ -262,40 +249,6 @@
 	return j.broken
 }
 
-// roll begins a new segment when the newest has reached its size.
-func (j *Journal) roll() error {
-	j.mu.Lock()
-	due := j.size >= j.limit
-	j.mu.Unlock()
-	if !due {
-		return nil
-	}
-	j.syncing.Lock()
-	defer j.syncing.Unlock()
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return j.turn()
-}
-
-// turn syncs the newest segment and begins the one after it. Only a completed,
-// synced segment gets a successor, so damage in it is never a torn tail.
-func (j *Journal) turn() error {
-	if j.broken != nil {
-		return j.broken
-	}
-	if j.synced < j.size {
-		if err := j.file.Sync(); err != nil {
-			return j.fail("sync", err)
-		}
-		j.synced = j.size
-	}
-	err := j.begin(j.segments.newest().number + 1)
-	if err != nil && !errors.Is(err, ErrFull) {
-		return j.fail("begin a segment", err)
-	}
-	return errors.Wrap(err, "begin a segment")
-}
-
 // Sync returns once everything appended before the call lasts. An error is
 // final: the process must end.
 func (j *Journal) Sync() error {
@@ -318,49 +271,6 @@
 	return nil
 }
 
-// Compact drops the segments whose entries are all at or below index: those
-// that a lasting snapshot of that index replaces. It never drops an entry above.
-// When the journal ends at or below index it is empty afterwards, and the next
-// entry may have any index.
-func (j *Journal) Compact(index uint64) error {
-	j.syncing.Lock()
-	defer j.syncing.Unlock()
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if j.broken != nil {
-		return j.broken
-	}
-	if err := j.drop(index); err != nil {
-		return err
-	}
-	if j.last == 0 || j.last > index {
-		return nil
-	}
-	if err := j.turn(); err != nil {
-		return err
-	}
-	return j.drop(index)
-}
-
-// drop removes the oldest segments up to index, never the newest. Each removal
-// lasts before the next: a gap in the numbers would read as damage.
-func (j *Journal) drop(index uint64) error {
-	for len(j.segments) > 1 && j.segments[0].last <= index {
-		err := j.disk.Remove(segmentName(j.dir, j.segments[0].number))
-		if err == nil {
-			err = j.disk.SyncFolder(j.dir)
-		}
-		if err != nil {
-			return j.fail("remove a segment", err)
-		}
-		j.segments = j.segments[1:]
-	}
-	if j.segments.empty() {
-		j.last = 0
-	}
-	return nil
-}
-
 // Close syncs what was appended and closes the files. It ends with a frame that
 // vouches for everything before it, so that damage done while the process is
 // down is not taken for a torn tail.
--- a/internal/replica/journal/journal_test.go
+++ b/internal/replica/journal/journal_test.go
@@ -110,7 +110,7 @@
 // with a shorter log that it would vote with.
 func TestDamageIsRefused(t *testing.T) {
 	dir := t.TempDir()
-	j, _ := open(t, journal.Config{}, dir)
+	j, _ := open(t, journal.Config{Reserve: -1}, dir)
 	for i := uint64(1); i <= 5; i++ {
 		must(t, j.Append(nil, run(1, i, i)))
 		must(t, j.Sync())
--- /dev/null
+++ b/internal/replica/journal/roll.go
@@ -0,0 +1,139 @@
+package journal
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"gypsumreel/internal/replica/disk"
+)
+
+// roll begins a new segment when the newest has reached its size.
+func (j *Journal) roll() error {
+	j.mu.Lock()
+	due := j.size >= j.limit
+	j.mu.Unlock()
+	if !due {
+		return nil
+	}
+	j.syncing.Lock()
+	defer j.syncing.Unlock()
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.turn()
+}
+
+// turn syncs the newest segment and begins the one after it. Only a completed,
+// synced segment gets a successor, so damage in it is never a torn tail.
+func (j *Journal) turn() error {
+	if j.broken != nil {
+		return j.broken
+	}
+	if err := j.complete(); err != nil {
+		return err
+	}
+	err := j.begin(j.segments.newest().number + 1)
+	if err != nil && !errors.Is(err, ErrFull) {
+		return j.fail("begin a segment", err)
+	}
+	return errors.Wrap(err, "begin a segment")
+}
+
+// complete cuts the zeros off the newest segment and syncs it.
+func (j *Journal) complete() error {
+	if j.reserved > j.size {
+		if err := j.file.Truncate(j.size); err != nil {
+			return j.fail("cut off what was reserved", err)
+		}
+	} else if j.synced == j.size {
+		return nil
+	}
+	if err := j.file.Sync(); err != nil {
+		return j.fail("sync", err)
+	}
+	j.synced, j.reserved = j.size, j.size
+	return nil
+}
+
+// begin makes a segment that opens with the hard state, and turns to it. On
+// failure the journal stays with the segment it had.
+func (j *Journal) begin(number uint64) error {
+	name := segmentName(j.dir, number)
+	f, err := j.disk.Create(name)
+	if err != nil {
+		return err
+	}
+	b := appendFrame(header(), number, headerBytes, record{hard: &j.hard})
+	if _, err = f.WriteAt(b, 0); err == nil {
+		err = f.Sync()
+	}
+	if err == nil {
+		err = j.disk.SyncFolder(j.dir)
+	}
+	if err != nil {
+		return j.discard(f, name, err)
+	}
+	if j.file != nil {
+		// Its data is synced; nothing hangs on the outcome.
+		_ = j.file.Close()
+	}
+	n := int64(len(b))
+	j.file, j.size, j.synced, j.reserved = f, n, n, n
+	j.segments = j.segments.with(number)
+	return nil
+}
+
+// discard removes a segment that could not be begun. Its predecessor is appended
+// to again, so the removal must last: after a crash the file would otherwise
+// make a torn tail of the predecessor look like damage.
+func (j *Journal) discard(f disk.File, name string, cause error) error {
+	err := errors.CombineErrors(f.Close(), j.disk.Remove(name))
+	if err == nil {
+		err = j.disk.SyncFolder(j.dir)
+	}
+	if err != nil {
+		return errors.Newf("%v, and then: %v", cause, err)
+	}
+	return cause
+}
+
+// Compact drops the segments whose entries are all at or below index: those
+// that a lasting snapshot of that index replaces. It never drops an entry above.
+// When the journal ends at or below index it is empty afterwards, and the next
+// entry may have any index.
+func (j *Journal) Compact(index uint64) error {
+	j.syncing.Lock()
+	defer j.syncing.Unlock()
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.broken != nil {
+		return j.broken
+	}
+	if err := j.drop(index); err != nil {
+		return err
+	}
+	if j.last == 0 || j.last > index {
+		return nil
+	}
+	if err := j.turn(); err != nil {
+		return err
+	}
+	return j.drop(index)
+}
+
+// drop removes the oldest segments up to index, never the newest. Each removal
+// lasts before the next: a gap in the numbers would read as damage.
+func (j *Journal) drop(index uint64) error {
+	for len(j.segments) > 1 && j.segments[0].last <= index {
+		err := j.disk.Remove(segmentName(j.dir, j.segments[0].number))
+		if err == nil {
+			err = j.disk.SyncFolder(j.dir)
+		}
+		if err != nil {
+			return j.fail("remove a segment", err)
+		}
+		j.segments = j.segments[1:]
+	}
+	if j.segments.empty() {
+		j.last = 0
+	}
+	return nil
+}
