--- /dev/null
+++ b/internal/demo/fault/world_test.go
@@ -0,0 +1,246 @@
+package fault_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/client/caller"
+	"gypsumreel/internal/client/link"
+	"gypsumreel/internal/client/operator"
+	"gypsumreel/internal/demo/cell"
+	"gypsumreel/internal/domain/key"
+	"gypsumreel/internal/fake/server"
+	"gypsumreel/internal/ledger/state"
+)
+
+// world is a whole cell on a network in memory, with what its promises are
+// checked against.
+type world struct {
+	t        *testing.T
+	ctx      context.Context
+	cancel   context.CancelFunc
+	net      *network
+	cell     *cell.Cell
+	record   *server.Record
+	caller   *caller.Client
+	operator *operator.Client
+
+	mu   sync.Mutex
+	runs map[string]int
+	// at is told of each step that a job of the test comes to.
+	at func(step string)
+}
+
+// The sizes of the world.
+const (
+	replicas    = 3
+	entries     = 2
+	servers     = 3
+	coresEach   = 4000
+	teamCores   = 9000
+	taskCores   = 1000
+	answerSize  = 200_000
+	healAfter   = 12 * time.Second
+	patience    = 1500 * time.Millisecond
+	deadline    = 90 * time.Second
+	callTimeout = 3 * time.Second
+	linger      = 5 * time.Second
+)
+
+// newWorld starts a cell and sets up a team with a key and a limit.
+func newWorld(t *testing.T) *world {
+	ctx, cancel := context.WithCancel(context.Background())
+	w := &world{
+		t: t, ctx: ctx, cancel: cancel, net: newNetwork(ctx), record: &server.Record{}, runs: map[string]int{},
+		at: func(string) {},
+	}
+	w.cell = &cell.Cell{
+		Network: w.net, Dir: t.TempDir(), Replicas: replicas, Entries: entries, Servers: servers, Zones: 3,
+		Capacity:  &v1.Size{Cpu: coresEach, Memory: 64_000, Accel: 4, Slots: 8},
+		Transport: w.net.wire, Record: w.record, Work: w.work, Log: logr.Discard(), Linger: time.Second,
+	}
+	if err := w.cell.Start(ctx); err != nil {
+		t.Fatal(err)
+	}
+	w.operator = &operator.Client{Link: w.link("operators", w.cell.Operator)}
+	limit := &v1.Size{Cpu: teamCores, Memory: -1, Accel: -1, Slots: -1}
+	w.change(&v1.ChangeRequest{Id: "table", Change: &v1.ChangeRequest_Table{Table: &v1.TableChange{Edits: []*v1.Edit{
+		{Row: &v1.Row{Team: "rail", Weight: 1, Queue: 100, Limit: limit}},
+	}}}})
+	digest := key.Digest("secret")
+	w.change(&v1.ChangeRequest{Id: "grant", Change: &v1.ChangeRequest_Grant{Grant: &v1.KeyGrant{Id: "k", Team: "rail", Digest: digest[:]}}})
+	w.caller = &caller.Client{Link: w.link("callers", "k.secret"), Patience: patience}
+	return w
+}
+
+func (w *world) close() {
+	w.cell.Close()
+	w.caller.Link.Close()
+	w.operator.Link.Close()
+	w.cancel()
+	// A server of package http lets a connection linger before it closes it.
+	time.Sleep(linger)
+}
+
+// work runs a task: it takes a moment, counts its runs by request, and gives an
+// answer that no other task gives.
+func (w *world) work(ctx context.Context, o *v1.Order) server.Result {
+	id := string(o.GetInput())
+	w.mu.Lock()
+	w.runs[fmt.Sprintf("%s/%d", id, o.GetAttempt().GetTask())]++
+	w.mu.Unlock()
+	w.at("run")
+	select {
+	case <-time.After(300 * time.Millisecond):
+	case <-ctx.Done():
+	}
+	w.at("report")
+	return server.Result{Answer: pattern(id)}
+}
+
+func pattern(id string) []byte {
+	return bytes.Repeat([]byte(id+";"), answerSize/(len(id)+1))
+}
+
+func (w *world) change(req *v1.ChangeRequest) {
+	w.t.Helper()
+	ctx, cancel := context.WithTimeout(w.ctx, deadline)
+	defer cancel()
+	if _, err := w.operator.Change(ctx, req); err != nil {
+		w.t.Fatalf("change %s: %v", req.GetId(), err)
+	}
+}
+
+// link returns a client's way to a service of all entries.
+func (w *world) link(service, k string) *link.Link {
+	l := &link.Link{Key: k, Timeout: callTimeout, Dial: w.net.Dialer("caller")}
+	for _, e := range w.cell.Names("e", entries) {
+		l.Addresses = append(l.Addresses, "http://"+w.net.Address(e+"-"+service))
+	}
+	return l
+}
+
+// result is how a job ended for its caller.
+type result struct {
+	id      string
+	spec    *v1.Spec
+	outcome v1.Outcome
+	code    code.Code
+	answer  []byte
+	err     error
+}
+
+// serve submits a job and waits for its outcome and whole answer.
+func (w *world) serve(spec *v1.Spec) result {
+	ctx, cancel := context.WithTimeout(w.ctx, deadline)
+	defer cancel()
+	r := result{id: spec.GetId(), spec: spec}
+	w.at("submit")
+	as, err := w.caller.Submit(ctx, []*v1.Spec{spec}, true)
+	if err != nil {
+		r.err = err
+		return r
+	}
+	w.at("accepted")
+	if a := as[0]; a.GetOutcome() == v1.Outcome_OUTCOME_NOT_RUN || a.GetStatus().GetCode() != 0 {
+		r.outcome, r.code = a.GetOutcome(), code.Code(a.GetStatus().GetCode())
+		return r
+	}
+	res, err := w.caller.Wait(ctx, spec.GetId())
+	w.at("answer")
+	r.outcome, r.code, r.answer, r.err = res.Outcome, res.Code, res.Data, err
+	if err == nil && !caller.Final(r.outcome) {
+		r.err = errors.New("no outcome in time")
+	}
+	return r
+}
+
+// check holds what came out against the promises, and returns what is broken.
+func (w *world) check(results []result) (faults []string) {
+	faults = append(faults, w.record.Faults()...)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, r := range results {
+		runs, most := 0, 0
+		for i := range r.spec.GetCount() {
+			n := w.runs[fmt.Sprintf("%s/%d", r.id, i)]
+			runs, most = runs+n, max(most, n)
+		}
+		switch {
+		case r.err != nil:
+			faults = append(faults, fmt.Sprintf("%s: no answer: %v", r.id, r.err))
+		case r.spec.GetOnce() && most > 1:
+			faults = append(faults, fmt.Sprintf("%s may not be repeated and ran %d times", r.id, most))
+		case r.outcome == v1.Outcome_OUTCOME_NOT_RUN && runs > 0:
+			faults = append(faults, fmt.Sprintf("%s was said not to have run and ran %d times", r.id, runs))
+		case r.outcome == v1.Outcome_OUTCOME_DONE && r.code == code.OK && !bytes.Equal(r.answer, bytes.Repeat(pattern(r.id), int(r.spec.GetCount()))):
+			faults = append(faults, fmt.Sprintf("%s: the answer is not whole", r.id))
+		case r.outcome == v1.Outcome_OUTCOME_UNKNOWN && !r.spec.GetOnce():
+			faults = append(faults, fmt.Sprintf("%s may be repeated and is unknown", r.id))
+		}
+	}
+	return append(faults, w.ledgers()...)
+}
+
+// ledgers holds every replica's ledger against capacity and limits.
+func (w *world) ledgers() (faults []string) {
+	for _, name := range w.cell.Names("c", replicas) {
+		n := w.cell.Node(name)
+		ctx, cancel := context.WithTimeout(w.ctx, time.Second)
+		err := n.Control.Do(ctx, func(st *state.State) {
+			if st.Faults() > 0 {
+				faults = append(faults, name+": an event that no chart allows")
+			}
+			for _, b := range st.Servers() {
+				if !b.Held.Fits(b.Capacity) {
+					faults = append(faults, fmt.Sprintf("%s: %s is overcommitted", name, b.ID))
+				}
+			}
+			for _, r := range st.Table().Rows() {
+				if !st.Held(r.Name).Within(r.Limit) {
+					faults = append(faults, fmt.Sprintf("%s: %s is over its limit", name, r.Name))
+				}
+			}
+		})
+		cancel()
+		if err != nil && !strings.Contains(err.Error(), "ended") {
+			faults = append(faults, fmt.Sprintf("%s: %v", name, err))
+		}
+	}
+	return faults
+}
+
+// story tells how the leader's ledger holds the jobs that have not ended.
+func (w *world) story() string {
+	var b strings.Builder
+	name, ok := w.cell.Leader()
+	if !ok {
+		return "no leader"
+	}
+	_ = w.cell.Node(name).Control.Do(w.ctx, func(st *state.State) {
+		for _, j := range st.Jobs("") {
+			if j.Final() {
+				continue
+			}
+			fmt.Fprintf(&b, "%s: job %d %v held %d waiting %d", j.Spec.ID, j.Number, j.Outcome, j.Held, j.Waiting)
+			st.Tasks(j, func(k *state.Task) {
+				fmt.Fprintf(&b, "; task %d %v attempt %d on %s/%d since %v", k.ID.Index, k.Phase, k.Attempt, k.Server, k.Incarnation, st.At()-k.Since)
+			})
+			b.WriteString("\n")
+		}
+		for _, s := range st.Servers() {
+			fmt.Fprintf(&b, "%s/%d %v held %v of %v drain %v\n", s.ID, s.Incarnation, s.Server.State, s.Held, s.Capacity, s.Drain)
+		}
+	})
+	return b.String()
+}
--- /dev/null
+++ b/internal/policy/fit/fit.go
@@ -0,0 +1,204 @@
+// Package fit finds the place that a task fits best. Places are kept in cells of
+// like free room; a search looks at the cells, whose number is bounded by the
+// levels and not by the number of places.
+package fit
+
+import (
+	"math"
+
+	"gypsumreel/internal/domain/capacity"
+)
+
+// Levels is the number of steps into which the largest room in each field is
+// divided; slots and accelerators are told apart up to this number.
+const Levels = 16
+
+// accelWaste is added to the score of a place whose free accelerators a task
+// without need of them would block.
+const accelWaste = 1.0
+
+// Worst is a score that every place beats.
+var Worst = math.Inf(1)
+
+// Spot is an item's place in an index.
+type Spot[T any] struct {
+	// Item is what is placed on, a server or a rack.
+	Item T
+	free capacity.Size
+	cell *cell[T]
+	pos  int
+}
+
+// Index holds the free room of items.
+type Index[T any] struct {
+	// Any takes the first cell that fits in place of the best; for comparison only.
+	Any   bool
+	most  capacity.Size
+	unit  capacity.Size
+	cells map[level]*cell[T]
+	list  []*cell[T]
+}
+
+// level is a free room counted in units.
+type level struct{ cpu, memory, accel, slots uint16 }
+
+// cell holds the items whose free room is on one level.
+type cell[T any] struct {
+	level level
+	low   capacity.Size
+	// high is at least the free room of every item.
+	high  capacity.Size
+	spots []*Spot[T]
+	pos   int
+}
+
+// NewIndex returns an empty index.
+func NewIndex[T any]() *Index[T] {
+	return &Index[T]{cells: map[level]*cell[T]{}, unit: capacity.Size{CPU: 1, Memory: 1, Accel: 1, Slots: 1}}
+}
+
+// Grow prepares for rooms of at most the given size.
+func (x *Index[T]) Grow(most capacity.Size) {
+	if most.Fits(x.most) {
+		return
+	}
+	x.most = x.most.Max(most)
+	x.unit = capacity.Size{CPU: step(x.most.CPU), Memory: step(x.most.Memory), Accel: step(x.most.Accel), Slots: step(x.most.Slots)}
+	old := x.list
+	x.cells, x.list = map[level]*cell[T]{}, nil
+	for _, c := range old {
+		for _, s := range c.spots {
+			x.insert(s)
+		}
+	}
+}
+
+func step(most int64) int64 { return max(1, (most+Levels-1)/Levels) }
+
+// Set puts the spot's free room in; one with a negative field is never found.
+func (x *Index[T]) Set(s *Spot[T], free capacity.Size) {
+	if s.cell != nil && s.free == free {
+		return
+	}
+	if s.cell != nil && free.Valid() && x.level(free) == s.cell.level {
+		s.free = free
+		s.cell.high = s.cell.high.Max(free)
+		return
+	}
+	x.Drop(s)
+	if free.Valid() {
+		s.free = free
+		x.insert(s)
+	}
+}
+
+// Drop takes the spot out.
+func (x *Index[T]) Drop(s *Spot[T]) {
+	c := s.cell
+	if c == nil {
+		return
+	}
+	last := c.spots[len(c.spots)-1]
+	c.spots[s.pos] = last
+	last.pos = s.pos
+	c.spots = c.spots[:len(c.spots)-1]
+	s.cell = nil
+	if len(c.spots) == 0 {
+		x.forget(c)
+	}
+}
+
+func (x *Index[T]) forget(c *cell[T]) {
+	end := x.list[len(x.list)-1]
+	x.list[c.pos] = end
+	end.pos = c.pos
+	x.list = x.list[:len(x.list)-1]
+	delete(x.cells, c.level)
+}
+
+func (x *Index[T]) insert(s *Spot[T]) {
+	l := x.level(s.free)
+	c := x.cells[l]
+	if c == nil {
+		c = &cell[T]{level: l, pos: len(x.list), low: capacity.Size{
+			CPU: int64(l.cpu) * x.unit.CPU, Memory: int64(l.memory) * x.unit.Memory,
+			Accel: int64(l.accel) * x.unit.Accel, Slots: int64(l.slots) * x.unit.Slots,
+		}}
+		x.cells[l] = c
+		x.list = append(x.list, c)
+	}
+	s.cell, s.pos = c, len(c.spots)
+	c.spots = append(c.spots, s)
+	c.high = c.high.Max(s.free)
+}
+
+func (x *Index[T]) level(free capacity.Size) level {
+	return level{
+		uint16(free.CPU / x.unit.CPU), uint16(free.Memory / x.unit.Memory),
+		uint16(free.Accel / x.unit.Accel), uint16(free.Slots / x.unit.Slots),
+	}
+}
+
+// Cells returns the number of cells that a search looks at.
+func (x *Index[T]) Cells() int { return len(x.list) }
+
+// High returns a size that is at least the free room of every item.
+func (x *Index[T]) High() capacity.Size {
+	var high capacity.Size
+	for _, c := range x.list {
+		high = high.Max(c.high)
+	}
+	return high
+}
+
+// Best returns the item on which need leaves the smallest dominant remainder,
+// within the accuracy of a cell, among those that ok accepts, and its score. Only
+// items that score below bound are found; ok may be nil.
+func (x *Index[T]) Best(need capacity.Size, bound float64, ok func(T) bool) (T, float64, bool) {
+	var best *Spot[T]
+	for _, c := range x.list {
+		if !need.Fits(c.high) {
+			continue
+		}
+		score := x.score(need, c.low)
+		if score >= bound {
+			continue
+		}
+		s := c.pick(need, ok)
+		if s == nil {
+			continue
+		}
+		best, bound = s, score
+		if x.Any {
+			break
+		}
+	}
+	if best == nil {
+		var none T
+		return none, bound, false
+	}
+	return best.Item, bound, true
+}
+
+// pick returns a spot of the cell with room for need. When none has it, the
+// cell's bound is set anew, so that the next search passes the cell over.
+func (c *cell[T]) pick(need capacity.Size, ok func(T) bool) *Spot[T] {
+	var high capacity.Size
+	for _, s := range c.spots {
+		if need.Fits(s.free) && (ok == nil || ok(s.Item)) {
+			return s
+		}
+		high = high.Max(s.free)
+	}
+	c.high = high
+	return nil
+}
+
+// score is the largest part of the largest room that stays free in any field.
+func (x *Index[T]) score(need, free capacity.Size) float64 {
+	s := free.Sub(need).Dominant(x.most)
+	if need.Accel == 0 && free.Accel > 0 {
+		s += accelWaste
+	}
+	return s
+}
