--- a/internal/replica/disk/matrix_test.go
+++ b/internal/replica/disk/matrix_test.go
@@ -307,6 +307,40 @@
 	}
 }
 
+// A replica that was away gets a snapshot while its disk is full: there is no room
+// to begin a segment after it. The log must go on in the room reserved; otherwise
+// the replica ends, and ends again at every start until someone makes room.
+func TestSnapshotOnFullDisk(t *testing.T) {
+	m := &disk.Memory{}
+	c := journal.Config{Disk: m, Reserve: 1000}
+	entry := func(index uint64) []quorum.Entry { return []quorum.Entry{{Index: index, Term: 1}} }
+	j, _, err := c.Open(journalDir)
+	must(t, "open", err)
+	must(t, "append", j.Append(nil, entry(1)))
+	must(t, "append", j.Append(nil, entry(2)))
+	m.Inject = func(_ int, op disk.Op, _ string) disk.Fault {
+		if op == disk.Create {
+			return disk.Full
+		}
+		return disk.Well
+	}
+	if err := j.Append(nil, entry(101)); !errors.Is(err, journal.ErrGap) {
+		t.Fatal("without a snapshot the gap is refused:", err)
+	}
+	if err := j.Compact(100); !errors.Is(err, journal.ErrFull) {
+		t.Fatal(err)
+	}
+	must(t, "append after the snapshot", j.Append(nil, entry(101)))
+	must(t, "append after the snapshot", j.Append(nil, entry(102)))
+	must(t, "sync", j.Sync())
+	m.Restart(disk.Lost)
+	_, got, err := c.Open(journalDir)
+	must(t, "open again", err)
+	if diff := cmp.Diff(journal.Recovered{Entries: append(entry(101), entry(102)...)}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // eager appends to the journal while a sync of its file is under way.
 type eager struct {
 	disk.Disk
--- a/internal/replica/journal/frame.go
+++ b/internal/replica/journal/frame.go
@@ -28,6 +28,7 @@
 	fieldMark  protowire.Number = 1
 	fieldHard  protowire.Number = 2
 	fieldEntry protowire.Number = 3
+	fieldReset protowire.Number = 4
 
 	fieldTerm protowire.Number = 1
 	fieldVote protowire.Number = 2
@@ -42,8 +43,10 @@
 type record struct {
 	// mark is the size of the segment that was synced before the frame was
 	// written: damage below it is no torn tail.
-	mark    uint64
-	hard    *quorum.Hard
+	mark uint64
+	hard *quorum.Hard
+	// reset tells that the entries go on from a snapshot, not from those before.
+	reset   bool
 	entries []quorum.Entry
 }
 
@@ -57,6 +60,10 @@
 		b = protowire.AppendTag(b, fieldHard, protowire.BytesType)
 		b = protowire.AppendBytes(b, encodeHard(*r.hard))
 	}
+	if r.reset {
+		b = protowire.AppendTag(b, fieldReset, protowire.VarintType)
+		b = protowire.AppendVarint(b, protowire.EncodeBool(true))
+	}
 	for i := range r.entries {
 		b = appendEntry(b, &r.entries[i])
 	}
@@ -123,6 +130,8 @@
 		switch f {
 		case fieldMark:
 			r.mark = v
+		case fieldReset:
+			r.reset = protowire.DecodeBool(v)
 		case fieldHard:
 			h, err := decodeHard(data)
 			r.hard = &h
--- a/internal/replica/journal/journal.go
+++ b/internal/replica/journal/journal.go
@@ -56,7 +56,9 @@
 	reserved int64
 	hard     quorum.Hard
 	last     uint64
-	buf      []byte
+	// floor is the highest index that Compact was given.
+	floor uint64
+	buf   []byte
 }
 
 // Open opens the journal in dir with the defaults, making it when there is none.
@@ -159,7 +161,8 @@
 	if err := j.check(entries); err != nil {
 		return err
 	}
-	j.buf = j.encode(j.buf[:0], hard, entries)
+	reset := j.resets(entries)
+	j.buf = j.encode(j.buf[:0], hard, entries, reset)
 	if err := j.write(j.buf); err != nil {
 		return err
 	}
@@ -183,7 +186,8 @@
 	next := j.last + 1
 	for i := range entries {
 		e := &entries[i]
-		if e.Index == 0 || e.Index > next && (i > 0 || j.last > 0) || i > 0 && e.Index != next {
+		follows := e.Index == next || i == 0 && (e.Index < next || j.last == 0 || j.resets(entries))
+		if e.Index == 0 || !follows {
 			return errors.Wrapf(ErrGap, "entry %d after %d", e.Index, next-1)
 		}
 		if len(e.Data) > MaxEntry {
@@ -194,17 +198,23 @@
 	return nil
 }
 
+// resets tells whether entries go on from a snapshot that replaces the whole log,
+// with no segment begun since: a full disk may have had no room for one.
+func (j *Journal) resets(entries []quorum.Entry) bool {
+	return len(entries) > 0 && j.last > 0 && j.last <= j.floor && entries[0].Index > j.last+1
+}
+
 // encode adds the frames of an append to b.
-func (j *Journal) encode(b []byte, hard *quorum.Hard, entries []quorum.Entry) []byte {
+func (j *Journal) encode(b []byte, hard *quorum.Hard, entries []quorum.Entry, reset bool) []byte {
 	for first := true; first || len(entries) > 0; first = false {
 		n, size := 0, 0
 		for n < len(entries) && (n == 0 || size+len(entries[n].Data) <= maxBatch) {
 			size += len(entries[n].Data)
 			n++
 		}
-		r := record{mark: uint64(j.synced), hard: hard, entries: entries[:n]}
+		r := record{mark: uint64(j.synced), hard: hard, entries: entries[:n], reset: reset}
 		b = appendFrame(b, j.segments.newest().number, j.size+int64(len(b)), r)
-		hard, entries = nil, entries[n:]
+		hard, entries, reset = nil, entries[n:], false
 	}
 	return b
 }
--- a/internal/replica/journal/recover.go
+++ b/internal/replica/journal/recover.go
@@ -129,6 +129,9 @@
 	if rec.hard != nil {
 		r.Hard = *rec.hard
 	}
+	if rec.reset {
+		r.Entries = nil
+	}
 	for _, e := range rec.entries {
 		r.segments.note(e.Index)
 		if n := len(r.Entries); n > 0 {
--- a/internal/replica/journal/roll.go
+++ b/internal/replica/journal/roll.go
@@ -97,8 +97,8 @@
 
 // Compact drops the segments whose entries are all at or below index: those
 // that a lasting snapshot of that index replaces. It never drops an entry above.
-// When the journal ends at or below index it is empty afterwards, and the next
-// entry may have any index.
+// When the journal ends at or below index, the next entry may have any index
+// above it, also when a full disk left no room to begin a segment (ErrFull).
 func (j *Journal) Compact(index uint64) error {
 	j.syncing.Lock()
 	defer j.syncing.Unlock()
@@ -107,6 +107,7 @@
 	if j.broken != nil {
 		return j.broken
 	}
+	j.floor = max(j.floor, index)
 	if err := j.drop(index); err != nil {
 		return err
 	}
