Raise the control side's events, list entries as members, bound dumps

An idle entry logged a silent connection every half second or so: the control side held a Pull open for two seconds whatever patience the entry stated, and the entry took that for silence. A Pull now ends after the patience asked for.

Most events of the catalogue had no code that raised them, so that an alarm on them would have stayed silent; the control thread, the node and its disk raise them now, those that can come in thousands at most once a second each.

Entries are members: each Pull says which revision an entry serves, and the list of members, the table and event 407 show who lags behind. Only a process whose certificate names a control replica reaches the services of replicas.

--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -120,15 +120,5 @@
 // planned are the events that nothing raises yet. Whoever raises one takes it
 // out of this list.
 var planned = []ID{
-	Panicked, LeaderUnknown, LeaderTransferred, QuorumLost, RecoveryWait, MemberAdded,
-	MemberPromoted, MemberRemoved, MemberRefused, PeerSilent, PeerBack, StaleIdentity,
-	JournalTorn, JournalDamaged, SyncFailed, DiskFull, DiskFree, SnapshotWritten,
-	SnapshotLoaded, SnapshotDamaged, SnapshotFetched, SyncSlow, StateDiffers, KeyGranted,
-	KeyWithdrawn, KeyRefused, TableChanged, TableConflict, TableUnconfirmed, TableConfirmed,
-	LimitLowered, LimitMet, IDReused, ServerAnnounced, ServerSuspect, ServerGone,
-	ServerBack, ServerDraining, ServerDrained, ServerLeft, ServerQuarantined, ServerRestored,
-	QuarantineCapped, ServerReplaced, ServerOversized, NoServers, AttemptLost, OutcomeUnknown,
-	JobParked, JobNeverFits, Preempted, Overload, OverloadOver, DigestMismatch,
-	CancelWave, AttemptTwice, ReservationMade, PromiseBroken, Unready, Ready,
-	ClockJumped,
+	JournalTorn, QuarantineCapped, ReservationMade,
 }
--- a/internal/base/event/event.go
+++ b/internal/base/event/event.go
@@ -62,7 +62,7 @@
 // never belong in them. Each event is counted in gypsumreel_base_events_total,
 // whatever the level that is logged, so that alarms can be set on events.
 func Log(logger logr.Logger, id ID, kv ...any) {
-	meter.Common.GetOrCreateCounter(meter.Name("base", "events_total", meter.Label{Name: "event", Value: id.Name}, meter.Label{Name: "level", Value: id.Level.String()})).Inc()
+	count(id)
 	all := append([]any{NumberKey, id.Number, NameKey, id.Name}, kv...)
 	switch id.Level {
 	case Debug:
@@ -77,6 +77,11 @@
 	}
 }
 
+// count counts an event, whether its line is written or not.
+func count(id ID) {
+	meter.Common.GetOrCreateCounter(meter.Name("base", "events_total", meter.Label{Name: "event", Value: id.Name}, meter.Label{Name: "level", Value: id.Level.String()})).Inc()
+}
+
 // Fail logs an event with the error behind it.
 func Fail(logger logr.Logger, id ID, err error, kv ...any) {
 	Log(logger, id, append([]any{"err", err}, kv...)...)
@@ -108,7 +113,8 @@
 }
 
 // HTTPLog returns what net/http servers log to, as their ErrorLog. Handshakes
-// that failed become event 707; the rest is for developers.
+// that failed become event 707, faults of a handler event 111; the rest is for
+// developers.
 func HTTPLog(logger logr.Logger) *log.Logger {
 	return log.New(httpWriter{logger}, "", 0)
 }
@@ -121,6 +127,10 @@
 		Log(w.logger, TLSRefused, "cause", text)
 		return len(b), nil
 	}
+	if strings.Contains(text, "panic serving") {
+		Log(w.logger, Panicked, "cause", text)
+		return len(b), nil
+	}
 	Log(w.logger, RequestMalformed, "cause", text)
 	return len(b), nil
 }
--- a/internal/base/event/raised_test.go
+++ b/internal/base/event/raised_test.go
@@ -45,7 +45,7 @@
 func TestUnraisedEventsAreMarked(t *testing.T) {
 	used := raised(t)
 	// The package raises these itself, for net/http.
-	used["TLSRefused"], used["RequestMalformed"] = true, true
+	used["TLSRefused"], used["RequestMalformed"], used["Panicked"] = true, true, true
 	planned := map[uint32]bool{}
 	for _, id := range event.Planned() {
 		planned[id.Number] = true
--- a/internal/cli/control/control.go
+++ b/internal/cli/control/control.go
@@ -93,6 +93,7 @@
 	n := &node.Node{
 		Cell: s.Cell, Name: s.Name, Data: s.Data, Listener: l, Platform: probes,
 		Heartbeat: s.Time.Heartbeat, Election: s.Time.Election, Control: leader.New(),
+		MaxDump: int(s.Limits.Dump),
 	}
 	for _, p := range s.Control {
 		n.Replicas = append(n.Replicas, quorum.Member{ID: p.Name, Address: p.Address})
--- a/internal/control/entry/entry.go
+++ b/internal/control/entry/entry.go
@@ -4,15 +4,18 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/twitchtv/twirp"
 
 	"gypsumreel/internal/api/inner"
 	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/base/dump"
+	"gypsumreel/internal/base/event"
 	"gypsumreel/internal/control/leader"
 	"gypsumreel/internal/control/mailbox"
 )
@@ -35,10 +38,15 @@
 	Now func() time.Duration
 	// Dumper returns the state of the process for a person to read.
 	Dumper func() any
-
-	mu    sync.Mutex
-	term  uint64
-	boxes map[mailbox.Name]*mailbox.Mailbox
+	// MaxDump bounds a dump in bytes; 0 for the default of package dump.
+	MaxDump int
+	Log     logr.Logger
+
+	members roll
+	limit   event.Limit
+	mu      sync.Mutex
+	term    uint64
+	boxes   map[mailbox.Name]*mailbox.Mailbox
 }
 
 var _ inner.Control = (*Server)(nil)
@@ -48,7 +56,7 @@
 
 // Push hands items to the control thread.
 func (s *Server) Push(_ context.Context, req *inner.PushRequest) (*inner.PushReply, error) {
-	if err := s.check(req.GetCell()); err != nil {
+	if err := s.check(req.GetCell(), req.GetEntry()); err != nil {
 		return nil, err
 	}
 	if len(req.GetItems()) > maxItems {
@@ -71,14 +79,15 @@
 
 // Pull returns the replies that wait for the entry.
 func (s *Server) Pull(ctx context.Context, req *inner.PullRequest) (*inner.PullReply, error) {
-	if err := s.check(req.GetCell()); err != nil {
+	if err := s.check(req.GetCell(), req.GetEntry()); err != nil {
 		return nil, err
 	}
 	st := s.Leader.Status()
 	if !st.Leads {
 		return &inner.PullReply{Redirect: redirect(st)}, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, pullWait)
+	s.members.note(req.GetEntry(), req.GetRevision(), s.Now())
+	ctx, cancel := context.WithTimeout(ctx, patience(req.GetPatience()))
 	defer cancel()
 	box := s.box(st.Term, mailbox.Name{Entry: req.GetEntry(), Session: req.GetSession()})
 	b := box.Pull(ctx, req.GetEpoch(), req.GetAck())
@@ -94,17 +103,23 @@
 	if s.Dumper == nil {
 		return &v1.DumpReply{Status: &v1.Status{}}, nil
 	}
-	text, err := json.MarshalIndent(s.Dumper(), "", "  ")
-	if err != nil {
-		return nil, twirp.InternalErrorWith(err)
+	return &v1.DumpReply{Status: &v1.Status{}, Text: dump.Text(s.Dumper(), s.MaxDump)}, nil
+}
+
+// patience returns how long a Pull is held open. An entry takes one that lasts
+// longer than it asked for to be a silent connection, and dials anew.
+func patience(ms uint64) time.Duration {
+	if ms == 0 || ms > uint64(pullWait/time.Millisecond) {
+		return pullWait
 	}
-	return &v1.DumpReply{Status: &v1.Status{}, Text: string(text)}, nil
+	return time.Duration(ms) * time.Millisecond
 }
 
 // check refuses a process of another cell: a wrong address in the settings
 // must not mix two cells' work.
-func (s *Server) check(cell string) error {
+func (s *Server) check(cell, from string) error {
 	if cell != s.Cell {
+		s.limit.Log(s.Log, event.PeerRefused, "peer", from, "error", "it is of cell "+strconv.Quote(cell)+", this is cell "+strconv.Quote(s.Cell))
 		return twirp.NewError(twirp.PermissionDenied, "this is cell "+s.Cell)
 	}
 	return nil
--- a/internal/control/leader/ask.go
+++ b/internal/control/leader/ask.go
@@ -8,6 +8,7 @@
 	"gypsumreel/internal/api/record"
 	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/base/event"
 	"gypsumreel/internal/domain/answer"
 	"gypsumreel/internal/domain/key"
 	"gypsumreel/internal/ledger/command"
@@ -72,6 +73,7 @@
 func (l *Leader) authorize(c *inner.Credential) (key.Key, *code.Error) {
 	k, ok := l.st.Key(c.GetId())
 	if !ok || !k.Matches(c.GetDigest()) || k.Withdrawn {
+		l.limit.Log(l.Log, event.KeyRefused, "key", c.GetId(), "withdrawn", k.Withdrawn)
 		return key.Key{}, code.New(code.BadKey, "")
 	}
 	return k, nil
@@ -126,8 +128,10 @@
 	}
 	r := l.do(c)
 	if r.Code != code.OK {
+		l.judged(k.Team, spec.GetId(), r.Code)
 		return &v1.Accepted{Id: spec.GetId(), Status: status(&code.Error{Code: r.Code, Detail: r.Detail})}
 	}
+	l.judged(k.Team, spec.GetId(), r.Job.Code)
 	st := status(&code.Error{Code: r.Job.Code})
 	st.Retry = uint64(retry / time.Millisecond)
 	return &v1.Accepted{Id: spec.GetId(), Status: st, Outcome: r.Job.Outcome}
@@ -268,6 +272,7 @@
 			}
 		}
 	}
+	l.waves(k.Team, c)
 	if len(c.Jobs) > 0 {
 		l.do(&record.Command{What: &record.Command_Cancel{Cancel: c}})
 	}
--- a/internal/control/leader/decide.go
+++ b/internal/control/leader/decide.go
@@ -39,6 +39,7 @@
 
 // carryOut turns a decision into a command.
 func (l *Leader) carryOut(d plan.Decision) {
+	l.decided(d)
 	var r state.Result
 	switch d.Verb {
 	case plan.Place:
@@ -105,6 +106,7 @@
 		s.State = backend.Draining
 	}
 	w.l.lead.planner.SetServer(s)
+	w.l.serverSeen(b)
 	w.l.lead.dirty = true
 }
 
@@ -120,6 +122,7 @@
 // Hold passes a placement on and lets its server's session know.
 func (w watch) Hold(j *state.Job, t *state.Task) {
 	w.l.lead.planner.Hold(heldOf(j, t))
+	w.l.placed(t)
 	w.l.lead.news[t.Server] = true
 }
 
@@ -135,12 +138,16 @@
 
 // Release passes on that an attempt runs no more.
 func (w watch) Release(_ *state.Job, t *state.Task, how state.End) {
+	w.l.released(t, how)
 	w.l.lead.planner.Release(t.ID, plan.End{At: w.l.st.At(), Ran: how.Ran, Failed: how.Failed, Lost: how.Lost})
 	w.l.lead.dirty = true
 }
 
 // Ended wakes who waits for the job's outcome.
-func (w watch) Ended(j *state.Job) { w.l.wake(j) }
+func (w watch) Ended(j *state.Job) {
+	w.l.endedSeen(j)
+	w.l.wake(j)
+}
 
 // watchServers marks servers that went silent and ends sessions whose lease is over.
 func (l *Leader) watchServers(now time.Duration) {
--- a/internal/control/leader/lead.go
+++ b/internal/control/leader/lead.go
@@ -41,6 +41,9 @@
 	looked   time.Duration
 	promoted time.Duration
 	dirty    bool
+	// proposed are the commands under way, to measure their commits.
+	proposed []proposed
+	seen     seen
 }
 
 // heldReply is a reply whose cause is not committed yet.
@@ -94,6 +97,7 @@
 		news:      map[string]bool{},
 		checked:   n.Elected,
 		dirty:     true,
+		seen:      seen{servers: map[string]seenServer{}, over: map[string]bool{}, faults: l.st.Faults()},
 	}
 	l.applied = n.Last
 	l.st.Watch = watch{l}
@@ -106,10 +110,15 @@
 	}
 	l.status.Store(&Status{Leads: true, Term: n.Term})
 	event.Log(l.Log, event.LeaderElected, "term", n.Term, "index", n.Last)
+	if l.lead.seen.running > 0 {
+		event.Log(l.Log, event.RecoveryWait, "wait", l.Terms.Wait().String(), "tasks", l.lead.seen.running)
+	}
 }
 
 // replay tells a new planner everything that the ledger holds.
 func (l *Leader) replay() {
+	l.lead.seen.replaying = true
+	defer func() { l.lead.seen.replaying = false }()
 	p := l.lead.planner
 	p.SetTable(l.st.Table())
 	for _, b := range l.st.Servers() {
@@ -138,6 +147,10 @@
 func (l *Leader) follow(n group.Follow) {
 	if ld := l.lead; ld != nil {
 		event.Log(l.Log, event.LeaderLost, "term", ld.term, "next", n.Leader)
+		if n.Leader == "" && n.Term == ld.term {
+			// The same term and nobody else: this replica gave up by itself.
+			event.Log(l.Log, event.QuorumLost, "term", ld.term)
+		}
 		l.lead = nil
 		l.st.Watch = nil
 		if l.applied > ld.committed {
@@ -174,6 +187,7 @@
 	first := ld.last + 1 - uint64(len(ld.pending))
 	if l.Group.Propose(group.Proposal{Term: ld.term, First: first, Commands: ld.pending}) {
 		ld.pending = nil
+		ld.proposed = append(ld.proposed, proposed{ld.last, l.Now()})
 	}
 }
 
@@ -238,10 +252,11 @@
 // timers runs what is due.
 func (l *Leader) timers() {
 	ld := l.lead
+	now := l.Now()
 	if ld == nil {
+		l.alone(now)
 		return
 	}
-	now := l.Now()
 	for len(ld.due) > 0 && ld.due[0].at <= now {
 		heap.Pop(&ld.due).(due).run()
 	}
@@ -258,6 +273,7 @@
 	if now-ld.swept >= time.Second {
 		ld.swept = now
 		l.sweep()
+		l.look(now)
 	}
 }
 
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -9,12 +9,14 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
 	"gypsumreel/internal/api/inner"
 	"gypsumreel/internal/api/record"
 	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/base/event"
 	"gypsumreel/internal/control/mailbox"
 	"gypsumreel/internal/domain/lease"
 	"gypsumreel/internal/ledger/command"
@@ -110,7 +112,11 @@
 	Snapshot  uint64
 	// Deposed is called when this replica stops to lead; it must not block.
 	Deposed func()
-	Log     logr.Logger
+	// Entries lists the entries as members; nil for none. It must not block.
+	Entries func() []*v1.MemberLine
+	// Meters receives the thread's metrics; nil for none.
+	Meters *metrics.Set
+	Log    logr.Logger
 
 	inbox  chan func()
 	done   chan struct{}
@@ -124,6 +130,12 @@
 	lead    *lead
 	members group.Members
 	full    bool
+	meter   *meter
+	limit   event.Limit
+	// leaderless is since when no leader is known, alarmed that it was told.
+	leaderless time.Duration
+	alarmed    bool
+	loaded     bool
 }
 
 // ErrDiverged ends a replica whose state differs from the leader's.
@@ -192,6 +204,8 @@
 // Run is the control thread; it returns when ctx ends or the replica must not go on.
 func (l *Leader) Run(ctx context.Context) error {
 	defer close(l.done)
+	l.meter = newMeter(l.Meters)
+	l.limit.Now = l.Wall
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	for {
@@ -263,6 +277,7 @@
 	case group.Commit:
 		if l.lead != nil {
 			l.lead.committed = max(l.lead.committed, n.Index)
+			l.settle(n.Index)
 		}
 	case group.Confirmed:
 		if l.lead != nil && n.Term == l.lead.term {
@@ -272,8 +287,10 @@
 	case group.Restore:
 		return l.restore(n)
 	case group.Members:
+		l.membersSeen(n)
 		l.members = n
 	case group.Full:
+		l.fullSeen(n.Full)
 		l.full = n.Full
 	}
 	return nil
@@ -298,6 +315,7 @@
 		}
 		r := l.st.Apply(c)
 		if _, ok := c.GetWhat().(*record.Command_Check); ok && r.Code != 0 {
+			event.Log(l.Log, event.StateDiffers, "member", l.members.Self, "index", e.Index, "digest", l.st.Digest())
 			return ErrDiverged
 		}
 	}
@@ -309,6 +327,7 @@
 	if err != nil {
 		return err
 	}
+	l.restored(n)
 	l.st, l.applied, l.saved = st, n.Index, n.Index
 	return nil
 }
--- a/internal/control/leader/member.go
+++ b/internal/control/leader/member.go
@@ -8,6 +8,7 @@
 	"gypsumreel/internal/api/inner"
 	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/base/event"
 	"gypsumreel/internal/replica/group"
 	"gypsumreel/internal/replica/quorum"
 )
@@ -50,6 +51,7 @@
 		rep := &v1.ChangeReply{Status: &v1.Status{}, Revision: l.st.Table().Revision()}
 		l.reply(to, &inner.Reply{Answer: &inner.Reply_Change{Change: rep}})
 	case l.Now() >= until:
+		event.Log(l.Log, event.MemberRefused, "member", c.GetReplica(), "remove", c.GetRemove())
 		st := status(code.New(code.Busy, "not in force yet; ask again"))
 		st.Retry = uint64(promoteEvery / time.Millisecond)
 		rep := &v1.ChangeReply{Status: st, Revision: l.st.Table().Revision()}
--- a/internal/control/leader/operator.go
+++ b/internal/control/leader/operator.go
@@ -19,8 +19,13 @@
 		l.member(to, c)
 		return
 	}
+	before := l.st.Table().Rows()
+	_, resent := l.st.Told(req.GetId())
 	r := l.do(&record.Command{What: &record.Command_Change{Change: &record.Change{By: k.ID, Request: req}}})
 	l.lead.dirty = true
+	if !resent {
+		l.changed(k.ID, req, r, before)
+	}
 	rep := &v1.ChangeReply{Status: status(&code.Error{Code: r.Code, Detail: r.Detail}), Revision: l.st.Table().Revision()}
 	if r.Revision > 0 {
 		rep.Revision = r.Revision
@@ -87,7 +92,13 @@
 		if m.Learner {
 			line.State = "learner"
 		}
+		if line.Leader {
+			line.Revision = l.st.Table().Revision()
+		}
 		out = append(out, line)
 	}
+	if l.Entries != nil {
+		out = append(out, l.Entries()...)
+	}
 	return out
 }
--- a/internal/control/leader/session.go
+++ b/internal/control/leader/session.go
@@ -7,6 +7,7 @@
 	"gypsumreel/internal/api/record"
 	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/base/event"
 	"gypsumreel/internal/domain/answer"
 	"gypsumreel/internal/domain/backend"
 	"gypsumreel/internal/domain/task"
@@ -100,6 +101,7 @@
 	for _, r := range rs {
 		a := attemptOf(r.GetAttempt())
 		s.reports[a] = r.GetPhase()
+		l.strangers(b, r)
 		t, ok := l.st.Task(a.ID)
 		if !ok || t.Attempt != a.Number || t.Server != b.ID || !t.Phase.Holds() {
 			continue
@@ -150,12 +152,14 @@
 	}
 	for _, c := range chunks {
 		if err := p.Add(c); err != nil {
+			l.limit.Log(l.Log, event.DigestMismatch, "job", a.Job, "task", a.Index, "error", err.Error())
 			delete(s.parts, a)
 			return nil, false
 		}
 	}
 	data, ok, err := p.Whole()
 	if err != nil {
+		l.limit.Log(l.Log, event.DigestMismatch, "job", a.Job, "task", a.Index, "error", err.Error())
 		delete(s.parts, a)
 		return nil, false
 	}
--- a/internal/control/mailbox/mailbox.go
+++ b/internal/control/mailbox/mailbox.go
@@ -133,3 +133,10 @@
 	}
 	return n
 }
+
+// Len returns how many replies wait to be fetched or acknowledged.
+func (m *Mailbox) Len() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.queue)
+}
--- a/internal/control/node/node.go
+++ b/internal/control/node/node.go
@@ -20,10 +20,8 @@
 
 	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/base/event"
-	"gypsumreel/internal/base/meter"
 	"gypsumreel/internal/control/entry"
 	"gypsumreel/internal/control/leader"
-	"gypsumreel/internal/edge/platform"
 	"gypsumreel/internal/policy/cell"
 	"gypsumreel/internal/policy/plan"
 	"gypsumreel/internal/replica/birth"
@@ -78,13 +76,18 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Abort ends a planned stop at once when closed: the second signal.
 	Abort <-chan struct{}
-	Log   logr.Logger
+	// MaxDump bounds a dump in bytes; 0 for the default of package dump.
+	MaxDump int
+	Log     logr.Logger
 
 	once  sync.Once
 	begin time.Time
 	done  chan struct{}
 	group atomic.Pointer[group.Group]
 	self  atomic.Value
+
+	service atomic.Pointer[entry.Server]
+	meters  *metrics.Set
 }
 
 // Transport carries consensus messages until Close.
@@ -98,6 +101,7 @@
 	n.once.Do(func() {
 		n.begin = time.Now()
 		n.done = make(chan struct{})
+		n.meters = metrics.NewSet()
 		if n.Control == nil {
 			n.Control = leader.New()
 		}
@@ -132,11 +136,11 @@
 	store := snapshot.Store{Dir: filepath.Join(n.Data, "snapshot")}
 	saved, err := load(store)
 	if err != nil {
-		return err
+		return n.damaged(event.SnapshotDamaged, err)
 	}
 	log, recovered, err := journal.Open(filepath.Join(n.Data, "journal"))
 	if err != nil {
-		return err
+		return n.damaged(event.JournalDamaged, err)
 	}
 	saved.Hard, saved.Entries = recovered.Hard, recovered.Entries
 	return n.serve(ctx, self, fresh && n.Init, saved, log, store)
@@ -166,16 +170,21 @@
 	running, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	founder := n.founder(self)
-	g := &group.Group{Journal: log, Snapshots: &store, Saved: saved, Now: n.now, Log: n.Log}
+	g := &group.Group{
+		Journal: newDisk(log, n.meters, n.Log), Snapshots: &archive{Snapshots: &store, log: n.Log},
+		Saved: saved, Now: n.now, Log: n.Log,
+	}
 	n.group.Store(g)
-	service := &entry.Server{Cell: n.Cell, Leader: n.Control, Now: n.now, Dumper: n.State}
+	service := &entry.Server{Cell: n.Cell, Leader: n.Control, Now: n.now, Dumper: n.State, MaxDump: n.MaxDump, Log: n.Log}
+	n.service.Store(service)
+	n.Control.Entries = service.Entries
 	mux := http.NewServeMux()
 	mux.Handle("/twirp/gypsumreel.inner.Control/", service.Handler())
-	mux.Handle("/twirp/gypsumreel.inner.Birth/", founder.Handler())
+	mux.Handle("/twirp/gypsumreel.inner.Birth/", n.replicas(founder.Handler()))
 	transport := n.transport(self.ID, g.Receive)
 	defer transport.Close()
 	g.Peer = transport
-	mux.Handle("/", transport.Handler())
+	mux.Handle("/", n.replicas(transport.Handler()))
 	server := n.server(mux, n.Server)
 	faults := make(chan error, 4)
 	var wg sync.WaitGroup
@@ -208,10 +217,12 @@
 	n.Control.Deposed = service.CloseAll
 	run("group", func() error { return g.Run(running) })
 	run("control", func() error { return n.Control.Run(running) })
+	run("watch", func() error { return n.watch(running) })
 	select {
 	case err := <-faults:
 		return err
 	case <-ctx.Done():
+		event.Log(n.Log, event.StopBegun, "handover", n.Handover.String())
 		n.handOver()
 		return nil
 	}
@@ -230,11 +241,11 @@
 	case peer.Refused:
 		event.Log(n.Log, event.PeerRefused, "peer", e.Peer, "error", e.Err.Error())
 	case peer.Failed:
-		event.Log(n.Log, event.ConnectionSilent, "replica", e.Peer, "error", e.Err.Error())
+		event.Log(n.Log, event.PeerSilent, "peer", e.Peer, "error", e.Err.Error())
 	case peer.TooLarge:
 		n.Log.Info("message to a replica is too large", "replica", e.Peer, "error", e.Err.Error())
 	case peer.Recovered:
-		n.Log.V(1).Info("a replica answers again", "replica", e.Peer)
+		event.Log(n.Log, event.PeerBack, "peer", e.Peer)
 	}
 }
 
@@ -272,7 +283,7 @@
 	_, _ = rand.Read(seed[:])
 	cfg.Seed = binary.LittleEndian.Uint64(seed[:])
 	l := n.Control
-	l.Group, l.Now, l.Root, l.Log = g, n.now, n.Root, n.Log
+	l.Group, l.Now, l.Root, l.Log, l.Meters = g, n.now, n.Root, n.Log, n.meters
 	if l.Planner == nil {
 		l.Planner = func() plan.Planner { return cell.New(cell.Config{}) }
 	}
@@ -283,7 +294,7 @@
 	both.SetHTTP1(true)
 	both.SetHTTP2(true)
 	both.SetUnencryptedHTTP2(true)
-	return &http.Server{Handler: h, Protocols: both, ReadHeaderTimeout: headerTimeout, TLSConfig: cfg}
+	return &http.Server{Handler: h, Protocols: both, ReadHeaderTimeout: headerTimeout, TLSConfig: cfg, ErrorLog: event.HTTPLog(n.Log)}
 }
 
 func listen(s *http.Server, l net.Listener) error {
@@ -293,21 +304,6 @@
 	return s.ServeTLS(l, "", "")
 }
 
-// probes serves health, readiness and metrics. A replica is ready while it
-// knows a leader, itself or another.
-func (n *Node) probes() http.Handler {
-	set := metrics.NewSet()
-	set.NewGauge(meter.Name("control", "leads"), func() float64 {
-		if n.Control.Status().Leads {
-			return 1
-		}
-		return 0
-	})
-	set.NewGauge(meter.Name("control", "term"), func() float64 { return float64(n.Control.Status().Term) })
-	set.NewGauge(meter.Name("control", "revision"), func() float64 { return float64(n.Control.Status().Revision) })
-	return (&platform.Probes{Ready: n.ready, Meters: []*metrics.Set{set}}).Route()
-}
-
 // ready returns nil while a leader is known. A replica that belongs to no group
 // yet says what its operator has to do.
 func (n *Node) ready() error {
@@ -333,24 +329,11 @@
 		case <-ctx.Done():
 		}
 	}()
-	if err := n.group.Load().Transfer(ctx); err != nil && !errors.Is(err, group.ErrAlone) {
+	begin := n.now()
+	switch err := n.group.Load().Transfer(ctx); {
+	case err == nil:
+		event.Log(n.Log, event.LeaderTransferred, "took", (n.now() - begin).String())
+	case !errors.Is(err, group.ErrAlone):
 		n.Log.Info("the lead was not handed over", "cause", err.Error())
 	}
 }
-
-// Dump is the state of a control process for a person to read.
-type Dump struct {
-	Cell   string
-	Name   string
-	Status leader.Status
-	Group  group.Dump
-}
-
-// State returns the state of the process for a person to read.
-func (n *Node) State() any {
-	d := Dump{Cell: n.Cell, Name: n.Name, Status: n.Control.Status()}
-	if g := n.group.Load(); g != nil {
-		d.Group = g.Dump()
-	}
-	return d
-}
--- a/internal/domain/lease/lease.go
+++ b/internal/domain/lease/lease.go
@@ -66,5 +66,10 @@
 	return now > b.elected+b.terms.Wait() && now > b.ends[server]
 }
 
+// Left returns how long it takes until the server's lease is over on every clock.
+func (b *Book) Left(server string, now time.Duration) time.Duration {
+	return max(0, max(b.elected+b.terms.Wait(), b.ends[server])-now)
+}
+
 // Forget drops a server's line; its session must be closed before.
 func (b *Book) Forget(server string) { delete(b.ends, server) }
--- a/internal/edge/operator/operator.go
+++ b/internal/edge/operator/operator.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"time"
 
@@ -13,6 +12,7 @@
 	"gypsumreel/internal/api/inner"
 	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/base/dump"
 	"gypsumreel/internal/edge/control"
 )
 
@@ -129,14 +129,7 @@
 	if h.State != nil {
 		state = h.State()
 	}
-	text, err := json.MarshalIndent(state, "", "  ")
-	switch {
-	case err != nil:
-		return &v1.DumpReply{Status: control.Refusal(code.Internal, "%v", err)}
-	case len(text) > MaxDump:
-		return &v1.DumpReply{Status: control.Refusal(code.TooLarge, "the dump has %d bytes", len(text))}
-	}
-	return &v1.DumpReply{Status: &v1.Status{}, Text: string(text)}
+	return &v1.DumpReply{Status: &v1.Status{}, Text: dump.Text(state, MaxDump)}
 }
 
 func (h *Handler) exchange(ctx context.Context, header http.Header, fault error, item *inner.Item) (*inner.Reply, *v1.Status) {
--- a/internal/ledger/state/change.go
+++ b/internal/ledger/state/change.go
@@ -214,6 +214,12 @@
 	return Result{}
 }
 
+// Told returns the answer that was given to an operator's change of that id.
+func (s *State) Told(id string) (Answer, bool) {
+	a, ok := s.answers[id]
+	return a, ok
+}
+
 // Keys returns all keys in the order of their ids.
 func (s *State) Keys() []key.Key {
 	var out []key.Key
