Page jobs across teams, bound a job's whole answer

The operators' list of jobs looked its next page up by an id that is unique only within a team, found nothing and gave the first page again, for ever. Such a job is named TEAM/ID now, and a page after a job that is forgotten is refused.

A job of many tasks could answer more than a fetch can hold, and every chunk of it was cut from a fresh copy of the whole with a fresh checksum. The sum over a job's tasks is bounded by 32 MiB; what exceeds it gives the job up as too large (504), with the answers that were whole by then. The checksum is taken once for each job, and a chunk copies only its own bytes.

--- a/internal/client/operator/operator.go
+++ b/internal/client/operator/operator.go
@@ -97,7 +97,7 @@
 	case v1.Part_PART_SERVERS:
 		return names(r.GetServers(), (*v1.ServerLine).GetServer)
 	case v1.Part_PART_JOBS:
-		return names(r.GetJobs(), (*v1.Summary).GetId)
+		return names(r.GetJobs(), func(j *v1.Summary) string { return j.GetTeam() + "/" + j.GetId() })
 	}
 	return nil
 }
--- a/internal/control/leader/ask.go
+++ b/internal/control/leader/ask.go
@@ -9,7 +9,6 @@
 	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/base/code"
 	"gypsumreel/internal/base/event"
-	"gypsumreel/internal/domain/answer"
 	"gypsumreel/internal/domain/key"
 	"gypsumreel/internal/ledger/command"
 	"gypsumreel/internal/ledger/state"
@@ -249,7 +248,7 @@
 func (l *Leader) answer(to Ticket, j *state.Job, chunk uint32) {
 	rep := &v1.WaitReply{Id: j.Spec.ID, Outcome: j.Outcome, Status: status(&code.Error{Code: j.Code})}
 	if j.Outcome == v1.Outcome_OUTCOME_DONE {
-		rep.Chunk = answer.Cut(l.st.Answer(j), chunk)
+		rep.Chunk = l.chunk(j, chunk)
 		if rep.Chunk == nil {
 			l.refuse(to, code.New(code.Malformed, "the answer has no chunk %d", chunk))
 			return
@@ -288,12 +287,6 @@
 	return true
 }
 
-// Bounds of a list.
-const (
-	defaultLines = 100
-	maxLines     = 1000
-)
-
 func (l *Leader) list(to Ticket, k key.Key, req *v1.ListRequest) {
 	rep := &v1.ListReply{Status: &v1.Status{}}
 	if len(req.GetIds()) > 0 {
@@ -303,27 +296,12 @@
 			}
 		}
 	} else {
-		rep.Jobs = l.page(k.Team, req.GetAfter(), req.GetLimit())
-	}
-	l.reply(to, &inner.Reply{Answer: &inner.Reply_List{List: rep}})
-}
-
-// page returns a team's jobs after the one named, in the order of acceptance.
-func (l *Leader) page(owner, after string, limit uint32) []*v1.Summary {
-	if limit == 0 {
-		limit = defaultLines
-	}
-	var from uint64
-	if j, ok := l.st.Find(state.RequestID{Team: owner, ID: after}); ok {
-		from = j.Number
-	}
-	var out []*v1.Summary
-	for _, j := range l.st.Jobs(owner) {
-		if j.Number > from && uint32(len(out)) < min(limit, maxLines) {
-			out = append(out, summary(j))
+		var err *code.Error
+		if rep.Jobs, err = l.page(k.Team, req.GetAfter(), req.GetLimit()); err != nil {
+			rep.Status = status(err)
 		}
 	}
-	return out
+	l.reply(to, &inner.Reply{Answer: &inner.Reply_List{List: rep}})
 }
 
 func summary(j *state.Job) *v1.Summary {
--- a/internal/control/leader/harness_test.go
+++ b/internal/control/leader/harness_test.go
@@ -9,6 +9,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"gypsumreel/internal/api/inner"
 	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/base/code"
@@ -105,7 +107,10 @@
 func digest() []byte { d := sha256.Sum256([]byte(secret)); return d[:] }
 
 // run gives fn a leading control thread with one team, its key and an operator's key.
-func run(t *testing.T, fn func(*cell)) {
+func run(t *testing.T, fn func(*cell)) { runWith(t, logr.Discard(), fn) }
+
+// runWith is run with a log.
+func runWith(t *testing.T, log logr.Logger, fn func(*cell)) {
 	synctest.Test(t, func(t *testing.T) {
 		begin := time.Now()
 		now := func() time.Duration { return time.Since(begin) + time.Minute }
@@ -113,6 +118,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		c := &cell{t: t, g: g, stop: cancel, got: map[uint64]*inner.Reply{}}
 		c.l = c.newLeader(g)
+		c.l.Log = log
 		done := make(chan error, 1)
 		go func() { done <- c.l.Run(ctx) }()
 		beats := make(chan struct{})
--- a/internal/control/leader/inspect.go
+++ b/internal/control/leader/inspect.go
@@ -25,8 +25,9 @@
 	Confirmed float64
 	Full      bool
 	Faults    int
-	Digest    uint64
-	Revision  uint64
+	// Sum is that of the state, to compare replicas at one index.
+	Sum      uint64
+	Revision uint64
 
 	// Inbox are batches that wait for the thread, Pending commands that the group
 	// has not taken, Held replies whose cause is not committed, Reads those that
@@ -80,7 +81,7 @@
 func (l *Leader) view() View {
 	v := View{
 		Term: l.status.Load().Term, Applied: l.applied, Saved: l.saved, Full: l.full, Faults: l.st.Faults(),
-		Digest: l.st.Digest(), Revision: l.st.Table().Revision(), Inbox: len(l.inbox), Servers: map[string]int{},
+		Sum: l.st.Digest(), Revision: l.st.Table().Revision(), Inbox: len(l.inbox), Servers: map[string]int{},
 	}
 	for _, b := range l.st.Servers() {
 		v.Servers[shownState(b)]++
--- a/internal/control/leader/lead.go
+++ b/internal/control/leader/lead.go
@@ -44,6 +44,7 @@
 	// proposed are the commands under way, to measure their commits.
 	proposed []proposed
 	seen     seen
+	answers  answers
 }
 
 // heldReply is a reply whose cause is not committed yet.
@@ -97,6 +98,7 @@
 		news:      map[string]bool{},
 		checked:   n.Elected,
 		dirty:     true,
+		answers:   newAnswers(),
 		seen:      seen{servers: map[string]seenServer{}, over: map[string]bool{}, faults: l.st.Faults()},
 	}
 	l.applied = n.Last
@@ -253,6 +255,10 @@
 func (l *Leader) timers() {
 	ld := l.lead
 	now := l.Now()
+	if now-l.measured >= measureEvery {
+		l.measured = now
+		l.measure()
+	}
 	if ld == nil {
 		l.alone(now)
 		return
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -51,6 +51,8 @@
 	lookEvery = 100 * time.Millisecond
 	// checkEvery is how often the replicas compare the digests of their states.
 	checkEvery = 10 * time.Second
+	// measureEvery is how often the gauges are set.
+	measureEvery = time.Second
 	// maxPending bounds the commands that the group has not taken yet.
 	maxPending = 100_000
 )
@@ -136,6 +138,7 @@
 	leaderless time.Duration
 	alarmed    bool
 	loaded     bool
+	measured   time.Duration
 }
 
 // ErrDiverged ends a replica whose state differs from the leader's.
--- a/internal/control/leader/meter.go
+++ b/internal/control/leader/meter.go
@@ -18,7 +18,6 @@
 	refused    *metrics.Counter
 	accepted   *metrics.Counter
 	commits    *metrics.PrometheusHistogram
-	turns      *metrics.PrometheusHistogram
 
 	waiting, running, held, servers atomic.Int64
 }
@@ -32,7 +31,6 @@
 		placements: counter("placements_total"), decisions: counter("decisions_total"), preempted: counter("preemptions_total"),
 		lost: counter("attempts_lost_total"), refused: counter("refused_total"), accepted: counter("accepted_total"),
 		commits: set.GetOrCreatePrometheusHistogram(basemeter.Name("control", "commit_seconds")),
-		turns:   set.GetOrCreatePrometheusHistogram(basemeter.Name("control", "turn_seconds")),
 	}
 	for what, n := range map[string]*atomic.Int64{
 		"waiting_jobs": &m.waiting, "running_tasks": &m.running, "held_replies": &m.held, "servers_ready": &m.servers,
--- a/internal/control/leader/notice.go
+++ b/internal/control/leader/notice.go
@@ -115,6 +115,10 @@
 func (l *Leader) released(t *state.Task, how state.End) {
 	ld := &l.lead.seen
 	ld.running--
+	if how.Lost || how.Failed || !how.Ran {
+		// The task runs again and its answer counts for nothing: counted anew.
+		delete(l.lead.answers.sizes, t.ID.Job)
+	}
 	if how.Lost {
 		l.meter.lost.Inc()
 		l.limit.Log(l.Log, event.AttemptLost, "job", t.ID.Job, "task", t.ID.Index, "attempt", t.Attempt, "server", t.Server)
@@ -141,6 +145,7 @@
 
 // endedSeen tells of outcomes that someone has to hear of.
 func (l *Leader) endedSeen(j *state.Job) {
+	delete(l.lead.answers.sizes, j.Number)
 	switch {
 	case j.Outcome == v1.Outcome_OUTCOME_UNKNOWN:
 		l.limit.Log(l.Log, event.OutcomeUnknown, "team", j.Spec.Team, "job", j.Spec.ID)
@@ -308,7 +313,9 @@
 	switch {
 	case !l.loaded:
 		l.loaded = true
-		event.Log(l.Log, event.SnapshotLoaded, "index", n.Index, "bytes", len(n.State))
+		if n.Index > 0 {
+			event.Log(l.Log, event.SnapshotLoaded, "index", n.Index, "bytes", len(n.State))
+		}
 	case n.Index > l.applied:
 		event.Log(l.Log, event.SnapshotFetched, "index", n.Index, "bytes", len(n.State))
 	}
--- a/internal/control/leader/operator.go
+++ b/internal/control/leader/operator.go
@@ -57,7 +57,8 @@
 	case v1.Part_PART_MEMBERS:
 		rep.Members = l.memberLines()
 	case v1.Part_PART_JOBS:
-		rep.Jobs = l.page("", req.GetAfter(), req.GetLimit())
+		jobs, err := l.page("", req.GetAfter(), req.GetLimit())
+		rep.Jobs, rep.Status = jobs, status(err)
 	default:
 		rep.Status = status(code.New(code.Malformed, "no such part"))
 	}
--- a/internal/control/leader/session.go
+++ b/internal/control/leader/session.go
@@ -131,7 +131,7 @@
 		if !ok {
 			return false
 		}
-		e.Ended, e.Started, e.Exit, e.Answer = true, true, r.GetExit(), data
+		e.Ended, e.Started, e.Exit, e.Answer = true, true, r.GetExit(), l.fitting(a.Job, data)
 	case v1.Phase_PHASE_STOPPED:
 	case v1.Phase_PHASE_SAVED:
 		e.Started, e.Checkpoint = true, r.GetCheckpoint()
--- a/internal/domain/answer/answer.go
+++ b/internal/domain/answer/answer.go
@@ -2,6 +2,8 @@
 package answer
 
 import (
+	"iter"
+
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
@@ -14,6 +16,8 @@
 	ChunkSize = 128 << 10
 	// MaxTotal bounds a task's whole answer.
 	MaxTotal = 1 << 20
+	// MaxJob bounds a job's whole answer, the sum over its tasks.
+	MaxJob = 32 << 20
 	// maxChunks is how many chunks an answer of MaxTotal may be cut into.
 	maxChunks = MaxTotal/1024 + 1
 )
@@ -37,6 +41,46 @@
 	return &v1.Chunk{Number: number, Count: count, Total: uint64(len(data)), Sum: xxhash.Sum64(data), Data: data[from:to]}
 }
 
+// Head is what every chunk of an answer tells of the whole.
+type Head struct {
+	// Total is the length in bytes, Sum the checksum of all of it.
+	Total int
+	Sum   uint64
+}
+
+// NewHead returns the head of an answer that comes in pieces.
+func NewHead(pieces iter.Seq[[]byte]) Head {
+	var h Head
+	sum := xxhash.New()
+	for p := range pieces {
+		_, _ = sum.Write(p)
+		h.Total += len(p)
+	}
+	h.Sum = sum.Sum64()
+	return h
+}
+
+// Cut returns one chunk of the answer that the pieces make; nil when there is
+// none of that number. Only the bytes of the chunk are copied.
+func (h Head) Cut(pieces iter.Seq[[]byte], number uint32) *v1.Chunk {
+	count := Count(h.Total)
+	if number >= count {
+		return nil
+	}
+	from := int(number) * ChunkSize
+	to := min(from+ChunkSize, h.Total)
+	data := make([]byte, 0, to-from)
+	at := 0
+	for p := range pieces {
+		if at >= to {
+			break
+		}
+		data = append(data, p[min(len(p), max(0, from-at)):min(len(p), to-at)]...)
+		at += len(p)
+	}
+	return &v1.Chunk{Number: number, Count: count, Total: uint64(h.Total), Sum: h.Sum, Data: data}
+}
+
 // Split returns all chunks of an answer.
 func Split(data []byte) []*v1.Chunk {
 	out := make([]*v1.Chunk, 0, Count(len(data)))
--- a/internal/ledger/state/state.go
+++ b/internal/ledger/state/state.go
@@ -5,6 +5,7 @@
 package state
 
 import (
+	"iter"
 	"time"
 
 	"gypsumreel/internal/api/record"
@@ -236,6 +237,17 @@
 	}
 }
 
+// Pieces yields the answers of a job's tasks in the order of their indexes.
+func (s *State) Pieces(j *Job) iter.Seq[[]byte] {
+	return func(yield func([]byte) bool) {
+		for i := range j.Spec.Count {
+			if t, ok := s.tasks[task.ID{Job: j.Number, Index: i}]; ok && !yield(t.Answer) {
+				return
+			}
+		}
+	}
+}
+
 // Answer returns a job's whole answer: its tasks' answers in the order of their indexes.
 func (s *State) Answer(j *Job) []byte {
 	if j.Spec.Count == 1 {
