--- a/internal/demo/fault/world_test.go
+++ b/internal/demo/fault/world_test.go
@@ -17,6 +17,7 @@
 	"gypsumreel/internal/client/caller"
 	"gypsumreel/internal/client/link"
 	"gypsumreel/internal/client/operator"
+	"gypsumreel/internal/control/leader"
 	"gypsumreel/internal/demo/cell"
 	"gypsumreel/internal/domain/key"
 	"gypsumreel/internal/fake/server"
@@ -58,7 +59,10 @@
 )
 
 // newWorld starts a cell and sets up a team with a key and a limit.
-func newWorld(t *testing.T) *world {
+func newWorld(t *testing.T) *world { return newWorldWith(t, nil) }
+
+// newWorldWith lets the test change the replicas' control threads before they run.
+func newWorldWith(t *testing.T, control func(name string, l *leader.Leader)) *world {
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &world{
 		t: t, ctx: ctx, cancel: cancel, net: newNetwork(ctx), record: &server.Record{}, runs: map[string]int{},
@@ -68,6 +72,7 @@
 		Network: w.net, Dir: t.TempDir(), Replicas: replicas, Entries: entries, Servers: servers, Zones: 3,
 		Capacity:  &v1.Size{Cpu: coresEach, Memory: 64_000, Accel: 4, Slots: 8},
 		Transport: w.net.wire, Record: w.record, Work: w.work, Log: logr.Discard(), Linger: time.Second,
+		Control: control,
 	}
 	if err := w.cell.Start(ctx); err != nil {
 		t.Fatal(err)
