--- a/internal/base/event/raised_test.go
+++ b/internal/base/event/raised_test.go
@@ -54,6 +54,9 @@
 		if !used[name.constant] && !planned[name.number] {
 			t.Errorf("%d %s is raised nowhere and not marked", name.number, name.constant)
 		}
+		if used[name.constant] && planned[name.number] {
+			t.Errorf("%d %s is raised and marked as not raised", name.number, name.constant)
+		}
 	}
 }
 
--- a/internal/control/node/node.go
+++ b/internal/control/node/node.go
@@ -88,6 +88,7 @@
 
 	service atomic.Pointer[entry.Server]
 	meters  *metrics.Set
+	limit   event.Limit
 }
 
 // Transport carries consensus messages until Close.
--- a/internal/control/node/watch.go
+++ b/internal/control/node/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -31,9 +32,16 @@
 	if n.Server == nil {
 		return h
 	}
-	return secure.Only(func(name string) bool {
+	known := func(name string) bool {
 		return slices.ContainsFunc(n.Replicas, func(m quorum.Member) bool { return m.ID == name })
-	}, h)
+	}
+	only := secure.Only(known, h)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if names := secure.Names(r); !slices.ContainsFunc(names, known) {
+			n.limit.Log(n.Log, event.PeerRefused, "peer", strings.Join(names, " "), "error", "its certificate names no control replica, this is "+n.Name)
+		}
+		only.ServeHTTP(w, r)
+	})
 }
 
 // watch tells of readiness that comes and goes, of a process that stood still,
