--- /dev/null
+++ b/internal/load/measure/idle.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"gypsumreel/internal/client/link"
+	"gypsumreel/internal/load/rig"
+)
+
+// rested is a row about a cell at rest.
+type rested struct {
+	Part    string `json:"part"`
+	Servers int    `json:"servers"`
+	// PerServer is bytes a second between an entry and one idle backend server.
+	PerServer float64 `json:"bytes_per_s_per_server"`
+	Costs     costs   `json:"costs"`
+}
+
+// rest is how long a cell at rest is measured.
+const rest = 8 * time.Second
+
+// idle measures a cell that has nothing to do.
+func idle(ctx context.Context, b *bench) error {
+	return b.cell(ctx, entries, func(ctx context.Context, r *rig.Rig) error {
+		row, err := b.rest(ctx, r, b.Servers)
+		if err != nil {
+			return err
+		}
+		return emit(row)
+	})
+}
+
+func (b *bench) rest(ctx context.Context, r *rig.Rig, servers int) (rested, error) {
+	row := rested{Part: "idle", Servers: servers}
+	fleet, err := r.Fleet(ctx, servers, size(b.Slots))
+	if err != nil {
+		return row, err
+	}
+	defer fleet.Close()
+	link.Sleep(ctx, rig.Quiet)
+	from, err := take(r)
+	if err != nil {
+		return row, err
+	}
+	link.Sleep(ctx, rest)
+	to, err := take(r)
+	if err != nil {
+		return row, err
+	}
+	row.Costs = between(r, from, to)
+	if servers > 0 {
+		row.PerServer = row.Costs.Backend / float64(servers)
+	}
+	return row, nil
+}
