--- a/internal/fake/relay/relay.go
+++ b/internal/fake/relay/relay.go
@@ -46,6 +46,8 @@
 	Listener net.Listener
 	// Dial opens the connection to the target.
 	Dial func(ctx context.Context) (net.Conn, error)
+	// Sleep waits for a delay; nil for a timer, which may be a millisecond late.
+	Sleep func(time.Duration)
 
 	mu    sync.Mutex
 	fates [2]Fate
@@ -290,7 +292,7 @@
 		case Lose:
 			return false
 		case Pass:
-			wait(time.Until(at.Add(delay)), p.ended)
+			p.wait(time.Until(at.Add(delay)))
 			return true
 		}
 		select {
@@ -301,15 +303,19 @@
 	}
 }
 
-func wait(d time.Duration, ended <-chan struct{}) {
+func (p *pair) wait(d time.Duration) {
 	if d <= 0 {
 		return
 	}
+	if p.relay.Sleep != nil {
+		p.relay.Sleep(d)
+		return
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
-	case <-ended:
+	case <-p.ended:
 	}
 }
 
--- a/internal/load/measure/flow.go
+++ b/internal/load/measure/flow.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -37,6 +38,9 @@
 	Starts float64 `json:"starts_per_s"`
 	// Network is the part of the injected delays in an answer's time, in ms.
 	Network float64 `json:"network_ms"`
+	// Delayed are the one-way delays as measured beside the load, in ms: zone and
+	// client, median and 99th percentile.
+	Delayed [4]float64 `json:"delayed_ms"`
 	// Added is a job's time from arrival to answer less its run time and
 	// Network, in ms.
 	Added report.Waits `json:"added"`
@@ -78,9 +82,17 @@
 	}
 	client := r.CallerClient(token)
 	d := &drive.Driver{Caller: client, Jobs: f.jobs(prefix), Tail: tail}
+	row := loaded{Part: prefix, Place: b.Place, Rate: f.rate, Tasks: f.count}
+	var beside sync.WaitGroup
+	for i, delay := range delays[b.Place] {
+		beside.Go(func() {
+			median, late, _ := r.Delayed(ctx, delay, f.duration) // a failed one shows as 0
+			row.Delayed[2*i], row.Delayed[2*i+1] = ms(median), ms(late)
+		})
+	}
 	began := time.Now()
 	seen := d.Run(ctx)
-	row := loaded{Part: prefix, Place: b.Place, Rate: f.rate, Tasks: f.count}
+	beside.Wait()
 	sum := report.Sum(report.Measured{}, began, seen, fleet.Record)
 	row.Promises, row.Counts, row.Refusals = sum.Promises, sum.Counts, sum.Refusals
 	row.Promises.Faults = append(row.Promises.Faults, fleet.Seen.Faults()...)
--- a/internal/load/measure/main.go
+++ b/internal/load/measure/main.go
@@ -111,8 +111,9 @@
 // cell runs fn on a fresh cell.
 func (b *bench) cell(ctx context.Context, entries int, fn func(context.Context, *rig.Rig) error) error {
 	b.runs++
+	// What another run left in the folder is another cell.
 	dir := filepath.Join(b.dir, fmt.Sprintf("run-%d", b.runs))
-	if err := os.MkdirAll(dir, 0o700); err != nil {
+	if err := os.Mkdir(dir, 0o700); err != nil {
 		return err
 	}
 	d := delays[b.Place]
--- a/internal/load/rig/rig.go
+++ b/internal/load/rig/rig.go
@@ -10,10 +10,13 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/client/link"
 	"gypsumreel/internal/domain/key"
 	"gypsumreel/internal/fake/relay"
 )
@@ -86,7 +89,28 @@
 			return err
 		}
 	}
-	return r.Settled(ctx)
+	if err := r.Settled(ctx); err != nil {
+		return err
+	}
+	return r.rooted(ctx)
+}
+
+// rooted waits until the operator's key counts: the first leader grants it only
+// after it was elected.
+func (r *Rig) rooted(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	op := r.OperatorClient()
+	defer op.Link.Close()
+	for {
+		_, err := op.Show(ctx, v1.Part_PART_TABLE)
+		if err == nil {
+			return nil
+		}
+		if !link.Sleep(ctx, lookEvery) {
+			return errors.Wrap(err, "the operator's key")
+		}
+	}
 }
 
 // Settled waits until a replica leads and every process that runs is ready.
@@ -187,7 +211,7 @@
 		return err
 	}
 	target := r.port(name, at)
-	one := &relay.Relay{Listener: l, Dial: func(ctx context.Context) (net.Conn, error) {
+	one := &relay.Relay{Listener: l, Sleep: nap, Dial: func(ctx context.Context) (net.Conn, error) {
 		return (&net.Dialer{}).DialContext(ctx, "tcp", target)
 	}}
 	one.Delay(relay.Up, delay)
@@ -231,3 +255,11 @@
 func (r *Rig) write(name string, text []byte) error {
 	return os.WriteFile(r.file(name, ".json"), text, 0o600)
 }
+
+// nap sleeps on a thread of its own. The runtime's timers count in whole
+// milliseconds while the process is idle, too coarse for delays of one or two.
+func nap(d time.Duration) {
+	left := syscall.NsecToTimespec(d.Nanoseconds())
+	for syscall.Nanosleep(&left, &left) == syscall.EINTR {
+	}
+}
