--- a/internal/load/measure/main.go
+++ b/internal/load/measure/main.go
@@ -135,6 +135,8 @@
 type cost struct {
 	// CPU is in cores.
 	CPU float64 `json:"cores"`
+	// Waited is in threads that were ready to run and had no processor.
+	Waited float64 `json:"waiting_threads"`
 	// Bytes is a second, on the listeners of the role.
 	Bytes float64 `json:"bytes_per_s"`
 	// RSS is in MiB, the largest of the role's processes.
@@ -191,6 +193,7 @@
 			c = &out.Entry
 		}
 		c.CPU += (u.CPU - from.usage[name].CPU).Seconds() / seconds
+		c.Waited += (u.Waited - from.usage[name].Waited).Seconds() / seconds
 		c.Bytes += float64(to.bytes[name]-from.bytes[name]) / seconds
 		c.RSS = max(c.RSS, float64(u.RSS)/(1<<20))
 	}
--- a/internal/load/rig/process.go
+++ b/internal/load/rig/process.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"syscall"
@@ -169,6 +170,9 @@
 type Usage struct {
 	// CPU is processor time of user and system since its start.
 	CPU time.Duration
+	// Waited is the time that its threads were ready to run and no processor was
+	// free; that of threads which have ended is not in it.
+	Waited time.Duration
 	// RSS is its resident memory in bytes.
 	RSS int64
 }
@@ -189,7 +193,22 @@
 	const user, system, resident = 11, 12, 21
 	number := func(i int) int64 { n, _ := strconv.ParseInt(fields[i], 10, 64); return n }
 	return Usage{
-		CPU: time.Duration(number(user)+number(system)) * time.Second / ticks,
-		RSS: number(resident) * int64(os.Getpagesize()),
+		Waited: waited(pid),
+		CPU:    time.Duration(number(user)+number(system)) * time.Second / ticks,
+		RSS:    number(resident) * int64(os.Getpagesize()),
 	}, nil
 }
+
+// waited sums up the threads' waits for a processor.
+func waited(pid int) time.Duration {
+	paths, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid)) // the pattern is well formed
+	var sum time.Duration
+	for _, path := range paths {
+		var ran, wait int64
+		if text, err := os.ReadFile(path); err == nil {
+			_, _ = fmt.Sscan(string(text), &ran, &wait)
+		}
+		sum += time.Duration(wait)
+	}
+	return sum
+}
