--- a/internal/load/measure/fault.go
+++ b/internal/load/measure/fault.go
@@ -2,16 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
-	"connectrpc.com/connect"
-
-	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/client/link"
 	"gypsumreel/internal/domain/job"
 	"gypsumreel/internal/load/rig"
@@ -26,8 +21,6 @@
 	frozen = 10 * time.Second
 	// stopLimit bounds a planned stop.
 	stopLimit = 20 * time.Second
-	// pinned is how many callers stay at each entry.
-	pinned = 4
 )
 
 // fault is one sort of fault, with the length of the load around it.
@@ -105,11 +98,11 @@
 	}
 	var w sync.WaitGroup
 	var made error
-	var cut int64
+	var calls rig.Calls
 	watched, stop := context.WithCancel(ctx)
 	defer stop()
 	if f.planned {
-		w.Go(func() { cut = cutOff(watched, r, token) })
+		w.Go(func() { r.Pin(watched, token, &calls) })
 	}
 	w.Go(func() {
 		defer stop()
@@ -126,40 +119,8 @@
 	}
 	row.Fault = f.name
 	if f.planned {
-		row.CutOff = &cut
+		cut := calls.Cut.Load()
+		row.CutOff, row.Pinned = &cut, calls.Made.Load()
 	}
 	return emit(row)
 }
-
-// cutOff counts calls that broke at entries. Its callers stay each at one entry,
-// as a balancer's do: they begin calls while the entry's readiness probe
-// succeeds, and retry nothing.
-func cutOff(ctx context.Context, r *rig.Rig, token string) int64 {
-	var cut atomic.Int64
-	var w sync.WaitGroup
-	for _, name := range r.EntryNames() {
-		for range pinned {
-			w.Go(func() {
-				for ctx.Err() == nil {
-					if r.Ready(name) && broken(ctx, r.Direct(name), token) {
-						cut.Add(1)
-					}
-					link.Sleep(ctx, 20*time.Millisecond)
-				}
-			})
-		}
-	}
-	w.Wait()
-	return cut.Load()
-}
-
-// broken makes a call over a connection of its own and tells whether it ended
-// without any answer of the entry.
-func broken(ctx context.Context, address, token string) bool {
-	l := &link.Link{Addresses: []string{address}, Key: token}
-	defer l.Close()
-	_, err := link.Once(ctx, l, func(c connect.HTTPClient, base string, opts ...connect.ClientOption) func(context.Context, *connect.Request[v1.ListRequest]) (*connect.Response[v1.ListReply], error) {
-		return v1.NewCallerClient(c, base, opts...).List
-	}, &v1.ListRequest{})
-	return err != nil && ctx.Err() == nil && !errors.Is(err, context.Canceled)
-}
--- a/internal/load/measure/flow.go
+++ b/internal/load/measure/flow.go
@@ -53,7 +53,9 @@
 	Refusals map[string]int  `json:"refusals"`
 	Costs    costs           `json:"costs"`
 	Fault    string          `json:"fault,omitempty"`
-	CutOff   *int64          `json:"cut_off,omitempty"`
+	// CutOff are the calls without an answer of Pinned ones at single entries.
+	CutOff *int64 `json:"cut_off,omitempty"`
+	Pinned int64  `json:"pinned,omitempty"`
 }
 
 // flow is a load of one kind.
--- /dev/null
+++ b/internal/load/rig/cut.go
@@ -0,0 +1,62 @@
+package rig
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+
+	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/client/link"
+)
+
+const (
+	// pinned is how many callers stay at each entry.
+	pinned = 4
+	// pinPause is kept between two calls of such a caller.
+	pinPause = 20 * time.Millisecond
+)
+
+// Calls counts calls at single entries.
+type Calls struct {
+	Made atomic.Int64
+	// Cut are those that ended without any answer of the entry.
+	Cut atomic.Int64
+}
+
+// Pin keeps callers at each entry until ctx ends. They act as behind a balancer:
+// they begin calls while the entry's readiness probe succeeds, and retry nothing.
+func (r *Rig) Pin(ctx context.Context, token string, n *Calls) {
+	var w sync.WaitGroup
+	for _, name := range r.EntryNames() {
+		for range pinned {
+			w.Go(func() {
+				for ctx.Err() == nil {
+					if r.Ready(name) {
+						pin(ctx, r.direct(name), token, n)
+					}
+					link.Sleep(ctx, pinPause)
+				}
+			})
+		}
+	}
+	w.Wait()
+}
+
+// pin makes one call over a connection of its own. The call outlives ctx, so
+// that the end of the measure cuts none.
+func pin(ctx context.Context, address, token string, n *Calls) {
+	l := &link.Link{Addresses: []string{address}, Key: token}
+	defer l.Close()
+	_, err := link.Once(context.WithoutCancel(ctx), l, list, &v1.ListRequest{})
+	n.Made.Add(1)
+	if err != nil {
+		n.Cut.Add(1)
+	}
+}
+
+func list(c connect.HTTPClient, base string, opts ...connect.ClientOption) func(context.Context, *connect.Request[v1.ListRequest]) (*connect.Response[v1.ListReply], error) {
+	return v1.NewCallerClient(c, base, opts...).List
+}
--- a/internal/load/rig/rig.go
+++ b/internal/load/rig/rig.go
@@ -178,8 +178,8 @@
 	return out
 }
 
-// Direct returns the address for callers of one entry, past the relay.
-func (r *Rig) Direct(name string) string { return "http://" + r.port(name, atCallers) }
+// direct returns the address for callers of one entry, past the relay.
+func (r *Rig) direct(name string) string { return "http://" + r.port(name, atCallers) }
 
 func (r *Rig) urls(at int) []string {
 	var out []string
