--- a/internal/load/rig/rig.go
+++ b/internal/load/rig/rig.go
@@ -260,6 +260,8 @@
 // milliseconds while the process is idle, too coarse for delays of one or two.
 func nap(d time.Duration) {
 	left := syscall.NsecToTimespec(d.Nanoseconds())
-	for syscall.Nanosleep(&left, &left) == syscall.EINTR {
+	err := syscall.Nanosleep(&left, &left)
+	for err == syscall.EINTR {
+		err = syscall.Nanosleep(&left, &left)
 	}
 }
