Put answers together in one place

The client's own collection of chunks and the domain's did the same; the domain's takes the bound of a whole job's answer now and tells what is missing.

--- a/internal/client/caller/caller.go
+++ b/internal/client/caller/caller.go
@@ -9,8 +9,8 @@
 
 	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/base/code"
-	"gypsumreel/internal/client/answer"
 	"gypsumreel/internal/client/link"
+	"gypsumreel/internal/domain/answer"
 )
 
 // Defaults of the fields that are left zero.
@@ -175,14 +175,17 @@
 // Wait returns the outcome of a job with its whole answer. When ctx ends first
 // the result is not final and tells where the job stands.
 func (c *Client) Wait(ctx context.Context, id string) (Result, error) {
-	var a answer.Answer
+	a := answer.Parts{Most: answer.MaxJob}
 	last := Result{ID: id}
 	for {
 		number, more := a.Next()
 		if !more {
-			data, err := a.Bytes()
+			data, _, err := a.Whole()
+			if err != nil {
+				return last, code.New(code.Internal, "%s: %v", id, err)
+			}
 			last.Data = data
-			return last, err
+			return last, nil
 		}
 		r, err := c.poll(ctx, id, number)
 		switch {
@@ -199,7 +202,7 @@
 		switch {
 		case r.GetOutcome() == v1.Outcome_OUTCOME_DONE:
 			if err := a.Add(r.GetChunk()); err != nil {
-				return last, err
+				return last, code.New(code.Internal, "%s: %v", id, err)
 			}
 		case Final(r.GetOutcome()):
 			return last, nil
--- a/internal/domain/answer/answer.go
+++ b/internal/domain/answer/answer.go
@@ -18,8 +18,9 @@
 	MaxTotal = 1 << 20
 	// MaxJob bounds a job's whole answer, the sum over its tasks.
 	MaxJob = 32 << 20
-	// maxChunks is how many chunks an answer of MaxTotal may be cut into.
-	maxChunks = MaxTotal/1024 + 1
+	// minChunk is the mean size of chunks below which an answer is refused: a
+	// sender that cuts finer would cost more in numbers than in data.
+	minChunk = 1024
 )
 
 // ErrMixed is returned for a chunk that belongs to another answer, or is damaged.
@@ -92,6 +93,9 @@
 
 // Parts collects the chunks of one answer in any order. The zero value is empty.
 type Parts struct {
+	// Most bounds the whole answer in bytes; MaxTotal when 0.
+	Most uint64
+
 	head *v1.Chunk
 	data map[uint32][]byte
 }
@@ -99,7 +103,11 @@
 // Add takes a chunk; one that came before is dropped. It returns ErrMixed for a
 // chunk of another answer: parts of two answers never make one.
 func (p *Parts) Add(c *v1.Chunk) error {
-	if c.GetCount() == 0 || c.GetCount() > maxChunks || c.GetNumber() >= c.GetCount() || c.GetTotal() > MaxTotal {
+	most := p.Most
+	if most == 0 {
+		most = MaxTotal
+	}
+	if c.GetCount() == 0 || uint64(c.GetCount()) > most/minChunk+1 || c.GetNumber() >= c.GetCount() || c.GetTotal() > most {
 		return errors.Wrap(ErrMixed, "numbers out of bounds")
 	}
 	if p.head == nil {
@@ -115,6 +123,19 @@
 	return nil
 }
 
+// Next returns the number of the first missing chunk; false when none is.
+func (p *Parts) Next() (uint32, bool) {
+	if p.head == nil {
+		return 0, true
+	}
+	for n := range p.head.GetCount() {
+		if _, ok := p.data[n]; !ok {
+			return n, true
+		}
+	}
+	return 0, false
+}
+
 // Whole returns the answer once every chunk is there and length and sum agree;
 // false while chunks are missing, ErrMixed when what came does not add up.
 func (p *Parts) Whole() ([]byte, bool, error) {
