--- a/internal/demo/fault/matrix_test.go
+++ b/internal/demo/fault/matrix_test.go
@@ -1,11 +1,14 @@
 package fault_test
 
 import (
+	"fmt"
 	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"gypsumreel/internal/base/page"
 )
 
 // steps are the points of a request's way at which a fault may come.
@@ -131,12 +134,70 @@
 func TestEveryFaultAtEveryStep(t *testing.T) {
 	for _, f := range faults {
 		for _, s := range steps {
-			h := hit{f, s}
-			t.Run(strings.ReplaceAll(h.String(), " ", "_"), func(t *testing.T) {
-				if broken := run(t, h); len(broken) > 0 {
-					t.Error(strings.Join(broken, "\n"))
-				}
-			})
+			try(t, hit{f, s})
+		}
+	}
+}
+
+// try runs one case.
+func try(t *testing.T, hits ...hit) {
+	names := make([]string, len(hits))
+	for i, h := range hits {
+		names[i] = h.String()
+	}
+	t.Run(strings.ReplaceAll(strings.Join(names, " and "), " ", "_"), func(t *testing.T) {
+		if broken := run(t, hits...); len(broken) > 0 {
+			t.Error(strings.Join(broken, "\n"))
 		}
+	})
+}
+
+// apart tells whether two faults strike different processes: one fault starting
+// a process again that the other has cut off is a third fault, not these two.
+func apart(a, b fault) bool {
+	return target(a) != target(b)
+}
+
+func target(f fault) string {
+	words := strings.Fields(strings.ReplaceAll(f.name, "'s", ""))
+	return words[0]
+}
+
+// pairs are the pairs of faults at the step of the first, by a stride that takes
+// each fault as first and as second several times.
+func pairs() (out [][2]hit) {
+	n := 0
+	for i, a := range faults {
+		for j, b := range faults {
+			if !apart(a, b) {
+				continue
+			}
+			if n++; n%stride == 0 {
+				out = append(out, [2]hit{{a, steps[(i+j)%len(steps)]}, {b, steps[(i+2*j)%len(steps)]}})
+			}
+		}
+	}
+	return out
+}
+
+// stride is how many of the pairs one is taken from.
+const stride = 4
+
+// Two things go wrong at once, or one while the other is being repaired, such as
+// a second instance lost right after a repair. The same promises hold.
+func TestPairsOfFaults(t *testing.T) {
+	for _, p := range pairs() {
+		try(t, p[0], p[1])
+	}
+}
+
+// The page of the matrix names every fault and step and the number of cases.
+func TestThePageCountsTheCases(t *testing.T) {
+	var b strings.Builder
+	b.WriteString("| fault | steps |\n| --- | --- |\n")
+	for _, f := range faults {
+		fmt.Fprintf(&b, "| %s | %s |\n", f.name, strings.Join(steps, ", "))
 	}
+	fmt.Fprintf(&b, "\n%d single cases, %d pairs.\n", len(faults)*len(steps), len(pairs()))
+	page.Check(t, "../../../docs/FAULTS.md", b.String())
 }
