--- a/internal/ledger/state/state_test.go
+++ b/internal/ledger/state/state_test.go
@@ -24,7 +24,7 @@
 
 func newWorld() *world {
 	w := &world{a: state.New(), b: state.New()}
-	limit := &v1.Size{Cpu: 40, Memory: -1, Accel: -1, Slots: -1}
+	limit := &v1.Size{Cpu: 16, Memory: -1, Accel: -1, Slots: -1}
 	w.change("table", &v1.ChangeRequest{Change: &v1.ChangeRequest_Table{Table: &v1.TableChange{Edits: []*v1.Edit{
 		{Row: &v1.Row{Team: "t0", Weight: 1, Limit: limit, Queue: 100}},
 		{Row: &v1.Row{Team: "t1", Weight: 2, Limit: limit, Queue: 100}},
@@ -112,6 +112,9 @@
 				t.Fatalf("task %v rests for ever", k.ID)
 			}
 		})
+		if j.Spec.Whole() && holds > 0 && j.Waiting > 0 && holds+j.Waiting+j.Finals == j.Spec.Count && placedBeside(w.a, j) {
+			t.Fatalf("a part of gang %d runs while another waits for a place", j.Number)
+		}
 		if j.Held != holds {
 			t.Fatalf("job %d counts %d held, has %d", j.Number, j.Held, holds)
 		}
@@ -134,6 +137,13 @@
 	}
 }
 
+// placedBeside tells whether a task of the job is placed while another is queued.
+func placedBeside(st *state.State, j *state.Job) bool {
+	phases := map[state.Phase]bool{}
+	st.Tasks(j, func(k *state.Task) { phases[k.Phase] = true })
+	return phases[state.Placed] && phases[state.Queued]
+}
+
 // Whatever order commands come in, also ones that a faulty planner would give,
 // no server is overcommitted, no team is over its limit, "not run" is true,
 // a task that may not be repeated starts at most once, and both replicas agree.
@@ -245,3 +255,55 @@
 		t.Errorf("%d of 2 tasks wait", now.Waiting)
 	}
 }
+
+// A backend server restarts within its lease and announces itself, while the
+// process that it was before may still run: whoever restarted it may have left
+// the old one behind. Its task counts on, and the new session has to wait.
+func TestARestartedServersOldTasksCountUntilTheLeaseIsOver(t *testing.T) {
+	w := newWorld()
+	w.announce("s0", 1, 10)
+	j := w.accept("t0", "plan", v1.Kind_KIND_BATCH, 1, 10, false).Job
+	w.place(j.Number, "s0", 0)
+	if r := w.announce("s0", 2, 10); r.Code != code.Busy {
+		t.Errorf("a new session while the old one holds work: %v", r)
+	}
+	w.fence("s0")
+	if r := w.announce("s0", 2, 10); r.Code != code.OK || r.Incarnation != 2 {
+		t.Errorf("after the lease: %v", r)
+	}
+	w.check(t)
+}
+
+// A server stops a task in the middle, because its lease ran out, and says so
+// when it is back. The task had started and may not be repeated: it is not
+// placed again, and its outcome is unknown. One that had not started is placed.
+func TestATaskThatMayNotBeRepeatedIsNotStartedAgainAfterAStop(t *testing.T) {
+	for started, want := range map[bool]state.Phase{true: state.Unknown, false: state.Queued} {
+		w := newWorld()
+		w.announce("s0", 1, 10)
+		j := w.accept("t0", "stock", v1.Kind_KIND_BATCH, 1, 10, true).Job
+		w.place(j.Number, "s0", 0)
+		k, _ := w.a.Task(task.ID{Job: j.Number})
+		w.end(k, &record.End{Started: started})
+		if k, _ = w.a.Task(k.ID); k.Phase != want {
+			t.Errorf("started %v: %v", started, k.Phase)
+		}
+		w.check(t)
+	}
+}
+
+// A planner's picture of a team is out of date, or its limit was lowered a
+// moment ago: the ledger places nothing that would take the team over it.
+func TestNoPlacementTakesATeamOverItsLimit(t *testing.T) {
+	w := newWorld()
+	w.announce("s0", 1, 20)
+	first := w.accept("t0", "a", v1.Kind_KIND_BATCH, 1, 10, false).Job
+	second := w.accept("t0", "b", v1.Kind_KIND_BATCH, 1, 10, false).Job
+	if r := w.place(first.Number, "s0", 0); r.Code != code.OK {
+		t.Fatal(r)
+	}
+	if r := w.place(second.Number, "s0", 0); r.Code == code.OK {
+		t.Error("placed beyond the limit")
+	}
+	w.check(t)
+}
