Give each connection side a TLS configuration of its own

Over TLS the entry never found the leader: net/http writes the protocols it speaks into the configuration it is given, and one shared by a backend server's HTTP/2 client and the pool made the pool offer HTTP/2 and then speak HTTP/1.1. The race detector saw it too, between the entry's listeners.

--- a/internal/edge/control/link.go
+++ b/internal/edge/control/link.go
@@ -68,7 +68,7 @@
 	only.SetHTTP1(true)
 	l.wire = &http.Transport{
 		DialContext:         l.pool.Dial,
-		TLSClientConfig:     l.pool.TLS,
+		TLSClientConfig:     l.pool.TLS.Clone(),
 		Protocols:           only,
 		MaxIdleConnsPerHost: l.pool.Flights + 1,
 		IdleConnTimeout:     10 * time.Second,
--- a/internal/edge/control/pool_test.go
+++ b/internal/edge/control/pool_test.go
@@ -258,6 +258,28 @@
 	})
 }
 
+// Something on the way delivers a connection's bytes twice. The leader gets each
+// item twice, and the asker still exactly one reply.
+func TestDoubledConnectionsAnswerOnce(t *testing.T) {
+	s := &script{}
+	run(t, map[string]*script{"c1": s}, func(b *bench) {
+		b.relays["c1"].Duplicate(true)
+		b.relays["c1"].Cut()
+		time.Sleep(time.Second)
+		for range 3 {
+			if got := b.list(); got != code.OK {
+				t.Errorf("code %d", got)
+			}
+		}
+		synctest.Wait()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if diff := cmp.Diff([]uint64{1, 1, 2, 2, 3, 3}, s.pushed); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
 // The leader changes while requests wait. All of them must be asked of the new
 // one, without the callers doing anything.
 func TestPendingItemsMoveToTheNewLeader(t *testing.T) {
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -87,6 +87,8 @@
 	pool    *control.Pool
 	meters  *metrics.Set
 	phase   atomic.Int32
+	// unready is what the last probe was told.
+	unready atomic.Bool
 	done    chan struct{}
 }
 
@@ -156,8 +158,21 @@
 	return mux
 }
 
-// ready returns nil while the balancer may send requests here.
+// ready answers the balancer's probe and logs when the answer changes.
 func (e *Entry) ready() error {
+	fault := e.fault()
+	if was := e.unready.Swap(fault != nil); was != (fault != nil) {
+		if fault != nil {
+			event.Fail(e.Log, event.Unready, fault)
+		} else {
+			event.Log(e.Log, event.Ready)
+		}
+	}
+	return fault
+}
+
+// fault returns nil while the balancer may send requests here, else why not.
+func (e *Entry) fault() error {
 	if e.phase.Load() != phaseServing {
 		return errLeaving
 	}
@@ -256,6 +271,7 @@
 	if e.Outside == nil {
 		return s.server.Serve(l)
 	}
-	s.server.TLSConfig = e.Outside
+	// net/http writes the protocols it speaks into the configuration it is given.
+	s.server.TLSConfig = e.Outside.Clone()
 	return s.server.ServeTLS(l, "", "")
 }
