--- a/internal/policy/cell/urgent.go
+++ b/internal/policy/cell/urgent.go
@@ -45,7 +45,7 @@
 			if p.full() || vain == mostVain {
 				return
 			}
-			if !p.within(c, u.size()) {
+			if !p.allowed(u) {
 				p.yield(c, waiting[i:])
 				break
 			}
@@ -77,10 +77,6 @@
 		p.start(u, []*server{r.srv})
 		return true
 	}
-	if s := p.backfill(u); s != nil {
-		p.start(u, []*server{s})
-		return true
-	}
 	return false
 }
 
