--- a/internal/edge/control/link.go
+++ b/internal/edge/control/link.go
@@ -244,6 +244,7 @@
 			fail(errMoved)
 			return
 		}
+		l.hurried.Store(false)
 		l.worked(pulling, sent)
 		l.pool.learn(reply.GetRevision())
 		// The answer holds everything past the number acknowledged, so its last number is the next one.
