Let connections from outside reach an age

A backend server's connection lived as long as both ends, so an entry that was added got no work. The entry now asks clients to leave a connection after 4 to 5 minutes, with the answer to a request. The fake server dropped its own each minute besides, by its idle timeout.

--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -33,6 +33,8 @@
 	DefaultLinger = 5 * time.Second
 	// DefaultDrain bounds the wait for requests under way after that.
 	DefaultDrain = 15 * time.Second
+	// DefaultAge is the longest life of a connection from outside, but for the request under way.
+	DefaultAge = 5 * time.Minute
 	// DefaultConnections bounds the connections from outside.
 	DefaultConnections = 20_000
 )
@@ -79,6 +81,7 @@
 
 	Linger      time.Duration
 	Drain       time.Duration
+	Age         time.Duration
 	Connections int
 	// Limit bounds the requests that wait for the leader.
 	Limit int
@@ -113,6 +116,9 @@
 		if e.Drain == 0 {
 			e.Drain = DefaultDrain
 		}
+		if e.Age == 0 {
+			e.Age = DefaultAge
+		}
 		if e.Connections == 0 {
 			e.Connections = DefaultConnections
 		}
@@ -259,7 +265,7 @@
 	both.SetHTTP2(true)
 	both.SetUnencryptedHTTP2(true)
 	return &http.Server{
-		Handler: h, Protocols: both,
+		Handler: aged(h), Protocols: both, ConnContext: e.born,
 		ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeader,
 		HTTP2:          &http.HTTP2Config{MaxConcurrentStreams: maxStreams, SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
--- a/internal/edge/entry/stop_test.go
+++ b/internal/edge/entry/stop_test.go
@@ -200,3 +200,27 @@
 		}
 	})
 }
+
+// An entry that was added stays without work because callers and backend
+// servers keep their connections to the old ones for ever. Connections must be
+// left after their age, and no call may fail for it.
+func TestConnectionsAreLeftAfterTheirAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(0)
+		defer w.close()
+		c := w.near()
+		defer c.reset()
+		time.Sleep(time.Second)
+		for range 4 * int(connectionAge.Seconds()) {
+			reply, err := c.callers[0].List(w.ctx, with(w.team, &v1.ListRequest{}))
+			if err != nil || reply.Msg.GetStatus().GetCode() != 0 {
+				t.Errorf("%v, %v", reply, err)
+			}
+			time.Sleep(time.Second)
+		}
+		caller, backend := w.memory.Dialled("e1-callers"), w.relays["s1>e1-backends"].Opened()+w.relays["s1>e2-backends"].Opened()
+		if caller < 4 || caller > 6 || backend < 4 || backend > 6 {
+			t.Errorf("%d and %d connections in the time of four lives", caller, backend)
+		}
+	})
+}
--- a/internal/edge/entry/world_test.go
+++ b/internal/edge/entry/world_test.go
@@ -27,6 +27,9 @@
 
 const enrolment = "enrolment"
 
+// connectionAge is short, so that runs see connections that reach it.
+const connectionAge = 20 * time.Second
+
 var (
 	entryNames   = []string{"e1", "e2"}
 	replicaNames = []string{"c1", "c2"}
@@ -198,7 +201,7 @@
 	e := &entry.Entry{
 		Cell: "test", Name: name, Callers: callers, Backends: backends, Operators: operators, Platform: platform, Replicas: replicas, Dial: w.dial(name), Limit: w.limit,
 		Enrolment: []backend.Digest{key.Digest(enrolment)}, Log: logr.Discard(), Abort: abort,
-		Linger: time.Second, Drain: 5 * time.Second,
+		Linger: time.Second, Drain: 5 * time.Second, Age: connectionAge,
 	}
 	var once sync.Once
 	p := &process{entry: e, stop: stop, kill: func() {
--- a/internal/fake/relay/memory.go
+++ b/internal/fake/relay/memory.go
@@ -16,6 +16,7 @@
 type Memory struct {
 	mu        sync.Mutex
 	listeners map[string]*memoryListener
+	dialled   map[string]int
 }
 
 // Listen returns the listener of an address, which must be free.
@@ -23,7 +24,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.listeners == nil {
-		m.listeners = make(map[string]*memoryListener)
+		m.listeners, m.dialled = make(map[string]*memoryListener), make(map[string]int)
 	}
 	l := &memoryListener{memory: m, address: address, conns: make(chan net.Conn), done: make(chan struct{})}
 	m.listeners[address] = l
@@ -42,6 +43,9 @@
 	near, far := net.Pipe()
 	select {
 	case l.conns <- far:
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.dialled[address]++
 		return near, nil
 	case <-l.done:
 		return nil, refused
@@ -50,6 +54,13 @@
 	}
 }
 
+// Dialled returns the number of connections made to an address.
+func (m *Memory) Dialled(address string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.dialled[address]
+}
+
 // DialHost connects to the host of an address, whatever its port.
 func (m *Memory) DialHost(ctx context.Context, network, address string) (net.Conn, error) {
 	host, _, err := net.SplitHostPort(address)
--- a/internal/fake/server/entry.go
+++ b/internal/fake/server/entry.go
@@ -35,7 +35,7 @@
 		scheme = "https://"
 	}
 	wire := &http.Transport{
-		DialContext: dial, TLSClientConfig: config.Clone(), Protocols: only, IdleConnTimeout: time.Minute,
+		DialContext: dial, TLSClientConfig: config.Clone(), Protocols: only,
 		HTTP2: &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 	}
 	return Entry{Client: v1.NewBackendClient(&http.Client{Transport: wire}, scheme+address), Reset: wire.CloseIdleConnections}
