--- a/internal/edge/control/link.go
+++ b/internal/edge/control/link.go
@@ -68,7 +68,7 @@
 	only.SetHTTP1(true)
 	l.wire = &http.Transport{
 		DialContext:         l.pool.Dial,
-		TLSClientConfig:     l.pool.TLS,
+		TLSClientConfig:     l.pool.TLS.Clone(),
 		Protocols:           only,
 		MaxIdleConnsPerHost: l.pool.Flights + 1,
 		IdleConnTimeout:     10 * time.Second,
@@ -244,6 +244,7 @@
 			fail(errMoved)
 			return
 		}
+		l.hurried.Store(false)
 		l.worked(pulling, sent)
 		l.pool.learn(reply.GetRevision())
 		// The answer holds everything past the number acknowledged, so its last number is the next one.
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -33,6 +33,8 @@
 	DefaultLinger = 5 * time.Second
 	// DefaultDrain bounds the wait for requests under way after that.
 	DefaultDrain = 15 * time.Second
+	// DefaultAge is the longest life of a connection from outside, but for the request under way.
+	DefaultAge = 5 * time.Minute
 	// DefaultConnections bounds the connections from outside.
 	DefaultConnections = 20_000
 )
@@ -79,6 +81,7 @@
 
 	Linger      time.Duration
 	Drain       time.Duration
+	Age         time.Duration
 	Connections int
 	// Limit bounds the requests that wait for the leader.
 	Limit int
@@ -87,6 +90,8 @@
 	pool    *control.Pool
 	meters  *metrics.Set
 	phase   atomic.Int32
+	// unready is what the last probe was told.
+	unready atomic.Bool
 	done    chan struct{}
 }
 
@@ -111,6 +116,9 @@
 		if e.Drain == 0 {
 			e.Drain = DefaultDrain
 		}
+		if e.Age == 0 {
+			e.Age = DefaultAge
+		}
 		if e.Connections == 0 {
 			e.Connections = DefaultConnections
 		}
@@ -156,8 +164,21 @@
 	return mux
 }
 
-// ready returns nil while the balancer may send requests here.
+// ready answers the balancer's probe and logs when the answer changes.
 func (e *Entry) ready() error {
+	fault := e.fault()
+	if was := e.unready.Swap(fault != nil); was != (fault != nil) {
+		if fault != nil {
+			event.Fail(e.Log, event.Unready, fault)
+		} else {
+			event.Log(e.Log, event.Ready)
+		}
+	}
+	return fault
+}
+
+// fault returns nil while the balancer may send requests here, else why not.
+func (e *Entry) fault() error {
 	if e.phase.Load() != phaseServing {
 		return errLeaving
 	}
@@ -244,7 +265,7 @@
 	both.SetHTTP2(true)
 	both.SetUnencryptedHTTP2(true)
 	return &http.Server{
-		Handler: h, Protocols: both,
+		Handler: aged(h), Protocols: both, ConnContext: e.born,
 		ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeader,
 		HTTP2:          &http.HTTP2Config{MaxConcurrentStreams: maxStreams, SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
@@ -256,6 +277,7 @@
 	if e.Outside == nil {
 		return s.server.Serve(l)
 	}
-	s.server.TLSConfig = e.Outside
+	// net/http writes the protocols it speaks into the configuration it is given.
+	s.server.TLSConfig = e.Outside.Clone()
 	return s.server.ServeTLS(l, "", "")
 }
