Let gangs that wait for a second begin to gather

Nearly all of the wait of slow gangs at 90% load lay before their first piece of room: 5 to 35 s, for others were further below their due each time that something became free, and only gangs that gather were hastened. Now the team's first gang begins by preemption after a second, its own team's youngest batch first.

--- a/internal/policy/cell/books.go
+++ b/internal/policy/cell/books.go
@@ -81,6 +81,8 @@
 	victims *queue.Queue[task.ID, *holding]
 	// steady are the tasks of services, the youngest first.
 	steady *queue.Queue[task.ID, *holding]
+	// gangs counts the gangs that wait.
+	gangs int
 	// gathers is the gang that room is being kept for.
 	gathers *unit
 	// sizes counts what waits of each size, urgent work aside.
--- a/internal/policy/cell/gang.go
+++ b/internal/policy/cell/gang.go
@@ -7,6 +7,7 @@
 
 	"gypsumreel/internal/domain/backend"
 	"gypsumreel/internal/domain/capacity"
+	"gypsumreel/internal/domain/job"
 	"gypsumreel/internal/policy/fit"
 	"gypsumreel/internal/policy/plan"
 )
@@ -220,6 +221,38 @@
 	return u.claim.parts[0].srv.rack.zone
 }
 
+// beginGangs lets gangs gather that have waited for long and got no first piece in
+// their team's turns: at 90 to 120% load others take what becomes free for 5 to
+// 30 s, and a gang is not hastened before it gathers.
+func (p *Planner) beginGangs() {
+	var crews []*crew
+	p.order.Each(func(c *crew) bool {
+		if c.gangs > 0 && c.gathers == nil && c.known {
+			crews = append(crews, c)
+		}
+		return true
+	})
+	for _, c := range crews {
+		if p.full() {
+			return
+		}
+		p.beginFirst(c)
+	}
+}
+
+// beginFirst lets the team's first gang begin.
+func (p *Planner) beginFirst(c *crew) {
+	for _, u := range c.queues[job.Batch].First(p.cfg.Depth, nil) {
+		if !u.work.spec.Whole() || !p.eligible(u) {
+			continue
+		}
+		if p.now >= u.since+p.cfg.Patience && p.mayGather(u) {
+			p.keepByForce(u, true)
+		}
+		return
+	}
+}
+
 // hasten preempts for a gang that has gathered for long: what still runs in its
 // room, and for the rest the cheapest tasks of its own team and of teams above
 // their due. Without this a few long tasks would hold up the gang, and the room
--- a/internal/policy/cell/reclaim.go
+++ b/internal/policy/cell/reclaim.go
@@ -33,6 +33,7 @@
 	for _, c := range poor {
 		left = p.reclaimFor(c, left)
 	}
+	p.beginGangs()
 }
 
 // lack is the part of the cell that the team misses of its target, room that is
--- a/internal/policy/cell/work.go
+++ b/internal/policy/cell/work.go
@@ -65,6 +65,8 @@
 	rank  time.Duration
 	seq   uint64
 	where where
+	// since is when it became ready.
+	since time.Duration
 	claim *claim
 	// tried is the count of changes at the last search in vain.
 	tried uint64
@@ -173,6 +175,9 @@
 		} else {
 			u.work.crew.sizes.remove(u.need)
 		}
+		if u.work.spec.Whole() {
+			u.work.crew.gangs--
+		}
 	case inNever:
 		p.never.Remove(u.id)
 		u.work.crew.hopeless = u.work.crew.hopeless.Sub(u.size())
@@ -273,6 +278,7 @@
 	}
 	u.where = inQueue
 	u.rank = p.rank(u)
+	u.since = p.now
 	u.tried = 0
 	c := u.work.crew
 	c.queues[kindOf(u.work.spec)].Add(u)
@@ -294,6 +300,9 @@
 	if u.work.spec.Kind == job.Service && u.work.started {
 		p.displaced = append(p.displaced, u)
 	}
+	if u.work.spec.Whole() {
+		c.gangs++
+	}
 	c.blocked = 0
 	c.sizes.add(u.need)
 }
