Let a gang finish to gather once its team may begin

What a gang had gathered itself made its team look above its due, and it waited for the last pieces. It may overshoot by its own size now.

--- a/internal/policy/cell/claim.go
+++ b/internal/policy/cell/claim.go
@@ -54,6 +54,14 @@
 	p.await(u.work.crew, t.size)
 }
 
+// kept is the size of the room kept for the unit.
+func (u *unit) kept() capacity.Size {
+	if u.claim == nil {
+		return capacity.Size{}
+	}
+	return u.need.Times(int64(len(u.claim.parts)))
+}
+
 func (p *Planner) unkeep(u *unit, t part) {
 	p.reserveOn(t.srv, capacity.Size{}.Sub(t.size))
 	p.await(u.work.crew, capacity.Size{}.Sub(t.size))
--- a/internal/policy/cell/decide.go
+++ b/internal/policy/cell/decide.go
@@ -159,10 +159,7 @@
 	if c := u.work.crew; u.work.spec.Kind == job.Urgent {
 		return c.known && c.held.Add(more).Within(c.row.Limit)
 	}
-	if u.claim != nil {
-		more = more.Sub(u.need.Times(int64(len(u.claim.parts))))
-	}
-	return p.within(u.work.crew, more)
+	return p.within(u.work.crew, more.Sub(u.kept()))
 }
 
 // eligible tells whether the unit may take a turn of its team. A gang may as long
--- a/internal/policy/cell/gang.go
+++ b/internal/policy/cell/gang.go
@@ -285,7 +285,7 @@
 	may := p.overdue(p.cfg.Slack / 2)
 	if own {
 		due, c := may, u.work.crew
-		poor := p.within(c, u.need) && c.held.Add(c.coming).Sub(c.leaving).Dominant(p.total) <= c.fair+p.cfg.Slack
+		poor := p.within(c, u.need) && c.held.Add(c.coming).Sub(u.kept()).Sub(c.leaving).Dominant(p.total) <= c.fair+p.cfg.Slack
 		may = func(h *holding) bool { return h.crew == c && !h.Job.Whole() || poor && due(h) }
 	}
 	srv, stop := p.victimsAt(u.home(), u, own, may)
