--- a/internal/control/leader/operator.go
+++ b/internal/control/leader/operator.go
@@ -19,8 +19,13 @@
 		l.member(to, c)
 		return
 	}
+	before := l.st.Table().Rows()
+	_, resent := l.st.Told(req.GetId())
 	r := l.do(&record.Command{What: &record.Command_Change{Change: &record.Change{By: k.ID, Request: req}}})
 	l.lead.dirty = true
+	if !resent {
+		l.changed(k.ID, req, r, before)
+	}
 	rep := &v1.ChangeReply{Status: status(&code.Error{Code: r.Code, Detail: r.Detail}), Revision: l.st.Table().Revision()}
 	if r.Revision > 0 {
 		rep.Revision = r.Revision
@@ -52,7 +57,8 @@
 	case v1.Part_PART_MEMBERS:
 		rep.Members = l.memberLines()
 	case v1.Part_PART_JOBS:
-		rep.Jobs = l.page("", req.GetAfter(), req.GetLimit())
+		jobs, err := l.page("", req.GetAfter(), req.GetLimit())
+		rep.Jobs, rep.Status = jobs, status(err)
 	default:
 		rep.Status = status(code.New(code.Malformed, "no such part"))
 	}
@@ -87,7 +93,13 @@
 		if m.Learner {
 			line.State = "learner"
 		}
+		if line.Leader {
+			line.Revision = l.st.Table().Revision()
+		}
 		out = append(out, line)
 	}
+	if l.Entries != nil {
+		out = append(out, l.Entries()...)
+	}
 	return out
 }
