--- a/internal/policy/cell/books.go
+++ b/internal/policy/cell/books.go
@@ -58,8 +58,8 @@
 	index *fit.Index[*server]
 }
 
-// crew is a team with what it holds and waits for.
-type crew struct {
+// account is a team with what it holds and waits for.
+type account struct {
 	name  string
 	row   team.Row
 	known bool
@@ -93,9 +93,9 @@
 // holding is a task on a server.
 type holding struct {
 	plan.Held
-	work *work
-	crew *crew
-	srv  *server
+	work    *work
+	account *account
+	srv     *server
 	// size is max(declared, reported).
 	size capacity.Size
 	// queued is the wait that the placement ended.
@@ -104,7 +104,6 @@
 	attempts uint32
 	// assumed is true until the ledger confirms the placement.
 	assumed   bool
-	ordered   time.Duration
 	usedAt    time.Duration
 	throttled time.Duration
 	exceeds   bool
@@ -114,7 +113,7 @@
 	pos    int
 }
 
-func neediest(a, b *crew) bool {
+func neediest(a, b *account) bool {
 	if a.ratio != b.ratio {
 		return a.ratio < b.ratio
 	}
@@ -128,11 +127,11 @@
 	return a.ID.Compare(b.ID) > 0
 }
 
-func (p *Planner) crew(name string) *crew {
+func (p *Planner) account(name string) *account {
 	if c := p.teams[name]; c != nil {
 		return c
 	}
-	c := &crew{name: name}
+	c := &account{name: name}
 	c.row, c.known = p.table.Row(name)
 	for k := range c.queues {
 		c.queues[k] = queue.New(unitKey, before)
@@ -262,15 +261,15 @@
 // put counts a task on a server.
 func (p *Planner) put(h plan.Held, s *server) *holding {
 	w := p.work(h.ID.Job, h.Job)
-	n := &holding{Held: h, work: w, crew: w.crew, srv: s, size: h.Job.Size, pos: len(w.held)}
+	n := &holding{Held: h, work: w, account: w.account, srv: s, size: h.Job.Size, pos: len(w.held)}
 	w.held = append(w.held, n)
 	p.held[h.ID] = n
 	s.tasks = append(s.tasks, n)
 	s.committed = s.committed.Add(n.size)
 	p.touch(s)
-	p.weigh(n.crew, n.size)
+	p.weigh(n.account, n.size)
 	if n.Stopping {
-		n.crew.leaving = n.crew.leaving.Add(n.size)
+		n.account.leaving = n.account.leaving.Add(n.size)
 	}
 	n.offer()
 	return n
@@ -279,16 +278,16 @@
 // offer lists the task among those that may be preempted.
 func (h *holding) offer() {
 	if h.victim() {
-		h.crew.victims.Add(h)
+		h.account.victims.Add(h)
 	}
 	if h.Job.Kind == job.Service && !h.Stopping && !h.Job.Once {
-		h.crew.steady.Add(h)
+		h.account.steady.Add(h)
 	}
 }
 
 func (h *holding) withdraw() {
-	h.crew.victims.Remove(h.ID)
-	h.crew.steady.Remove(h.ID)
+	h.account.victims.Remove(h.ID)
+	h.account.steady.Remove(h.ID)
 }
 
 // victim tells whether the task may be preempted for others.
@@ -307,15 +306,15 @@
 	h.srv.tasks = slices.Delete(h.srv.tasks, at, at+1)
 	h.srv.committed = h.srv.committed.Sub(h.size)
 	if h.Stopping {
-		h.crew.leaving = h.crew.leaving.Sub(h.size)
+		h.account.leaving = h.account.leaving.Sub(h.size)
 	}
 	p.touch(h.srv)
-	p.weigh(h.crew, capacity.Size{}.Sub(h.size))
-	h.crew.blocked = 0
+	p.weigh(h.account, capacity.Size{}.Sub(h.size))
+	h.account.blocked = 0
 }
 
 // weigh changes what the team holds and its place in the order of need.
-func (p *Planner) weigh(c *crew, more capacity.Size) {
+func (p *Planner) weigh(c *account, more capacity.Size) {
 	p.order.Remove(c.name)
 	c.held = c.held.Add(more)
 	c.ratio = p.ratio(c)
@@ -331,12 +330,12 @@
 	h.size = size
 	h.srv.committed = h.srv.committed.Add(more)
 	if h.Stopping {
-		h.crew.leaving = h.crew.leaving.Add(more)
+		h.account.leaving = h.account.leaving.Add(more)
 	}
 	p.touch(h.srv)
-	p.weigh(h.crew, more)
-	if !h.crew.held.Within(h.crew.row.Limit) {
-		p.excess = append(p.excess, h.crew)
+	p.weigh(h.account, more)
+	if !h.account.held.Within(h.account.row.Limit) {
+		p.excess = append(p.excess, h.account)
 	}
 }
 
@@ -365,6 +364,5 @@
 	}
 	h.withdraw()
 	h.Stopping = true
-	h.ordered = p.now
-	h.crew.leaving = h.crew.leaving.Add(h.size)
+	h.account.leaving = h.account.leaving.Add(h.size)
 }
--- a/internal/policy/cell/cell.go
+++ b/internal/policy/cell/cell.go
@@ -105,25 +105,34 @@
 	rng *rand.Rand
 	now time.Duration
 
+	// What the ledger told: teams in the order of their need, servers in the order
+	// of their announcement.
 	table   table.Table
-	teams   map[string]*crew
-	order   *queue.Queue[string, *crew]
+	teams   map[string]*account
+	order   *queue.Queue[string, *account]
 	servers map[string]*server
 	list    []*server
 	racks   map[rackName]*rack
 	zones   []*zone
-	total   capacity.Size
-	// sizes counts the servers of each capacity.
-	sizes map[capacity.Size]int
+
+	// total is the capacity that shares are parts of, free what is not taken.
+	total capacity.Size
 	free  capacity.Size
+	// most is the largest server's capacity in each field; sizes counts the
+	// servers of each capacity.
+	most  capacity.Size
+	sizes map[capacity.Size]int
 
-	// most is the largest server's capacity in each field.
-	most      capacity.Size
+	// rackIndex finds racks for gangs; each zone has an index of its servers.
 	rackIndex *fit.Index[*rack]
-	failed    frontier
-	// grown counts the changes that may let something fit that did not before.
-	grown uint64
+	// failed holds what fits nowhere now, and grown counts the changes that may
+	// let something fit that did not before.
+	failed frontier
+	grown  uint64
 
+	// What runs and what waits, by task. A unit that waits is new (fresh), not yet
+	// ready (later), larger than any server (never), or in its team's queue; late
+	// orders those with a deadline.
 	works  map[uint64]*work
 	held   map[task.ID]*holding
 	waits  map[task.ID]*unit
@@ -134,32 +143,38 @@
 	urgent int
 	seq    uint64
 
-	reserve   urgent.Reserve
-	rooms     []*room
-	claims    []*claim
-	gangs     int
+	// Room that is kept: for urgent work to come, and for units that wait for it.
+	reserve urgent.Reserve
+	rooms   []*room
+	claims  []*claim
+	gangs   int
+
 	estimates *health.Estimates
 	guard     *health.Guard
 
-	assumed  []*holding
-	pending  []plan.Decision
-	over     []*holding
-	broken   []*work
-	spent    []*work
-	suspects []*server
-	excess   []*crew
-	moving   []*holding
-	jailed   []*server
-	// displaced are service tasks that lost their server.
-	displaced []*unit
-	idle      []*work
+	// What the next call of Decide has to look at.
+	assumed     []*holding
+	pending     []plan.Decision
+	over        []*holding
+	broken      []*work
+	spent       []*work
+	suspects    []*server
+	excess      []*account
+	moving      []*holding
+	quarantined []*server
+	displaced   []*unit
+	idle        []*work
 
+	// balanced and reclaims are when targets were computed and room was taken
+	// back; stale asks for new targets at once.
 	balanced time.Duration
-	stale    bool
 	reclaims time.Duration
-	scratch  []*unit
-	out      []plan.Decision
-	limit    int
+	stale    bool
+
+	// The call of Decide under way.
+	out     []plan.Decision
+	limit   int
+	scratch []*unit
 }
 
 var _ plan.Planner = (*Planner)(nil)
@@ -169,12 +184,12 @@
 	cfg = cfg.withDefaults()
 	p := &Planner{
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), stale: true, grown: 1,
-		teams: map[string]*crew{}, servers: map[string]*server{}, racks: map[rackName]*rack{}, sizes: map[capacity.Size]int{},
+		teams: map[string]*account{}, servers: map[string]*server{}, racks: map[rackName]*rack{}, sizes: map[capacity.Size]int{},
 		works: map[uint64]*work{}, held: map[task.ID]*holding{}, waits: map[task.ID]*unit{},
 		rackIndex: fit.NewIndex[*rack](),
 		estimates: health.NewEstimates(), guard: health.NewGuard(),
 	}
-	p.order = queue.New(func(c *crew) string { return c.name }, neediest)
+	p.order = queue.New(func(c *account) string { return c.name }, neediest)
 	p.later = queue.New(unitKey, soonest)
 	p.never = queue.New(unitKey, oldest)
 	p.late = queue.New(unitKey, expiresFirst)
@@ -191,9 +206,9 @@
 	p.stale = true
 	p.grown++
 	for _, r := range t.Rows() {
-		p.crew(r.Name)
+		p.account(r.Name)
 	}
-	p.order.Each(func(c *crew) bool {
+	p.order.Each(func(c *account) bool {
 		c.row, c.known = t.Row(c.name)
 		c.blocked = 0
 		p.excess = append(p.excess, c)
@@ -215,7 +230,7 @@
 		p.guard.Leave(srv.num)
 	}
 	if s.State == backend.Quarantined {
-		p.jail(srv, s.Since)
+		p.confine(srv, s.Since)
 	}
 	if s.State != backend.Ready && srv.rooms > 0 {
 		p.dropRooms(func(r *room) bool { return r.srv == srv })
--- a/internal/policy/cell/claim.go
+++ b/internal/policy/cell/claim.go
@@ -18,8 +18,8 @@
 	// gangTerm is the time that a gang may run before it is preempted for others:
 	// gathering its room was dear, and it may lose the work of all its tasks.
 	gangTerm = 30 * time.Second
-	// mostCrews and mostTasks bound the victims that are weighed.
-	mostCrews = 6
+	// mostTeams and mostTasks bound the victims that are weighed.
+	mostTeams = 6
 	mostTasks = 12
 )
 
@@ -45,13 +45,13 @@
 		p.claims = append(p.claims, u.claim)
 		if u.work.spec.Whole() {
 			p.gangs++
-			u.work.crew.gathers = u
+			u.work.account.gathers = u
 		}
 	}
 	t := part{srv: s, size: u.work.spec.Size}
 	u.claim.parts = append(u.claim.parts, t)
 	p.reserveOn(s, t.size)
-	p.await(u.work.crew, t.size)
+	p.await(u.work.account, t.size)
 }
 
 // kept is the size of the room kept for the unit.
@@ -64,7 +64,7 @@
 
 func (p *Planner) unkeep(u *unit, t part) {
 	p.reserveOn(t.srv, capacity.Size{}.Sub(t.size))
-	p.await(u.work.crew, capacity.Size{}.Sub(t.size))
+	p.await(u.work.account, capacity.Size{}.Sub(t.size))
 }
 
 func (p *Planner) reserveOn(s *server, more capacity.Size) {
@@ -74,7 +74,7 @@
 
 // await changes the room that is on its way to the team; it counts as held in
 // the order of need.
-func (p *Planner) await(c *crew, more capacity.Size) {
+func (p *Planner) await(c *account, more capacity.Size) {
 	p.order.Remove(c.name)
 	c.coming = c.coming.Add(more)
 	c.ratio = p.ratio(c)
@@ -93,7 +93,7 @@
 	}
 	if u.work.spec.Whole() {
 		p.gangs--
-		u.work.crew.gathers = nil
+		u.work.account.gathers = nil
 	}
 }
 
@@ -170,8 +170,8 @@
 			}
 			size = size.Times(int64(len(h.work.held)))
 		}
-		rest := h.crew.held.Sub(h.crew.leaving).Sub(size)
-		return rest.Dominant(p.total) >= h.crew.fair-slack
+		rest := h.account.held.Sub(h.account.leaving).Sub(size)
+		return rest.Dominant(p.total) >= h.account.fair-slack
 	}
 }
 
@@ -180,15 +180,15 @@
 func (p *Planner) victims(u *unit, need capacity.Size, own bool, may rule) (*server, []*holding) {
 	v := search{p: p, unit: u, need: need, may: may, seen: map[*server]bool{}}
 	if own {
-		v.look(u.work.crew)
+		v.look(u.work.account)
 	}
 	n := 0
-	p.order.EachDown(func(c *crew) bool {
-		if c != u.work.crew && c.victims.Len() > 0 {
+	p.order.EachDown(func(c *account) bool {
+		if c != u.work.account && c.victims.Len() > 0 {
 			v.look(c)
 			n++
 		}
-		return n < mostCrews && c.ratio > 0
+		return n < mostTeams && c.ratio > 0
 	})
 	return v.best, v.stop
 }
@@ -206,7 +206,7 @@
 }
 
 // look weighs the servers on which the team's youngest tasks run.
-func (v *search) look(c *crew) {
+func (v *search) look(c *account) {
 	n := 0
 	c.victims.Each(func(h *holding) bool {
 		if n++; v.may(h) && !v.seen[h.srv] && h.srv.State == backend.Ready && !v.unit.work.budget.Avoids(h.srv.num) {
--- a/internal/policy/cell/decide.go
+++ b/internal/policy/cell/decide.go
@@ -82,20 +82,20 @@
 	}
 	p.stale, p.balanced = false, p.now
 	p.reserve.Tick(p.now)
-	crews := make([]*crew, 0, p.order.Len())
+	accounts := make([]*account, 0, p.order.Len())
 	claims := make([]share.Claim, 0, p.order.Len())
-	p.order.Each(func(c *crew) bool {
-		crews = append(crews, c)
+	p.order.Each(func(c *account) bool {
+		accounts = append(accounts, c)
 		claims = append(claims, p.claimOf(c))
 		return true
 	})
 	floors := share.Floors(claims)
 	for i, target := range share.Divide(claims) {
-		p.aim(crews[i], target, floors[i])
+		p.aim(accounts[i], target, floors[i])
 	}
 }
 
-func (p *Planner) claimOf(c *crew) share.Claim {
+func (p *Planner) claimOf(c *account) share.Claim {
 	if !c.known {
 		return share.Claim{}
 	}
@@ -122,7 +122,7 @@
 }
 
 // aim gives the team its target and its place in the order of need.
-func (p *Planner) aim(c *crew, target, floor float64) {
+func (p *Planner) aim(c *account, target, floor float64) {
 	c.target = target
 	fair := max(target, floor)
 	if math.Abs(fair-c.fair) < fair/256 {
@@ -135,7 +135,7 @@
 }
 
 // ratio is what the team holds, in units of what is fair.
-func (p *Planner) ratio(c *crew) float64 {
+func (p *Planner) ratio(c *account) float64 {
 	part := c.held.Add(c.coming).Dominant(p.total)
 	if part <= 0 {
 		return 0
@@ -148,7 +148,7 @@
 
 // within tells whether the team may hold that much more beside what it holds and
 // what room is kept for.
-func (p *Planner) within(c *crew, more capacity.Size) bool {
+func (p *Planner) within(c *account, more capacity.Size) bool {
 	return c.known && c.held.Add(c.coming).Add(more).Within(c.row.Limit)
 }
 
@@ -156,10 +156,10 @@
 // does not wait for what room is kept for.
 func (p *Planner) allowed(u *unit) bool {
 	more := u.size()
-	if c := u.work.crew; u.work.spec.Kind == job.Urgent {
+	if c := u.work.account; u.work.spec.Kind == job.Urgent {
 		return c.known && c.held.Add(more).Within(c.row.Limit)
 	}
-	return p.within(u.work.crew, more.Sub(u.kept()))
+	return p.within(u.work.account, more.Sub(u.kept()))
 }
 
 // eligible tells whether the unit may take a turn of its team. A gang may as long
@@ -169,7 +169,7 @@
 	if !u.work.spec.Whole() {
 		return u.claim == nil && p.allowed(u)
 	}
-	return u.size().Within(u.work.crew.row.Limit) && p.within(u.work.crew, u.need)
+	return u.size().Within(u.work.account.row.Limit) && p.within(u.work.account, u.need)
 }
 
 // start places the unit's tasks on the servers, one each.
@@ -239,9 +239,9 @@
 }
 
 // next returns the neediest team of which something might fit.
-func (p *Planner) next() *crew {
-	var found *crew
-	p.order.Each(func(c *crew) bool {
+func (p *Planner) next() *account {
+	var found *account
+	p.order.Each(func(c *account) bool {
 		if c.blocked == p.grown || !c.known || !c.sizes.any(&p.failed) {
 			return true
 		}
@@ -252,7 +252,7 @@
 }
 
 // serve places the first unit of the team that fits.
-func (p *Planner) serve(c *crew) bool {
+func (p *Planner) serve(c *account) bool {
 	p.scratch = c.queues[job.Service].First(p.cfg.Depth, p.scratch[:0])
 	p.scratch = c.queues[job.Batch].First(p.cfg.Depth, p.scratch)
 	for _, u := range p.scratch {
--- a/internal/policy/cell/excess.go
+++ b/internal/policy/cell/excess.go
@@ -14,8 +14,8 @@
 	if len(p.excess) == 0 {
 		return
 	}
-	seen := map[*crew]bool{}
-	p.excess = slices.DeleteFunc(p.excess, func(c *crew) bool {
+	seen := map[*account]bool{}
+	p.excess = slices.DeleteFunc(p.excess, func(c *account) bool {
 		if seen[c] {
 			return true
 		}
@@ -25,7 +25,7 @@
 }
 
 // trimmed stops what it can and tells whether the team is done with.
-func (p *Planner) trimmed(c *crew) bool {
+func (p *Planner) trimmed(c *account) bool {
 	if !c.known {
 		return true
 	}
@@ -47,7 +47,7 @@
 
 // youngestOver returns the youngest task that may be stopped and holds something
 // of what the team has too much of.
-func (p *Planner) youngestOver(c *crew, over capacity.Size) *holding {
+func (p *Planner) youngestOver(c *account, over capacity.Size) *holding {
 	var found *holding
 	c.victims.Each(func(h *holding) bool {
 		if helps(h.size, over, c.row.Limit) {
--- a/internal/policy/cell/gang.go
+++ b/internal/policy/cell/gang.go
@@ -210,7 +210,7 @@
 	if u.claim != nil {
 		return len(u.claim.parts) < len(u.tasks)
 	}
-	return u.work.crew.gathers == nil && p.gangs < max(minReservations, len(p.list)/serversPerReservation)
+	return u.work.account.gathers == nil && p.gangs < max(minReservations, len(p.list)/serversPerReservation)
 }
 
 // home is the zone in which the gang gathers, nil before it has begun.
@@ -225,14 +225,14 @@
 // their team's turns: at 90 to 120% load others take what becomes free for 5 to
 // 30 s, and a gang is not hastened before it gathers.
 func (p *Planner) beginGangs() {
-	var crews []*crew
-	p.order.Each(func(c *crew) bool {
+	var accounts []*account
+	p.order.Each(func(c *account) bool {
 		if c.gangs > 0 && c.gathers == nil && c.known {
-			crews = append(crews, c)
+			accounts = append(accounts, c)
 		}
 		return true
 	})
-	for _, c := range crews {
+	for _, c := range accounts {
 		if p.full() {
 			return
 		}
@@ -241,7 +241,7 @@
 }
 
 // beginFirst lets the team's first gang begin.
-func (p *Planner) beginFirst(c *crew) {
+func (p *Planner) beginFirst(c *account) {
 	for _, u := range c.queues[job.Batch].First(p.cfg.Depth, nil) {
 		if !u.work.spec.Whole() || !p.eligible(u) {
 			continue
@@ -284,9 +284,9 @@
 func (p *Planner) keepByForce(u *unit, own bool) bool {
 	may := p.overdue(p.cfg.Slack / 2)
 	if own {
-		due, c := may, u.work.crew
+		due, c := may, u.work.account
 		poor := p.within(c, u.need) && c.held.Add(c.coming).Sub(u.kept()).Sub(c.leaving).Dominant(p.total) <= c.fair+p.cfg.Slack
-		may = func(h *holding) bool { return h.crew == c && !h.Job.Whole() || poor && due(h) }
+		may = func(h *holding) bool { return h.account == c && !h.Job.Whole() || poor && due(h) }
 	}
 	srv, stop := p.victimsAt(u.home(), u, own, may)
 	if srv == nil {
--- a/internal/policy/cell/reclaim.go
+++ b/internal/policy/cell/reclaim.go
@@ -22,8 +22,8 @@
 		return
 	}
 	p.reclaims = p.now
-	var poor []*crew
-	p.order.Each(func(c *crew) bool {
+	var poor []*account
+	p.order.Each(func(c *account) bool {
 		if c.known && p.lack(c) > p.cfg.Slack && c.queues[job.Batch].Len()+c.queues[job.Service].Len() > 0 {
 			poor = append(poor, c)
 		}
@@ -38,13 +38,13 @@
 
 // lack is the part of the cell that the team misses of its target, room that is
 // on its way not counted.
-func (p *Planner) lack(c *crew) float64 {
+func (p *Planner) lack(c *account) float64 {
 	return c.target - c.held.Add(c.coming).Sub(c.leaving).Dominant(p.total)
 }
 
 // reclaimFor makes claims for the team until its lack is covered or left is used
 // up, and returns the rest of left.
-func (p *Planner) reclaimFor(c *crew, left int) int {
+func (p *Planner) reclaimFor(c *account, left int) int {
 	units := c.queues[job.Service].First(mostReclaims, nil)
 	units = c.queues[job.Batch].First(p.cfg.Depth, units)
 	for _, u := range units {
--- a/internal/policy/cell/urgent.go
+++ b/internal/policy/cell/urgent.go
@@ -31,15 +31,15 @@
 	if p.urgent == 0 {
 		return
 	}
-	var crews []*crew
-	p.order.Each(func(c *crew) bool {
+	var accounts []*account
+	p.order.Each(func(c *account) bool {
 		if c.queues[job.Urgent].Len() > 0 && c.known {
-			crews = append(crews, c)
+			accounts = append(accounts, c)
 		}
 		return true
 	})
 	searches, vain := 0, 0
-	for _, c := range crews {
+	for _, c := range accounts {
 		waiting := c.queues[job.Urgent].First(urgentDepth, nil)
 		for i, u := range waiting {
 			if p.full() || vain == mostVain {
@@ -82,7 +82,7 @@
 
 // yield preempts the team's own youngest batch as long as the team's limit is
 // all that keeps its urgent tasks waiting.
-func (p *Planner) yield(c *crew, waiting []*unit) {
+func (p *Planner) yield(c *account, waiting []*unit) {
 	if p.lacks(UrgentPreempt) {
 		return
 	}
@@ -110,10 +110,10 @@
 	if p.lacks(UrgentPreempt) {
 		return
 	}
-	c := u.work.crew
+	c := u.work.account
 	poor := c.held.Sub(c.leaving).Dominant(p.total) <= c.fair+p.cfg.Slack
 	may := func(h *holding) bool {
-		return h.crew == c || poor && p.overdue(2*p.cfg.Slack)(h)
+		return h.account == c || poor && p.overdue(2*p.cfg.Slack)(h)
 	}
 	srv, stop := p.victims(u, u.work.spec.Size, true, may)
 	if srv == nil {
--- a/internal/policy/cell/watch.go
+++ b/internal/policy/cell/watch.go
@@ -117,11 +117,11 @@
 	}
 }
 
-// jail notes that the server is in quarantine.
-func (p *Planner) jail(s *server, since time.Duration) {
+// confine notes that the server is in quarantine.
+func (p *Planner) confine(s *server, since time.Duration) {
 	p.guard.Enter(s.num, since)
-	if !slices.Contains(p.jailed, s) {
-		p.jailed = append(p.jailed, s)
+	if !slices.Contains(p.quarantined, s) {
+		p.quarantined = append(p.quarantined, s)
 	}
 }
 
@@ -133,8 +133,8 @@
 		}
 	}
 	p.suspects = p.suspects[:0]
-	p.jailed = slices.DeleteFunc(p.jailed, func(s *server) bool { return s.State != backend.Quarantined })
-	for _, s := range p.jailed {
+	p.quarantined = slices.DeleteFunc(p.quarantined, func(s *server) bool { return s.State != backend.Quarantined })
+	for _, s := range p.quarantined {
 		if p.guard.Sound(s.num) && (s.restored == 0 || p.now >= s.restored+again) {
 			s.restored = max(p.now, 1)
 			p.emit(plan.Decision{Verb: plan.Restore, Server: s.ID, Reason: "its probes succeeded"})
@@ -146,7 +146,7 @@
 // a server that fails everything must not use up the budgets of sound jobs.
 func (p *Planner) quarantine(s *server) {
 	s.State, s.restored = backend.Quarantined, 0
-	p.jail(s, p.now)
+	p.confine(s, p.now)
 	p.touch(s)
 	for _, w := range p.works {
 		w.budget.Forgive(s.num)
@@ -200,23 +200,23 @@
 // probe gives a task to a server in quarantine whose time has come: one at a
 // time, and one that may be repeated.
 func (p *Planner) probe() {
-	for _, s := range p.jailed {
+	for _, s := range p.quarantined {
 		if p.full() {
 			return
 		}
 		if s.State != backend.Quarantined || !p.guard.Probe(s.num, p.now) || len(s.tasks) > 0 {
 			continue
 		}
-		if u := p.guinea(s); u != nil {
+		if u := p.probeWith(s); u != nil {
 			p.start(u, []*server{s})
 		}
 	}
 }
 
-// guinea returns a waiting task to test the server with.
-func (p *Planner) guinea(s *server) *unit {
+// probeWith returns a waiting task to test the server with.
+func (p *Planner) probeWith(s *server) *unit {
 	var found *unit
-	p.order.Each(func(c *crew) bool {
+	p.order.Each(func(c *account) bool {
 		for _, u := range c.queues[job.Batch].First(p.cfg.Depth, nil) {
 			spec := u.work.spec
 			if !spec.Once && !spec.Whole() && u.claim == nil && u.work.budget.Failures() == 0 && spec.Size.Fits(s.room()) && p.within(c, spec.Size) {
--- a/internal/policy/cell/work.go
+++ b/internal/policy/cell/work.go
@@ -40,13 +40,13 @@
 
 // work is a job of which something waits or runs.
 type work struct {
-	id     uint64
-	spec   *job.Spec
-	crew   *crew
-	held   []*holding
-	waits  int
-	gang   *unit
-	budget health.Budget
+	id      uint64
+	spec    *job.Spec
+	account *account
+	held    []*holding
+	waits   int
+	gang    *unit
+	budget  health.Budget
 	// started tells that something of the job was placed before.
 	started bool
 	listed  bool
@@ -105,7 +105,7 @@
 func (p *Planner) work(id uint64, spec *job.Spec) *work {
 	w := p.works[id]
 	if w == nil {
-		w = &work{id: id, spec: spec, crew: p.crew(spec.Team)}
+		w = &work{id: id, spec: spec, account: p.account(spec.Team)}
 		p.works[id] = w
 	}
 	return w
@@ -136,7 +136,7 @@
 	}
 	w.started = w.started || q.Attempts > 0
 	w.waits++
-	w.crew.wants = w.crew.wants.Add(w.spec.Size)
+	w.account.wants = w.account.wants.Add(w.spec.Size)
 	u := w.gang
 	if u == nil {
 		p.seq++
@@ -168,19 +168,19 @@
 	case inLater:
 		p.later.Remove(u.id)
 	case inQueue:
-		u.work.crew.queues[kindOf(u.work.spec)].Remove(u.id)
+		u.work.account.queues[kindOf(u.work.spec)].Remove(u.id)
 		p.late.Remove(u.id)
 		if u.work.spec.Kind == job.Urgent {
 			p.urgent--
 		} else {
-			u.work.crew.sizes.remove(u.need)
+			u.work.account.sizes.remove(u.need)
 		}
 		if u.work.spec.Whole() {
-			u.work.crew.gangs--
+			u.work.account.gangs--
 		}
 	case inNever:
 		p.never.Remove(u.id)
-		u.work.crew.hopeless = u.work.crew.hopeless.Sub(u.size())
+		u.work.account.hopeless = u.work.account.hopeless.Sub(u.size())
 	case inFresh:
 		return
 	}
@@ -191,7 +191,7 @@
 func (p *Planner) dequeue(u *unit, id task.ID) {
 	delete(p.waits, id)
 	u.work.waits--
-	u.work.crew.wants = u.work.crew.wants.Sub(u.work.spec.Size)
+	u.work.account.wants = u.work.account.wants.Sub(u.work.spec.Size)
 	if len(u.tasks) == 1 {
 		p.detach(u)
 		p.dropClaim(u)
@@ -200,7 +200,7 @@
 		return
 	}
 	if u.where == inNever {
-		u.work.crew.hopeless = u.work.crew.hopeless.Sub(u.work.spec.Size)
+		u.work.account.hopeless = u.work.account.hopeless.Sub(u.work.spec.Size)
 	}
 	u.tasks = slices.DeleteFunc(u.tasks, func(q plan.Queued) bool { return q.ID == id })
 }
@@ -273,14 +273,14 @@
 	if !p.possible(u.work.spec.Size) {
 		u.where = inNever
 		p.never.Add(u)
-		u.work.crew.hopeless = u.work.crew.hopeless.Add(u.size())
+		u.work.account.hopeless = u.work.account.hopeless.Add(u.size())
 		return
 	}
 	u.where = inQueue
 	u.rank = p.rank(u)
 	u.since = p.now
 	u.tried = 0
-	c := u.work.crew
+	c := u.work.account
 	c.queues[kindOf(u.work.spec)].Add(u)
 	if u.work.spec.Deadline > 0 && !u.work.started {
 		p.late.Add(u)
@@ -289,7 +289,7 @@
 }
 
 // press takes note of a new unit in its team's queue.
-func (p *Planner) press(c *crew, u *unit) {
+func (p *Planner) press(c *account, u *unit) {
 	if u.work.spec.Kind == job.Urgent {
 		p.urgent++
 		if !u.work.started {
