Let the lease model hold requests back, and find a grant that is too long

A leader holds a sync back for up to its patience and grants from the newest round. With a round that began after the request came in that is more than one lease, and the wait covers the drift of clocks over one lease only. The mend belongs to domain/lease.

--- a/spec/lease.pml
+++ b/spec/lease.pml
@@ -15,6 +15,7 @@
 #define L 2                 /* length of a lease, in ticks */
 #define MARGIN 1            /* what the slowest permitted clock loses over a lease */
 #define LONG (L + MARGIN)   /* ages stop here */
+#define PATIENCE 1          /* how long a leader may hold a request back */
 
 #define A 0
 #define B 1
@@ -44,11 +45,20 @@
 #define mayRepeat(r) (!once || r == DECLINED || r == ABSENT)
 #endif
 
-/* The time granted ends with the lease that began with the round. */
+/* The time granted ends with the lease that began with the round. Age is that of
+ * the round, held how long ago the request came in. */
 #ifdef MUTATE_GRANT_FROM_SEND
-#define span L
+#define reach(age) L
 #else
-#define span (L - confirmed)
+#define reach(age) (L + held - age)
+#endif
+
+/* It is never longer than a lease, also from a round that began after the request
+ * came in: the margin covers what a clock loses over one lease. */
+#ifdef MUTATE_GRANT_BEYOND
+#define span(age) reach(age)
+#else
+#define span(age) (reach(age) > L -> L : reach(age))
 #endif
 
 /* A leader notes what it grants from before the answer leaves. */
@@ -164,6 +174,7 @@
  * request that A gave up. */
 bool asks;
 byte report;
+byte held;                  /* how long ago the leader that answers received it */
 bool answers, late;
 byte grant, lateGrant;
 byte order, lateOrder;
@@ -187,9 +198,9 @@
 }
 
 inline tick() {
-  older(confirmed, L);
+  older(confirmed, L + PATIENCE);
   if
-  :: asked -> older(round, L)
+  :: asked -> older(round, L + PATIENCE)
   :: else
   fi;
   older(used, LONG);
@@ -231,26 +242,36 @@
   late = false; lateGrant = 0; lateOrder = 0; lateStop = false
 }
 
+/* The answer may come some time after the request. */
+inline holdBack() {
+  if
+  :: held = 0
+  :: sent >= PATIENCE -> held = PATIENCE
+  fi
+}
+
 /* The leader of term 1 answers, deposed or not. */
 inline answerFirst() {
+  holdBack();
   if
   :: attempt1 == 1 && reportedOver && mayRepeat(report) -> commitFirst()
   :: true
   fi;
   if
-  :: confirmed < L ->
+  :: confirmed < L + held ->
     if
     :: notes(confirmed) -> used = confirmed
     :: else
     fi;
     answers = true;
-    grant = span;
+    grant = span(confirmed);
     order = (place1 == A && !(stopping1 && attempt1 == 1) -> attempt1 : 0);
     stop = stopping1
   :: else
   fi;
   asks = false;
-  report = 0
+  report = 0;
+  held = 0
 }
 
 /* The leader of term 1 places the second attempt. */
@@ -276,24 +297,29 @@
 
 /* The leader of term 2 answers. Its rounds are as fresh as can be. */
 inline answerSecond() {
+  holdBack();
   if
   :: attempt == 1 && reportedOver && mayRepeat(report) -> attempt = 2; choose(place)
   :: true
   fi;
   granted = 0;
   answers = true;
-  grant = L;
+  grant = span(0);
   order = (place == A && !(stopping2 && attempt == 1) -> attempt : 0);
   stop = stopping2;
   asks = false;
-  report = 0
+  report = 0;
+  held = 0
 }
 
+/* What a slow clock loses grows with what it measures. */
+#define lost(g) (g > L -> 2 * slow : slow)
+
 /* A takes an answer. It counts the time granted from when it sent the request. */
 inline takeAnswer(g, o, s) {
   waiting = false;
   if
-  :: g + slow > sent && g + slow - sent > left -> left = g + slow - sent
+  :: g + lost(g) > sent && g + lost(g) - sent > left -> left = g + lost(g) - sent
   :: else
   fi;
   if
