--- a/internal/replica/disk/matrix_test.go
+++ b/internal/replica/disk/matrix_test.go
@@ -28,29 +28,32 @@
 	// size of the segments.
 	size int64
 	// n is the operation.
-	n       int
-	kind    disk.Fault
-	outcome disk.Outcome
+	n    int
+	kind disk.Fault
 }
 
-func (f fault) String() string {
-	return fmt.Sprintf("segments of %d, fault %d at %d, outcome %d", f.size, f.kind, f.n, f.outcome)
+// crashed is a replica whose script was ended by a crash.
+type crashed struct {
+	fault
+	r *replica
 }
 
-// crashed returns a replica whose script was ended by a crash, if it was.
-func crashed(t *testing.T, f fault) (*replica, bool) {
+// crash plays the script up to a crash, if it comes to it.
+func crash(t *testing.T, f fault) (*crashed, bool) {
 	t.Helper()
 	r := &replica{size: f.size, disk: &disk.Memory{Inject: at(f.n, f.kind)}}
 	err := r.play()
-	if err == nil {
-		return r, false
+	if err != nil && r.disk.Count() < f.n {
+		t.Fatalf("%+v: %v", f, err)
 	}
-	if r.disk.Count() < f.n {
-		t.Fatalf("%v: %v", f, err)
-	}
-	r.disk.Restart(f.outcome)
-	r.disk.Inject = nil
-	return r, true
+	return &crashed{f, r}, err != nil
+}
+
+// restarted returns the replica after one outcome of its crash.
+func (c *crashed) restarted(o disk.Outcome) *replica {
+	r := &replica{size: c.size, disk: c.r.disk.Clone(), h: c.r.h}
+	r.disk.Restart(o)
+	return r
 }
 
 // Sizes of segments: several in the script, and one.
@@ -68,23 +71,14 @@
 	cases, operations := 0, 0
 	for _, size := range []int64{small, large} {
 		for n := 1; ; n++ {
-			if _, hit := crashed(t, fault{size, n, disk.Crash, disk.Lost}); !hit {
+			if _, hit := crash(t, fault{size, n, disk.Crash}); !hit {
 				break
 			}
 			operations++
 			for _, kind := range []disk.Fault{disk.Crash, disk.CrashTorn} {
+				c, _ := crash(t, fault{size, n, kind})
 				for _, outcome := range disk.Outcomes {
-					f := fault{size, n, kind, outcome}
-					for _, c := range courses {
-						cases += goesOn(t, f, c)
-					}
-					for m := 1; size == small; m++ {
-						more := crashedTwice(t, f, m)
-						if more == 0 {
-							break
-						}
-						cases += more
-					}
+					cases += c.anyCourse(t, outcome)
 				}
 			}
 		}
@@ -102,11 +96,28 @@
 
 var courses = []course{{size: 1, loss: true}, {size: 1, compact: true, loss: true}, {size: large}}
 
-// goesOn restarts after one crash, goes on, and restarts after a power loss.
-func goesOn(t *testing.T, f fault, c course) int {
+// anyCourse restarts after one outcome of a crash in every way, and returns how many.
+func (c *crashed) anyCourse(t *testing.T, outcome disk.Outcome) int {
+	t.Helper()
+	what := fmt.Sprintf("%+v, outcome %d", c.fault, outcome)
+	cases := 0
+	for _, way := range courses {
+		goesOn(t, c.restarted(outcome), way, what)
+		cases++
+	}
+	for m := 1; c.size == small; m++ {
+		more := crashedTwice(t, c.restarted(outcome), m, c.kind, what)
+		if more == 0 {
+			break
+		}
+		cases += more
+	}
+	return cases
+}
+
+// goesOn restarts a replica, goes on, and restarts it after a power loss.
+func goesOn(t *testing.T, r *replica, c course, what string) {
 	t.Helper()
-	what := f.String()
-	r, _ := crashed(t, f)
 	r.size = c.size
 	got, meta, err := r.start()
 	check(t, r, got, meta, err, what)
@@ -130,22 +141,21 @@
 	if got, _, err = r.start(); err != nil || got.Hard != want {
 		t.Fatalf("%s: after going on: %v, %v", what, got.Hard, err)
 	}
-	return 1
 }
 
-// crashedTwice crashes once in the script and once at operation m of the start
-// after it, and returns the number of cases, 0 when there is no such operation.
-func crashedTwice(t *testing.T, f fault, m int) int {
+// crashedTwice lets a replica crash again at operation m of its start, and returns
+// the number of cases, 0 when there is no such operation.
+func crashedTwice(t *testing.T, r *replica, m int, kind disk.Fault, what string) int {
 	t.Helper()
+	r.disk.Inject = at(r.disk.Count()+m, kind)
+	if _, _, err := r.start(); err == nil {
+		return 0
+	}
+	c := &crashed{fault{size: r.size}, r}
 	for _, second := range disk.Outcomes {
-		r, _ := crashed(t, f)
-		r.disk.Inject = at(r.disk.Count()+m, f.kind)
-		if _, _, err := r.start(); err == nil {
-			return 0
-		}
-		r.disk.Restart(second)
-		got, meta, err := r.start()
-		check(t, r, got, meta, err, fmt.Sprintf("%v, again at %d, outcome %d", f, m, second))
+		again := c.restarted(second)
+		got, meta, err := again.start()
+		check(t, again, got, meta, err, fmt.Sprintf("%s, again at %d, outcome %d", what, m, second))
 	}
 	return len(disk.Outcomes)
 }
@@ -227,33 +237,32 @@
 // tells how many found no room and whether it came to the crash.
 func fullDisk(t *testing.T, f shortage, crash int) (hits int, more bool) {
 	t.Helper()
-	for _, o := range disk.Outcomes {
-		r := &replica{size: f.size, disk: &disk.Memory{}}
-		hits, more = 0, false
-		r.disk.Inject = func(count int, op disk.Op, _ string) disk.Fault {
-			switch {
-			case count == crash:
-				more = true
-				return disk.CrashTorn
-			case count >= f.n && count < f.n+f.length && (op == disk.Create || op == disk.Write):
-				hits++
-				return disk.Full
-			}
-			return disk.Well
-		}
-		r.h.states = []journal.Recovered{{}}
-		err := again(f.length, func() error {
-			_, _, err := r.start()
-			return err
-		})
-		for i := 0; err == nil && i < len(script); i++ {
-			err = again(f.length, func() error { return r.try(script[i]) })
-		}
-		if err != nil && !more {
-			t.Fatalf("%+v: %v", f, err)
+	r := &replica{size: f.size, disk: &disk.Memory{}}
+	r.disk.Inject = func(count int, op disk.Op, _ string) disk.Fault {
+		switch {
+		case count == crash:
+			more = true
+			return disk.CrashTorn
+		case count >= f.n && count < f.n+f.length && (op == disk.Create || op == disk.Write):
+			hits++
+			return disk.Full
 		}
-		r.disk.Restart(o)
-		r.disk.Inject = nil
+		return disk.Well
+	}
+	r.h.states = []journal.Recovered{{}}
+	err := again(f.length, func() error {
+		_, _, err := r.start()
+		return err
+	})
+	for i := 0; err == nil && i < len(script); i++ {
+		err = again(f.length, func() error { return r.try(script[i]) })
+	}
+	if err != nil && !more {
+		t.Fatalf("%+v: %v", f, err)
+	}
+	c := &crashed{fault{size: f.size}, r}
+	for _, o := range disk.Outcomes {
+		r := c.restarted(o)
 		got, meta, err := r.start()
 		check(t, r, got, meta, err, fmt.Sprintf("%+v, crash at %d, outcome %d", f, crash, o))
 	}
--- a/internal/replica/disk/memory.go
+++ b/internal/replica/disk/memory.go
@@ -117,6 +117,30 @@
 	return m.count
 }
 
+// Clone returns a disk in the same state, without Inject and without open files.
+func (m *Memory) Clone() *Memory {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	copies := map[*node]*node{nil: nil}
+	copied := func(n *node) *node {
+		if _, ok := copies[n]; !ok {
+			copies[n] = &node{data: slices.Clone(n.data), stable: slices.Clone(n.stable), lost: n.lost}
+		}
+		return copies[n]
+	}
+	c := &Memory{Room: m.Room, count: m.count, crashed: m.crashed, names: map[string]*node{}, stable: map[string]*node{}}
+	for name, n := range m.names {
+		c.names[name] = copied(n)
+	}
+	for name, n := range m.stable {
+		c.stable[name] = copied(n)
+	}
+	for _, p := range m.pending {
+		c.pending = append(c.pending, change{name: p.name, to: copied(p.to), gone: p.gone})
+	}
+	return c
+}
+
 // Restart ends a crash, or makes one, with the outcome given. Files that were
 // open before must not be used any more.
 func (m *Memory) Restart(o Outcome) {
@@ -337,60 +361,3 @@
 
 // Free returns Room.
 func (m *Memory) Free(string) (uint64, error) { return m.Room, nil }
-
-// memoryFile is an open file of a Memory disk.
-type memoryFile struct {
-	m    *Memory
-	n    *node
-	name string
-}
-
-// WriteAt writes b; half of it when the disk is full or crashes meanwhile.
-func (f *memoryFile) WriteAt(b []byte, off int64) (int, error) {
-	f.m.mu.Lock()
-	defer f.m.mu.Unlock()
-	fault, err := f.m.begin(Write, f.name)
-	if fault == Crash || fault == Broken {
-		return 0, err
-	}
-	if fault != Well {
-		b = b[:len(b)/2]
-	}
-	if short := int(off) + len(b) - len(f.n.data); short > 0 {
-		f.n.data = append(f.n.data, make([]byte, short)...)
-	}
-	copy(f.n.data[off:], b)
-	return len(b), errors.CombineErrors(err, end(fault))
-}
-
-// Truncate cuts the file to size bytes.
-func (f *memoryFile) Truncate(size int64) error {
-	f.m.mu.Lock()
-	defer f.m.mu.Unlock()
-	fault, err := f.m.begin(Truncate, f.name)
-	if err != nil {
-		return err
-	}
-	f.n.data = f.n.data[:min(int(size), len(f.n.data))]
-	return end(fault)
-}
-
-// Sync makes the content last, unless an earlier sync failed.
-func (f *memoryFile) Sync() error {
-	f.m.mu.Lock()
-	defer f.m.mu.Unlock()
-	fault, err := f.m.begin(Sync, f.name)
-	if fault == Full || fault == Broken {
-		f.n.lost = true
-	}
-	if err != nil {
-		return err
-	}
-	if !f.n.lost {
-		f.n.stable = slices.Clone(f.n.data)
-	}
-	return end(fault)
-}
-
-// Close does nothing: a close makes nothing last.
-func (f *memoryFile) Close() error { return nil }
--- a/internal/replica/journal/fuzz_test.go
+++ b/internal/replica/journal/fuzz_test.go
@@ -34,7 +34,7 @@
 		m.Restart(disk.Lost)
 		_, second, err := c.Open("/j")
 		must(t, err)
-		first.Entries = append(first.Entries, next)
+		first.Entries, first.Torn = append(first.Entries, next), false
 		if diff := cmp.Diff(first, second, cmpopts.EquateEmpty()); diff != "" {
 			t.Error(diff)
 		}
--- a/internal/replica/journal/journal.go
+++ b/internal/replica/journal/journal.go
@@ -109,11 +109,13 @@
 		if end, err = r.read(name, number, b, i == len(numbers)-1); err != nil {
 			return Recovered{}, err
 		}
+		end.size = int64(len(b))
 	}
 	j.segments, j.hard = r.segments, r.Hard
 	if n := len(r.Entries); n > 0 {
 		j.last = r.Entries[n-1].Index
 	}
+	r.New, r.Torn = len(numbers) == 0, end.torn
 	return r.Recovered, j.reopen(end)
 }
 
@@ -133,7 +135,7 @@
 	if err != nil {
 		return err
 	}
-	if end.torn {
+	if end.good < end.size {
 		err = f.Truncate(end.good)
 	}
 	// What was read may have been in memory only: a process that died and left
--- a/internal/replica/journal/journal_test.go
+++ b/internal/replica/journal/journal_test.go
@@ -1,6 +1,7 @@
 package journal_test
 
 import (
+	"bytes"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -43,7 +44,7 @@
 			dir := filepath.Join(t.TempDir(), "data", "journal")
 			c := journal.Config{SegmentSize: size}
 			j, r := open(t, c, dir)
-			if diff := cmp.Diff(journal.Recovered{}, r); diff != "" {
+			if diff := cmp.Diff(journal.Recovered{New: true}, r); diff != "" {
 				t.Fatal(diff)
 			}
 			must(t, j.Append(&quorum.Hard{Term: 1, Vote: "a/1"}, run(1, 1, 9)))
@@ -150,3 +151,32 @@
 		t.Fatal(err)
 	}
 }
+
+// A process is killed with part of a frame in the file. The start after it tells
+// so, for the log; the one after that, and one after a mere kill, do not.
+func TestTornTailIsTold(t *testing.T) {
+	dir := t.TempDir()
+	j, _ := open(t, journal.Config{}, dir)
+	must(t, j.Append(nil, run(1, 1, 3)))
+	must(t, j.Sync())
+	files, _ := filepath.Glob(filepath.Join(dir, "*"))
+	killed, err := os.ReadFile(files[0])
+	must(t, err)
+	must(t, j.Append(nil, run(1, 4, 9)))
+	torn, err := os.ReadFile(files[0])
+	must(t, err)
+	clear(torn[len(bytes.TrimRight(torn, "\x00"))-5:])
+	for _, c := range []struct {
+		file []byte
+		want bool
+	}{{killed, false}, {torn, true}} {
+		must(t, os.WriteFile(files[0], c.file, 0o600))
+		for _, want := range []bool{c.want, false} {
+			j, r := open(t, journal.Config{}, dir)
+			if diff := cmp.Diff(journal.Recovered{Entries: run(1, 1, 3), Torn: want}, r); diff != "" {
+				t.Error(diff)
+			}
+			must(t, j.Close())
+		}
+	}
+}
--- a/internal/replica/journal/recover.go
+++ b/internal/replica/journal/recover.go
@@ -22,6 +22,11 @@
 	Hard quorum.Hard
 	// Entries have consecutive indexes; those before the first were compacted away.
 	Entries []quorum.Entry
+	// New tells that there was no journal. For a replica that has an identity
+	// already this means that its files were taken away.
+	New bool
+	// Torn tells that what an interrupted write had left was cut off.
+	Torn bool
 }
 
 // reader recovers the segments one after the other.
@@ -32,10 +37,12 @@
 
 // scan is the outcome of reading one segment.
 type scan struct {
-	// good is the size up to which frames are whole.
+	// good is the size up to which frames are whole; what follows is cut off. With
+	// 0 the segment never came into use.
 	good int64
-	// torn tells that bytes after good are to be cut off, or, with good 0, that
-	// the segment never came into use.
+	// size of the file.
+	size int64
+	// torn tells that something follows, and not only room that was reserved.
 	torn bool
 }
 
@@ -118,10 +125,11 @@
 			return scan{}, &DamageError{File: name, Offset: off, Why: why}
 		}
 	}
+	remains := len(bytes.Trim(b[min(off, int64(len(b))):], "\x00")) > 0
 	if off == headerBytes {
 		off = 0
 	}
-	return scan{good: off, torn: true}, nil
+	return scan{good: off, torn: remains}, nil
 }
 
 // add applies a record: its entries replace those from the same index on.
