--- a/internal/control/leader/ask.go
+++ b/internal/control/leader/ask.go
@@ -8,7 +8,7 @@
 	"gypsumreel/internal/api/record"
 	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/base/code"
-	"gypsumreel/internal/domain/answer"
+	"gypsumreel/internal/base/event"
 	"gypsumreel/internal/domain/key"
 	"gypsumreel/internal/ledger/command"
 	"gypsumreel/internal/ledger/state"
@@ -72,6 +72,7 @@
 func (l *Leader) authorize(c *inner.Credential) (key.Key, *code.Error) {
 	k, ok := l.st.Key(c.GetId())
 	if !ok || !k.Matches(c.GetDigest()) || k.Withdrawn {
+		l.limit.Log(l.Log, event.KeyRefused, "key", c.GetId(), "withdrawn", k.Withdrawn)
 		return key.Key{}, code.New(code.BadKey, "")
 	}
 	return k, nil
@@ -126,8 +127,10 @@
 	}
 	r := l.do(c)
 	if r.Code != code.OK {
+		l.judged(k.Team, spec.GetId(), r.Code)
 		return &v1.Accepted{Id: spec.GetId(), Status: status(&code.Error{Code: r.Code, Detail: r.Detail})}
 	}
+	l.judged(k.Team, spec.GetId(), r.Job.Code)
 	st := status(&code.Error{Code: r.Job.Code})
 	st.Retry = uint64(retry / time.Millisecond)
 	return &v1.Accepted{Id: spec.GetId(), Status: st, Outcome: r.Job.Outcome}
@@ -245,7 +248,7 @@
 func (l *Leader) answer(to Ticket, j *state.Job, chunk uint32) {
 	rep := &v1.WaitReply{Id: j.Spec.ID, Outcome: j.Outcome, Status: status(&code.Error{Code: j.Code})}
 	if j.Outcome == v1.Outcome_OUTCOME_DONE {
-		rep.Chunk = answer.Cut(l.st.Answer(j), chunk)
+		rep.Chunk = l.chunk(j, chunk)
 		if rep.Chunk == nil {
 			l.refuse(to, code.New(code.Malformed, "the answer has no chunk %d", chunk))
 			return
@@ -268,6 +271,7 @@
 			}
 		}
 	}
+	l.waves(k.Team, c)
 	if len(c.Jobs) > 0 {
 		l.do(&record.Command{What: &record.Command_Cancel{Cancel: c}})
 	}
@@ -283,12 +287,6 @@
 	return true
 }
 
-// Bounds of a list.
-const (
-	defaultLines = 100
-	maxLines     = 1000
-)
-
 func (l *Leader) list(to Ticket, k key.Key, req *v1.ListRequest) {
 	rep := &v1.ListReply{Status: &v1.Status{}}
 	if len(req.GetIds()) > 0 {
@@ -298,27 +296,12 @@
 			}
 		}
 	} else {
-		rep.Jobs = l.page(k.Team, req.GetAfter(), req.GetLimit())
-	}
-	l.reply(to, &inner.Reply{Answer: &inner.Reply_List{List: rep}})
-}
-
-// page returns a team's jobs after the one named, in the order of acceptance.
-func (l *Leader) page(owner, after string, limit uint32) []*v1.Summary {
-	if limit == 0 {
-		limit = defaultLines
-	}
-	var from uint64
-	if j, ok := l.st.Find(state.RequestID{Team: owner, ID: after}); ok {
-		from = j.Number
-	}
-	var out []*v1.Summary
-	for _, j := range l.st.Jobs(owner) {
-		if j.Number > from && uint32(len(out)) < min(limit, maxLines) {
-			out = append(out, summary(j))
+		var err *code.Error
+		if rep.Jobs, err = l.page(k.Team, req.GetAfter(), req.GetLimit()); err != nil {
+			rep.Status = status(err)
 		}
 	}
-	return out
+	l.reply(to, &inner.Reply{Answer: &inner.Reply_List{List: rep}})
 }
 
 func summary(j *state.Job) *v1.Summary {
