--- a/internal/control/leader/bench_test.go
+++ b/internal/control/leader/bench_test.go
@@ -236,12 +236,20 @@
 			runtime.ReadMemStats(&after)
 			b.ResetTimer()
 			var size int
-			var copied, wrote, read time.Duration
+			var pause, copied, wrote, read time.Duration
 			for range b.N {
 				r.must(func(st *state.State) {
 					t0 := time.Now()
-					c := st.Copy()
+					p := st.Picture()
+					longest := time.Since(t0)
+					for done := false; !done; {
+						begin := time.Now()
+						done = p.Step(2048)
+						longest = max(longest, time.Since(begin))
+					}
+					c := p.State()
 					t1 := time.Now()
+					pause += longest
 					data, err := c.Encode()
 					t2 := time.Now()
 					if err != nil {
@@ -256,6 +264,7 @@
 			}
 			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(1<<20), "MiB/heap")
 			ms := func(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 / float64(b.N) }
+			b.ReportMetric(ms(pause), "ms/pause")
 			b.ReportMetric(ms(copied), "ms/copy")
 			b.ReportMetric(ms(wrote), "ms/encode")
 			b.ReportMetric(ms(read), "ms/decode")
--- a/internal/control/leader/harness_test.go
+++ b/internal/control/leader/harness_test.go
@@ -34,6 +34,8 @@
 	log       []quorum.Entry
 	committed uint64
 	reloads   int
+	// compacts are the states of the snapshots that were handed over.
+	compacts [][]byte
 }
 
 func (g *fakeGroup) Propose(p group.Proposal) bool {
@@ -76,7 +78,14 @@
 	}
 }
 
-func (g *fakeGroup) Compact(uint64, []byte) {}
+func (g *fakeGroup) Compact(_ uint64, data []byte) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.compacts = append(g.compacts, data)
+}
+
+// snapshots returns the states of the snapshots that were handed over.
+func (g *fakeGroup) snapshots() [][]byte { g.mu.Lock(); defer g.mu.Unlock(); return g.compacts }
 
 func (g *fakeGroup) Reload() { g.mu.Lock(); defer g.mu.Unlock(); g.reloads++ }
 
--- a/internal/control/leader/lead.go
+++ b/internal/control/leader/lead.go
@@ -156,6 +156,7 @@
 		l.lead = nil
 		l.st.Watch = nil
 		if l.applied > ld.committed {
+			l.abandon()
 			l.Group.Reload()
 		}
 	}
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -128,7 +128,7 @@
 	st      *state.State
 	applied uint64
 	saved   uint64
-	saving  bool
+	saving  saving
 	lead    *lead
 	members group.Members
 	full    bool
@@ -330,41 +330,8 @@
 	if err != nil {
 		return err
 	}
+	l.abandon()
 	l.restored(n)
 	l.st, l.applied, l.saved = st, n.Index, n.Index
 	return nil
 }
-
-// snapshot starts to write the state out when enough commands have come since
-// the last one. The copy is taken here; the encoding, which takes long, is not.
-func (l *Leader) snapshot() {
-	if l.saving || l.applied < l.saved+l.Snapshot {
-		return
-	}
-	l.saving = true
-	index, st := l.applied, l.st.Copy()
-	go func() {
-		data, err := st.Encode()
-		l.inbox <- func() { l.encoded(index, data, err) }
-	}()
-}
-
-// encoded hands a snapshot to the group. A leader's state is ahead of what is
-// committed; such a snapshot waits, or a deposed leader's would hold commands
-// that nobody agreed on.
-func (l *Leader) encoded(index uint64, data []byte, err error) {
-	if err != nil {
-		l.Log.Error(err, "snapshot")
-		l.saving = false
-		return
-	}
-	if l.lead != nil && l.lead.committed < index {
-		time.AfterFunc(tick, func() { l.try(func() { l.encoded(index, data, nil) }) })
-		return
-	}
-	if index <= l.applied {
-		l.Group.Compact(index, data)
-		l.saved = index
-	}
-	l.saving = false
-}
--- a/internal/ledger/state/state.go
+++ b/internal/ledger/state/state.go
@@ -35,6 +35,8 @@
 	table   table.Table
 	keys    map[string]key.Key
 	answers map[string]Answer
+	// picture is the copy that is being taken; nil for none.
+	picture *Picture
 	servers map[string]Server
 	jobs    map[uint64]*Job
 	tasks   map[task.ID]*Task
--- a/internal/ledger/state/state_test.go
+++ b/internal/ledger/state/state_test.go
@@ -1,6 +1,7 @@
 package state_test
 
 import (
+	"bytes"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -126,6 +127,14 @@
 	}
 }
 
+func encode(t *rapid.T, s *state.State) []byte {
+	data, err := s.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
 // Whatever order commands come in, also ones that a faulty planner would give,
 // no server is overcommitted, no team is over its limit, "not run" is true,
 // a task that may not be repeated starts at most once, and both replicas agree.
@@ -133,6 +142,9 @@
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld()
 		starts := map[task.ID]int{}
+		var picture *state.Picture
+		var shown []byte
+		defer func() { picture.Drop() }()
 		pick := func(name string, n int) int { return rapid.IntRange(0, n-1).Draw(t, name) }
 		tasks := func() (out []*state.Task) {
 			for _, j := range w.a.Jobs("") {
@@ -197,7 +209,16 @@
 					w.do(&record.Command{What: &record.Command_Drop{Drop: &record.Drop{Job: ts[pick("task", len(ts))].ID.Job, Code: uint32(c)}}})
 				}
 			},
-			"fence": func(*rapid.T) { w.fence(server()) },
+			"fence":  func(*rapid.T) { w.fence(server()) },
+			"forget": func(*rapid.T) { w.do(&record.Command{What: &record.Command_Forget{Forget: w.a.Expired(w.a.At(), 2)}}) },
+			// A snapshot is taken while commands go on. It has to show the
+			// state of its index: with later commands in it they would be
+			// applied twice after a restart.
+			"picture": func(t *rapid.T) {
+				if picture == nil {
+					picture, shown = w.b.Picture(), encode(t, w.b)
+				}
+			},
 			"restore": func(t *rapid.T) {
 				data, err := w.b.Encode()
 				if err != nil {
@@ -211,7 +232,15 @@
 					t.Fatalf("a snapshot read and written again differs: %s", diff)
 				}
 			},
-			"": func(t *rapid.T) { w.check(t) },
+			"": func(t *rapid.T) {
+				w.check(t)
+				if picture != nil && picture.Step(1) {
+					if !bytes.Equal(shown, encode(t, picture.State())) {
+						t.Fatal("the picture shows another state than that of its beginning")
+					}
+					picture = nil
+				}
+			},
 		})
 	})
 }
--- a/internal/ledger/state/store.go
+++ b/internal/ledger/state/store.go
@@ -53,6 +53,9 @@
 	}
 	u.count(j, 1)
 	u.jobs[j.Number] = j
+	if s.picture != nil {
+		s.picture.jobs.touch(j.Number)
+	}
 	s.jobs[j.Number] = j
 	if j.Final() && (old == nil || !old.Final()) {
 		s.ended.push(aged[uint64]{j.Number, j.Ended})
@@ -73,10 +76,16 @@
 	for i := range j.Spec.Count {
 		if t, ok := s.tasks[task.ID{Job: j.Number, Index: i}]; ok {
 			s.swap(t.hash, 0)
+			if s.picture != nil {
+				s.picture.tasks.touch(t.ID)
+			}
 			delete(s.tasks, t.ID)
 		}
 	}
 	s.swap(j.hash, 0)
+	if s.picture != nil {
+		s.picture.jobs.touch(j.Number)
+	}
 	delete(s.jobs, j.Number)
 	delete(s.ids, j.Request())
 	u := s.usage(j.Spec.Team)
@@ -94,6 +103,9 @@
 	} else {
 		s.swap(0, t.hash)
 	}
+	if s.picture != nil {
+		s.picture.tasks.touch(t.ID)
+	}
 	s.tasks[t.ID] = t
 	s.tally(&j, t, 1)
 	s.storeJob(s.jobs[j.Number], &j)
@@ -137,6 +149,9 @@
 	s.swap(0, sumOf(serverRecord(b)))
 	s.classify(s.servers[b.ID], -1)
 	s.classify(b, 1)
+	if s.picture != nil {
+		s.picture.servers.touch(b.ID)
+	}
 	s.servers[b.ID] = b
 	if b.Server.State == gone {
 		s.left.push(aged[string]{b.ID, b.Since})
@@ -157,6 +172,9 @@
 func (s *State) removeServer(id string) {
 	s.swap(sumOf(serverRecord(s.servers[id])), 0)
 	s.classify(s.servers[id], -1)
+	if s.picture != nil {
+		s.picture.servers.touch(id)
+	}
 	delete(s.servers, id)
 	delete(s.placed, id)
 }
@@ -166,11 +184,17 @@
 		s.swap(sumOf(keyRecord(old)), 0)
 	}
 	s.swap(0, sumOf(keyRecord(k)))
+	if s.picture != nil {
+		s.picture.keys.touch(k.ID)
+	}
 	s.keys[k.ID] = k
 }
 
 func (s *State) putAnswer(id string, a Answer) {
 	s.swap(0, sumOf(answerRecord(id, a)))
+	if s.picture != nil {
+		s.picture.answers.touch(id)
+	}
 	s.answers[id] = a
 	s.told.push(aged[string]{id, a.At})
 }
@@ -178,6 +202,9 @@
 func (s *State) removeAnswer(id string) {
 	if a, ok := s.answers[id]; ok {
 		s.swap(sumOf(answerRecord(id, a)), 0)
+		if s.picture != nil {
+			s.picture.answers.touch(id)
+		}
 		delete(s.answers, id)
 	}
 }
@@ -197,29 +224,6 @@
 	return ks
 }
 
-// Copy returns a picture of the state that later commands do not change. Values
-// are shared, since they are immutable; only the maps are copied.
-func (s *State) Copy() *State {
-	c := New()
-	c.at, c.next, c.digest, c.table = s.at, s.next, s.digest, s.table
-	for k, v := range s.keys {
-		c.keys[k] = v
-	}
-	for k, v := range s.answers {
-		c.answers[k] = v
-	}
-	for k, v := range s.servers {
-		c.servers[k] = v
-	}
-	for k, v := range s.jobs {
-		c.jobs[k] = v
-	}
-	for k, v := range s.tasks {
-		c.tasks[k] = v
-	}
-	return c
-}
-
 func tableRecord(t table.Table) *record.Header {
 	h := &record.Header{Revision: t.Revision()}
 	for _, r := range t.Rows() {
