--- a/internal/control/entry/roll_test.go
+++ b/internal/control/entry/roll_test.go
@@ -36,7 +36,7 @@
 
 // serve gives fn a service whose control thread leads, and its log.
 func serve(t *testing.T, fn func(*entry.Server, *leader.Leader, *bytes.Buffer)) {
-	synctest.Test(t, func(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
 		begin := time.Now()
 		g := &stub{notes: make(chan group.Note, 64)}
 		l := leader.New()
