--- a/internal/replica/disk/matrix_test.go
+++ b/internal/replica/disk/matrix_test.go
@@ -64,6 +64,7 @@
 // replica must start each time, with all that it had synced, and with nothing
 // that was never appended. What one start has shown, the next must show too.
 func TestCrashAtEveryOperation(t *testing.T) {
+	t.Parallel()
 	cases, operations := 0, 0
 	for _, size := range []int64{small, large} {
 		for n := 1; ; n++ {
@@ -167,6 +168,7 @@
 // journal whose disk it no longer knows, and must lose nothing synced; a sync
 // that is simply tried again would succeed without the data.
 func TestBrokenOperation(t *testing.T) {
+	t.Parallel()
 	for n := 1; ; n++ {
 		for _, o := range disk.Outcomes {
 			r := &replica{size: small, disk: &disk.Memory{Inject: at(n, disk.Broken)}}
@@ -195,6 +197,7 @@
 // operation after that the replica crashes. The refused work is not there, all
 // other work is, and the replica goes on without a restart.
 func TestFullDisk(t *testing.T) {
+	t.Parallel()
 	cases := 0
 	for n := 1; ; n++ {
 		for _, f := range []shortage{{large, n, 1}, {small, n, 4}} {
@@ -285,7 +288,7 @@
 // the file must not read as damage at the next start.
 func TestPartialWriteIsCutOff(t *testing.T) {
 	m := &disk.Memory{}
-	c := journal.Config{Disk: m, SegmentSize: 100}
+	c := journal.Config{Disk: m, SegmentSize: 100, Reserve: -1}
 	j, _, err := c.Open(journalDir)
 	must(t, "open", err)
 	m.Inject = at(m.Count()+1, disk.Full)
@@ -304,6 +307,40 @@
 	}
 }
 
+// A replica that was away gets a snapshot while its disk is full: there is no room
+// to begin a segment after it. The log must go on in the room reserved; otherwise
+// the replica ends, and ends again at every start until someone makes room.
+func TestSnapshotOnFullDisk(t *testing.T) {
+	m := &disk.Memory{}
+	c := journal.Config{Disk: m, Reserve: 1000}
+	entry := func(index uint64) []quorum.Entry { return []quorum.Entry{{Index: index, Term: 1}} }
+	j, _, err := c.Open(journalDir)
+	must(t, "open", err)
+	must(t, "append", j.Append(nil, entry(1)))
+	must(t, "append", j.Append(nil, entry(2)))
+	m.Inject = func(_ int, op disk.Op, _ string) disk.Fault {
+		if op == disk.Create {
+			return disk.Full
+		}
+		return disk.Well
+	}
+	if err := j.Append(nil, entry(101)); !errors.Is(err, journal.ErrGap) {
+		t.Fatal("without a snapshot the gap is refused:", err)
+	}
+	if err := j.Compact(100); !errors.Is(err, journal.ErrFull) {
+		t.Fatal(err)
+	}
+	must(t, "append after the snapshot", j.Append(nil, entry(101)))
+	must(t, "append after the snapshot", j.Append(nil, entry(102)))
+	must(t, "sync", j.Sync())
+	m.Restart(disk.Lost)
+	_, got, err := c.Open(journalDir)
+	must(t, "open again", err)
+	if diff := cmp.Diff(journal.Recovered{Entries: append(entry(101), entry(102)...)}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // eager appends to the journal while a sync of its file is under way.
 type eager struct {
 	disk.Disk
@@ -334,7 +371,7 @@
 func TestAppendDuringSync(t *testing.T) {
 	m := &disk.Memory{}
 	d := &eager{Disk: m}
-	j, _, err := journal.Config{Disk: d}.Open(journalDir)
+	j, _, err := journal.Config{Disk: d, Reserve: reserve}.Open(journalDir)
 	must(t, "open", err)
 	must(t, "append", j.Append(&quorum.Hard{Term: 1}, nil))
 	d.during = func() {
@@ -344,7 +381,7 @@
 	must(t, "sync", j.Sync())
 	must(t, "sync again", j.Sync())
 	m.Restart(disk.Lost)
-	_, got, err := journal.Config{Disk: m}.Open(journalDir)
+	_, got, err := journal.Config{Disk: m, Reserve: reserve}.Open(journalDir)
 	must(t, "open again", err)
 	if diff := cmp.Diff(journal.Recovered{Hard: quorum.Hard{Term: 2}}, got); diff != "" {
 		t.Error(diff)
