--- a/internal/load/measure/change.go
+++ b/internal/load/measure/change.go
@@ -84,7 +84,7 @@
 	return time.Since(began), nil
 }
 
-// tableChange changes a cell of the table until every process has confirmed it.
+// tableChange changes a cell of the table until every process says that it serves it.
 func tableChange(ctx context.Context, r *rig.Rig, i int) (time.Duration, error) {
 	op := r.OperatorClient()
 	defer op.Link.Close()
@@ -99,22 +99,12 @@
 	if err != nil {
 		return 0, err
 	}
-	for {
-		reply, err := op.Show(ctx, v1.Part_PART_MEMBERS)
-		if err != nil {
-			return 0, err
-		}
-		confirmed := 0
-		for _, m := range reply.GetMembers() {
-			if m.GetRevision() >= revision {
-				confirmed++
+	for _, name := range append(r.Controls(), r.EntryNames()...) {
+		for r.Revision(name) < revision {
+			if !link.Sleep(ctx, askEvery) {
+				return 0, ctx.Err()
 			}
 		}
-		if confirmed >= replicas+entries {
-			return time.Since(began), nil
-		}
-		if !link.Sleep(ctx, askEvery) {
-			return 0, ctx.Err()
-		}
 	}
+	return time.Since(began), nil
 }
--- a/internal/load/rig/process.go
+++ b/internal/load/rig/process.go
@@ -146,18 +146,27 @@
 			continue
 		}
 		b, ok := r.probe(name, "/metrics")
-		if ok && gauge(b, "leads") == 1 && gauge(b, "term") > term {
-			best, term = name, gauge(b, "term")
+		if ok && gauge(b, "control_leads") == 1 && gauge(b, "control_term") > term {
+			best, term = name, gauge(b, "control_term")
 		}
 	}
 	return best, best != ""
 }
 
-// gauge returns the value of the control metric whose name ends so; -1 for none.
+// Revision returns the table's revision that a process says it serves; 0 without an answer.
+func (r *Rig) Revision(name string) uint64 {
+	b, _ := r.probe(name, "/metrics")
+	if strings.HasPrefix(name, "entry") {
+		return uint64(max(0, gauge(b, "entry_table_revision")))
+	}
+	return uint64(max(0, gauge(b, "control_revision")))
+}
+
+// gauge returns the value of the metric whose name ends so; -1 for none.
 func gauge(text []byte, suffix string) float64 {
 	for line := range bytes.Lines(text) {
 		name, value, _ := strings.Cut(strings.TrimSpace(string(line)), " ")
-		if strings.HasSuffix(name, "control_"+suffix) {
+		if strings.HasSuffix(name, "_"+suffix) {
 			if f, err := strconv.ParseFloat(value, 64); err == nil {
 				return f
 			}
