Tell entries of a new revision of the table at once

Cause: an entry learned of a revision only with the next reply or at the end of its Pull, so that a change was in force everywhere after the entries' patience of 0.5 s.

--- a/internal/control/entry/entry.go
+++ b/internal/control/entry/entry.go
@@ -82,7 +82,13 @@
 	ctx, cancel := context.WithTimeout(ctx, hold(req))
 	defer cancel()
 	box := s.box(st.Term, mailbox.Name{Entry: req.GetEntry(), Session: req.GetSession()})
-	b := box.Pull(ctx, req.GetEpoch(), req.GetAck())
+	// Wakes are counted before the revision is read: one that comes in between
+	// ends the wait.
+	wakes := box.Wakes()
+	if s.Leader.Status().Revision > req.GetRevision() {
+		cancel()
+	}
+	b := box.PullOrWake(ctx, req.GetEpoch(), req.GetAck(), wakes)
 	st = s.Leader.Status()
 	if b.Closed || !st.Leads {
 		return &inner.PullReply{Redirect: redirect(st)}, nil
@@ -149,6 +155,16 @@
 	return b
 }
 
+// WakeAll lets all waiting Pulls return, so that entries learn at once of a new
+// revision of the table.
+func (s *Server) WakeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, b := range s.boxes {
+		b.Wake()
+	}
+}
+
 // CloseAll ends all mailboxes; the control process calls it when it stops to lead.
 func (s *Server) CloseAll() {
 	s.mu.Lock()
--- a/internal/control/leader/decide.go
+++ b/internal/control/leader/decide.go
@@ -95,6 +95,7 @@
 // Table passes a new revision on.
 func (w watch) Table(t table.Table) {
 	w.l.lead.planner.SetTable(t)
+	w.l.lead.tabled = w.l.lead.last + 1 // do counts the command once it is applied
 	w.l.lead.dirty = true
 }
 
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -110,6 +110,8 @@
 	Snapshot  uint64
 	// Deposed is called when this replica stops to lead; it must not block.
 	Deposed func()
+	// Revised is called when another revision of the table is in force; it must not block.
+	Revised func()
 	Log     logr.Logger
 
 	inbox  chan func()
@@ -244,11 +246,17 @@
 func (l *Leader) publish() {
 	old := l.status.Load()
 	s := *old
-	s.Revision = l.st.Table().Revision()
+	// A revision that is not committed yet may never come into force.
+	if l.lead == nil || l.lead.committed >= l.lead.tabled {
+		s.Revision = l.st.Table().Revision()
+	}
 	s.Full = l.full
 	if s != *old {
 		l.status.Store(&s)
 	}
+	if s.Revision != old.Revision && l.Revised != nil {
+		l.Revised()
+	}
 }
 
 // note handles one note of the group.
--- a/internal/control/mailbox/mailbox.go
+++ b/internal/control/mailbox/mailbox.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -35,6 +36,7 @@
 	first  uint64
 	queue  []*inner.Reply
 	wake   chan struct{}
+	wakes  uint64
 	closed bool
 	seen   time.Time
 }
@@ -70,6 +72,21 @@
 	}
 }
 
+// Wake makes fetches that wait return, with replies or without.
+func (m *Mailbox) Wake() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.wakes++
+	m.signal()
+}
+
+// Wakes counts the calls of Wake, for PullOrWake.
+func (m *Mailbox) Wakes() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.wakes
+}
+
 // Idle returns how long nobody fetched.
 func (m *Mailbox) Idle() time.Duration {
 	m.mu.Lock()
@@ -89,9 +106,14 @@
 // first reply until ctx ends. Replies stay until acknowledged, so a lost answer
 // to Pull loses none of them. An ack of another epoch counts for nothing.
 func (m *Mailbox) Pull(ctx context.Context, epoch, ack uint64) Batch {
+	return m.PullOrWake(ctx, epoch, ack, math.MaxUint64)
+}
+
+// PullOrWake is Pull, but waits only until there were more than wakes calls of Wake.
+func (m *Mailbox) PullOrWake(ctx context.Context, epoch, ack, wakes uint64) Batch {
 	for {
 		b, wake := m.take(epoch, ack)
-		if b.Closed || len(b.Replies) > 0 {
+		if b.Closed || len(b.Replies) > 0 || m.Wakes() > wakes {
 			return b
 		}
 		select {
--- a/internal/control/node/node.go
+++ b/internal/control/node/node.go
@@ -205,7 +205,7 @@
 		founder.Know(ids(saved.Snapshot.Members, self))
 	}
 	n.configure(self, g)
-	n.Control.Deposed = service.CloseAll
+	n.Control.Deposed, n.Control.Revised = service.CloseAll, service.WakeAll
 	run("group", func() error { return g.Run(running) })
 	run("control", func() error { return n.Control.Run(running) })
 	select {
