--- a/internal/control/node/node.go
+++ b/internal/control/node/node.go
@@ -216,7 +216,7 @@
 	} else {
 		founder.Know(ids(saved.Snapshot.Members, self))
 	}
-	n.Control.Deposed = service.CloseAll
+	n.Control.Deposed, n.Control.Revised = service.CloseAll, service.WakeAll
 	run("group", func() error { return g.Run(running) })
 	run("control", func() error { return n.Control.Run(running) })
 	run("watch", func() error { return n.watch(running) })
