--- a/internal/client/link/link.go
+++ b/internal/client/link/link.go
@@ -88,8 +88,14 @@
 // would not change, or ctx ends. Status picks the reply's status.
 func Call[Req, Res any](ctx context.Context, l *Link, m Method[Req, Res], msg *Req, status func(*Res) *v1.Status) (*Res, error) {
 	pause := Pause()
+	var cause error
 	for {
 		res, err := Once(ctx, l, m, msg)
+		if err != nil && ctx.Err() != nil && cause != nil {
+			// The time ran out in the middle of a try: that says nothing, and
+			// would hide why the tries before it failed.
+			return nil, cause
+		}
 		var retry time.Duration
 		if err == nil {
 			s := status(res)
@@ -103,6 +109,7 @@
 		if refusal := Refusal(err); !Again(refusal.Code) {
 			return nil, err
 		}
+		cause = err
 		if !Sleep(ctx, max(retry, pause.NextBackOff())) {
 			return nil, err
 		}
