Take back what a draining server was given and does not hold

The attempt is halted instead, also for a task that may not be repeated, since the server says that nothing started. With it: a parked wait is not answered once its key is withdrawn; a poll takes at most a third of a lease; and a decision that the ledger refuses is not logged, and the planner is told how things are, instead of deciding the same at every turn.

--- a/internal/control/leader/ask.go
+++ b/internal/control/leader/ask.go
@@ -170,6 +170,7 @@
 // waiter is a Wait that is parked until the job ends.
 type waiter struct {
 	to    Ticket
+	key   string
 	chunk uint32
 	done  bool
 }
@@ -185,7 +186,7 @@
 		l.answer(to, j, req.GetChunk())
 		return
 	}
-	w := &waiter{to: to, chunk: req.GetChunk()}
+	w := &waiter{to: to, key: k.ID, chunk: req.GetChunk()}
 	l.lead.waits[id] = append(l.lead.waits[id], w)
 	l.at(l.until(to, req.GetPatience()), func() { l.tired(id, w) })
 }
@@ -202,7 +203,10 @@
 // until returns when a long poll ends: after the patience asked for, the bound
 // on patience, or the caller's own deadline, whichever is first.
 func (l *Leader) until(to Ticket, patience uint64) time.Duration {
-	d := time.Duration(min(patience, uint64(l.Patience/time.Millisecond))) * time.Millisecond
+	// A server renews its lease once a poll: polls as long as the lease would
+	// let it run out between two of them.
+	longest := min(l.Patience, l.Terms.Length/pollsPerLease)
+	d := time.Duration(min(patience, uint64(longest/time.Millisecond))) * time.Millisecond
 	end := to.Received + d
 	if to.Until > 0 {
 		end = min(end, to.Until)
@@ -227,19 +231,29 @@
 		delete(l.lead.waits, id)
 	}
 	if j, ok := l.st.Find(id); ok {
-		l.answer(w.to, j, w.chunk)
+		l.tell(w, j)
 		return
 	}
 	l.refuse(w.to, code.New(code.Unknown, "%s", id.ID))
 }
 
+// tell answers a parked wait. Its key may have been withdrawn meanwhile: what
+// is asked with a key must not be answered after its end.
+func (l *Leader) tell(w *waiter, j *state.Job) {
+	if k, ok := l.st.Key(w.key); !ok || k.Withdrawn {
+		l.refuse(w.to, code.New(code.BadKey, ""))
+		return
+	}
+	l.answer(w.to, j, w.chunk)
+}
+
 // wake answers the waits for a job that has ended.
 func (l *Leader) wake(j *state.Job) {
 	id := j.Request()
 	for _, w := range l.lead.waits[id] {
 		if !w.done {
 			w.done = true
-			l.answer(w.to, j, w.chunk)
+			l.tell(w, j)
 		}
 	}
 	delete(l.lead.waits, id)
--- a/internal/control/leader/decide.go
+++ b/internal/control/leader/decide.go
@@ -61,31 +61,78 @@
 	}
 	if r.Code != code.OK {
 		// The ledger refused what the planner decided: the promise held, and
-		// the planner's picture is wrong. It is told the truth again.
+		// the planner's picture is wrong. Told nothing, it would decide the
+		// same again at every turn.
+		l.correct(d)
 		l.Log.Info("decision refused", "verb", d.Verb, "job", d.Job, "code", uint32(r.Code), "detail", r.Detail)
 	}
 }
 
+// correct tells the planner again how the ledger holds what a refused decision was about.
+func (l *Leader) correct(d plan.Decision) {
+	for _, p := range d.Places {
+		if b, ok := l.st.Server(p.Server); ok {
+			watch{l}.Server(b)
+		}
+	}
+	number := d.Job
+	if number == 0 {
+		number = d.Task.Job
+	}
+	j, ok := l.st.Job(number)
+	if !ok {
+		return
+	}
+	l.st.Tasks(j, func(t *state.Task) {
+		l.lead.planner.Unqueue(t.ID)
+		switch {
+		case t.Phase == state.Queued && !j.Final():
+			watch{l}.Queue(j, t)
+		case t.Phase.Holds():
+			l.lead.planner.Hold(heldOf(j, t))
+		}
+	})
+}
+
 func (l *Leader) place(d plan.Decision) state.Result {
 	p := &record.Place{Job: d.Job}
 	for _, s := range d.Places {
 		b, _ := l.st.Server(s.Server)
 		p.Spots = append(p.Spots, &record.Spot{Index: s.Index, Server: s.Server, Incarnation: b.Incarnation})
 	}
-	return l.do(&record.Command{What: &record.Command_Place{Place: p}})
+	return l.resolve(&record.Command{What: &record.Command_Place{Place: p}})
 }
 
 func (l *Leader) halt(id task.ID, save bool) state.Result {
-	return l.do(&record.Command{What: &record.Command_Halt{Halt: &record.Halt{Job: id.Job, Indexes: []uint32{id.Index}, Checkpoint: save}}})
+	return l.resolve(&record.Command{What: &record.Command_Halt{Halt: &record.Halt{Job: id.Job, Indexes: []uint32{id.Index}, Checkpoint: save}}})
+}
+
+// recall takes back what a draining server was given and does not hold. Its
+// order may have been lost with an answer; given again after the mark it would
+// be new work for a server that is leaving. The server notes the stop of what it
+// does not know, and says that nothing was started.
+func (l *Leader) recall(b state.Server, s *session) {
+	if !b.Drain && b.Server.State != backend.Draining {
+		return
+	}
+	var idle []task.ID
+	l.st.Placed(b.ID, func(t *state.Task) {
+		if _, known := s.reports[t.Current()]; t.Phase == state.Placed && t.Incarnation == s.incarnation && !known {
+			idle = append(idle, t.ID)
+		}
+	})
+	for _, id := range idle {
+		l.resolve(&record.Command{What: &record.Command_Halt{Halt: &record.Halt{Job: id.Job, Indexes: []uint32{id.Index}, Idle: true}}})
+	}
 }
 
 func (l *Leader) drop(job uint64, c code.Code) state.Result {
-	return l.do(&record.Command{What: &record.Command_Drop{Drop: &record.Drop{Job: job, Code: uint32(c)}}})
+	return l.resolve(&record.Command{What: &record.Command_Drop{Drop: &record.Drop{Job: job, Code: uint32(c)}}})
 }
 
 func (l *Leader) mark(server string, s backend.State) state.Result {
 	b, _ := l.st.Server(server)
-	return l.do(&record.Command{What: &record.Command_Mark{Mark: &record.Mark{Server: server, Incarnation: b.Incarnation, State: uint32(s)}}})
+	return l.resolve(&record.Command{What: &record.Command_Mark{Mark: &record.Mark{Server: server, Incarnation: b.Incarnation, State: uint32(s)}}})
 }
 
 // watch tells planner, sessions and waiters what a command changed.
--- a/internal/control/leader/lead.go
+++ b/internal/control/leader/lead.go
@@ -177,9 +177,25 @@
 func (l *Leader) do(c *record.Command) state.Result {
 	c.At = int64(l.clock())
 	r := l.st.Apply(c)
+	l.queue(c)
+	return r
+}
+
+// queue puts an applied command at the end of what is to be proposed.
+func (l *Leader) queue(c *record.Command) {
 	l.lead.pending = append(l.lead.pending, command.Encode(c))
 	l.lead.last++
 	l.applied = l.lead.last
+}
+
+// resolve is do for a decision of this replica alone: what the ledger refuses
+// changed nothing and is not worth a place in the log.
+func (l *Leader) resolve(c *record.Command) state.Result {
+	c.At = int64(l.clock())
+	r := l.st.Apply(c)
+	if r.Code == code.OK {
+		l.queue(c)
+	}
 	return r
 }
 
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -34,6 +34,8 @@
 	DefaultRetention = time.Hour
 	// DefaultPatience bounds every long poll.
 	DefaultPatience = 2 * time.Second
+	// pollsPerLease is the least number of polls in a lease.
+	pollsPerLease = 3
 	// DefaultSnapshot is the number of commands between snapshots.
 	DefaultSnapshot = 20_000
 	// DefaultFresh is the greatest age of the last confirmed heartbeat round at
--- a/internal/control/leader/leader_test.go
+++ b/internal/control/leader/leader_test.go
@@ -324,3 +324,39 @@
 		}
 	})
 }
+
+// A server is drained while the order for a task, lost with its answer, is due
+// to be given again. To the server that would be new work after the mark: the
+// task is taken back, also one that may not be repeated, and runs elsewhere.
+func TestADrainingServerIsNotGivenALostOrderAgain(t *testing.T) {
+	run(t, func(c *cell) {
+		s := c.announce("b1", 8000)
+		once := spec("stock")
+		once.Once = true
+		c.accepted(once)
+		lost := starts(s.sync())
+		c.change("drain", &v1.ChangeRequest{Change: &v1.ChangeRequest_Mark{Mark: &v1.ServerMark{Server: "b1", Drain: true}}})
+		r := s.sync()
+		if len(r.GetOrders()) != 1 || r.GetOrders()[0].GetVerb() != v1.Verb_VERB_STOP {
+			t.Fatalf("orders %v", r.GetOrders())
+		}
+		other := c.announce("b2", 8000)
+		s.sync(&v1.Report{Attempt: lost[0], Phase: v1.Phase_PHASE_STOPPED})
+		if got := starts(other.sync()); len(got) != 1 || got[0].GetNumber() != 2 {
+			t.Errorf("elsewhere: %v", got)
+		}
+	})
+}
+
+// A caller waits on a long poll when its key is withdrawn, and the job ends a
+// moment later: the answer is not for that key any more.
+func TestAParkedWaitIsNotAnsweredAfterItsKeysEnd(t *testing.T) {
+	run(t, func(c *cell) {
+		c.announce("b1", 8000)
+		c.accepted(spec("plan"))
+		w := c.wait("plan")
+		c.change("out", &v1.ChangeRequest{Change: &v1.ChangeRequest_Withdraw{Withdraw: &v1.KeyWithdraw{Id: "rail1"}}})
+		time.Sleep(1100 * time.Millisecond)
+		wantCode(t, code.BadKey, c.must(w).GetStatus())
+	})
+}
--- a/internal/control/leader/session.go
+++ b/internal/control/leader/session.go
@@ -180,6 +180,7 @@
 		if !ok || s == nil || s.parked == nil || s.incarnation != b.Incarnation {
 			continue
 		}
+		l.recall(b, s)
 		orders := l.orders(b, s, now)
 		if len(orders) == 0 && now < s.started {
 			continue
--- a/internal/ledger/state/attempt.go
+++ b/internal/ledger/state/attempt.go
@@ -219,7 +219,7 @@
 	if !ok {
 		return refused(code.Unknown, "job")
 	}
-	if j.Spec.Once && !j.Cancelled {
+	if j.Spec.Once && !j.Cancelled && !h.GetIdle() {
 		return refused(code.InUse, "may not be repeated")
 	}
 	indexes := h.GetIndexes()
