--- a/internal/replica/quorum/guard_test.go
+++ b/internal/replica/quorum/guard_test.go
@@ -107,6 +107,8 @@
 	before, _ := l.core.Leads()
 	s.cut[[2]string{l.name, s.other().name}] = true
 	s.run(20 * time.Second)
+	clear(s.cut)
+	s.run(2 * time.Second)
 	after, leads := l.core.Leads()
 	if after != before || !leads {
 		t.Errorf("term %d became %d, still leading: %v", before, after, leads)
@@ -202,3 +204,94 @@
 		}
 	}
 }
+
+// A leader dies while a follower writes its last entries, and the next one
+// replaces them before the write is synced.
+// The write must go on as it is, and its sync must not count for the entries
+// that came in their place: they would be committed and on no disk.
+func TestEntriesReplacedDuringTheirWrite(t *testing.T) {
+	members := []quorum.Member{{ID: "a/0", Address: "a"}, {ID: "b/0", Address: "b"}, {ID: "c/0", Address: "c"}}
+	first := quorum.Entry{Index: 1, Term: 1, Kind: quorum.Change, Data: quorum.EncodeMembers(members)}
+	c := quorum.New(quorum.Config{ID: "c/0", Seed: 1}, quorum.Saved{Hard: quorum.Hard{Term: 1}, Entries: []quorum.Entry{first}})
+	appendFrom := func(from string, term uint64, last uint64) quorum.Effects {
+		m := quorum.Message{Kind: quorum.Append, From: from, To: "c/0", Term: term, Index: 1, LogTerm: 1}
+		for i := uint64(2); i <= last; i++ {
+			m.Entries = append(m.Entries, quorum.Entry{Index: i, Term: term, Kind: quorum.Command})
+		}
+		return c.Step(time.Second, quorum.Receive{Message: m})
+	}
+	w := appendFrom("a/0", 1, 3).Write
+	appendFrom("b/0", 2, 2)
+	for _, e := range w.Entries {
+		if e.Term != 1 {
+			t.Errorf("entry %d of the write under way is of term %d now", e.Index, e.Term)
+		}
+	}
+	for _, o := range c.Step(time.Second, quorum.Synced{Seq: w.Seq}).Out {
+		if o.Message.Kind == quorum.AppendReply && o.Message.Index > 1 {
+			t.Errorf("acknowledges entry %d, which is not synced", o.Message.Index)
+		}
+	}
+}
+
+// A replica takes a snapshot over a log that differs, and its process dies.
+// Had the journal forgotten the entry at the snapshot's index before it was cut,
+// the stale entries behind it would look like the ones that go on from it.
+func TestJournalForgetsAfterTheAnchor(t *testing.T) {
+	members := []quorum.Member{{ID: "a/0", Address: "a"}, {ID: "b/0", Address: "b"}, {ID: "c/0", Address: "c"}}
+	saved := quorum.Saved{Hard: quorum.Hard{Term: 1}}
+	for i := range uint64(4) {
+		saved.Entries = append(saved.Entries, quorum.Entry{Index: i + 1, Term: 1, Kind: quorum.Empty})
+	}
+	c := quorum.New(quorum.Config{ID: "c/0", Seed: 1}, saved)
+	state := quorum.Snapshot{State: []byte("x")}
+	fx := c.Step(time.Second, quorum.Receive{Message: quorum.Message{
+		Kind: quorum.Chunk, From: "b/0", To: "c/0", Term: 2, Index: 3, LogTerm: 2,
+		Total: 1, Sum: state.Sum(), Data: state.State, Members: members,
+	}})
+	c.Step(time.Second, quorum.Synced{Seq: fx.Write.Seq})
+	fx = c.Step(time.Second, quorum.SnapshotSaved{Index: 3})
+	if fx.Write == nil || fx.Drop != 0 {
+		t.Fatalf("writes %v, lets the journal forget up to %d", fx.Write, fx.Drop)
+	}
+	if fx = c.Step(time.Second, quorum.Synced{Seq: fx.Write.Seq}); fx.Drop != 3 {
+		t.Errorf("after the anchor is synced the journal forgets up to %d", fx.Drop)
+	}
+}
+
+// A learner is promoted, and the leader dies before the learner hears of it.
+// The other voter has the promotion in its log and needs the learner's vote.
+func TestLearnerVotes(t *testing.T) {
+	members := []quorum.Member{{ID: "a/0"}, {ID: "b/0", Address: "b"}, {ID: "c/0", Learner: true}}
+	c := quorum.New(quorum.Config{ID: "c/0", Seed: 1}, quorum.Saved{
+		Hard:    quorum.Hard{Term: 1},
+		Entries: []quorum.Entry{{Index: 1, Term: 1, Kind: quorum.Change, Data: quorum.EncodeMembers(members)}},
+	})
+	m := quorum.Message{Kind: quorum.Vote, From: "b/0", To: "c/0", Term: 2, Index: 2, LogTerm: 1}
+	fx := c.Step(time.Second, quorum.Receive{Message: m})
+	fx = c.Step(time.Second, quorum.Synced{Seq: fx.Write.Seq})
+	want := []quorum.Outgoing{{Address: "b", Message: quorum.Message{
+		Kind: quorum.VoteReply, From: "c/0", To: "b/0", Term: 2,
+	}}}
+	if d := cmp.Diff(want, fx.Out); d != "" {
+		t.Error(d)
+	}
+}
+
+// A leader with a slow disk commits by the syncs of the others, and takes a
+// snapshot that is ahead of its own journal. The entries before it would be
+// forgotten before they are written, and the journal would have a gap.
+func TestSnapshotWaitsForTheJournal(t *testing.T) {
+	c := elected(t)
+	c.Step(2*time.Second, answer(quorum.AppendReply, "b/0", 3, 0))
+	c.Step(2*time.Second, answer(quorum.AppendReply, "c/0", 3, 0))
+	if s := c.Status(); s.Commit != 3 {
+		t.Fatalf("commit %d", s.Commit)
+	}
+	if fx := c.Step(2*time.Second, quorum.Compact{Index: 3}); fx.Save != nil {
+		t.Error("saves a snapshot ahead of the journal")
+	}
+	if fx := c.Step(2*time.Second, quorum.Synced{Seq: 2}); fx.Save == nil {
+		t.Error("does not save it after the sync")
+	}
+}
--- a/internal/replica/quorum/progress.go
+++ b/internal/replica/quorum/progress.go
@@ -183,7 +183,8 @@
 		p.matched(m.Index)
 		return
 	}
-	// An old rejection must not undo what was acknowledged since.
+	// A rejection of what was acknowledged is an old one; answered by a probe, it
+	// would only bring the next.
 	if m.Index <= p.match || p.state == installing || p.state == probing && m.Index != p.next-1 {
 		return
 	}
