--- a/internal/replica/quorum/core.go
+++ b/internal/replica/quorum/core.go
@@ -92,8 +92,8 @@
 	for _, e := range tail(saved) {
 		c.append(e)
 	}
-	// Entries are written after the hard state of their term, so this only
-	// matters for a journal that lost its hard state; then no vote is given twice.
+	// A snapshot may be saved before the term that it came with is synced. No vote
+	// of that term has left then, and none of an earlier one may any more.
 	if c.log.lastTerm() > c.hard.Term {
 		c.hard = Hard{Term: c.log.lastTerm()}
 	}
--- a/internal/replica/quorum/guard_test.go
+++ b/internal/replica/quorum/guard_test.go
@@ -1,6 +1,7 @@
 package quorum_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -134,6 +135,7 @@
 	if k := lastKind(c); k != quorum.Empty {
 		t.Errorf("removing b with c silent became an entry of kind %d", k)
 	}
+	c.Step(2*time.Second, answer(quorum.HeartbeatReply, "c/0", 0, 1))
 	c.Step(2*time.Second, quorum.Alter{Term: 4, First: 5, Member: quorum.Member{ID: "a/0"}, Remove: true})
 	if k := lastKind(c); k != quorum.Empty {
 		t.Errorf("the leader's own removal became an entry of kind %d", k)
@@ -295,3 +297,32 @@
 		t.Error("does not save it after the sync")
 	}
 }
+
+// A new replica saves a snapshot and dies before its term is on the disk.
+// It must not go back to a term before that of its log.
+func TestTermOfTheSnapshot(t *testing.T) {
+	members := []quorum.Member{{ID: "a/0"}, {ID: "b/0"}, {ID: "c/0"}}
+	c := quorum.New(quorum.Config{ID: "c/0", Seed: 1}, quorum.Saved{
+		Snapshot: quorum.Snapshot{Index: 9, Term: 5, Members: members},
+	})
+	if s := c.Status(); s.Term != 5 {
+		t.Errorf("starts in term %d", s.Term)
+	}
+}
+
+// A leader is stopped as planned while entries are on the way to its heir.
+// Elected without them the heir would lose against the others' logs, and nobody
+// would lead until the next timeout; it is asked to stand when it has them.
+func TestHeirHasTheWholeLog(t *testing.T) {
+	c := lead(t)
+	c.Step(2*time.Second, quorum.Propose{Term: 4, First: 4, Commands: [][]byte{[]byte("x")}})
+	asked := func(fx quorum.Effects) bool {
+		return slices.ContainsFunc(fx.Out, func(o quorum.Outgoing) bool { return o.Message.Kind == quorum.TimeoutNow })
+	}
+	if asked(c.Step(2*time.Second, quorum.Transfer{})) {
+		t.Error("asked before it has the log")
+	}
+	if !asked(c.Step(2*time.Second, reply(quorum.AppendReply, 4, 4))) {
+		t.Error("not asked when it has the log")
+	}
+}
