--- a/internal/cli/control/control.go
+++ b/internal/cli/control/control.go
@@ -39,6 +39,7 @@
 func (c *command) Run(ctx context.Context, env verb.Env, _ []string) error {
 	s, err := settings.Load(c.Settings)
 	if err != nil {
+		event.Fail(event.New(env.Err, settings.DefaultLog), event.SettingsBad, err, "file", c.Settings)
 		return &verb.Error{Exit: verb.Usage, Text: err.Error()}
 	}
 	if s.Role != settings.Control {
@@ -46,12 +47,15 @@
 	}
 	n, err := build(s)
 	if err != nil {
+		event.Fail(event.New(env.Err, s.Log), event.ListenFailed, err)
 		return err
 	}
 	n.Init, n.Log, n.Abort = c.Init, event.New(env.Err, s.Log), verb.Again(ctx)
 	if err := protect(context.WithoutCancel(ctx), s, n); err != nil {
 		return err
 	}
+	event.Log(n.Log, event.Started, "role", s.Role, "process", s.Name, "cell", s.Cell, "zone", s.Zone)
+	defer event.Log(n.Log, event.Stopped, "process", s.Name)
 	signal := &dump.Signal{Dir: s.Data, Name: s.Name, State: n.State, Max: int(s.Limits.Dump), Log: n.Log}
 	go func() { _ = signal.Run(ctx) }()
 	return n.Run(ctx)
@@ -89,6 +93,7 @@
 	n := &node.Node{
 		Cell: s.Cell, Name: s.Name, Data: s.Data, Listener: l, Platform: probes,
 		Heartbeat: s.Time.Heartbeat, Election: s.Time.Election, Control: leader.New(),
+		MaxDump: int(s.Limits.Dump),
 	}
 	for _, p := range s.Control {
 		n.Replicas = append(n.Replicas, quorum.Member{ID: p.Name, Address: p.Address})
--- a/internal/cli/entry/entry.go
+++ b/internal/cli/entry/entry.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/hex"
 	"net"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -34,6 +35,7 @@
 func (c *command) Run(ctx context.Context, env verb.Env, _ []string) error {
 	s, err := settings.Load(c.Settings)
 	if err != nil {
+		event.Fail(event.New(env.Err, settings.DefaultLog), event.SettingsBad, err, "file", c.Settings)
 		return &verb.Error{Exit: verb.Usage, Text: err.Error()}
 	}
 	if s.Role != settings.Entry {
@@ -41,12 +43,17 @@
 	}
 	e, err := build(s)
 	if err != nil {
+		event.Fail(event.New(env.Err, s.Log), event.ListenFailed, err)
 		return err
 	}
 	e.Log, e.Abort = event.New(env.Err, s.Log), verb.Again(ctx)
 	if err := protect(context.WithoutCancel(ctx), s, e); err != nil {
 		return err
 	}
+	pool := e.Pool()
+	pool.Timeout, pool.Freshness, pool.Batch = s.Time.Call, s.Time.Fresh, int(s.Limits.Batch)
+	event.Log(e.Log, event.Started, "role", s.Role, "process", s.Name, "cell", s.Cell, "zone", s.Zone)
+	defer event.Log(e.Log, event.Stopped, "process", s.Name)
 	signal := &dump.Signal{Name: s.Name, State: e.Dump, Max: int(s.Limits.Dump), Log: e.Log}
 	go func() { _ = signal.Run(ctx) }()
 	return e.Run(ctx)
@@ -73,7 +80,12 @@
 
 // build makes the daemon from its settings.
 func build(s *settings.Settings) (*entry.Entry, error) {
-	e := &entry.Entry{Cell: s.Cell, Name: s.Name, Linger: s.Time.Drain, Drain: s.Time.Finish}
+	e := &entry.Entry{
+		Cell: s.Cell, Name: s.Name, Drain: s.Time.Finish,
+		// Zero would stand for the entry's own default.
+		Linger:      max(s.Time.Drain, time.Nanosecond),
+		Connections: int(s.Limits.Connections), Limit: int(s.Limits.Queue),
+	}
 	for _, l := range []struct {
 		setting string
 		address string
--- a/internal/edge/control/link.go
+++ b/internal/edge/control/link.go
@@ -48,6 +48,10 @@
 	// failures counts the calls in a row that failed, pushes and pulls apart: a
 	// Pull that never comes back must not hide behind pushes that do.
 	failures [2]atomic.Int32
+	// repoll ends the Pull under way, so that it is made again over a fresh connection.
+	repoll atomic.Pointer[context.CancelFunc]
+	// hurried is true when a Pull was ended so.
+	hurried atomic.Bool
 }
 
 // The kinds of call, for the count of failures.
@@ -79,69 +83,6 @@
 
 func (l *link) close() { l.wire.CloseIdleConnections() }
 
-// find asks all replicas at once, with an empty Push, whether they lead. Asking
-// everybody is safe, and a silent replica then costs no time.
-func (p *Pool) find(ctx context.Context) (*link, error) {
-	ctx, cancel := context.WithTimeout(ctx, p.Timeout)
-	defer cancel()
-	type answer struct {
-		link  *link
-		hint  Replica
-		leads bool
-	}
-	answers := make(chan answer)
-	var wg sync.WaitGroup
-	defer wg.Wait()
-	defer cancel()
-	asked := map[string]bool{}
-	ask := func(r Replica) {
-		asked[r.Address] = true
-		l := p.link(r)
-		wg.Go(func() {
-			hint, leads := l.probe(ctx)
-			select {
-			case answers <- answer{l, hint, leads}:
-			case <-ctx.Done():
-				l.close()
-			}
-		})
-	}
-	for _, r := range p.Replicas {
-		ask(r)
-	}
-	for open := len(asked); open > 0; open-- {
-		var a answer
-		select {
-		case a = <-answers:
-		case <-ctx.Done():
-			return nil, errNoLeader
-		}
-		if a.leads {
-			return a.link, nil
-		}
-		a.link.close()
-		if a.hint.Address != "" && !asked[a.hint.Address] {
-			ask(a.hint)
-			open++
-		}
-	}
-	return nil, errNoLeader
-}
-
-// probe tells whether the replica leads, or which one it names.
-func (l *link) probe(ctx context.Context) (hint Replica, leads bool) {
-	sent := time.Now()
-	reply, err := l.client.Push(ctx, l.push(nil))
-	if err != nil {
-		return Replica{}, false
-	}
-	if to := reply.GetRedirect(); to != nil {
-		return Replica{Name: to.GetLeader(), Address: to.GetAddress()}, false
-	}
-	l.pool.confirm(sent)
-	return Replica{}, true
-}
-
 func (l *link) push(items []*inner.Item) *inner.PushRequest {
 	return &inner.PushRequest{Cell: l.pool.Cell, Entry: l.pool.Name, Session: l.session, Items: items}
 }
@@ -218,6 +159,7 @@
 			if neverSent(err) {
 				l.pool.book.conceal(fresh)
 			}
+			l.hurry()
 			if l.failed(ctx, pushing, fail) {
 				return
 			}
@@ -235,6 +177,16 @@
 	}
 }
 
+// hurry ends the Pull under way after a Push that got no answer: whatever
+// forgot that connection has likely forgotten this one too, and a Pull shows
+// its silence only at the end of its patience.
+func (l *link) hurry() {
+	if cancel := l.repoll.Load(); cancel != nil {
+		l.hurried.Store(true)
+		(*cancel)()
+	}
+}
+
 // neverSent tells whether the call ended before it had a connection to write to.
 func neverSent(err error) bool {
 	var op *net.OpError
@@ -280,6 +232,9 @@
 		sent := time.Now()
 		reply, err := l.poll(ctx, at)
 		if err != nil {
+			if l.hurried.Swap(false) {
+				continue
+			}
 			if l.failed(ctx, pulling, fail) || !l.alive(ctx, fail) {
 				return
 			}
@@ -307,6 +262,7 @@
 func (l *link) poll(ctx context.Context, at mark) (*inner.PullReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, l.pool.Patience+l.pool.Timeout)
 	defer cancel()
+	l.repoll.Store(&cancel)
 	return l.client.Pull(ctx, &inner.PullRequest{
 		Cell: l.pool.Cell, Entry: l.pool.Name, Session: l.session,
 		Epoch: at.epoch, Ack: at.ack, Revision: l.pool.Revision(), Patience: uint64(l.pool.Patience.Milliseconds()),
--- a/internal/policy/bench/meter.go
+++ b/internal/policy/bench/meter.go
@@ -15,6 +15,8 @@
 type Meter struct {
 	// From is when measuring begins.
 	From time.Duration
+	// Fault is when something went wrong.
+	Fault time.Duration
 
 	w       *World
 	waits   [job.Service + 1][]time.Duration
@@ -33,6 +35,9 @@
 	reasons map[string]float64
 	alone   map[uint64]time.Duration
 	slow    []float64
+	// racks and zones hold 1 for each gang that started in one of them, else 0.
+	racks, zones []float64
+	after, again []time.Duration
 }
 
 func newMeter(w *World) *Meter {
@@ -53,7 +58,26 @@
 	return out
 }
 
-func (m *Meter) decided(d plan.Decision) { m.verbs[d.Verb]++ }
+func (m *Meter) decided(d plan.Decision) {
+	m.verbs[d.Verb]++
+	if d.Verb == plan.Place && m.on() && m.w.jobs[d.Job][0].spec.Whole() {
+		racks, zones := map[string]bool{}, map[string]bool{}
+		for _, l := range d.Places {
+			s := m.w.servers[l.Server]
+			racks[s.Zone+s.Rack], zones[s.Zone] = true, true
+		}
+		m.racks = append(m.racks, one(len(racks)))
+		m.zones = append(m.zones, one(len(zones)))
+	}
+}
+
+// one is 1 if n is 1.
+func one(n int) float64 {
+	if n == 1 {
+		return 1
+	}
+	return 0
+}
 
 // submitted notes when a gang could start at the soonest if nothing else waited.
 func (m *Meter) submitted(id uint64) {
@@ -67,6 +91,13 @@
 		return
 	}
 	wait := m.w.now - r.waits
+	if m.Fault > 0 && r.spec.Kind == job.Urgent {
+		if r.attempts > 0 {
+			m.again = append(m.again, wait)
+		} else if r.accepted >= m.Fault && r.accepted < m.Fault+30*time.Second {
+			m.after = append(m.after, wait)
+		}
+	}
 	m.waits[r.spec.Kind] = append(m.waits[r.spec.Kind], wait)
 	if alone, ok := m.alone[r.id.Job]; ok && r.id.Index == 0 && r.attempts == 0 {
 		m.slow = append(m.slow, wait.Seconds()/max(1, alone.Seconds()))
@@ -164,6 +195,14 @@
 	return sum / float64(max(1, len(x)))
 }
 
+func average(x []time.Duration) time.Duration {
+	sum := time.Duration(0)
+	for _, d := range x {
+		sum += d
+	}
+	return sum / time.Duration(max(1, len(x)))
+}
+
 func quantile[T time.Duration | float64](x []T, q float64) T {
 	if len(x) == 0 {
 		return 0
--- a/internal/policy/cell/cell.go
+++ b/internal/policy/cell/cell.go
@@ -31,9 +31,8 @@
 	DefaultRebalance = 100 * time.Millisecond
 	// DefaultGrace is the time a throttled task is given to fall back to its size.
 	DefaultGrace = 10 * time.Second
-	// DefaultPatience is how far past its expected start a reservation waits
-	// before it preempts.
-	DefaultPatience = 5 * time.Second
+	// DefaultPatience is how long a gang gathers room before it preempts.
+	DefaultPatience = time.Second
 )
 
 // Part names a mechanism that a comparison can leave out.
@@ -51,14 +50,14 @@
 	Estimates
 	// Reservation holds room together for gangs.
 	Reservation
-	// Backfill uses reserved room for what ends in time.
-	Backfill
 	// Quarantine takes failing servers out of use.
 	Quarantine
 	// BestFit prefers the tightest server to any.
 	BestFit
 	// Racks keeps gangs together.
 	Racks
+	// GangLead lets gangs go before their team's batch.
+	GangLead
 	// Shortest orders a team's work by expected run time as well as by age.
 	Shortest
 )
--- a/internal/policy/cell/service.go
+++ b/internal/policy/cell/service.go
@@ -15,10 +15,20 @@
 		return
 	}
 	p.displaced = slices.DeleteFunc(p.displaced, func(u *unit) bool {
-		if u.where != inQueue || u.claim != nil || len(u.tasks) == 0 {
+		if u.where != inQueue || len(u.tasks) == 0 {
 			return true
 		}
-		return !p.full() && p.within(u.work.crew, u.size()) && p.placeService(u)
+		if u.claim != nil {
+			return false
+		}
+		if p.full() || !p.allowed(u) {
+			return false
+		}
+		if p.placeService(u) {
+			return true
+		}
+		p.clear(u)
+		return false
 	})
 }
 
@@ -98,10 +108,11 @@
 	return w.running()-1 >= floor
 }
 
-// move lists the services of a server that is leaving.
+// move lists the services of a server that is leaving; tasks that may run only
+// once stay until they end.
 func (p *Planner) move(s *server) {
 	for _, h := range s.tasks {
-		if h.Job.Kind == job.Service {
+		if h.Job.Kind == job.Service && !h.Job.Once {
 			p.moving = append(p.moving, h)
 		}
 	}
