Speak HTTP/2 between replicas with TLS, and close silent connections for good

A call that is given up ends only its stream in HTTP/2, so a failed call closes the connection itself.

--- a/internal/replica/peer/identity_test.go
+++ b/internal/replica/peer/identity_test.go
@@ -10,6 +10,7 @@
 	"io"
 	"log"
 	"math/big"
+	"net"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -74,6 +75,7 @@
 	b.TLS = cfg
 	server := httptest.NewUnstartedServer(b.Handler())
 	server.TLS = cfg.Clone()
+	server.EnableHTTP2 = true
 	server.Config.ErrorLog = log.New(io.Discard, "", 0)
 	server.StartTLS()
 	return server
@@ -93,6 +95,42 @@
 	}
 }
 
+// The same silence as in TestSilentConnection, with TLS: a call that is given up
+// ends a stream of HTTP/2 only, and the next one would be lost as well.
+func TestSilentSecureConnection(t *testing.T) {
+	ca := newAuthority(t)
+	a, _, events := pool("a/1")
+	a.TLS = ca.config(t, "a")
+	defer a.Close()
+	b, got, _ := pool("b/1")
+	server := secure(b, ca.config(t, "b"))
+	defer server.Close()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &relay{Listener: listener, to: address(server)}
+	go r.run()
+	defer r.end()
+	send := func(data string) { a.Send("b/1", listener.Addr().String(), [][]byte{[]byte(data)}) }
+	for range 3 {
+		send("before")
+		next(t, got)
+		r.mute()
+		send("lost or late")
+		if e := next(t, events); e.Kind != peer.Failed {
+			t.Fatal(e)
+		}
+		send("after")
+		for next(t, got).Data != "after" {
+			continue
+		}
+		if e := next(t, events); e.Kind != peer.Recovered {
+			t.Fatal(e)
+		}
+	}
+}
+
 // A replica with a sound certificate of its own pretends to be another: its vote
 // would count twice. Or it has a certificate of another authority, or reaches a
 // server that is not the replica that it means. Nothing may be delivered.
--- a/internal/replica/peer/link.go
+++ b/internal/replica/peer/link.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -90,8 +88,8 @@
 		InitialInterval: firstWait, MaxInterval: lastWait, RandomizationFactor: backoff.DefaultRandomizationFactor,
 		Multiplier: backoff.DefaultMultiplier,
 	}
-	client, transport := l.dial()
-	defer func() { transport.CloseIdleConnections() }()
+	w := l.dial()
+	defer func() { w.close() }()
 	failing := false
 	for {
 		batch := l.batch()
@@ -101,7 +99,7 @@
 			}
 			continue
 		}
-		err := l.call(client, batch)
+		err := l.call(w, batch)
 		if l.ctx.Err() != nil {
 			return
 		}
@@ -120,8 +118,8 @@
 		// A connection that something between the two ends has lost track of stays
 		// open and silent for good, while new ones work. So no connection outlives
 		// a failed call.
-		transport.CloseIdleConnections()
-		client, transport = l.dial()
+		w.close()
+		w = l.dial()
 		select {
 		case <-time.After(wait.NextBackOff()):
 		case <-l.ctx.Done():
@@ -147,28 +145,10 @@
 	}
 }
 
-// call sends one batch. When the time is up the request is cancelled, which
-// closes its connection.
+// call sends one batch, within a bounded time.
 func (l *link) call(client inner.Replica, batch []*inner.Envelope) error {
 	ctx, cancel := context.WithTimeout(l.ctx, l.pool.timeout())
 	defer cancel()
 	_, err := client.Deliver(ctx, &inner.DeliverRequest{Cell: l.pool.Cell, From: l.pool.Self, To: l.to, Envelopes: batch})
 	return err
 }
-
-// dial returns a client with a connection of its own, made at the first call.
-func (l *link) dial() (inner.Replica, *http.Transport) {
-	t := &http.Transport{
-		DialContext:        (&net.Dialer{Timeout: l.pool.timeout()}).DialContext,
-		MaxConnsPerHost:    1,
-		DisableCompression: true,
-		IdleConnTimeout:    IdleTimeout,
-	}
-	scheme := "http://"
-	if l.pool.TLS != nil {
-		scheme = "https://"
-		t.TLSClientConfig = l.pool.TLS.Clone()
-		t.TLSClientConfig.ServerName = name(l.to)
-	}
-	return inner.NewReplicaProtobufClient(scheme+l.address, &http.Client{Transport: t}), t
-}
--- a/internal/replica/peer/peer_test.go
+++ b/internal/replica/peer/peer_test.go
@@ -82,6 +82,7 @@
 	to    string
 	mu    sync.Mutex
 	conns []net.Conn
+	mutes []*atomic.Bool
 }
 
 func (r *relay) run() {
@@ -95,10 +96,10 @@
 			_ = in.Close()
 			continue
 		}
+		silent := new(atomic.Bool)
 		r.mu.Lock()
-		r.conns = append(r.conns, in, out)
+		r.conns, r.mutes = append(r.conns, in, out), append(r.mutes, silent)
 		r.mu.Unlock()
-		silent := new(atomic.Bool)
 		go pass(in, out, silent)
 		go pass(out, in, silent)
 	}
@@ -121,6 +122,15 @@
 	}
 }
 
+// mute turns all connections silent that are open.
+func (r *relay) mute() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, silent := range r.mutes {
+		silent.Store(true)
+	}
+}
+
 func (r *relay) end() {
 	_ = r.Close()
 	r.mu.Lock()
