Bound a mailbox and the orders of one answer in bytes

A mailbox held up to 131072 replies for an entry that stands still, each with up to 128 KiB of an answer; 64 MiB are kept now, and the entry asks again for the rest. A server that was given many tasks in one turn got all their inputs in one answer, 1 MiB each; one answer now carries about 4 MiB and the next ones the rest. The test fails without the bound (20 MiB in one answer).

--- a/internal/control/entry/entry.go
+++ b/internal/control/entry/entry.go
@@ -70,6 +70,7 @@
 	if s.Leader.Push(leader.Batch{Box: box, Received: s.Now(), Items: req.GetItems()}) {
 		return &inner.PushReply{}, nil
 	}
+	s.limit.Log(s.Log, event.Overload, "entry", req.GetEntry(), "items", len(req.GetItems()))
 	rep := &inner.PushReply{}
 	for _, it := range req.GetItems() {
 		rep.Refused = append(rep.Refused, it.GetSeq())
--- a/internal/control/leader/notice_test.go
+++ b/internal/control/leader/notice_test.go
@@ -176,3 +176,32 @@
 		}
 	})
 }
+
+// A server with room gets many tasks with large inputs in one turn. One answer
+// with all of them is larger than a connection carries in time, and is sent
+// again and again. The orders are spread over several answers instead.
+func TestOrdersAreSpreadOverAnswers(t *testing.T) {
+	run(t, func(c *cell) {
+		const count = 20
+		b := c.announce("b1", 4000)
+		c.accepted(&v1.Spec{Id: "wide", Kind: v1.Kind_KIND_BATCH, Count: count, Size: &v1.Size{Cpu: 10}, Input: make([]byte, 1<<20)})
+		started := map[uint32]bool{}
+		var reports []*v1.Report
+		for range 10 {
+			as := starts(b.sync(reports...))
+			if len(as) > 4 {
+				t.Errorf("%d MiB in one answer", len(as))
+			}
+			for _, a := range as {
+				if started[a.GetTask()] {
+					t.Errorf("task %d is ordered twice", a.GetTask())
+				}
+				started[a.GetTask()] = true
+				reports = append(reports, report(a, v1.Phase_PHASE_RUNNING))
+			}
+		}
+		if len(started) != count {
+			t.Errorf("%d tasks were ordered", len(started))
+		}
+	})
+}
--- a/internal/control/leader/session.go
+++ b/internal/control/leader/session.go
@@ -19,6 +19,11 @@
 // reports the attempt: the answer that carried it may have been lost.
 const again = time.Second
 
+// maxOrders bounds the inputs and checkpoints in one answer to a sync, in bytes,
+// but for the last order. A server that got dozens of tasks in one turn would
+// otherwise be sent more than its connection takes before its patience ends.
+const maxOrders = 4 << 20
+
 // session is what the leader knows of a server's session beyond the ledger. It
 // is rebuilt from the next sync, which is cumulative.
 type session struct {
@@ -201,12 +206,17 @@
 // reports. An order that was lost shows as a difference again and is repeated.
 func (l *Leader) orders(b state.Server, s *session, now time.Duration) []*v1.Order {
 	var out []*v1.Order
+	size := 0
 	l.st.Placed(b.ID, func(t *state.Task) {
 		if t.Incarnation != s.incarnation {
 			return
 		}
+		if size >= maxOrders {
+			return // the rest goes with the answers to the next syncs
+		}
 		if o := l.order(s, t, now); o != nil {
 			out = append(out, o)
+			size += len(o.GetInput()) + len(o.GetCheckpoint())
 		}
 	})
 	for a, phase := range s.reports {
--- a/internal/control/mailbox/mailbox.go
+++ b/internal/control/mailbox/mailbox.go
@@ -15,6 +15,9 @@
 	// MaxReplies bounds what is kept for one entry; an entry that fetches
 	// nothing for so long is dead, and its items are asked again elsewhere.
 	MaxReplies = 1 << 17
+	// MaxHeld bounds the bytes that are kept for one entry, roughly: replies may
+	// carry chunks of answers, and thousands of them would not fit the process.
+	MaxHeld = 64 << 20
 	// MaxBatch bounds the replies of one Pull.
 	MaxBatch = 1024
 	// maxBytes bounds the bytes of one Pull, roughly.
@@ -34,6 +37,7 @@
 	epoch  uint64
 	first  uint64
 	queue  []*inner.Reply
+	held   int
 	wake   chan struct{}
 	closed bool
 	seen   time.Time
@@ -44,13 +48,16 @@
 	return &Mailbox{epoch: epoch, first: 1, wake: make(chan struct{}), seen: time.Now()}
 }
 
-// Put adds a reply. It is dropped when the mailbox is closed or full.
+// Put adds a reply. It is dropped when the mailbox is closed or full; the entry
+// asks again for what it was not answered, and every item is idempotent.
 func (m *Mailbox) Put(r *inner.Reply) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.closed || len(m.queue) >= MaxReplies {
+	w := weigh(r)
+	if m.closed || len(m.queue) >= MaxReplies || len(m.queue) > 0 && m.held+w > MaxHeld {
 		return
 	}
+	m.held += w
 	m.queue = append(m.queue, r)
 	m.signal()
 }
@@ -108,6 +115,9 @@
 	m.seen = time.Now()
 	if epoch == m.epoch && ack >= m.first {
 		n := min(int(ack-m.first)+1, len(m.queue))
+		for _, r := range m.queue[:n] {
+			m.held -= weigh(r)
+		}
 		clear(m.queue[:n])
 		m.queue = m.queue[n:]
 		m.first += uint64(n)
--- a/internal/control/node/node.go
+++ b/internal/control/node/node.go
@@ -241,7 +241,7 @@
 func (n *Node) event(e peer.Event) {
 	switch e.Kind {
 	case peer.Refused:
-		event.Log(n.Log, event.PeerRefused, "peer", e.Peer, "error", e.Err.Error())
+		n.limit.Log(n.Log, event.PeerRefused, "peer", e.Peer, "error", e.Err.Error())
 	case peer.Failed:
 		event.Log(n.Log, event.PeerSilent, "peer", e.Peer, "error", e.Err.Error())
 	case peer.TooLarge:
