Show which control replicas have the table on disk

The list of members showed 0 for every replica that follows. The leader knows up to which index each has the log on its disk, and at which the table's revision stands in it.

--- a/internal/control/leader/lead.go
+++ b/internal/control/leader/lead.go
@@ -43,8 +43,10 @@
 	dirty    bool
 	// proposed are the commands under way, to measure their commits.
 	proposed []proposed
-	seen     seen
-	answers  answers
+	// tabled is an index at which the table's current revision is in the log.
+	tabled  uint64
+	seen    seen
+	answers answers
 }
 
 // heldReply is a reply whose cause is not committed yet.
@@ -98,6 +100,7 @@
 		news:      map[string]bool{},
 		checked:   n.Elected,
 		dirty:     true,
+		tabled:    n.Last,
 		answers:   newAnswers(),
 		seen:      seen{servers: map[string]seenServer{}, over: map[string]bool{}, faults: l.st.Faults()},
 	}
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -116,6 +116,9 @@
 	Deposed func()
 	// Entries lists the entries as members; nil for none. It must not block.
 	Entries func() []*v1.MemberLine
+	// Matches gives the index up to which each other replica has the log on its
+	// disk; nil when that is not known. It must not wait for the control thread.
+	Matches func() map[string]uint64
 	// Meters receives the thread's metrics; nil for none.
 	Meters *metrics.Set
 	Log    logr.Logger
--- a/internal/control/leader/operator.go
+++ b/internal/control/leader/operator.go
@@ -86,14 +86,20 @@
 	return out
 }
 
+// memberLines lists control replicas and entries. A replica has confirmed the
+// table's revision once it has it on its disk; until then none is told.
 func (l *Leader) memberLines() []*v1.MemberLine {
 	var out []*v1.MemberLine
+	var matches map[string]uint64
+	if l.Matches != nil {
+		matches = l.Matches()
+	}
 	for _, m := range l.members.Members {
 		line := &v1.MemberLine{Name: m.ID, Role: "control", Address: m.Address, State: "voter", Leader: m.ID == l.members.Self}
 		if m.Learner {
 			line.State = "learner"
 		}
-		if line.Leader {
+		if line.Leader || matches[m.ID] >= l.lead.tabled {
 			line.Revision = l.st.Table().Revision()
 		}
 		out = append(out, line)
--- a/internal/control/node/node.go
+++ b/internal/control/node/node.go
@@ -286,6 +286,7 @@
 	cfg.Seed = binary.LittleEndian.Uint64(seed[:])
 	l := n.Control
 	l.Group, l.Now, l.Root, l.Log, l.Meters = g, n.now, n.Root, n.Log, n.meters
+	l.Matches = func() map[string]uint64 { return matches(g.Dump()) }
 	if l.Planner == nil {
 		l.Planner = func() plan.Planner { return cell.New(cell.Config{}) }
 	}
--- a/internal/control/node/state.go
+++ b/internal/control/node/state.go
@@ -78,3 +78,12 @@
 	})
 	return (&platform.Probes{Ready: n.ready, Meters: []*metrics.Set{meter.Common, set}}).Route()
 }
+
+// matches gives the index up to which each other replica has the log on its disk.
+func matches(d group.Dump) map[string]uint64 {
+	out := map[string]uint64{}
+	for _, p := range d.Peers {
+		out[p.ID] = p.Match
+	}
+	return out
+}
--- a/internal/demo/fault/repair_test.go
+++ b/internal/demo/fault/repair_test.go
@@ -146,6 +146,7 @@
 		w.votes(fresh)
 		w.remove(old)
 		revision = w.edit(revision, 500)
+		w.until("the new replica has the table", func() bool { return w.line(fresh).GetRevision() == revision })
 		leads, _ := w.cell.Leader()
 		w.cell.Kill(leads)
 		w.until("another replica leads", func() bool { next, ok := w.cell.Leader(); return ok && next != leads })
