--- a/internal/control/node/node.go
+++ b/internal/control/node/node.go
@@ -241,7 +241,7 @@
 func (n *Node) event(e peer.Event) {
 	switch e.Kind {
 	case peer.Refused:
-		event.Log(n.Log, event.PeerRefused, "peer", e.Peer, "error", e.Err.Error())
+		n.limit.Log(n.Log, event.PeerRefused, "peer", e.Peer, "error", e.Err.Error())
 	case peer.Failed:
 		event.Log(n.Log, event.PeerSilent, "peer", e.Peer, "error", e.Err.Error())
 	case peer.TooLarge:
@@ -286,6 +286,7 @@
 	cfg.Seed = binary.LittleEndian.Uint64(seed[:])
 	l := n.Control
 	l.Group, l.Now, l.Root, l.Log, l.Meters = g, n.now, n.Root, n.Log, n.meters
+	l.Matches = func() map[string]uint64 { return matches(g.Dump()) }
 	if l.Planner == nil {
 		l.Planner = func() plan.Planner { return cell.New(cell.Config{}) }
 	}
