--- a/internal/control/leader/lead.go
+++ b/internal/control/leader/lead.go
@@ -23,8 +23,6 @@
 	// last is the index of the latest command applied to the working ledger.
 	last      uint64
 	committed uint64
-	// tabled is the index of the latest change of the table.
-	tabled uint64
 	// confirmed is the start of the latest heartbeat round that a quorum confirmed.
 	confirmed time.Duration
 	proved    bool
