Speak HTTP/2 between replicas

HTTP/2 sends headers once. A connection that was left behind with a call given up is closed by a ping without answer or a write that gets nowhere.

--- a/internal/replica/peer/identity_test.go
+++ b/internal/replica/peer/identity_test.go
@@ -73,6 +73,7 @@
 func secure(b *peer.Pool, cfg *tls.Config) *httptest.Server {
 	b.TLS = cfg
 	server := httptest.NewUnstartedServer(b.Handler())
+	server.EnableHTTP2 = true
 	server.TLS = cfg.Clone()
 	server.Config.ErrorLog = log.New(io.Discard, "", 0)
 	server.StartTLS()
--- a/internal/replica/peer/link.go
+++ b/internal/replica/peer/link.go
@@ -157,12 +157,19 @@
 }
 
 // dial returns a client with a connection of its own, made at the first call.
+// It speaks HTTP/2, whose headers are sent once and not with every heartbeat.
 func (l *link) dial() (inner.Replica, *http.Transport) {
+	only := new(http.Protocols)
+	only.SetHTTP2(true)
+	only.SetUnencryptedHTTP2(true)
 	t := &http.Transport{
+		Protocols:          only,
 		DialContext:        (&net.Dialer{Timeout: l.pool.timeout()}).DialContext,
 		MaxConnsPerHost:    1,
 		DisableCompression: true,
 		IdleConnTimeout:    IdleTimeout,
+		// A connection left behind with a call that was given up is closed for good.
+		HTTP2: &http.HTTP2Config{SendPingTimeout: l.pool.timeout(), PingTimeout: l.pool.timeout(), WriteByteTimeout: l.pool.timeout()},
 	}
 	scheme := "http://"
 	if l.pool.TLS != nil {
--- a/internal/replica/peer/peer_test.go
+++ b/internal/replica/peer/peer_test.go
@@ -48,13 +48,23 @@
 
 func address(s *httptest.Server) string { return s.Listener.Addr().String() }
 
+// serve runs a server that speaks what a replica's listener does.
+func serve(h http.Handler) *httptest.Server {
+	server := httptest.NewUnstartedServer(h)
+	server.Config.Protocols = new(http.Protocols)
+	server.Config.Protocols.SetHTTP1(true)
+	server.Config.Protocols.SetUnencryptedHTTP2(true)
+	server.Start()
+	return server
+}
+
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 func TestSend(t *testing.T) {
 	a, _, _ := pool("a/1")
 	defer a.Close()
 	b, got, _ := pool("b/1")
-	server := httptest.NewServer(b.Handler())
+	server := serve(b.Handler())
 	defer server.Close()
 	var want, have []message
 	for i := range 100 {
@@ -137,7 +147,7 @@
 	a, _, events := pool("a/1")
 	defer a.Close()
 	b, got, _ := pool("b/1")
-	server := httptest.NewServer(b.Handler())
+	server := serve(b.Handler())
 	defer server.Close()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -175,7 +185,7 @@
 	} {
 		a, _, failures := pool("a/1")
 		b, got, refusals := pool("b/1")
-		server := httptest.NewServer(b.Handler())
+		server := serve(b.Handler())
 		a.Send(change(a), address(server), [][]byte{[]byte("vote")})
 		if e := next(t, refusals); e.Kind != peer.Refused || !strings.Contains(e.Err.Error(), want) {
 			t.Errorf("%s: %v", want, e)
@@ -200,7 +210,7 @@
 	b, got, _ := pool("b/1")
 	entered, release := make(chan struct{}, 10), make(chan struct{})
 	handler := b.Handler()
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		entered <- struct{}{}
 		<-release
 		handler.ServeHTTP(w, r)
@@ -229,7 +239,7 @@
 // stops soon after the largest message.
 func TestBodyIsBounded(t *testing.T) {
 	b, got, _ := pool("b/1")
-	server := httptest.NewServer(b.Handler())
+	server := serve(b.Handler())
 	defer server.Close()
 	body := &endless{left: 8 * peer.MessageBytes}
 	r, err := http.Post(server.URL+"/twirp/gypsumreel.inner.Replica/Deliver", "application/protobuf", body)
