--- a/internal/load/measure/main.go
+++ b/internal/load/measure/main.go
@@ -34,6 +34,7 @@
 	Rates    []float64     `long:"rate" default:"1400" description:"starts a second; may be repeated"`
 	Duration time.Duration `long:"duration" default:"12s" description:"length of each load"`
 	Faults   string        `long:"faults" default:"leader-kill,leader-pause,entry-kill,rolling" description:"which faults"`
+	Slopes   string        `long:"slopes" default:"start,server,memory" description:"which slopes"`
 	Program  string        `long:"program" description:"the gypsumreel program; built when left out"`
 	Keep     string        `long:"keep" description:"folder for settings and logs, kept; a temporary one when left out"`
 }
