--- a/internal/replica/peer/wire.go
+++ b/internal/replica/peer/wire.go
@@ -9,8 +9,8 @@
 	"gypsumreel/internal/api/inner"
 )
 
-// wire is a client with a connection of its own, made at the first call. With
-// TLS it speaks HTTP/2, whose headers cost a heartbeat far fewer bytes.
+// wire is a client with a connection of its own, made at the first call. It
+// speaks HTTP/2, whose headers cost a heartbeat far fewer bytes.
 type wire struct {
 	inner.Replica
 	transport *http.Transport
@@ -24,11 +24,14 @@
 // dial returns a wire to the peer of a link.
 func (l *link) dial() *wire {
 	w := &wire{dialer: net.Dialer{Timeout: l.pool.timeout()}}
+	only := new(http.Protocols)
+	only.SetHTTP2(true)
+	only.SetUnencryptedHTTP2(true)
 	w.transport = &http.Transport{
+		Protocols:          only,
 		DialContext:        w.connect,
 		MaxConnsPerHost:    1,
 		DisableCompression: true,
-		ForceAttemptHTTP2:  true,
 		IdleConnTimeout:    IdleTimeout,
 	}
 	scheme := "http://"
