--- a/internal/control/node/node.go
+++ b/internal/control/node/node.go
@@ -39,6 +39,10 @@
 // headerTimeout bounds the reading of a request's header.
 const headerTimeout = 5 * time.Second
 
+// ErrJournalGone ends a replica that has its identity and no journal: it has
+// forgotten for whom it voted, and would vote a second time under its old name.
+var ErrJournalGone = errors.New("the journal is gone and the identity is not; empty the data folder and add this replica as a new member")
+
 // Node is the control daemon. The exported fields are set before Run.
 type Node struct {
 	Cell string
@@ -129,11 +133,6 @@
 		return err
 	}
 	defer func() { _ = lock.Release() }()
-	self, fresh, err := n.identity()
-	if err != nil {
-		return err
-	}
-	n.self.Store(self.ID)
 	store := snapshot.Store{Dir: filepath.Join(n.Data, "snapshot")}
 	saved, err := load(store)
 	if err != nil {
@@ -143,6 +142,17 @@
 	if err != nil {
 		return n.damaged(event.JournalDamaged, err)
 	}
+	// The identity is made after the journal, so that one that is there shows
+	// that the journal was, too.
+	self, fresh, err := n.identity()
+	if err != nil {
+		return err
+	}
+	if recovered.New && !fresh {
+		_ = log.Close()
+		return ErrJournalGone
+	}
+	n.self.Store(self.ID)
 	saved.Hard, saved.Entries = recovered.Hard, recovered.Entries
 	return n.serve(ctx, self, fresh && n.Init, saved, log, store)
 }
--- a/internal/control/node/node_test.go
+++ b/internal/control/node/node_test.go
@@ -4,12 +4,16 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
 
 	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/control/leader"
 	"gypsumreel/internal/control/node"
 	"gypsumreel/internal/domain/key"
 	"gypsumreel/internal/edge/backend"
@@ -111,3 +115,36 @@
 	r.Header().Set("Authorization", "Bearer "+k)
 	return r
 }
+
+// Somebody deletes a replica's journal to free its disk and leaves the rest. The
+// replica no longer knows for whom it voted, so it must not vote under its name.
+func TestAReplicaWithoutItsJournalDoesNotStart(t *testing.T) {
+	dir := t.TempDir()
+	start := func(found bool) (*node.Node, context.CancelFunc, chan error) {
+		l := listen(t)
+		n := &node.Node{
+			Cell: "test", Name: "c1", Data: dir, Init: found, Listener: l, Address: l.Addr().String(),
+			Replicas: []quorum.Member{{ID: "c1", Address: l.Addr().String()}}, Control: leader.New(),
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- n.Run(ctx) }()
+		return n, cancel, ended
+	}
+	n, cancel, ended := start(true)
+	for !n.Control.Status().Leads {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	if err := <-ended; err != nil {
+		t.Fatal(err)
+	}
+	if err := os.RemoveAll(filepath.Join(dir, "journal")); err != nil {
+		t.Fatal(err)
+	}
+	_, cancel, ended = start(false)
+	defer cancel()
+	if err := <-ended; !errors.Is(err, node.ErrJournalGone) {
+		t.Errorf("it ended with %v", err)
+	}
+}
--- a/internal/domain/lease/lease.go
+++ b/internal/domain/lease/lease.go
@@ -33,9 +33,11 @@
 // received, the lease ends by start+Length whatever the answer's delay. A plain
 // Length from the send would be wrong: with a round that began before the send
 // it would reach past the wait of a leader elected in between, and a task would
-// run in two places.
+// run in two places. Nor is it ever longer than Length: with a request that was
+// held back the round may have begun after it came, and a server with a slow
+// clock would run on beyond the wait, which allows for drift over one length.
 func (t Terms) Grant(start, received time.Duration) time.Duration {
-	return max(0, start+t.Length-received)
+	return max(0, min(t.Length, start+t.Length-received))
 }
 
 // Book notes until when each server's lease may reach, on the leader's clock.
--- a/internal/domain/lease/lease_test.go
+++ b/internal/domain/lease/lease_test.go
@@ -20,8 +20,10 @@
 		ms := func(name string, most int64) time.Duration {
 			return time.Duration(rapid.Int64Range(0, most).Draw(t, name)) * time.Millisecond
 		}
-		start := ms("start", 20_000)
-		received := start + ms("age", 10_000)
+		start := 10*time.Second + ms("start", 20_000)
+		// A request that is held back may be granted from a round that began
+		// after it came in.
+		received := start + ms("age", 10_000) - ms("held", 3_000)
 		sent := received - ms("way", 5_000)
 		// A later leader is elected after the round that this one had confirmed began.
 		elected := start + ms("elected", 10_000)
