--- a/internal/control/leader/bench_test.go
+++ b/internal/control/leader/bench_test.go
@@ -264,6 +264,11 @@
 			}
 			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(1<<20), "MiB/heap")
 			ms := func(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 / float64(b.N) }
+			begin := time.Now()
+			if _, err := r.l.Inspect(context.Background()); err != nil {
+				b.Fatal(err)
+			}
+			b.ReportMetric(float64(time.Since(begin).Microseconds())/1000, "ms/view")
 			b.ReportMetric(ms(pause), "ms/pause")
 			b.ReportMetric(ms(copied), "ms/copy")
 			b.ReportMetric(ms(wrote), "ms/encode")
--- a/internal/control/leader/inspect.go
+++ b/internal/control/leader/inspect.go
@@ -83,10 +83,10 @@
 		Term: l.status.Load().Term, Applied: l.applied, Saved: l.saved, Full: l.full, Faults: l.st.Faults(),
 		Sum: l.st.Digest(), Revision: l.st.Table().Revision(), Inbox: len(l.inbox), Servers: map[string]int{},
 	}
-	for _, b := range l.st.Servers() {
+	l.st.EachServer(func(b state.Server) {
 		v.Servers[shownState(b)]++
 		v.Running += l.st.Count(b.ID)
-	}
+	})
 	v.Teams = l.teamViews()
 	v.Oldest = l.oldest()
 	if ld := l.lead; ld != nil {
@@ -97,44 +97,58 @@
 	return v
 }
 
+// first keeps the viewLines least of what is added, in order, without sorting all.
+type first[T any] struct {
+	compare func(a, b T) int
+	items   []T
+}
+
+func (f *first[T]) add(v T) {
+	if len(f.items) == viewLines && f.compare(v, f.items[viewLines-1]) >= 0 {
+		return
+	}
+	i, _ := slices.BinarySearchFunc(f.items, v, f.compare)
+	f.items = slices.Insert(f.items, i, v)
+	f.items = f.items[:min(len(f.items), viewLines)]
+}
+
 func (l *Leader) teamViews() []TeamView {
-	var out []TeamView
+	out := first[TeamView]{compare: func(a, b TeamView) int { return cmp.Compare(b.Waiting, a.Waiting) }}
 	for _, r := range l.st.Table().Rows() {
 		if n := l.st.Waiting(r.Name); n > 0 {
-			out = append(out, TeamView{r.Name, n})
+			out.add(TeamView{r.Name, n})
 		}
 	}
-	slices.SortFunc(out, func(a, b TeamView) int { return cmp.Compare(b.Waiting, a.Waiting) })
-	return out[:min(len(out), viewLines)]
+	return out.items
 }
 
 func (l *Leader) oldest() []JobView {
-	var out []JobView
-	for _, j := range l.st.Jobs("") { // in the order of acceptance
-		if len(out) == viewLines {
-			break
-		}
+	oldest := first[*state.Job]{compare: func(a, b *state.Job) int { return cmp.Compare(a.Number, b.Number) }}
+	l.st.EachJob(func(j *state.Job) {
 		if !j.Final() && j.Waiting > 0 {
-			out = append(out, JobView{j.Spec.Team, j.Spec.ID, j.Number, (l.clock() - j.Accepted).Seconds(), j.Waiting})
+			oldest.add(j)
 		}
+	})
+	var out []JobView
+	for _, j := range oldest.items {
+		out = append(out, JobView{j.Spec.Team, j.Spec.ID, j.Number, (l.clock() - j.Accepted).Seconds(), j.Waiting})
 	}
 	return out
 }
 
 func (l *Leader) leaseViews() []LeaseView {
 	now := l.Now()
-	var out []LeaseView
+	out := first[LeaseView]{compare: func(a, b LeaseView) int {
+		return cmp.Or(cmp.Compare(b.Silent, a.Silent), cmp.Compare(a.Server, b.Server))
+	}}
 	for id, s := range l.lead.servers {
 		b, ok := l.st.Server(id)
 		if !ok || b.Server.State == backend.Gone {
 			continue
 		}
-		out = append(out, LeaseView{id, shownState(b), (now - s.heard).Seconds(), l.lead.book.Left(id, now).Seconds(), l.st.Count(id)})
+		out.add(LeaseView{id, shownState(b), (now - s.heard).Seconds(), l.lead.book.Left(id, now).Seconds(), l.st.Count(id)})
 	}
-	slices.SortFunc(out, func(a, b LeaseView) int {
-		return cmp.Or(cmp.Compare(b.Silent, a.Silent), cmp.Compare(a.Server, b.Server))
-	})
-	return out[:min(len(out), viewLines)]
+	return out.items
 }
 
 // shownState names a server's state; a drain by an operator stands before it.
--- a/internal/ledger/state/change.go
+++ b/internal/ledger/state/change.go
@@ -229,6 +229,20 @@
 	return out
 }
 
+// EachServer calls fn for every backend server, in no fixed order.
+func (s *State) EachServer(fn func(Server)) {
+	for _, b := range s.servers {
+		fn(b)
+	}
+}
+
+// EachJob calls fn for every job, in no fixed order.
+func (s *State) EachJob(fn func(*Job)) {
+	for _, j := range s.jobs {
+		fn(j)
+	}
+}
+
 // Servers returns all backend servers in the order of their ids.
 func (s *State) Servers() []Server {
 	var out []Server
