--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -34,6 +34,8 @@
 	DefaultRetention = time.Hour
 	// DefaultPatience bounds every long poll.
 	DefaultPatience = 2 * time.Second
+	// pollsPerLease is the least number of polls in a lease.
+	pollsPerLease = 3
 	// DefaultSnapshot is the number of commands between snapshots.
 	DefaultSnapshot = 20_000
 	// DefaultFresh is the greatest age of the last confirmed heartbeat round at
@@ -114,6 +116,8 @@
 	Snapshot  uint64
 	// Deposed is called when this replica stops to lead; it must not block.
 	Deposed func()
+	// Revised is called when another revision of the table is in force; it must not block.
+	Revised func()
 	// Entries lists the entries as members; nil for none. It must not block.
 	Entries func() []*v1.MemberLine
 	// Matches gives the index up to which each other replica has the log on its
@@ -264,11 +268,17 @@
 func (l *Leader) publish() {
 	old := l.status.Load()
 	s := *old
-	s.Revision = l.st.Table().Revision()
+	// A revision that is not committed yet may never come into force.
+	if l.lead == nil || l.lead.committed >= l.lead.tabled {
+		s.Revision = l.st.Table().Revision()
+	}
 	s.Full = l.full
 	if s != *old {
 		l.status.Store(&s)
 	}
+	if s.Revision != old.Revision && l.Revised != nil {
+		l.Revised()
+	}
 }
 
 // note handles one note of the group.
--- a/internal/load/measure/change.go
+++ b/internal/load/measure/change.go
@@ -71,8 +71,8 @@
 	for _, address := range r.Callers() {
 		c := &caller.Client{Link: &link.Link{Addresses: []string{address}, Key: token}}
 		for {
-			_, err := c.Submit(ctx, []*v1.Spec{{Id: "x", Kind: v1.Kind_KIND_BATCH, Name: "x", Count: 1, Size: &v1.Size{Cpu: 1, Memory: 1, Slots: 1}, Runtime: 1}}, true)
-			if err != nil && link.Refusal(err).Code == code.BadKey {
+			got, err := c.Submit(ctx, []*v1.Spec{{Id: "x", Kind: v1.Kind_KIND_BATCH, Name: "x", Count: 1, Size: &v1.Size{Cpu: 1, Memory: 1, Slots: 1}, Runtime: 1}}, true)
+			if err == nil && code.Code(got[0].GetStatus().GetCode()) == code.BadKey || err != nil && link.Refusal(err).Code == code.BadKey {
 				break
 			}
 			if !link.Sleep(ctx, askEvery) {
@@ -84,7 +84,7 @@
 	return time.Since(began), nil
 }
 
-// tableChange changes a cell of the table until every process has confirmed it.
+// tableChange changes a cell of the table until every process says that it serves it.
 func tableChange(ctx context.Context, r *rig.Rig, i int) (time.Duration, error) {
 	op := r.OperatorClient()
 	defer op.Link.Close()
@@ -99,22 +99,12 @@
 	if err != nil {
 		return 0, err
 	}
-	for {
-		reply, err := op.Show(ctx, v1.Part_PART_MEMBERS)
-		if err != nil {
-			return 0, err
-		}
-		confirmed := 0
-		for _, m := range reply.GetMembers() {
-			if m.GetRevision() >= revision {
-				confirmed++
+	for _, name := range append(r.Controls(), r.EntryNames()...) {
+		for r.Revision(name) < revision {
+			if !link.Sleep(ctx, askEvery) {
+				return 0, ctx.Err()
 			}
 		}
-		if confirmed >= replicas+entries {
-			return time.Since(began), nil
-		}
-		if !link.Sleep(ctx, askEvery) {
-			return 0, ctx.Err()
-		}
 	}
+	return time.Since(began), nil
 }
--- a/internal/policy/cell/gang.go
+++ b/internal/policy/cell/gang.go
@@ -7,6 +7,7 @@
 
 	"gypsumreel/internal/domain/backend"
 	"gypsumreel/internal/domain/capacity"
+	"gypsumreel/internal/domain/job"
 	"gypsumreel/internal/policy/fit"
 	"gypsumreel/internal/policy/plan"
 )
@@ -209,7 +210,7 @@
 	if u.claim != nil {
 		return len(u.claim.parts) < len(u.tasks)
 	}
-	return u.work.crew.gathers == nil && p.gangs < max(minReservations, len(p.list)/serversPerReservation)
+	return u.work.account.gathers == nil && p.gangs < max(minReservations, len(p.list)/serversPerReservation)
 }
 
 // home is the zone in which the gang gathers, nil before it has begun.
@@ -220,6 +221,38 @@
 	return u.claim.parts[0].srv.rack.zone
 }
 
+// beginGangs lets gangs gather that have waited for long and got no first piece in
+// their team's turns: at 90 to 120% load others take what becomes free for 5 to
+// 30 s, and a gang is not hastened before it gathers.
+func (p *Planner) beginGangs() {
+	var accounts []*account
+	p.order.Each(func(c *account) bool {
+		if c.gangs > 0 && c.gathers == nil && c.known {
+			accounts = append(accounts, c)
+		}
+		return true
+	})
+	for _, c := range accounts {
+		if p.full() {
+			return
+		}
+		p.beginFirst(c)
+	}
+}
+
+// beginFirst lets the team's first gang begin.
+func (p *Planner) beginFirst(c *account) {
+	for _, u := range c.queues[job.Batch].First(p.cfg.Depth, nil) {
+		if !u.work.spec.Whole() || !p.eligible(u) {
+			continue
+		}
+		if p.now >= u.since+p.cfg.Patience && p.mayGather(u) {
+			p.keepByForce(u, true)
+		}
+		return
+	}
+}
+
 // hasten preempts for a gang that has gathered for long: what still runs in its
 // room, and for the rest the cheapest tasks of its own team and of teams above
 // their due. Without this a few long tasks would hold up the gang, and the room
@@ -251,9 +284,9 @@
 func (p *Planner) keepByForce(u *unit, own bool) bool {
 	may := p.overdue(p.cfg.Slack / 2)
 	if own {
-		due, c := may, u.work.crew
-		poor := p.within(c, u.need) && c.held.Add(c.coming).Sub(c.leaving).Dominant(p.total) <= c.fair+p.cfg.Slack
-		may = func(h *holding) bool { return h.crew == c && !h.Job.Whole() || poor && due(h) }
+		due, c := may, u.work.account
+		poor := p.within(c, u.need) && c.held.Add(c.coming).Sub(u.kept()).Sub(c.leaving).Dominant(p.total) <= c.fair+p.cfg.Slack
+		may = func(h *holding) bool { return h.account == c && !h.Job.Whole() || poor && due(h) }
 	}
 	srv, stop := p.victimsAt(u.home(), u, own, may)
 	if srv == nil {
