Take one note of the table's index for both its uses

Two changes made side by side each kept the index of the table's latest change: to tell entries of it only once it is committed, and to show which replicas have it on disk.

--- a/internal/control/leader/lead.go
+++ b/internal/control/leader/lead.go
@@ -23,7 +23,7 @@
 	// last is the index of the latest command applied to the working ledger.
 	last      uint64
 	committed uint64
-	// tabled is the index of the latest change of the table.
+	// tabled is the index of the latest change of the table, or of one behind it.
 	tabled uint64
 	// confirmed is the start of the latest heartbeat round that a quorum confirmed.
 	confirmed time.Duration
@@ -45,10 +45,8 @@
 	dirty    bool
 	// proposed are the commands under way, to measure their commits.
 	proposed []proposed
-	// tabled is an index at which the table's current revision is in the log.
-	tabled  uint64
-	seen    seen
-	answers answers
+	seen     seen
+	answers  answers
 }
 
 // heldReply is a reply whose cause is not committed yet.
--- a/internal/control/leader/notice.go
+++ b/internal/control/leader/notice.go
@@ -204,7 +204,6 @@
 	case *v1.ChangeRequest_Withdraw:
 		event.Log(l.Log, event.KeyWithdrawn, "key", c.Withdraw.GetId(), "by", by)
 	case *v1.ChangeRequest_Table:
-		l.lead.tabled = l.lead.last
 		event.Log(l.Log, event.TableChanged, "revision", r.Revision, "change", req.GetId(), "by", by)
 		l.lowered(before)
 	}
