Admit by the policy's rules

Cause: the control thread had its own short admission beside package admit, which nothing called. The ledger now keeps what admission looks at (jobs and teams that wait, the kinds and sum of servers) at the cost of a few additions a change, and the cell's queue has a bound: beyond four fifths of it teams that hold more than an equal part are refused as not run, with a time to come back.

--- a/internal/control/leader/ask.go
+++ b/internal/control/leader/ask.go
@@ -12,6 +12,7 @@
 	"gypsumreel/internal/domain/key"
 	"gypsumreel/internal/ledger/command"
 	"gypsumreel/internal/ledger/state"
+	"gypsumreel/internal/policy/admit"
 )
 
 // batch handles the items of one Push. Items that come while this replica does
@@ -143,30 +144,19 @@
 		return code.Forbidden, 0
 	}
 	if l.full {
-		return code.DiskFull, hint(time.Minute)
+		return code.DiskFull, fullRetry
 	}
-	if l.st.Waiting(owner) >= int(row.Queue) {
-		return code.QueueFull, hint(time.Second)
-	}
-	size := command.Size(spec.GetSize())
-	need := size
-	if spec.GetKind() == v1.Kind_KIND_GANG {
-		need = size.Times(int64(spec.GetCount()))
-	}
-	if !need.Within(row.Limit) {
-		return code.NeverFits, 0
-	}
-	if !l.st.Fits(size) {
-		return code.NeverFits, 0
+	waits := l.st.Backlog()
+	err, retry := admit.Check(command.Spec(owner, spec), admit.View{
+		Row: row, Waiting: l.st.Waiting(owner), Cell: waits.Jobs, Bound: l.Backlog, Teams: waits.Teams,
+		Largest: l.st.Kinds(), Total: l.st.Total(),
+	}, rand.Float64())
+	if err != nil {
+		return err.Code, retry
 	}
 	return code.OK, 0
 }
 
-// hint spreads the return of refused callers, so that they do not come at once.
-func hint(d time.Duration) time.Duration {
-	return d + time.Duration(rand.Int64N(int64(d)))
-}
-
 // waiter is a Wait that is parked until the job ends.
 type waiter struct {
 	to    Ticket
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -36,6 +36,10 @@
 	DefaultPatience = 2 * time.Second
 	// pollsPerLease is the least number of polls in a lease.
 	pollsPerLease = 3
+	// DefaultBacklog bounds the jobs that wait in the cell.
+	DefaultBacklog = 262_144
+	// fullRetry is when a caller may come back to a cell whose disk is full.
+	fullRetry = time.Minute
 	// DefaultSnapshot is the number of commands between snapshots.
 	DefaultSnapshot = 20_000
 	// DefaultFresh is the greatest age of the last confirmed heartbeat round at
@@ -112,8 +116,10 @@
 	Silence   time.Duration
 	Retention time.Duration
 	Patience  time.Duration
-	Fresh     time.Duration
-	Snapshot  uint64
+	// Backlog bounds the jobs that wait in the cell.
+	Backlog  int
+	Fresh    time.Duration
+	Snapshot uint64
 	// Deposed is called when this replica stops to lead; it must not block.
 	Deposed func()
 	// Revised is called when another revision of the table is in force; it must not block.
@@ -158,6 +164,7 @@
 		Silence:   DefaultSilence,
 		Retention: DefaultRetention,
 		Patience:  DefaultPatience,
+		Backlog:   DefaultBacklog,
 		Fresh:     DefaultFresh,
 		Snapshot:  DefaultSnapshot,
 		Log:       logr.Discard(),
--- a/internal/ledger/state/retain.go
+++ b/internal/ledger/state/retain.go
@@ -78,13 +78,18 @@
 	}
 }
 
-// Fits tells whether any server that is not gone could hold a task of the size
-// when empty. It is true while no server is known at all.
-func (s *State) Fits(size capacity.Size) bool {
+// Kinds returns the capacities that servers which are not gone have, in no
+// fixed order.
+func (s *State) Kinds() []capacity.Size {
+	out := make([]capacity.Size, 0, len(s.classes))
 	for c := range s.classes {
-		if size.Fits(c) {
-			return true
-		}
+		out = append(out, c)
 	}
-	return len(s.classes) == 0
+	return out
 }
+
+// Total returns the capacity of all servers that are not gone.
+func (s *State) Total() capacity.Size { return s.total }
+
+// Backlog returns what waits in the cell.
+func (s *State) Backlog() Backlog { return s.backlog }
--- a/internal/ledger/state/state.go
+++ b/internal/ledger/state/state.go
@@ -47,6 +47,8 @@
 	teams   map[string]*usage
 	placed  map[string]map[task.ID]*Task
 	classes map[capacity.Size]int
+	total   capacity.Size
+	backlog Backlog
 	// What retention looks at, the oldest first.
 	ended queue[uint64]
 	told  queue[string]
@@ -80,6 +82,13 @@
 	At       time.Duration
 }
 
+// Backlog is what waits in the cell.
+type Backlog struct {
+	// Jobs counts the jobs that have a task waiting, Teams those who have such jobs.
+	Jobs  int
+	Teams int
+}
+
 // Result is what the one who asked for a command is told.
 type Result struct {
 	// Code is code.OK when the command took effect (or had before).
--- a/internal/ledger/state/state_test.go
+++ b/internal/ledger/state/state_test.go
@@ -120,6 +120,16 @@
 			t.Fatalf("job %d counts %d held, has %d", j.Number, j.Held, holds)
 		}
 	}
+	waiting, backlogged := 0, map[string]bool{}
+	for _, j := range w.a.Jobs("") {
+		if !j.Final() && j.Waiting > 0 {
+			waiting++
+			backlogged[j.Spec.Team] = true
+		}
+	}
+	if got := w.a.Backlog(); got.Jobs != waiting || got.Teams != len(backlogged) {
+		t.Fatalf("backlog %v, counted %d jobs of %d teams", got, waiting, len(backlogged))
+	}
 	for _, b := range w.a.Servers() {
 		if !b.Held.Fits(b.Capacity) || b.Held != held[b.ID] {
 			t.Fatalf("server %s holds %v (counted %v) of %v", b.ID, b.Held, held[b.ID], b.Capacity)
--- a/internal/ledger/state/store.go
+++ b/internal/ledger/state/store.go
@@ -49,9 +49,9 @@
 func (s *State) storeJob(old, j *Job) {
 	u := s.usage(j.Spec.Team)
 	if old != nil {
-		u.count(old, -1)
+		s.count(u, old, -1)
 	}
-	u.count(j, 1)
+	s.count(u, j, 1)
 	u.jobs[j.Number] = j
 	if s.picture != nil {
 		s.picture.jobs.touch(j.Number)
@@ -62,13 +62,24 @@
 	}
 }
 
-func (u *usage) count(j *Job, n int) {
+// count adds (n = 1) or takes away (n = -1) a job in what waits, for its team
+// and for the cell.
+func (s *State) count(u *usage, j *Job, n int) {
 	if j.Final() {
 		return
 	}
 	u.active += n
-	if j.Waiting > 0 {
-		u.waiting += n
+	if j.Waiting == 0 {
+		return
+	}
+	before := u.waiting > 0
+	u.waiting += n
+	s.backlog.Jobs += n
+	switch after := u.waiting > 0; {
+	case after && !before:
+		s.backlog.Teams++
+	case before && !after:
+		s.backlog.Teams--
 	}
 }
 
@@ -89,7 +100,7 @@
 	delete(s.jobs, j.Number)
 	delete(s.ids, j.Request())
 	u := s.usage(j.Spec.Team)
-	u.count(j, -1)
+	s.count(u, j, -1)
 	delete(u.jobs, j.Number)
 }
 
@@ -164,6 +175,7 @@
 	if b.ID == "" || b.Server.State == gone {
 		return
 	}
+	s.total = s.total.Add(b.Capacity.Times(int64(n)))
 	if s.classes[b.Capacity] += n; s.classes[b.Capacity] == 0 {
 		delete(s.classes, b.Capacity)
 	}
