--- a/internal/replica/quorum/invariant_test.go
+++ b/internal/replica/quorum/invariant_test.go
@@ -134,10 +134,11 @@
 	}
 }
 
-// settled tells that there is a leader, and no repair to do.
+// settled tells that there is a leader that takes work, all of its log is
+// committed everywhere, and there is no repair to do.
 func (s *sim) settled() bool {
 	l := s.leader()
-	if l == nil || len(s.members) != len(s.nodes) {
+	if l == nil || l.core.Transferring() || l.core.Mark()[0] != s.top || len(s.members) != len(s.nodes) {
 		return false
 	}
 	for _, m := range s.members {
