Count an entry's events and log its handshakes

The entry served no common metrics, so its events were counted nowhere, and its HTTP servers wrote refused handshakes to the process's standard error without a number.

--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -20,6 +20,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"gypsumreel/internal/base/event"
+	"gypsumreel/internal/base/meter"
 	"gypsumreel/internal/edge/backend"
 	"gypsumreel/internal/edge/caller"
 	"gypsumreel/internal/edge/control"
@@ -153,7 +154,7 @@
 		{e.Callers, e.server(mounted((&caller.Handler{Leader: e.pool}).Route(count)))},
 		{e.Backends, e.server(mounted((&backend.Handler{Leader: e.pool, Enrolment: e.Enrolment, Log: e.Log}).Route(count)))},
 		{e.Operators, e.server(mounted((&operator.Handler{Leader: e.pool, Audit: e.Audit, Name: e.Name, State: e.state}).Route(count)))},
-		{e.Platform, e.server((&platform.Probes{Ready: e.ready, Meters: []*metrics.Set{e.meters}}).Route())},
+		{e.Platform, e.server((&platform.Probes{Ready: e.ready, Meters: []*metrics.Set{e.meters, meter.Common}}).Route())},
 	}
 	return slices.DeleteFunc(all, func(s service) bool { return s.listener == nil })
 }
@@ -268,6 +269,7 @@
 		Handler: aged(h), Protocols: both, ConnContext: e.born,
 		ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeader,
+		ErrorLog:       event.HTTPLog(e.Log),
 		HTTP2:          &http.HTTP2Config{MaxConcurrentStreams: maxStreams, SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 	}
 }
