Found a group also when a replica restarts meanwhile; use the field's words

Cause: a replica that had made its identity and was stopped while it waited for the others did not go on waiting when started again, but told them of a group of itself alone, and they refused to join for good. With it the founding's package is named bootstrap, the demo's scenario, and some functions by what they do.

--- a/internal/cli/demo/demo.go
+++ b/internal/cli/demo/demo.go
@@ -11,7 +11,7 @@
 	"github.com/schollz/progressbar/v3"
 
 	"gypsumreel/internal/cli/verb"
-	"gypsumreel/internal/demo/tour"
+	"gypsumreel/internal/demo/scenario"
 )
 
 // New returns the verb.
@@ -34,7 +34,7 @@
 		return err
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	t := &tour.Tour{Dir: dir, Log: logr.Discard(), Step: progress(env.Err)}
+	t := &scenario.Scenario{Dir: dir, Log: logr.Discard(), Step: progress(env.Err)}
 	report, err := t.Run(ctx)
 	if err != nil {
 		return err
@@ -61,7 +61,7 @@
 	}
 }
 
-func grid(r *tour.Report) verb.Grid {
+func grid(r *scenario.Report) verb.Grid {
 	row := func(what string, format string, args ...any) []string {
 		return []string{what, fmt.Sprintf(format, args...)}
 	}
--- a/internal/control/leader/ask.go
+++ b/internal/control/leader/ask.go
@@ -178,7 +178,7 @@
 	}
 	w := &waiter{to: to, key: k.ID, chunk: req.GetChunk()}
 	l.lead.waits[id] = append(l.lead.waits[id], w)
-	l.at(l.until(to, req.GetPatience()), func() { l.tired(id, w) })
+	l.at(l.until(to, req.GetPatience()), func() { l.expireWait(id, w) })
 }
 
 // missing answers that a job is not known, after the proof that this is current.
@@ -204,8 +204,8 @@
 	return end
 }
 
-// tired answers a wait whose patience has ended with how the job stands.
-func (l *Leader) tired(id state.RequestID, w *waiter) {
+// expireWait answers a wait whose patience has ended with how the job stands.
+func (l *Leader) expireWait(id state.RequestID, w *waiter) {
 	if w.done {
 		return
 	}
@@ -237,8 +237,8 @@
 	l.answer(w.to, j, w.chunk)
 }
 
-// wake answers the waits for a job that has ended.
-func (l *Leader) wake(j *state.Job) {
+// answerWaits answers the waits for a job that has ended.
+func (l *Leader) answerWaits(j *state.Job) {
 	id := j.Request()
 	for _, w := range l.lead.waits[id] {
 		if !w.done {
--- a/internal/control/leader/decide.go
+++ b/internal/control/leader/decide.go
@@ -171,13 +171,13 @@
 func (w watch) Hold(j *state.Job, t *state.Task) {
 	w.l.lead.planner.Hold(heldOf(j, t))
 	w.l.placed(t)
-	w.l.lead.news[t.Server] = true
+	w.l.lead.updated[t.Server] = true
 }
 
 // Stopping passes on that a task is to stop and lets its server's session know.
 func (w watch) Stopping(j *state.Job, t *state.Task) {
 	w.l.lead.planner.Hold(heldOf(j, t))
-	w.l.lead.news[t.Server] = true
+	w.l.lead.updated[t.Server] = true
 }
 
 func heldOf(j *state.Job, t *state.Task) plan.Held {
@@ -194,7 +194,7 @@
 // Ended wakes who waits for the job's outcome.
 func (w watch) Ended(j *state.Job) {
 	w.l.endedSeen(j)
-	w.l.wake(j)
+	w.l.answerWaits(j)
 }
 
 // watchServers marks servers that went silent and ends sessions whose lease is over.
--- a/internal/control/leader/lead.go
+++ b/internal/control/leader/lead.go
@@ -34,7 +34,7 @@
 	reads    []heldRead
 	waits    map[state.RequestID][]*waiter
 	servers  map[string]*session
-	news     map[string]bool
+	updated  map[string]bool
 	due      dueHeap
 	checked  time.Duration
 	swept    time.Duration
@@ -97,7 +97,7 @@
 		book:      lease.NewBook(l.Terms, n.Elected),
 		waits:     map[state.RequestID][]*waiter{},
 		servers:   map[string]*session{},
-		news:      map[string]bool{},
+		updated:   map[string]bool{},
 		checked:   n.Elected,
 		dirty:     true,
 		tabled:    n.Last,
--- a/internal/control/leader/session.go
+++ b/internal/control/leader/session.go
@@ -96,8 +96,8 @@
 	}
 	l.reports(b, s, req.GetReports())
 	s.parked, s.started = &to, l.until(to, req.GetPatience())
-	l.lead.news[b.ID] = true
-	l.at(s.started, func() { l.lead.news[b.ID] = true })
+	l.lead.updated[b.ID] = true
+	l.at(s.started, func() { l.lead.updated[b.ID] = true })
 }
 
 // reports takes the ends of attempts into the ledger and notes the rest.
@@ -174,12 +174,12 @@
 // serveServers answers parked syncs that have orders or whose patience ended.
 func (l *Leader) serveServers() {
 	ld := l.lead
-	if len(ld.news) == 0 {
+	if len(ld.updated) == 0 {
 		return
 	}
 	now := l.Now()
-	for id := range ld.news {
-		delete(ld.news, id)
+	for id := range ld.updated {
+		delete(ld.updated, id)
 		b, ok := l.st.Server(id)
 		s := ld.servers[id]
 		if !ok || s == nil || s.parked == nil || s.incarnation != b.Incarnation {
@@ -290,6 +290,6 @@
 	}
 	if s := l.lead.servers[t.Server]; s != nil {
 		s.slow[t.Current()] = true
-		l.lead.news[t.Server] = true
+		l.lead.updated[t.Server] = true
 	}
 }
--- a/internal/control/node/node.go
+++ b/internal/control/node/node.go
@@ -24,7 +24,7 @@
 	"gypsumreel/internal/control/leader"
 	"gypsumreel/internal/policy/cell"
 	"gypsumreel/internal/policy/plan"
-	"gypsumreel/internal/replica/birth"
+	"gypsumreel/internal/replica/bootstrap"
 	"gypsumreel/internal/replica/group"
 	"gypsumreel/internal/replica/journal"
 	"gypsumreel/internal/replica/member"
@@ -154,7 +154,7 @@
 	}
 	n.self.Store(self.ID)
 	saved.Hard, saved.Entries = recovered.Hard, recovered.Entries
-	return n.serve(ctx, self, fresh && n.Init, saved, log, store)
+	return n.serve(ctx, self, n.Init && blank(saved), saved, log, store)
 }
 
 func load(store snapshot.Store) (quorum.Saved, error) {
@@ -180,7 +180,7 @@
 func (n *Node) serve(ctx context.Context, self quorum.Member, found bool, saved quorum.Saved, log *journal.Journal, store snapshot.Store) error {
 	running, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
-	founder := n.founder(self)
+	handshake := n.handshake(self)
 	g := &group.Group{
 		Journal: newDisk(log, n.meters, n.Log), Snapshots: &archive{Snapshots: &store, log: n.Log},
 		Saved: saved, Now: n.now, Log: n.Log,
@@ -191,7 +191,7 @@
 	n.Control.Entries = service.Entries
 	mux := http.NewServeMux()
 	mux.Handle("/twirp/gypsumreel.inner.Control/", service.Handler())
-	mux.Handle("/twirp/gypsumreel.inner.Birth/", n.replicas(founder.Handler()))
+	mux.Handle("/twirp/gypsumreel.inner.Bootstrap/", n.replicas(handshake.Handler()))
 	// Before anything can come in: what arrives is checked against the identity.
 	n.configure(self, g)
 	transport := n.transport(self.ID, g.Receive)
@@ -218,13 +218,16 @@
 		run("platform", func() error { return listen(probes, n.Platform) })
 	}
 	if found {
-		first, err := founder.Found(ctx)
+		first, err := handshake.Agree(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
 		if err != nil {
 			return err
 		}
 		g.Config.Bootstrap = first
 	} else {
-		founder.Know(ids(saved.Snapshot.Members, self))
+		handshake.Know(known(saved, self))
 	}
 	n.Control.Deposed, n.Control.Revised = service.CloseAll, service.WakeAll
 	run("group", func() error { return g.Run(running) })
@@ -261,8 +264,8 @@
 	}
 }
 
-func (n *Node) founder(self quorum.Member) *birth.Founder {
-	f := &birth.Founder{Cell: n.Cell, Self: self, Scheme: "http"}
+func (n *Node) handshake(self quorum.Member) *bootstrap.Handshake {
+	f := &bootstrap.Handshake{Cell: n.Cell, Self: self, Scheme: "http"}
 	if n.Client != nil {
 		f.Scheme = "https"
 	}
@@ -276,8 +279,26 @@
 	return f
 }
 
-// ids lists a membership that was saved, or this replica alone.
-func ids(members []quorum.Member, self quorum.Member) []string {
+// blank tells whether a replica never took part in anything. One that made its
+// identity and was stopped while it waited for the others is blank still, and
+// goes on with the same identity.
+func blank(saved quorum.Saved) bool {
+	return saved.Snapshot.Index == 0 && len(saved.Entries) == 0 && saved.Hard == quorum.Hard{}
+}
+
+// known lists the membership that a replica has on its disk: that of its
+// snapshot or else the first of its log. Replicas that still wait to found the
+// group take it from one that was quicker, also when that one has restarted.
+func known(saved quorum.Saved, self quorum.Member) []string {
+	members := saved.Snapshot.Members
+	for _, e := range saved.Entries {
+		if len(members) > 0 {
+			break
+		}
+		if e.Kind == quorum.Change {
+			members, _ = quorum.DecodeMembers(e.Data)
+		}
+	}
 	out := []string{self.ID}
 	for _, m := range members {
 		if m.ID != self.ID {
--- a/internal/control/node/node_test.go
+++ b/internal/control/node/node_test.go
@@ -148,3 +148,61 @@
 		t.Errorf("it ended with %v", err)
 	}
 }
+
+// Somebody stops one of three replicas while it still waits for the others at
+// the founding, and starts it again, and a second one after the founding, before
+// the third has learnt of it. The group must found all the same.
+func TestAReplicaMayRestartDuringTheFounding(t *testing.T) {
+	names := []string{"c1", "c2", "c3"}
+	var members []quorum.Member
+	addresses := map[string]string{}
+	for _, name := range names {
+		l := listen(t)
+		addresses[name] = l.Addr().String()
+		members = append(members, quorum.Member{ID: name, Address: addresses[name]})
+		_ = l.Close()
+	}
+	dir := t.TempDir()
+	start := func(name string) (*node.Node, func()) {
+		l, err := net.Listen("tcp", addresses[name])
+		if err != nil {
+			t.Fatal(err)
+		}
+		n := &node.Node{
+			Cell: "test", Name: name, Data: filepath.Join(dir, name), Init: true, Listener: l, Address: addresses[name],
+			Replicas: members, Control: leader.New(),
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- n.Run(ctx) }()
+		return n, func() {
+			cancel()
+			if err := <-ended; err != nil && !errors.Is(err, context.Canceled) {
+				t.Error(err)
+			}
+		}
+	}
+	_, stop := start("c1")
+	for {
+		if _, err := os.Stat(filepath.Join(dir, "c1", "identity")); err == nil {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	stop()
+	var nodes []*node.Node
+	for _, name := range names {
+		n, stop := start(name)
+		defer stop()
+		nodes = append(nodes, n)
+	}
+	late := time.Now().Add(30 * time.Second)
+	for leads := false; !leads; time.Sleep(time.Millisecond) {
+		if time.Now().After(late) {
+			t.Fatal("the group was not founded")
+		}
+		for _, n := range nodes {
+			leads = leads || n.Control.Status().Leads
+		}
+	}
+}
--- a/internal/control/node/watch_test.go
+++ b/internal/control/node/watch_test.go
@@ -86,10 +86,10 @@
 		}}
 		client := &http.Client{Transport: wire}
 		base := "https://" + l.Addr().String()
-		_, birth := inner.NewBirthProtobufClient(base, client).Hello(t.Context(), &inner.HelloRequest{Cell: "test", To: "c1"})
+		_, hello := inner.NewBootstrapProtobufClient(base, client).Hello(t.Context(), &inner.HelloRequest{Cell: "test", To: "c1"})
 		_, deliver := inner.NewReplicaProtobufClient(base, client).Deliver(t.Context(), &inner.DeliverRequest{Cell: "test", From: name + "/1"})
-		if birth == nil == want || deliver == nil {
-			t.Errorf("%s: birth %v, deliver %v", name, birth, deliver)
+		if hello == nil == want || deliver == nil {
+			t.Errorf("%s: hello %v, deliver %v", name, hello, deliver)
 		}
 		var refusal twirp.Error
 		if !errors.As(deliver, &refusal) {
--- a/internal/demo/tour/tour.go
+++ b/internal/demo/scenario/scenario.go
@@ -1,7 +1,7 @@
-// Package tour is the demo: a whole cell on loopback serves urgent, batch, gang
+// Package scenario is the demo: a whole cell on loopback serves urgent, batch, gang
 // and service work while its leader is killed and a key is withdrawn, and every
 // promise that can be seen from outside is checked.
-package tour
+package scenario
 
 import (
 	"context"
@@ -74,8 +74,8 @@
 // Good tells whether every promise that was checked held.
 func (r *Report) Good() bool { return len(r.Broken) == 0 }
 
-// Tour runs the demo. The exported fields are set before Run.
-type Tour struct {
+// Scenario runs the demo. The exported fields are set before Run.
+type Scenario struct {
 	// Dir holds the replicas' data; it is the caller's to remove.
 	Dir string
 	// Interval is the time between two submissions; DefaultInterval when 0.
@@ -96,7 +96,7 @@
 }
 
 // Run runs the demo and returns what it found; an error means that it could not run.
-func (t *Tour) Run(ctx context.Context) (*Report, error) {
+func (t *Scenario) Run(ctx context.Context) (*Report, error) {
 	begin := time.Now()
 	if t.Step == nil {
 		t.Step = func(string, float64) {}
@@ -128,7 +128,7 @@
 }
 
 // link returns a client's way to a service of all entries.
-func (t *Tour) link(service, k string) *link.Link {
+func (t *Scenario) link(service, k string) *link.Link {
 	l := &link.Link{Key: k, Timeout: 4 * time.Second}
 	for _, e := range t.cell.Names("e", entries) {
 		l.Addresses = append(l.Addresses, "http://"+t.cell.Network.Address(e+"-"+service))
@@ -137,7 +137,7 @@
 }
 
 // prepare makes the teams and their keys.
-func (t *Tour) prepare(ctx context.Context) error {
+func (t *Scenario) prepare(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, settle)
 	defer cancel()
 	t.operator = &operator.Client{Link: t.link("operators", t.cell.Operator)}
@@ -164,7 +164,7 @@
 	return nil
 }
 
-func (t *Tour) grant(ctx context.Context, id, team string) (string, error) {
+func (t *Scenario) grant(ctx context.Context, id, team string) (string, error) {
 	secret := key.NewSecret()
 	digest := key.Digest(secret)
 	_, err := t.operator.Change(ctx, &v1.ChangeRequest{Id: "grant-" + id, Change: &v1.ChangeRequest_Grant{
@@ -173,14 +173,14 @@
 	return id + "." + secret, err
 }
 
-func (t *Tour) broken(format string, args ...any) {
+func (t *Scenario) broken(format string, args ...any) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.report.Broken = append(t.report.Broken, fmt.Sprintf(format, args...))
 }
 
 // sum fills in what is known only at the end.
-func (t *Tour) sum() {
+func (t *Scenario) sum() {
 	r := &t.report
 	ms := func(us int64) float64 { return float64(us) / 1000 }
 	r.Wait = Wait{P50: ms(t.waits.ValueAtQuantile(50)), P99: ms(t.waits.ValueAtQuantile(99)), Max: ms(t.waits.Max())}
--- a/internal/demo/tour/tour_test.go
+++ b/internal/demo/scenario/scenario_test.go
@@ -1,10 +1,10 @@
-package tour_test
+package scenario_test
 
 import (
 	"testing"
 	"time"
 
-	"gypsumreel/internal/demo/tour"
+	"gypsumreel/internal/demo/scenario"
 )
 
 // The demo kills the leader of a busy cell: nothing accepted is lost, nothing
@@ -14,7 +14,7 @@
 		t.Skip("takes ten seconds")
 	}
 	// The race detector makes every copied byte cost tens of times more.
-	r, err := (&tour.Tour{Dir: t.TempDir(), Interval: 100 * time.Millisecond}).Run(t.Context())
+	r, err := (&scenario.Scenario{Dir: t.TempDir(), Interval: 100 * time.Millisecond}).Run(t.Context())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/demo/tour/work.go
+++ b/internal/demo/scenario/work.go
@@ -1,4 +1,4 @@
-package tour
+package scenario
 
 import (
 	"bytes"
@@ -19,7 +19,7 @@
 const withdrawBound = 2 * time.Second
 
 // work submits jobs all along while things go wrong, and waits for the outcomes.
-func (t *Tour) work(ctx context.Context) error {
+func (t *Scenario) work(ctx context.Context) error {
 	var wg sync.WaitGroup
 	faults := make(chan error, 1)
 	wg.Go(func() { faults <- t.trouble(ctx) })
@@ -57,7 +57,7 @@
 }
 
 // serve submits one job and checks its outcome and answer.
-func (t *Tour) serve(ctx context.Context, c *caller.Client, spec *v1.Spec) {
+func (t *Scenario) serve(ctx context.Context, c *caller.Client, spec *v1.Spec) {
 	ctx, cancel := context.WithTimeout(ctx, length+settle)
 	defer cancel()
 	begin := time.Now()
@@ -84,20 +84,20 @@
 	}
 }
 
-func (t *Tour) count(n *int) {
+func (t *Scenario) count(n *int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	*n++
 }
 
-func (t *Tour) took() {
+func (t *Scenario) took() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.report.Accepted++
 	t.accepted = append(t.accepted, time.Now())
 }
 
-func (t *Tour) done(d time.Duration) {
+func (t *Scenario) done(d time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.report.Done++
@@ -105,7 +105,7 @@
 }
 
 // trouble kills the leader halfway, starts it again, and withdraws a key.
-func (t *Tour) trouble(ctx context.Context) error {
+func (t *Scenario) trouble(ctx context.Context) error {
 	t.Step("submit urgent, batch, gang and service work for two teams", 0.1)
 	pause(ctx, length/3)
 	name, err := t.leader(ctx)
@@ -125,7 +125,7 @@
 }
 
 // leader returns the name of the leader; on a busy machine there may be none for a moment.
-func (t *Tour) leader(ctx context.Context) (string, error) {
+func (t *Scenario) leader(ctx context.Context) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, settle)
 	defer cancel()
 	for ctx.Err() == nil {
@@ -145,14 +145,14 @@
 }
 
 // killed notes when the leader ended.
-func (t *Tour) killed(at time.Time) {
+func (t *Scenario) killed(at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.report.Failover = at.UnixMilli()
 }
 
 // failover turns the time of the leader's end into the time until the next acceptance.
-func (t *Tour) failover() {
+func (t *Scenario) failover() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	at := time.UnixMilli(t.report.Failover)
@@ -167,7 +167,7 @@
 }
 
 // withdraw withdraws the spare key and asks every entry until it is refused.
-func (t *Tour) withdraw(ctx context.Context) error {
+func (t *Scenario) withdraw(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, settle)
 	defer cancel()
 	begin := time.Now()
@@ -199,7 +199,7 @@
 }
 
 // service runs a service of three tasks all along and cancels it at the end.
-func (t *Tour) service(ctx context.Context) {
+func (t *Scenario) service(ctx context.Context) {
 	c := t.callers[teams[0]]
 	spec := &v1.Spec{
 		Id: "service", Name: "catalogue", Kind: v1.Kind_KIND_SERVICE, Count: 3, Floor: 2,
--- a/internal/replica/birth/birth.go
+++ b/internal/replica/bootstrap/bootstrap.go
@@ -1,7 +1,7 @@
-// Package birth agrees on the first membership of a control group. Identities
+// Package bootstrap agrees on the first membership of a control group. Identities
 // are drawn at random when a data folder is made, so the replicas named in the
 // settings first ask each other who they are.
-package birth
+package bootstrap
 
 import (
 	"context"
@@ -22,12 +22,12 @@
 const interval = 200 * time.Millisecond
 
 // ErrReplaced is returned when the group was founded by another disk of the
-// same name. A blank disk must not count as a founder: it would vote as a
+// same name. A blank disk must not count as a first member: it would vote as a
 // replica that may have voted otherwise before.
 var ErrReplaced = errors.New("the group was founded already; start without --init and add this replica as a new member")
 
-// Founder takes part in the founding. The exported fields are set before use.
-type Founder struct {
+// Handshake takes part in the founding. The exported fields are set before use.
+type Handshake struct {
 	Cell string
 	// Self is this replica's own NAME/NONCE and address.
 	Self quorum.Member
@@ -38,42 +38,42 @@
 	// Scheme is http or https.
 	Scheme string
 
-	mu       sync.Mutex
-	founders []quorum.Member
+	mu      sync.Mutex
+	members []quorum.Member
 }
 
-var _ inner.Birth = (*Founder)(nil)
+var _ inner.Bootstrap = (*Handshake)(nil)
 
 // Handler returns the HTTP handler of the service.
-func (f *Founder) Handler() http.Handler { return inner.NewBirthServer(f) }
+func (f *Handshake) Handler() http.Handler { return inner.NewBootstrapServer(f) }
 
 // Know sets the first membership of a replica that was founded before.
-func (f *Founder) Know(ids []string) {
+func (f *Handshake) Know(ids []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.founders = nil
+	f.members = nil
 	for _, id := range ids {
-		f.founders = append(f.founders, quorum.Member{ID: id})
+		f.members = append(f.members, quorum.Member{ID: id})
 	}
 }
 
 // Hello tells who this replica is.
-func (f *Founder) Hello(_ context.Context, req *inner.HelloRequest) (*inner.HelloReply, error) {
+func (f *Handshake) Hello(_ context.Context, req *inner.HelloRequest) (*inner.HelloReply, error) {
 	if req.GetCell() != f.Cell || req.GetTo() != name(f.Self.ID) {
 		return nil, twirp.NewError(twirp.PermissionDenied, "this is "+name(f.Self.ID)+" of cell "+f.Cell)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	rep := &inner.HelloReply{Id: f.Self.ID}
-	for _, m := range f.founders {
-		rep.Founders = append(rep.Founders, m.ID)
+	for _, m := range f.members {
+		rep.Members = append(rep.Members, m.ID)
 	}
 	return rep, nil
 }
 
-// Found asks the other replicas until all of them are known, or one of them
+// Agree asks the other replicas until all of them are known, or one of them
 // knows the first membership, and returns it.
-func (f *Founder) Found(ctx context.Context) ([]quorum.Member, error) {
+func (f *Handshake) Agree(ctx context.Context) ([]quorum.Member, error) {
 	known := map[string]quorum.Member{name(f.Self.ID): f.Self}
 	for {
 		for _, p := range f.Peers {
@@ -81,8 +81,8 @@
 			if err != nil {
 				continue
 			}
-			if len(rep.GetFounders()) > 0 {
-				return f.join(rep.GetFounders())
+			if len(rep.GetMembers()) > 0 {
+				return f.join(rep.GetMembers())
 			}
 			known[p.ID] = quorum.Member{ID: rep.GetId(), Address: p.Address}
 		}
@@ -97,15 +97,15 @@
 	}
 }
 
-func (f *Founder) ask(ctx context.Context, p quorum.Member) (*inner.HelloReply, error) {
+func (f *Handshake) ask(ctx context.Context, p quorum.Member) (*inner.HelloReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	c := inner.NewBirthProtobufClient(f.Scheme+"://"+p.Address, f.Client)
+	c := inner.NewBootstrapProtobufClient(f.Scheme+"://"+p.Address, f.Client)
 	return c.Hello(ctx, &inner.HelloRequest{Cell: f.Cell, To: p.ID})
 }
 
 // join takes the membership that another replica is sure of.
-func (f *Founder) join(ids []string) ([]quorum.Member, error) {
+func (f *Handshake) join(ids []string) ([]quorum.Member, error) {
 	if !slices.Contains(ids, f.Self.ID) {
 		return nil, ErrReplaced
 	}
@@ -123,7 +123,7 @@
 }
 
 // settle fixes the membership, in the same order on every replica.
-func (f *Founder) settle(known map[string]quorum.Member) []quorum.Member {
+func (f *Handshake) settle(known map[string]quorum.Member) []quorum.Member {
 	out := make([]quorum.Member, 0, len(known))
 	for _, m := range known {
 		out = append(out, m)
@@ -131,7 +131,7 @@
 	slices.SortFunc(out, func(a, b quorum.Member) int { return strings.Compare(a.ID, b.ID) })
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.founders = out
+	f.members = out
 	return out
 }
 
--- a/internal/replica/quorum/guard_test.go
+++ b/internal/replica/quorum/guard_test.go
@@ -310,8 +310,8 @@
 	}
 }
 
-// A leader is stopped as planned while entries are on the way to its heir.
-// Elected without them the heir would lose against the others' logs, and nobody
+// A leader is stopped as planned while entries are on the way to its transferee.
+// Elected without them the transferee would lose against the others' logs, and nobody
 // would lead until the next timeout; it is asked to stand when it has them.
 func TestHeirHasTheWholeLog(t *testing.T) {
 	c := lead(t)
--- a/internal/replica/quorum/lead.go
+++ b/internal/replica/quorum/lead.go
@@ -25,7 +25,7 @@
 	told      time.Duration
 	wanted    bool
 
-	heir         string
+	transferee   string
 	heirSent     bool
 	heirDeadline time.Duration
 }
@@ -59,8 +59,8 @@
 }
 
 func (c *Core) leaderTick() {
-	if c.lead.heir != "" && c.now >= c.lead.heirDeadline {
-		c.lead.heir = ""
+	if c.lead.transferee != "" && c.now >= c.lead.heirDeadline {
+		c.lead.transferee = ""
 	}
 	if c.now >= c.lead.nextRound {
 		c.resend()
@@ -148,7 +148,7 @@
 }
 
 func (c *Core) accepts(term, first uint64) bool {
-	return c.led() && c.lead.heir == "" && term == c.hard.Term && first == c.log.last()+1
+	return c.led() && c.lead.transferee == "" && term == c.hard.Term && first == c.log.last()+1
 }
 
 func (c *Core) propose(p Propose) {
@@ -229,7 +229,7 @@
 // taken meanwhile, so that it can catch up; after an election timeout they are
 // again.
 func (c *Core) transfer() {
-	if c.role != leader || c.lead.heir != "" {
+	if c.role != leader || c.lead.transferee != "" {
 		return
 	}
 	best := ""
@@ -241,18 +241,18 @@
 			best = id
 		}
 	}
-	c.lead.heir, c.lead.heirSent = best, false
+	c.lead.transferee, c.lead.heirSent = best, false
 	c.lead.heirDeadline = c.now + c.cfg.Election
 }
 
-// handOver lets the heir start an election as soon as it has the whole log.
+// handOver lets the transferee start an election as soon as it has the whole log.
 func (c *Core) handOver() {
 	l := &c.lead
-	if l.heir == "" || l.heirSent || c.peer(l.heir).match < c.log.last() {
+	if l.transferee == "" || l.heirSent || c.peer(l.transferee).match < c.log.last() {
 		return
 	}
 	l.heirSent = true
-	c.send(Message{Kind: TimeoutNow, To: l.heir, Term: c.hard.Term})
+	c.send(Message{Kind: TimeoutNow, To: l.transferee, Term: c.hard.Term})
 }
 
 // takeOver starts an election at the wish of the leader.
