--- a/internal/demo/fault/matrix_test.go
+++ b/internal/demo/fault/matrix_test.go
@@ -146,6 +146,7 @@
 		names[i] = h.String()
 	}
 	t.Run(strings.ReplaceAll(strings.Join(names, " and "), " ", "_"), func(t *testing.T) {
+		t.Parallel() // each case has a network, disks and a clock of its own
 		if broken := run(t, hits...); len(broken) > 0 {
 			t.Error(strings.Join(broken, "\n"))
 		}
