Correct the planner after a refused decision only where it needs it

A placement that no Hold confirms the planner takes back by itself, so queueing its tasks anew did nothing at best; what it cannot know is how the server stands, and that a task whose stop was refused goes on. A test has the ledger refuse a placement behind the planner's back, and the task placed once the server is ready.

--- a/internal/control/leader/decide.go
+++ b/internal/control/leader/decide.go
@@ -61,37 +61,28 @@
 	}
 	if r.Code != code.OK {
 		// The ledger refused what the planner decided: the promise held, and
-		// the planner's picture is wrong. Told nothing, it would decide the
-		// same again at every turn.
+		// the planner's picture is wrong: it would decide the same again at
+		// every turn.
 		l.correct(d)
 		l.Log.Info("decision refused", "verb", d.Verb, "job", d.Job, "code", uint32(r.Code), "detail", r.Detail)
 	}
 }
 
-// correct tells the planner again how the ledger holds what a refused decision was about.
+// correct tells the planner again how the ledger holds what a refused decision
+// was about. A placement that no Hold confirms it takes back by itself.
 func (l *Leader) correct(d plan.Decision) {
 	for _, p := range d.Places {
 		if b, ok := l.st.Server(p.Server); ok {
 			watch{l}.Server(b)
 		}
 	}
-	number := d.Job
-	if number == 0 {
-		number = d.Task.Job
-	}
-	j, ok := l.st.Job(number)
-	if !ok {
+	t, ok := l.st.Task(d.Task)
+	if !ok || len(d.Places) > 0 {
 		return
 	}
-	l.st.Tasks(j, func(t *state.Task) {
-		l.lead.planner.Unqueue(t.ID)
-		switch {
-		case t.Phase == state.Queued && !j.Final():
-			watch{l}.Queue(j, t)
-		case t.Phase.Holds():
-			l.lead.planner.Hold(heldOf(j, t))
-		}
-	})
+	if j, known := l.st.Job(t.ID.Job); known && t.Phase.Holds() {
+		l.lead.planner.Hold(heldOf(j, t))
+	}
 }
 
 func (l *Leader) place(d plan.Decision) state.Result {
--- a/internal/control/leader/harness_test.go
+++ b/internal/control/leader/harness_test.go
@@ -120,6 +120,11 @@
 
 // runWith is run with a log.
 func runWith(t *testing.T, log logr.Logger, fn func(*cell)) {
+	runAs(t, log, func() plan.Planner { return fifo.New() }, fn)
+}
+
+// runAs is run with a log and a planner.
+func runAs(t *testing.T, log logr.Logger, planner func() plan.Planner, fn func(*cell)) {
 	synctest.Test(t, func(t *testing.T) {
 		begin := time.Now()
 		now := func() time.Duration { return time.Since(begin) + time.Minute }
@@ -127,7 +132,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		c := &cell{t: t, g: g, stop: cancel, got: map[uint64]*inner.Reply{}}
 		c.l = c.newLeader(g)
-		c.l.Log = log
+		c.l.Log, c.l.Planner = log, planner
 		done := make(chan error, 1)
 		go func() { done <- c.l.Run(ctx) }()
 		beats := make(chan struct{})
@@ -149,7 +154,6 @@
 func (c *cell) newLeader(g *fakeGroup) *leader.Leader {
 	l := leader.New()
 	l.Group, l.Now = g, g.now
-	l.Planner = func() plan.Planner { return fifo.New() }
 	l.Root = &v1.KeyGrant{Id: "op", Operator: true, Digest: digest()}
 	return l
 }
--- a/internal/control/leader/leader_test.go
+++ b/internal/control/leader/leader_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/google/go-cmp/cmp"
 	"google.golang.org/protobuf/testing/protocmp"
 
@@ -13,7 +14,10 @@
 	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/base/code"
 	"gypsumreel/internal/domain/answer"
+	"gypsumreel/internal/domain/backend"
 	"gypsumreel/internal/ledger/state"
+	policy "gypsumreel/internal/policy/cell"
+	"gypsumreel/internal/policy/plan"
 	"gypsumreel/internal/replica/group"
 )
 
@@ -360,3 +364,26 @@
 		wantCode(t, code.BadKey, c.must(w).GetStatus())
 	})
 }
+
+// The planner's picture of a server is out of date, so the ledger refuses its
+// placement. The planner must take it back: a task that it counts as running
+// for ever never gets a place, and its caller no answer.
+func TestARefusedDecisionIsMadeAgain(t *testing.T) {
+	planner := func() plan.Planner { return policy.New(policy.Config{}) }
+	runAs(t, logr.Discard(), planner, func(c *cell) {
+		s := c.announce("b1", 8000)
+		c.ledger(func(st *state.State) {
+			watch := st.Watch
+			st.Watch = nil // what follows is hidden from the planner
+			st.Apply(&record.Command{What: &record.Command_Mark{Mark: &record.Mark{Server: "b1", Incarnation: 1, State: uint32(backend.Suspect)}}})
+			st.Watch = watch
+		})
+		c.accepted(spec("plan"))
+		if got := starts(s.sync()); len(got) != 1 {
+			time.Sleep(time.Second)
+			if got = starts(s.sync()); len(got) != 1 {
+				t.Errorf("starts once the server is ready: %v", got)
+			}
+		}
+	})
+}
--- a/internal/policy/plan/plan.go
+++ b/internal/policy/plan/plan.go
@@ -36,7 +36,8 @@
 	// Release tells that an attempt is proved to run no more.
 	Release(id task.ID, how End)
 	// Decide returns at most limit decisions, the most pressing first. The caller
-	// applies all of them and tells of their effects before it calls again.
+	// applies all of them and tells of their effects before it calls again. A
+	// placement of which no Hold tells by then was refused.
 	Decide(now time.Duration, limit int) []Decision
 }
 
