--- a/internal/ledger/state/change.go
+++ b/internal/ledger/state/change.go
@@ -62,7 +62,7 @@
 			return refused(code.InUse, name)
 		}
 	}
-	s.putTable(next)
+	s.putTable(next, set, removed)
 	s.watch().Table(next)
 	return Result{}
 }
--- a/internal/ledger/state/snapshot.go
+++ b/internal/ledger/state/snapshot.go
@@ -159,7 +159,7 @@
 	for _, m := range h.GetRows() {
 		rows = append(rows, command.Row(m))
 	}
-	s.putTable(table.Restore(h.GetRevision(), rows))
+	s.putTable(table.Restore(h.GetRevision(), rows), rows, nil)
 	return nil
 }
 
--- a/internal/ledger/state/store.go
+++ b/internal/ledger/state/store.go
@@ -11,6 +11,7 @@
 	"gypsumreel/internal/domain/key"
 	"gypsumreel/internal/domain/table"
 	"gypsumreel/internal/domain/task"
+	"gypsumreel/internal/domain/team"
 	"gypsumreel/internal/ledger/command"
 )
 
@@ -221,9 +222,26 @@
 	}
 }
 
-func (s *State) putTable(t table.Table) {
-	s.swap(sumOf(tableRecord(s.table)), sumOf(tableRecord(t)))
-	s.table = t
+// putTable puts the next revision in force. Only rows that differ are hashed:
+// with the whole table a change would cost as much as the table is long.
+func (s *State) putTable(next table.Table, set []team.Row, removed []string) {
+	for _, name := range removed {
+		if old, ok := s.table.Row(name); ok {
+			s.swap(sumOf(command.RowMessage(old)), 0)
+		}
+	}
+	for _, row := range set {
+		if old, ok := s.table.Row(row.Name); ok {
+			s.swap(sumOf(command.RowMessage(old)), 0)
+		}
+		s.swap(0, sumOf(command.RowMessage(row)))
+	}
+	s.swap(sumOf(revisionRecord(s.table)), sumOf(revisionRecord(next)))
+	s.table = next
+}
+
+func revisionRecord(t table.Table) *record.Header {
+	return &record.Header{Revision: t.Revision()}
 }
 
 // sorted returns the keys of a map in a fixed order.
