Let three calls to a peer be under way at once, taken in their order

Cause: with one call at a time a message waited up to a round trip for the call before it. Calls are numbered on their connection and the receiver takes them in that order (a trial without numbers had reordered messages and made the core start over with probes).

--- a/internal/replica/peer/link.go
+++ b/internal/replica/peer/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -24,6 +25,7 @@
 	ctx     context.Context
 	stop    context.CancelFunc
 	wake    chan struct{}
+	failing atomic.Bool
 
 	mu    sync.Mutex
 	queue [][]byte
@@ -80,7 +82,7 @@
 	return batch
 }
 
-// run sends batches, one call at a time, until the link is stopped or idle.
+// run sends batches until the link is stopped or idle.
 func (l *link) run() {
 	defer l.pool.run.Done()
 	defer l.stop()
@@ -88,38 +90,34 @@
 		InitialInterval: firstWait, MaxInterval: lastWait, RandomizationFactor: backoff.DefaultRandomizationFactor,
 		Multiplier: backoff.DefaultMultiplier,
 	}
-	w := l.dial()
-	defer func() { w.close() }()
-	failing := false
+	s := l.open()
+	defer func() { s.close() }()
 	for {
-		batch := l.batch()
-		if len(batch) == 0 {
+		if l.empty() && s.err() == nil {
 			if !l.rest() && l.pool.remove(l) {
 				return
 			}
 			continue
 		}
-		err := l.call(w, batch)
+		// The messages are taken only when they can leave: until then the bound
+		// of the queue drops the oldest of them.
+		err := s.acquire()
 		if l.ctx.Err() != nil {
 			return
 		}
 		if err == nil {
-			if failing {
-				l.pool.tell(Event{Kind: Recovered, Peer: l.to})
-			}
-			failing = false
-			wait.Reset()
+			s.start(l.batch())
 			continue
 		}
-		if !failing {
-			l.pool.tell(Event{Failed, l.to, err})
+		if s.worked.Load() {
+			wait.Reset()
 		}
-		failing = true
+		l.fail(err)
 		// A connection that something between the two ends has lost track of stays
 		// open and silent for good, while new ones work. So no connection outlives
 		// a failed call.
-		w.close()
-		w = l.dial()
+		s.close()
+		s = l.open()
 		select {
 		case <-time.After(wait.NextBackOff()):
 		case <-l.ctx.Done():
@@ -128,6 +126,19 @@
 	}
 }
 
+// fail tells of the first of several failures, recover of the first success after.
+func (l *link) fail(err error) {
+	if !l.failing.Swap(true) {
+		l.pool.tell(Event{Failed, l.to, err})
+	}
+}
+
+func (l *link) recover() {
+	if l.failing.Swap(false) {
+		l.pool.tell(Event{Kind: Recovered, Peer: l.to})
+	}
+}
+
 // rest waits for messages; false tells that the link was idle or stopped.
 func (l *link) rest() bool {
 	idle := time.NewTimer(IdleTimeout)
@@ -144,11 +155,3 @@
 		return false
 	}
 }
-
-// call sends one batch, within a bounded time.
-func (l *link) call(client inner.Replica, batch []*inner.Envelope) error {
-	ctx, cancel := context.WithTimeout(l.ctx, l.pool.timeout())
-	defer cancel()
-	_, err := client.Deliver(ctx, &inner.DeliverRequest{Cell: l.pool.Cell, From: l.pool.Self, To: l.to, Envelopes: batch})
-	return err
-}
--- /dev/null
+++ b/internal/replica/peer/order_test.go
@@ -0,0 +1,64 @@
+package peer_test
+
+import (
+	"bytes"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/proto"
+
+	"gypsumreel/internal/api/inner"
+	"gypsumreel/internal/replica/peer"
+)
+
+// Two calls are under way at once and the later one is handled first, as
+// happens when a thread is held up. Its message must not overtake: the follower
+// would refuse entries that do not follow its log, and the leader start over with
+// a probe. A call that was lost holds the next one up for a moment only, and a
+// new connection starts over.
+func TestCallsAreTakenInTheirOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var got []string
+		p := &peer.Pool{Cell: "cell", Self: "b/1", Deliver: func(_ string, data []byte) { got = append(got, string(data)) }}
+		h := p.Handler()
+		call := func(wire, number uint64, text string) {
+			body, err := proto.Marshal(&inner.DeliverRequest{
+				Cell: "cell", From: "a/1", To: "b/1", Wire: wire, Number: number,
+				Envelopes: []*inner.Envelope{{Data: []byte(text)}},
+			})
+			if err != nil {
+				t.Error(err)
+			}
+			r := httptest.NewRequest(http.MethodPost, "/twirp/gypsumreel.inner.Replica/Deliver", bytes.NewReader(body))
+			r.Header.Set("Content-Type", "application/protobuf")
+			w := httptest.NewRecorder()
+			h.ServeHTTP(w, r)
+			if w.Code != http.StatusOK {
+				t.Errorf("%s: %d %s", text, w.Code, w.Body)
+			}
+		}
+		begin := time.Now()
+		call(7, 1, "one")
+		go call(7, 3, "three")
+		synctest.Wait()
+		call(7, 2, "two")
+		synctest.Wait()
+		if time.Since(begin) > 0 {
+			t.Error("a call waited although the one before it had come")
+		}
+		call(7, 5, "five, four is lost")
+		if late := time.Since(begin); late == 0 || late > 100*time.Millisecond {
+			t.Errorf("the loss of a call held the next one up for %v", late)
+		}
+		call(8, 1, "a new connection")
+		call(7, 6, "a late call of the old one")
+		want := []string{"one", "two", "three", "five, four is lost", "a new connection", "a late call of the old one"}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
--- a/internal/replica/peer/peer.go
+++ b/internal/replica/peer/peer.go
@@ -74,6 +74,7 @@
 	done   chan struct{}
 	mu     sync.Mutex
 	links  map[string]*link
+	order  order
 	run    sync.WaitGroup
 	closed bool
 }
--- a/internal/replica/peer/server.go
+++ b/internal/replica/peer/server.go
@@ -61,6 +61,8 @@
 		s.p.tell(Event{Refused, r.GetFrom(), err})
 		return nil, twirp.PermissionDenied.Error(err.Error())
 	}
+	done := s.p.order.await(r.GetFrom(), r.GetWire(), r.GetNumber())
+	defer done()
 	for _, e := range r.GetEnvelopes() {
 		s.p.Deliver(r.GetFrom(), e.GetData())
 	}
