--- a/internal/edge/backend/backend.go
+++ b/internal/edge/backend/backend.go
@@ -48,7 +48,7 @@
 
 // Announce forwards the opening of a session.
 func (h *Handler) Announce(ctx context.Context, req *connect.Request[v1.AnnounceRequest]) (*connect.Response[v1.AnnounceReply], error) {
-	reply, status := h.exchange(ctx, req.Header(), req.Peer(), CheckAnnounce(req.Msg), &inner.Item{Ask: &inner.Item_Announce{Announce: req.Msg}}, MaxAsk)
+	reply, status := h.exchange(ctx, req.Header(), req.Peer(), checkAnnounce(req.Msg), &inner.Item{Ask: &inner.Item_Announce{Announce: req.Msg}}, MaxAsk)
 	if status != nil {
 		return connect.NewResponse(&v1.AnnounceReply{Status: status}), nil
 	}
@@ -64,7 +64,7 @@
 		Server: m.GetServer(), Incarnation: m.GetIncarnation(), Number: m.GetNumber(), Reports: m.GetReports(),
 		Patience: uint64(patience.Milliseconds()),
 	}
-	reply, status := h.exchange(ctx, req.Header(), req.Peer(), CheckSync(m), &inner.Item{Ask: &inner.Item_Sync{Sync: ask}}, patience+pollMargin)
+	reply, status := h.exchange(ctx, req.Header(), req.Peer(), checkSync(m), &inner.Item{Ask: &inner.Item_Sync{Sync: ask}}, patience+pollMargin)
 	if status != nil {
 		return connect.NewResponse(&v1.SyncReply{Status: status, Number: m.GetNumber(), Elsewhere: turnAway(status)}), nil
 	}
--- a/internal/edge/backend/check.go
+++ b/internal/edge/backend/check.go
@@ -14,8 +14,8 @@
 	MaxCheckpoint = 4096
 )
 
-// CheckAnnounce returns a *code.Error when the announcement breaks a stated bound.
-func CheckAnnounce(m *v1.AnnounceRequest) error {
+// checkAnnounce returns a *code.Error when the announcement breaks a stated bound.
+func checkAnnounce(m *v1.AnnounceRequest) error {
 	if err := checkServer(m.GetServer()); err != nil {
 		return err
 	}
@@ -35,8 +35,8 @@
 	return caller.CheckLabels(m.GetLabels())
 }
 
-// CheckSync returns a *code.Error when the sync breaks a stated bound.
-func CheckSync(m *v1.SyncRequest) error {
+// checkSync returns a *code.Error when the sync breaks a stated bound.
+func checkSync(m *v1.SyncRequest) error {
 	if err := checkServer(m.GetServer()); err != nil {
 		return err
 	}
--- a/internal/edge/caller/caller.go
+++ b/internal/edge/caller/caller.go
@@ -47,7 +47,7 @@
 	var places []int
 	for i, spec := range jobs {
 		out[i] = &v1.Accepted{Id: spec.GetId()}
-		err := CheckSpec(spec)
+		err := checkSpec(spec)
 		if err == nil && seen[spec.GetId()] {
 			err = code.New(code.Malformed, "id %q stands twice in one request", spec.GetId())
 		}
--- a/internal/edge/caller/check.go
+++ b/internal/edge/caller/check.go
@@ -30,8 +30,8 @@
 	maxAmount = 1 << 40
 )
 
-// CheckSpec returns a *code.Error when the job breaks a stated bound.
-func CheckSpec(s *v1.Spec) error {
+// checkSpec returns a *code.Error when the job breaks a stated bound.
+func checkSpec(s *v1.Spec) error {
 	if err := checkID(s.GetId()); err != nil {
 		return err
 	}
--- a/internal/edge/operator/check.go
+++ b/internal/edge/operator/check.go
@@ -15,8 +15,8 @@
 // maxShare is the whole cell in thousandths.
 const maxShare = 1000
 
-// CheckChange returns a *code.Error when the change breaks a stated bound.
-func CheckChange(m *v1.ChangeRequest) error {
+// checkChange returns a *code.Error when the change breaks a stated bound.
+func checkChange(m *v1.ChangeRequest) error {
 	if err := caller.CheckName("change id", m.GetId()); err != nil {
 		return err
 	}
--- a/internal/edge/operator/operator.go
+++ b/internal/edge/operator/operator.go
@@ -75,7 +75,7 @@
 // Change forwards one change; the change id makes it safe to ask again.
 func (h *Handler) Change(ctx context.Context, req *connect.Request[v1.ChangeRequest]) (*connect.Response[v1.ChangeReply], error) {
 	m := req.Msg
-	reply, status := h.exchange(ctx, req.Header(), CheckChange(m), &inner.Item{Ask: &inner.Item_Change{Change: m}})
+	reply, status := h.exchange(ctx, req.Header(), checkChange(m), &inner.Item{Ask: &inner.Item_Change{Change: m}})
 	out := &v1.ChangeReply{Status: status}
 	if status == nil {
 		out = reply.GetChange()
--- a/internal/ledger/state/change.go
+++ b/internal/ledger/state/change.go
@@ -79,7 +79,7 @@
 			removed = append(removed, name)
 			continue
 		}
-		row, err := Edited(s.table, e)
+		row, err := edited(s.table, e)
 		if err != nil {
 			return nil, nil, refused(err.Code, err.Detail)
 		}
@@ -104,8 +104,8 @@
 	MaxShare = 1_000
 )
 
-// Edited returns the row that an edit makes of the table's, or a new one.
-func Edited(t table.Table, e *v1.Edit) (team.Row, *code.Error) {
+// edited returns the row that an edit makes of the table's, or a new one.
+func edited(t table.Table, e *v1.Edit) (team.Row, *code.Error) {
 	m := e.GetRow()
 	row, ok := t.Row(m.GetTeam())
 	if !ok {
