Say once that a record is saved before it changes

Nine places asked whether a copy of the state is being taken before they touched it; its methods ask now. Two names that were figures of speech are plain.

--- a/internal/fake/server/run.go
+++ b/internal/fake/server/run.go
@@ -108,14 +108,14 @@
 	}
 	s.leaseEnd.Store(&end)
 	if s.watchdog == nil {
-		s.watchdog = time.AfterFunc(time.Until(end), s.bite)
+		s.watchdog = time.AfterFunc(time.Until(end), s.expire)
 		return
 	}
 	s.watchdog.Reset(time.Until(end))
 }
 
-// bite is the watchdog: at the lease's end everything stops, whether or not the cell can be reached.
-func (s *Server) bite() {
+// expire is the watchdog: at the lease's end everything stops, whether or not the cell can be reached.
+func (s *Server) expire() {
 	s.lock()
 	defer s.mu.Unlock()
 	s.checkLease()
--- a/internal/ledger/state/picture.go
+++ b/internal/ledger/state/picture.go
@@ -64,6 +64,38 @@
 	p.of = nil
 }
 
+// The methods below are called before a record changes; nil has nothing to save.
+
+func (p *Picture) key(id string) {
+	if p != nil {
+		p.keys.touch(id)
+	}
+}
+
+func (p *Picture) answer(id string) {
+	if p != nil {
+		p.answers.touch(id)
+	}
+}
+
+func (p *Picture) server(id string) {
+	if p != nil {
+		p.servers.touch(id)
+	}
+}
+
+func (p *Picture) job(number uint64) {
+	if p != nil {
+		p.jobs.touch(number)
+	}
+}
+
+func (p *Picture) task(id task.ID) {
+	if p != nil {
+		p.tasks.touch(id)
+	}
+}
+
 // part is one map of a picture.
 type part interface {
 	step(n int) bool
--- a/internal/ledger/state/store.go
+++ b/internal/ledger/state/store.go
@@ -54,9 +54,7 @@
 	}
 	s.count(u, j, 1)
 	u.jobs[j.Number] = j
-	if s.picture != nil {
-		s.picture.jobs.touch(j.Number)
-	}
+	s.picture.job(j.Number)
 	s.jobs[j.Number] = j
 	if j.Final() && (old == nil || !old.Final()) {
 		s.ended.push(aged[uint64]{j.Number, j.Ended})
@@ -88,16 +86,12 @@
 	for i := range j.Spec.Count {
 		if t, ok := s.tasks[task.ID{Job: j.Number, Index: i}]; ok {
 			s.swap(t.hash, 0)
-			if s.picture != nil {
-				s.picture.tasks.touch(t.ID)
-			}
+			s.picture.task(t.ID)
 			delete(s.tasks, t.ID)
 		}
 	}
 	s.swap(j.hash, 0)
-	if s.picture != nil {
-		s.picture.jobs.touch(j.Number)
-	}
+	s.picture.job(j.Number)
 	delete(s.jobs, j.Number)
 	delete(s.ids, j.Request())
 	u := s.usage(j.Spec.Team)
@@ -115,9 +109,7 @@
 	} else {
 		s.swap(0, t.hash)
 	}
-	if s.picture != nil {
-		s.picture.tasks.touch(t.ID)
-	}
+	s.picture.task(t.ID)
 	s.tasks[t.ID] = t
 	s.tally(&j, t, 1)
 	s.storeJob(s.jobs[j.Number], &j)
@@ -161,9 +153,7 @@
 	s.swap(0, sumOf(serverRecord(b)))
 	s.classify(s.servers[b.ID], -1)
 	s.classify(b, 1)
-	if s.picture != nil {
-		s.picture.servers.touch(b.ID)
-	}
+	s.picture.server(b.ID)
 	s.servers[b.ID] = b
 	if b.Server.State == gone {
 		s.left.push(aged[string]{b.ID, b.Since})
@@ -185,9 +175,7 @@
 func (s *State) removeServer(id string) {
 	s.swap(sumOf(serverRecord(s.servers[id])), 0)
 	s.classify(s.servers[id], -1)
-	if s.picture != nil {
-		s.picture.servers.touch(id)
-	}
+	s.picture.server(id)
 	delete(s.servers, id)
 	delete(s.placed, id)
 }
@@ -197,17 +185,13 @@
 		s.swap(sumOf(keyRecord(old)), 0)
 	}
 	s.swap(0, sumOf(keyRecord(k)))
-	if s.picture != nil {
-		s.picture.keys.touch(k.ID)
-	}
+	s.picture.key(k.ID)
 	s.keys[k.ID] = k
 }
 
 func (s *State) putAnswer(id string, a Answer) {
 	s.swap(0, sumOf(answerRecord(id, a)))
-	if s.picture != nil {
-		s.picture.answers.touch(id)
-	}
+	s.picture.answer(id)
 	s.answers[id] = a
 	s.told.push(aged[string]{id, a.At})
 }
@@ -215,9 +199,7 @@
 func (s *State) removeAnswer(id string) {
 	if a, ok := s.answers[id]; ok {
 		s.swap(sumOf(answerRecord(id, a)), 0)
-		if s.picture != nil {
-			s.picture.answers.touch(id)
-		}
+		s.picture.answer(id)
 		delete(s.answers, id)
 	}
 }
--- a/internal/policy/admit/admit.go
+++ b/internal/policy/admit/admit.go
@@ -1,4 +1,4 @@
-// Package admit decides at the door: what can never run, what no queue has room
+// Package admit decides whether a submission is taken: what can never run, what no queue has room
 // for, and what would come too late is refused at once, so that "not run" is
 // said early and truly. It is pure; the jitter of hints is passed in.
 package admit
