Print failures as JSON too where the result is asked for as JSON

A script that asks for JSON had to read the reason of a failure as text; it gets an object with the text, what to do next, and the exit code.

--- a/internal/cli/verb/exit.go
+++ b/internal/cli/verb/exit.go
@@ -1,6 +1,7 @@
 package verb
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"strings"
@@ -101,17 +102,30 @@
 	return Failed
 }
 
+// failure is what is printed with --json when a verb did not succeed.
+type failure struct {
+	Exit Exit   `json:"exit"`
+	Text string `json:"error"`
+	Next string `json:"next,omitempty"`
+}
+
 // conclude prints how a verb ended and returns its exit code.
-func conclude(env Env, err error) Exit {
+func conclude(env Env, r Runner, err error) Exit {
 	if err == nil {
 		return OK
 	}
-	if text := strings.TrimSpace(err.Error()); text != "" {
-		fmt.Fprintf(env.Err, "%s: %s\n", Program, text)
-	}
+	f := failure{Exit: Failed, Text: strings.TrimSpace(err.Error())}
 	var known *Error
 	if errors.As(err, &known) {
-		return known.Exit
+		f = failure{Exit: known.Exit, Text: strings.TrimSpace(known.Text), Next: known.Next}
 	}
-	return Failed
+	asked, ok := r.(interface{ wantsJSON() bool })
+	switch {
+	case f.Text == "":
+	case ok && asked.wantsJSON():
+		_ = json.NewEncoder(env.Err).Encode(f)
+	default:
+		fmt.Fprintf(env.Err, "%s: %s\n", Program, strings.TrimSpace(err.Error()))
+	}
+	return f.Exit
 }
--- a/internal/cli/verb/print.go
+++ b/internal/cli/verb/print.go
@@ -13,6 +13,8 @@
 	JSON bool `long:"json" description:"print JSON for a program to read"`
 }
 
+func (o Output) wantsJSON() bool { return o.JSON }
+
 // Grid is a result as a person reads it.
 type Grid struct {
 	Head []string
--- a/internal/cli/verb/verb.go
+++ b/internal/cli/verb/verb.go
@@ -74,7 +74,7 @@
 		parser.WriteHelp(env.Err)
 		return Usage
 	}
-	return conclude(env, a.Run(ctx, env, rest))
+	return conclude(env, a.Runner, a.Run(ctx, env, rest))
 }
 
 func add(parent *flags.Command, v Verb, runners map[*flags.Command]adapter, a adapter) error {
--- a/internal/cli/verb/verb_test.go
+++ b/internal/cli/verb/verb_test.go
@@ -70,6 +70,27 @@
 	}
 }
 
+type printer struct {
+	verb.Output
+	err error
+}
+
+func (p *printer) Run(context.Context, verb.Env, []string) error { return p.err }
+
+func TestAFailureIsJSONWhereTheResultIs(t *testing.T) {
+	show := func() verb.Verb {
+		return verb.Verb{Name: "show", Runner: &printer{err: verb.Misuse("do this", "that failed")}}
+	}
+	exit, out, errs := run([]string{"show", "--json"}, show())
+	want := `{"exit":2,"error":"that failed","next":"do this"}` + "\n"
+	if diff := cmp.Diff(want, errs); diff != "" || exit != verb.Usage || out != "" {
+		t.Errorf("exit %d, output %q: %s", exit, out, diff)
+	}
+	if _, _, errs = run([]string{"show"}, show()); strings.Contains(errs, "{") {
+		t.Errorf("without --json: %s", errs)
+	}
+}
+
 // A refusal that says only a number leaves whoever is on duty searching; every
 // one of them is to say what to do next.
 func TestRefusalSaysWhatToDoNext(t *testing.T) {
