End jobs at their deadline also while no server could hold them

Found by hand: an urgent job with a deadline of 2 s stayed queued for ever in a cell without backend servers. The planner puts what no server could hold aside and did not watch the deadlines there. The test fails without the change (no reply) and passes with it.

--- a/internal/control/leader/leader_test.go
+++ b/internal/control/leader/leader_test.go
@@ -387,3 +387,23 @@
 		}
 	})
 }
+
+// A quote cannot be placed in time, because no server is there at all. Its buyer
+// does not wait for ever: the job ends as not run soon after its deadline, and the
+// parked wait is answered.
+func TestAJobPastItsDeadlineIsRefused(t *testing.T) {
+	planner := func() plan.Planner { return policy.New(policy.Config{}) }
+	runAs(t, logr.Discard(), planner, func(c *cell) {
+		quote := spec("quote")
+		quote.Kind, quote.Deadline = v1.Kind_KIND_URGENT, 2000
+		c.accepted(quote)
+		time.Sleep(1900 * time.Millisecond)
+		w := c.wait("quote")
+		time.Sleep(300 * time.Millisecond)
+		got := c.must(w).GetWait()
+		if got.GetOutcome() != v1.Outcome_OUTCOME_NOT_RUN {
+			t.Errorf("outcome %v", got.GetOutcome())
+		}
+		wantCode(t, code.DeadlinePassed, got.GetStatus())
+	})
+}
--- a/internal/policy/cell/work.go
+++ b/internal/policy/cell/work.go
@@ -180,6 +180,7 @@
 		}
 	case inNever:
 		p.never.Remove(u.id)
+		p.late.Remove(u.id)
 		u.work.account.hopeless = u.work.account.hopeless.Sub(u.size())
 	case inFresh:
 		return
@@ -270,6 +271,11 @@
 		p.later.Add(u)
 		return
 	}
+	// Also what no server could hold: the caller of a job that waits for servers
+	// to come is told at its deadline like any other.
+	if u.work.spec.Deadline > 0 && !u.work.started {
+		p.late.Add(u)
+	}
 	if !p.possible(u.work.spec.Size) {
 		u.where = inNever
 		p.never.Add(u)
@@ -282,9 +288,6 @@
 	u.tried = 0
 	c := u.work.account
 	c.queues[kindOf(u.work.spec)].Add(u)
-	if u.work.spec.Deadline > 0 && !u.work.started {
-		p.late.Add(u)
-	}
 	p.press(c, u)
 }
 
