Give malformed and oversized requests a numbered code

Found by hand with curl: half a JSON message and 9 MB of data were refused with the library's own texts and no number. The codecs number what they cannot read (501), and a request that says that it is too large is refused before it is read (504).

--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -23,6 +23,7 @@
 	"gypsumreel/internal/base/meter"
 	"gypsumreel/internal/edge/backend"
 	"gypsumreel/internal/edge/caller"
+	"gypsumreel/internal/edge/codec"
 	"gypsumreel/internal/edge/control"
 	"gypsumreel/internal/edge/operator"
 	"gypsumreel/internal/edge/platform"
@@ -149,20 +150,23 @@
 
 // services returns what there is to serve.
 func (e *Entry) services() []service {
-	count := connect.WithHandlerOptions(connect.WithInterceptors(newCount(e.meters)), connect.WithCompressMinBytes(noCompression))
+	count := connect.WithHandlerOptions(codec.Options(), connect.WithInterceptors(newCount(e.meters)), connect.WithCompressMinBytes(noCompression))
 	all := []service{
-		{e.Callers, e.server(mounted((&caller.Handler{Leader: e.pool}).Route(count)))},
-		{e.Backends, e.server(mounted((&backend.Handler{Leader: e.pool, Enrolment: e.Enrolment, Log: e.Log}).Route(count)))},
-		{e.Operators, e.server(mounted((&operator.Handler{Leader: e.pool, Audit: e.Audit, Name: e.Name, State: e.state}).Route(count)))},
+		{e.Callers, e.server(mounted(caller.MaxRequest)((&caller.Handler{Leader: e.pool}).Route(count)))},
+		{e.Backends, e.server(mounted(backend.MaxRequest)((&backend.Handler{Leader: e.pool, Enrolment: e.Enrolment, Log: e.Log}).Route(count)))},
+		{e.Operators, e.server(mounted(operator.MaxRequest)((&operator.Handler{Leader: e.pool, Audit: e.Audit, Name: e.Name, State: e.state}).Route(count)))},
 		{e.Platform, e.server((&platform.Probes{Ready: e.ready, Meters: []*metrics.Set{e.meters, meter.Common}}).Route())},
 	}
 	return slices.DeleteFunc(all, func(s service) bool { return s.listener == nil })
 }
 
-func mounted(path string, h http.Handler) http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle(path, h)
-	return mux
+// mounted serves a service at its path, with a bound on its requests in bytes.
+func mounted(most int64) func(path string, h http.Handler) http.Handler {
+	return func(path string, h http.Handler) http.Handler {
+		mux := http.NewServeMux()
+		mux.Handle(path, codec.Limit(most, h))
+		return mux
+	}
 }
 
 // ready answers the balancer's probe and logs when the answer changes.
