--- a/internal/control/leader/session.go
+++ b/internal/control/leader/session.go
@@ -35,10 +35,11 @@
 	reports map[task.Attempt]v1.Phase
 	parts   map[task.Attempt]*answer.Parts
 	// sent is when an order to stop was last given.
-	sent    map[task.Attempt]time.Duration
-	slow    map[task.Attempt]bool
-	parked  *Ticket
-	started time.Duration
+	sent   map[task.Attempt]time.Duration
+	slow   map[task.Attempt]bool
+	parked *Ticket
+	// until is when the parked sync is answered without orders.
+	until time.Duration
 }
 
 func (l *Leader) session(b state.Server) *session {
@@ -95,9 +96,9 @@
 		l.mark(b.ID, backend.Ready)
 	}
 	l.reports(b, s, req.GetReports())
-	s.parked, s.started = &to, l.until(to, req.GetPatience())
+	s.parked, s.until = &to, l.until(to, req.GetPatience())
 	l.lead.updated[b.ID] = true
-	l.at(s.started, func() { l.lead.updated[b.ID] = true })
+	l.at(s.until, func() { l.lead.updated[b.ID] = true })
 }
 
 // reports takes the ends of attempts into the ledger and notes the rest.
@@ -187,7 +188,7 @@
 		}
 		l.recall(b, s)
 		orders := l.orders(b, s, now)
-		if len(orders) == 0 && now < s.started {
+		if len(orders) == 0 && now < s.until {
 			continue
 		}
 		to := *s.parked
--- /dev/null
+++ b/internal/control/node/found.go
@@ -0,0 +1,65 @@
+package node
+
+import (
+	"context"
+	"net/http"
+
+	"gypsumreel/internal/replica/bootstrap"
+	"gypsumreel/internal/replica/quorum"
+)
+
+// found learns the first membership: from the other replicas when the group is
+// founded now, else from the disk.
+func (n *Node) found(ctx context.Context, a *assembly, self quorum.Member, saved quorum.Saved) error {
+	if !n.Init || !blank(saved) {
+		a.handshake.Know(known(saved, self))
+		return nil
+	}
+	first, err := a.handshake.Agree(ctx)
+	a.group.Config.Bootstrap = first
+	return err
+}
+
+func (n *Node) handshake(self quorum.Member) *bootstrap.Handshake {
+	f := &bootstrap.Handshake{Cell: n.Cell, Self: self, Scheme: "http"}
+	if n.Client != nil {
+		f.Scheme = "https"
+	}
+	// No connection is kept: the founding happens once.
+	f.Client = &http.Client{Transport: &http.Transport{TLSClientConfig: n.Client, DialContext: n.Dial, DisableKeepAlives: true}}
+	for _, r := range n.Replicas {
+		if r.ID != n.Name {
+			f.Peers = append(f.Peers, r)
+		}
+	}
+	return f
+}
+
+// blank tells whether a replica never took part in anything. One that made its
+// identity and was stopped while it waited for the others is blank still, and
+// goes on with the same identity.
+func blank(saved quorum.Saved) bool {
+	return saved.Snapshot.Index == 0 && len(saved.Entries) == 0 && saved.Hard == quorum.Hard{}
+}
+
+// known lists the membership that a replica has on its disk: that of its
+// snapshot or else the first of its log. Replicas that still wait to found the
+// group take it from one that was quicker, also when that one has restarted.
+func known(saved quorum.Saved, self quorum.Member) []string {
+	members := saved.Snapshot.Members
+	for _, e := range saved.Entries {
+		if len(members) > 0 {
+			break
+		}
+		if e.Kind == quorum.Change {
+			members, _ = quorum.DecodeMembers(e.Data)
+		}
+	}
+	out := []string{self.ID}
+	for _, m := range members {
+		if m.ID != self.ID {
+			out = append(out, m.ID)
+		}
+	}
+	return out
+}
--- a/internal/control/node/node.go
+++ b/internal/control/node/node.go
@@ -154,7 +154,7 @@
 	}
 	n.self.Store(self.ID)
 	saved.Hard, saved.Entries = recovered.Hard, recovered.Entries
-	return n.serve(ctx, self, n.Init && blank(saved), saved, log, store)
+	return n.serve(ctx, self, disks{journal: log, snapshots: store, saved: saved})
 }
 
 func load(store snapshot.Store) (quorum.Saved, error) {
@@ -176,34 +176,57 @@
 	return quorum.Member{ID: id.ID(), Address: n.Address}, fresh, err
 }
 
+// disks is what a replica found in its data folder.
+type disks struct {
+	journal   *journal.Journal
+	snapshots snapshot.Store
+	saved     quorum.Saved
+}
+
+// assembly is the parts of a running daemon.
+type assembly struct {
+	group     *group.Group
+	service   *entry.Server
+	handshake *bootstrap.Handshake
+	transport Transport
+	server    *http.Server
+}
+
+// assemble makes the parts of the daemon; none of them runs yet.
+func (n *Node) assemble(self quorum.Member, d disks) *assembly {
+	a := &assembly{handshake: n.handshake(self)}
+	a.group = &group.Group{
+		Journal: newDisk(d.journal, n.meters, n.Log), Snapshots: &archive{Snapshots: &d.snapshots, log: n.Log},
+		Saved: d.saved, Now: n.now, Log: n.Log,
+	}
+	n.group.Store(a.group)
+	a.service = &entry.Server{Cell: n.Cell, Leader: n.Control, Now: n.now, Dumper: n.State, MaxDump: n.MaxDump, Log: n.Log}
+	n.service.Store(a.service)
+	n.Control.Entries = a.service.Entries
+	n.Control.Deposed, n.Control.Revised = a.service.CloseAll, a.service.WakeAll
+	// Before anything can come in: what arrives is checked against the identity.
+	n.configure(self, a.group)
+	a.transport = n.transport(self.ID, a.group.Receive)
+	a.group.Peer = a.transport
+	mux := http.NewServeMux()
+	mux.Handle("/twirp/gypsumreel.inner.Control/", a.service.Handler())
+	mux.Handle("/twirp/gypsumreel.inner.Bootstrap/", n.replicas(a.handshake.Handler()))
+	mux.Handle("/", n.replicas(a.transport.Handler()))
+	a.server = n.server(mux, n.Server)
+	return a
+}
+
 // serve runs all parts until ctx ends or one of them fails.
-func (n *Node) serve(ctx context.Context, self quorum.Member, found bool, saved quorum.Saved, log *journal.Journal, store snapshot.Store) error {
+func (n *Node) serve(ctx context.Context, self quorum.Member, d disks) error {
 	running, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
-	handshake := n.handshake(self)
-	g := &group.Group{
-		Journal: newDisk(log, n.meters, n.Log), Snapshots: &archive{Snapshots: &store, log: n.Log},
-		Saved: saved, Now: n.now, Log: n.Log,
-	}
-	n.group.Store(g)
-	service := &entry.Server{Cell: n.Cell, Leader: n.Control, Now: n.now, Dumper: n.State, MaxDump: n.MaxDump, Log: n.Log}
-	n.service.Store(service)
-	n.Control.Entries = service.Entries
-	mux := http.NewServeMux()
-	mux.Handle("/twirp/gypsumreel.inner.Control/", service.Handler())
-	mux.Handle("/twirp/gypsumreel.inner.Bootstrap/", n.replicas(handshake.Handler()))
-	// Before anything can come in: what arrives is checked against the identity.
-	n.configure(self, g)
-	transport := n.transport(self.ID, g.Receive)
-	defer transport.Close()
-	g.Peer = transport
-	mux.Handle("/", n.replicas(transport.Handler()))
-	server := n.server(mux, n.Server)
-	faults := make(chan error, 4)
+	a := n.assemble(self, d)
+	defer a.transport.Close()
+	faults := make(chan error, 5)
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer end()
-	defer func() { _ = server.Close() }()
+	defer func() { _ = a.server.Close() }()
 	run := func(what string, fn func() error) {
 		wg.Go(func() {
 			if err := fn(); err != nil && !errors.Is(err, http.ErrServerClosed) {
@@ -211,26 +234,19 @@
 			}
 		})
 	}
-	run("listen", func() error { return listen(server, n.Listener) })
+	run("listen", func() error { return listen(a.server, n.Listener) })
 	if n.Platform != nil {
 		probes := n.server(n.probes(), n.Outside)
 		defer func() { _ = probes.Close() }()
 		run("platform", func() error { return listen(probes, n.Platform) })
 	}
-	if found {
-		first, err := handshake.Agree(ctx)
+	if err := n.found(ctx, a, self, d.saved); err != nil {
 		if ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
-			return err
+			return nil // stopped as planned while it waited for the others
 		}
-		g.Config.Bootstrap = first
-	} else {
-		handshake.Know(known(saved, self))
+		return err
 	}
-	n.Control.Deposed, n.Control.Revised = service.CloseAll, service.WakeAll
-	run("group", func() error { return g.Run(running) })
+	run("group", func() error { return a.group.Run(running) })
 	run("control", func() error { return n.Control.Run(running) })
 	run("watch", func() error { return n.watch(running) })
 	select {
@@ -264,50 +280,6 @@
 	}
 }
 
-func (n *Node) handshake(self quorum.Member) *bootstrap.Handshake {
-	f := &bootstrap.Handshake{Cell: n.Cell, Self: self, Scheme: "http"}
-	if n.Client != nil {
-		f.Scheme = "https"
-	}
-	// No connection is kept: the founding happens once.
-	f.Client = &http.Client{Transport: &http.Transport{TLSClientConfig: n.Client, DialContext: n.Dial, DisableKeepAlives: true}}
-	for _, r := range n.Replicas {
-		if r.ID != n.Name {
-			f.Peers = append(f.Peers, r)
-		}
-	}
-	return f
-}
-
-// blank tells whether a replica never took part in anything. One that made its
-// identity and was stopped while it waited for the others is blank still, and
-// goes on with the same identity.
-func blank(saved quorum.Saved) bool {
-	return saved.Snapshot.Index == 0 && len(saved.Entries) == 0 && saved.Hard == quorum.Hard{}
-}
-
-// known lists the membership that a replica has on its disk: that of its
-// snapshot or else the first of its log. Replicas that still wait to found the
-// group take it from one that was quicker, also when that one has restarted.
-func known(saved quorum.Saved, self quorum.Member) []string {
-	members := saved.Snapshot.Members
-	for _, e := range saved.Entries {
-		if len(members) > 0 {
-			break
-		}
-		if e.Kind == quorum.Change {
-			members, _ = quorum.DecodeMembers(e.Data)
-		}
-	}
-	out := []string{self.ID}
-	for _, m := range members {
-		if m.ID != self.ID {
-			out = append(out, m.ID)
-		}
-	}
-	return out
-}
-
 func (n *Node) configure(self quorum.Member, g *group.Group) {
 	cfg := &g.Config
 	cfg.ID, cfg.Address = self.ID, self.Address
