Load settings and TLS of both daemons in one place

The verbs control and entry each had the same reading of the settings with its refusal of the other role, and the same two sides of TLS with the replicas' names.

--- a/internal/cli/control/control.go
+++ b/internal/cli/control/control.go
@@ -37,13 +37,9 @@
 
 // Run serves until ctx ends.
 func (c *command) Run(ctx context.Context, env verb.Env, _ []string) error {
-	s, err := settings.Load(c.Settings)
+	s, err := verb.LoadSettings(env, c.Settings, settings.Control)
 	if err != nil {
-		event.Fail(event.New(env.Err, settings.DefaultLog), event.SettingsBad, err, "file", c.Settings)
-		return &verb.Error{Exit: verb.Usage, Text: err.Error()}
-	}
-	if s.Role != settings.Control {
-		return verb.Misuse("Run `gypsumreel entry --settings FILE`.", "%s is for role %s", c.Settings, s.Role)
+		return err
 	}
 	n, err := build(s)
 	if err != nil {
@@ -51,9 +47,12 @@
 		return err
 	}
 	n.Init, n.Log, n.Abort = c.Init, event.New(env.Err, s.Log), verb.Again(ctx)
-	if err := protect(context.WithoutCancel(ctx), s, n); err != nil {
+	sides, err := verb.NewSides(ctx, s, n.Log)
+	if err != nil {
 		return err
 	}
+	n.Server, n.Client, n.Outside = sides.Inside.Server(), sides.Inside.Client(sides.Replicas...), sides.Outside.Server()
+	n.Peers = sides.Inside.Client(sides.Replicas...)
 	event.Log(n.Log, event.Started, "role", s.Role, "process", s.Name, "cell", s.Cell, "zone", s.Zone)
 	defer event.Log(n.Log, event.Stopped, "process", s.Name)
 	signal := &dump.Signal{Dir: s.Data, Name: s.Name, State: n.State, Max: int(s.Limits.Dump), Log: n.Log}
@@ -61,25 +60,6 @@
 	return n.Run(ctx)
 }
 
-// protect sets the daemon's TLS. The files are looked at until the process
-// ends: a planned stop may outlast a certificate.
-func protect(ctx context.Context, s *settings.Settings, n *node.Node) error {
-	inside, err := verb.NewSide(ctx, s.TLS.Inside, s.Time.Reload, n.Log)
-	if err != nil {
-		return err
-	}
-	outside, err := verb.NewSide(ctx, s.TLS.Outside, s.Time.Reload, n.Log)
-	if err != nil {
-		return err
-	}
-	var names []string
-	for _, p := range s.Control {
-		names = append(names, p.Name)
-	}
-	n.Server, n.Client, n.Peers, n.Outside = inside.Server(), inside.Client(names...), inside.Client(names...), outside.Server()
-	return nil
-}
-
 // build makes the daemon from its settings.
 func build(s *settings.Settings) (*node.Node, error) {
 	l, err := net.Listen("tcp", s.Listen.Control)
--- a/internal/cli/entry/entry.go
+++ b/internal/cli/entry/entry.go
@@ -33,13 +33,9 @@
 
 // Run serves until ctx ends.
 func (c *command) Run(ctx context.Context, env verb.Env, _ []string) error {
-	s, err := settings.Load(c.Settings)
+	s, err := verb.LoadSettings(env, c.Settings, settings.Entry)
 	if err != nil {
-		event.Fail(event.New(env.Err, settings.DefaultLog), event.SettingsBad, err, "file", c.Settings)
-		return &verb.Error{Exit: verb.Usage, Text: err.Error()}
-	}
-	if s.Role != settings.Entry {
-		return verb.Misuse("Run `gypsumreel control --settings FILE`.", "%s is for role %s", c.Settings, s.Role)
+		return err
 	}
 	e, err := build(s)
 	if err != nil {
@@ -47,9 +43,11 @@
 		return err
 	}
 	e.Log, e.Abort = event.New(env.Err, s.Log), verb.Again(ctx)
-	if err := protect(context.WithoutCancel(ctx), s, e); err != nil {
+	sides, err := verb.NewSides(ctx, s, e.Log)
+	if err != nil {
 		return err
 	}
+	e.Outside, e.Inside = sides.Outside.Server(), sides.Inside.Client(sides.Replicas...)
 	pool := e.Pool()
 	pool.Timeout, pool.Freshness, pool.Batch = s.Time.Call, s.Time.Fresh, int(s.Limits.Batch)
 	event.Log(e.Log, event.Started, "role", s.Role, "process", s.Name, "cell", s.Cell, "zone", s.Zone)
@@ -59,25 +57,6 @@
 	return e.Run(ctx)
 }
 
-// protect sets the daemon's TLS. The files are looked at until the process
-// ends: a planned stop may outlast a certificate.
-func protect(ctx context.Context, s *settings.Settings, e *entry.Entry) error {
-	outside, err := verb.NewSide(ctx, s.TLS.Outside, s.Time.Reload, e.Log)
-	if err != nil {
-		return err
-	}
-	inside, err := verb.NewSide(ctx, s.TLS.Inside, s.Time.Reload, e.Log)
-	if err != nil {
-		return err
-	}
-	var names []string
-	for _, p := range s.Control {
-		names = append(names, p.Name)
-	}
-	e.Outside, e.Inside = outside.Server(), inside.Client(names...)
-	return nil
-}
-
 // build makes the daemon from its settings.
 func build(s *settings.Settings) (*entry.Entry, error) {
 	e := &entry.Entry{
