Hand the TLS sides just what they need

The check that every setting is used by a daemon failed on the commit before, since the reload interval was read inside the shared function. The daemons name each setting that they use again; the check is unchanged.

--- a/internal/cli/control/control.go
+++ b/internal/cli/control/control.go
@@ -47,7 +47,7 @@
 		return err
 	}
 	n.Init, n.Log, n.Abort = c.Init, event.New(env.Err, s.Log), verb.Again(ctx)
-	sides, err := verb.NewSides(ctx, s, n.Log)
+	sides, err := verb.NewSides(ctx, s.TLS, s.Control, s.Time.Reload, n.Log)
 	if err != nil {
 		return err
 	}
--- a/internal/cli/entry/entry.go
+++ b/internal/cli/entry/entry.go
@@ -43,7 +43,7 @@
 		return err
 	}
 	e.Log, e.Abort = event.New(env.Err, s.Log), verb.Again(ctx)
-	sides, err := verb.NewSides(ctx, s, e.Log)
+	sides, err := verb.NewSides(ctx, s.TLS, s.Control, s.Time.Reload, e.Log)
 	if err != nil {
 		return err
 	}
--- a/internal/cli/verb/role.go
+++ b/internal/cli/verb/role.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/go-logr/logr"
 
@@ -31,18 +32,18 @@
 
 // NewSides reads the files of both sides. They are looked at until the process
 // ends, not only until ctx does: a planned stop may outlast a certificate.
-func NewSides(ctx context.Context, s *settings.Settings, log logr.Logger) (Sides, error) {
+func NewSides(ctx context.Context, tls settings.TLS, replicas []settings.Peer, reload time.Duration, log logr.Logger) (Sides, error) {
 	ctx = context.WithoutCancel(ctx)
-	inside, err := NewSide(ctx, s.TLS.Inside, s.Time.Reload, log)
+	inside, err := NewSide(ctx, tls.Inside, reload, log)
 	if err != nil {
 		return Sides{}, err
 	}
-	outside, err := NewSide(ctx, s.TLS.Outside, s.Time.Reload, log)
+	outside, err := NewSide(ctx, tls.Outside, reload, log)
 	if err != nil {
 		return Sides{}, err
 	}
 	sides := Sides{Inside: inside, Outside: outside}
-	for _, p := range s.Control {
+	for _, p := range replicas {
 		sides.Replicas = append(sides.Replicas, p.Name)
 	}
 	return sides, nil
