--- /dev/null
+++ b/internal/base/bounds/bounds.go
@@ -0,0 +1,39 @@
+// Package bounds turns what an instance gives into what a process may take.
+package bounds
+
+import (
+	"runtime/debug"
+)
+
+const (
+	// heapPart of heapOf of the memory is for the heap: buffers of the kernel,
+	// stacks and the program itself need the rest.
+	heapPart, heapOf = 6, 10
+	// roomOf is the part of a disk that is kept free: a snapshot is written
+	// beside the one before it.
+	roomOf = 8
+	// spareFiles are kept for other things than connections from outside: calls
+	// inside, calls to backend servers, and what is open on disk.
+	spareFiles = 600
+	mebibyte   = 1 << 20
+)
+
+// Memory keeps the heap well below the instance's memory, in MiB; 0 for not known.
+func Memory(mib int64) {
+	if mib > 0 {
+		debug.SetMemoryLimit(mib * mebibyte * heapPart / heapOf)
+	}
+}
+
+// Room returns the bytes that are kept free on a disk of so many MiB; 0, which
+// stands for the default, when its size is not known.
+func Room(mib int64) uint64 { return uint64(mib) * mebibyte / roomOf }
+
+// Connections returns how many connections from outside a process may have that
+// wants so many and may open so many files; 0 files is not known.
+func Connections(want, files int64) int {
+	if files > 0 {
+		want = min(want, max(files-spareFiles, 1))
+	}
+	return int(want)
+}
--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -2,18 +2,19 @@
 
 // The process.
 var (
-	Started       = def(100, "started", Info, "process started", "None. Restarts that nobody planned point to events just before them.")
-	Stopped       = def(101, "stopped", Info, "process stopped", "None.")
-	StopBegun     = def(102, "stop-begun", Info, "graceful stop begun", "None. The instance may go once event 101 is logged.")
-	StopDraining  = def(103, "stop-draining", Info, "readiness failed on purpose; still serving", "None.")
-	StopFinishing = def(104, "stop-finishing", Info, "long polls ended; finishing requests in flight", "None.")
-	StopForced    = def(105, "stop-forced", Warn, "stop went on with requests still in flight", "Raise time.finish; callers of the cut requests resume by their ids.")
-	SettingsBad   = def(106, "settings-bad", Error, "settings refused", "Run `gypsumreel check FILE` and mend what it prints.")
-	Listening     = def(107, "listening", Info, "listener open", "None.")
-	ListenFailed  = def(108, "listen-failed", Error, "listener can't be opened", "Free the address or change it in the settings.")
-	Dumped        = def(109, "dumped", Info, "state dump written", "None.")
-	DumpFailed    = def(110, "dump-failed", Warn, "state dump can't be written", "Check the data folder; ask for the dump with `gypsumreel dump`.")
-	Panicked      = def(111, "panicked", Error, "fault in the program; the request was refused or the process ends", "Keep the log and a dump and report the fault.")
+	Started          = def(100, "started", Info, "process started", "None. Restarts that nobody planned point to events just before them.")
+	Stopped          = def(101, "stopped", Info, "process stopped", "None.")
+	StopBegun        = def(102, "stop-begun", Info, "graceful stop begun", "None. The instance may go once event 101 is logged.")
+	StopDraining     = def(103, "stop-draining", Info, "readiness failed on purpose; still serving", "None.")
+	StopFinishing    = def(104, "stop-finishing", Info, "long polls ended; finishing requests in flight", "None.")
+	StopForced       = def(105, "stop-forced", Warn, "stop went on with requests still in flight", "Raise time.finish; callers of the cut requests resume by their ids.")
+	SettingsBad      = def(106, "settings-bad", Error, "settings refused", "Run `gypsumreel check FILE` and mend what it prints.")
+	Listening        = def(107, "listening", Info, "listener open", "None.")
+	ListenFailed     = def(108, "listen-failed", Error, "listener can't be opened", "Free the address or change it in the settings.")
+	Dumped           = def(109, "dumped", Info, "state dump written", "None.")
+	DumpFailed       = def(110, "dump-failed", Warn, "state dump can't be written", "Check the data folder; ask for the dump with `gypsumreel dump`.")
+	SettingsReloaded = def(112, "settings-reloaded", Info, "settings read again", "None.")
+	Panicked         = def(111, "panicked", Error, "fault in the program; the request was refused or the process ends", "Keep the log and a dump and report the fault.")
 )
 
 // The control group.
@@ -117,6 +118,27 @@
 	ClockJumped      = def(712, "clock-jumped", Warn, "the process stood still for a while", "Look for an overloaded or paused instance.")
 )
 
+// Flows.
+var (
+	DispatchBegun   = def(800, "dispatch-begun", Info, "this replica runs the flows from here on", "None.")
+	FlowAccepted    = def(801, "flow-accepted", Info, "flow accepted", "None.")
+	FlowRefused     = def(802, "flow-refused", Warn, "flow refused as not run", "See the code; many at once: the cell is full.")
+	FlowCancelled   = def(803, "flow-cancelled", Info, "flow cancelled by its caller", "None.")
+	TurnBegun       = def(804, "turn-begun", Info, "turn of a flow begun", "None. Much too late: see who led at its time.")
+	RunsPlaced      = def(805, "runs-placed", Info, "runs of a step ordered to start", "None.")
+	RunEnded        = def(806, "run-ended", Info, "run ended", "None. Failed on one server only: look at that server.")
+	StartRefused    = def(807, "start-refused", Warn, "a start was refused or not answered", "None. Many at one server: look at it.")
+	RunStray        = def(808, "run-stray", Warn, "a server runs what was given up; it is stopped", "None. Often: the network carries orders late.")
+	AdviceTaken     = def(809, "advice-taken", Info, "the adviser told who may run a step", "None.")
+	AdviceFailed    = def(810, "advice-failed", Warn, "a question to the adviser failed; it is asked again", "Often: look at the adviser and the way to it.")
+	DocumentTaken   = def(811, "document-taken", Info, "configuration document taken", "None.")
+	DocumentRefused = def(812, "document-refused", Warn, "unsound configuration document refused", "Mend what the error names and send it again.")
+	DecisionRefused = def(813, "decision-refused", Error, "the ledger refused a decision; nothing was changed", "None at first. Often: keep the logs and report the fault.")
+	MemberChange    = def(814, "member-change", Info, "change of the control group begun", "None.")
+	CallUnanswered  = def(815, "call-unanswered", Warn, "a caller's request got no answer from the leader in time", "See the events of the control group at that time.")
+	LinesLost       = def(816, "lines-lost", Warn, "log lines were left out: the reader is too slow", "Read the logs faster, or log less.")
+)
+
 // planned are the events that nothing raises yet. Whoever raises one takes it
 // out of this list.
 var planned = []ID{
--- a/internal/base/event/raised_test.go
+++ b/internal/base/event/raised_test.go
@@ -16,7 +16,7 @@
 // raised returns the names of the events that the code of all packages mentions.
 func raised(t *testing.T) map[string]bool {
 	out := map[string]bool{}
-	err := filepath.WalkDir("../..", func(path string, _ fs.DirEntry, err error) error {
+	mention := func(path string, _ fs.DirEntry, err error) error {
 		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 			return err
 		}
@@ -33,9 +33,11 @@
 			return true
 		})
 		return nil
-	})
-	if err != nil {
-		t.Fatal(err)
+	}
+	for _, root := range []string{"../..", "../../../platform"} {
+		if err := filepath.WalkDir(root, mention); err != nil {
+			t.Fatal(err)
+		}
 	}
 	return out
 }
@@ -46,6 +48,8 @@
 	used := raised(t)
 	// The package raises these itself, for net/http.
 	used["TLSRefused"], used["RequestMalformed"], used["Panicked"] = true, true, true
+	// And this one, in the stream that the lines are missing from.
+	used["LinesLost"] = true
 	planned := map[uint32]bool{}
 	for _, id := range event.Planned() {
 		planned[id.Number] = true
--- /dev/null
+++ b/internal/base/event/writer.go
@@ -0,0 +1,97 @@
+package event
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"gypsumreel/internal/base/meter"
+)
+
+// Bounds of a Writer.
+const (
+	// writerQueue is how many lines wait for the reader.
+	writerQueue = 8192
+	// writerBuffer is how many bytes are written at once.
+	writerBuffer = 32 << 10
+	// lossEvery is how often it is told that lines were lost.
+	lossEvery = time.Second
+)
+
+// Writer hands lines to a slow reader without ever waiting for it: a process
+// must not stand still because nobody reads its log. Lines that find no room are
+// dropped and counted. Set Out, then call Run.
+type Writer struct {
+	Out io.Writer
+
+	once  sync.Once
+	lines chan []byte
+	done  chan struct{}
+	lost  atomic.Int64
+	drops *metrics.Counter
+}
+
+func (w *Writer) init() {
+	w.once.Do(func() {
+		w.lines = make(chan []byte, writerQueue)
+		w.done = make(chan struct{})
+		w.drops = meter.Common.GetOrCreateCounter(meter.Name("base", "log_drops_total"))
+	})
+}
+
+// Write queues one line; it never blocks and never fails.
+func (w *Writer) Write(b []byte) (int, error) {
+	w.init()
+	select {
+	case w.lines <- append([]byte(nil), b...):
+	default:
+		w.lost.Add(1)
+		w.drops.Inc()
+	}
+	return len(b), nil
+}
+
+// Done is closed when Run has returned.
+func (w *Writer) Done() <-chan struct{} { w.init(); return w.done }
+
+// Run writes the lines until stop is closed, then what still waits.
+func (w *Writer) Run(stop <-chan struct{}) {
+	w.init()
+	defer close(w.done)
+	out := bufio.NewWriterSize(w.Out, writerBuffer)
+	defer func() { _ = out.Flush() }()
+	told := time.Now()
+	for {
+		select {
+		case line := <-w.lines:
+			_, _ = out.Write(line)
+		case <-stop:
+			w.drain(out)
+			return
+		}
+		if n := w.lost.Load(); n > 0 && time.Since(told) >= lossEvery {
+			told = time.Now()
+			w.lost.Add(-n)
+			_, _ = fmt.Fprintf(out, `{"level":"WARN","msg":%q,"event":%d,"name":%q,"lines":%d}`+"\n", LinesLost.Text, LinesLost.Number, LinesLost.Name, n)
+		}
+		if len(w.lines) == 0 {
+			_ = out.Flush()
+		}
+	}
+}
+
+func (w *Writer) drain(out *bufio.Writer) {
+	for {
+		select {
+		case line := <-w.lines:
+			_, _ = out.Write(line)
+		default:
+			return
+		}
+	}
+}
--- a/internal/base/settings/keys.go
+++ b/internal/base/settings/keys.go
@@ -138,6 +138,15 @@
 	only(Entry, count("limits.connections", "connections", DefaultConnections, 8, 1<<20, "Most open connections of one listener.", func(s *Settings) *int64 { return &s.Limits.Connections })),
 	only(Control, count("limits.snapshot", "entries", DefaultSnapshot, 16, 10_000_000, "Journal entries between two snapshots.", func(s *Settings) *int64 { return &s.Limits.Snapshot })),
 	count("limits.dump", "bytes", DefaultDump, 1<<10, 64<<20, "Largest state dump; what exceeds it is cut and marked.", func(s *Settings) *int64 { return &s.Limits.Dump }),
+	count("limits.memory", "MiB", 0, 0, 1<<20, "Memory of the instance, 0 when not known; the process keeps well below it.", func(s *Settings) *int64 { return &s.Limits.Memory }),
+	only(Control, count("limits.disk", "MiB", 0, 0, 1<<30, "Size of the data folder's disk, 0 when not known; a part of it is kept free.", func(s *Settings) *int64 { return &s.Limits.Disk })),
+	count("limits.files", "files", 0, 0, 1<<24, "Most open files and connections of the process, 0 when not known.", func(s *Settings) *int64 { return &s.Limits.Files }),
 
+	{
+		Path: "platform", Allowed: "an object", Default: "none",
+		Help: "What only the adapter to a platform reads; the daemons of this program pass it over.",
+		read: readPlatform,
+		fill: func(*Settings) {},
+	},
 	choice("log", []string{"debug", "info", "warn", "error"}, DefaultLog, "Least level of the events that are logged.", func(s *Settings) *string { return &s.Log }),
 }
--- a/internal/base/settings/kind.go
+++ b/internal/base/settings/kind.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/tailscale/hujson"
 )
 
 // What is allowed, as reports and docs/SETTINGS.md say it.
@@ -194,3 +196,14 @@
 		s.Enrolment = append(s.Enrolment, strings.ToLower(t))
 	}
 }
+
+// readPlatform keeps an object as it stands in the file, without comments.
+func readPlatform(r *reader, s *Settings, v value) {
+	if _, ok := v.node.Value.(*hujson.Object); !ok {
+		r.refuse(v, "an object")
+		return
+	}
+	plain := v.node.Clone()
+	plain.Standardize()
+	s.Platform = plain.Pack()
+}
--- a/internal/base/settings/settings.go
+++ b/internal/base/settings/settings.go
@@ -40,6 +40,9 @@
 	TLS      TLS
 	Time     Time
 	Limits   Limits
+	// Platform is what only the adapter to a platform reads, as it stands in the
+	// file; empty for none.
+	Platform []byte
 	// Log is the least level that is logged: debug, info, warn or error.
 	Log string
 }
@@ -118,6 +121,11 @@
 	Snapshot int64
 	// Dump is the largest state dump in bytes.
 	Dump int64
+	// Memory, Disk and Files are what the instance gives: MiB of memory, MiB on
+	// the data folder's disk, open files. 0 is not known.
+	Memory int64
+	Disk   int64
+	Files  int64
 }
 
 // maxFile bounds a settings file in bytes, and with it the parser's recursion.
--- a/internal/cli/control/control.go
+++ b/internal/cli/control/control.go
@@ -9,6 +9,8 @@
 	"github.com/cockroachdb/errors"
 
 	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/base/bounds"
+	"gypsumreel/internal/base/clock"
 	"gypsumreel/internal/base/dump"
 	"gypsumreel/internal/base/event"
 	"gypsumreel/internal/base/settings"
@@ -73,8 +75,9 @@
 	n := &node.Node{
 		Cell: s.Cell, Name: s.Name, Data: s.Data, Listener: l, Platform: probes,
 		Heartbeat: s.Time.Heartbeat, Election: s.Time.Election, Control: leader.New(),
-		MaxDump: int(s.Limits.Dump),
+		MaxDump: int(s.Limits.Dump), Room: bounds.Room(s.Limits.Disk), Clock: clock.Boot,
 	}
+	bounds.Memory(s.Limits.Memory)
 	for _, p := range s.Control {
 		n.Replicas = append(n.Replicas, quorum.Member{ID: p.Name, Address: p.Address})
 		if p.Name == s.Name {
--- a/internal/cli/entry/entry.go
+++ b/internal/cli/entry/entry.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"gypsumreel/internal/base/bounds"
 	"gypsumreel/internal/base/dump"
 	"gypsumreel/internal/base/event"
 	"gypsumreel/internal/base/settings"
@@ -63,8 +64,9 @@
 		Cell: s.Cell, Name: s.Name, Drain: s.Time.Finish,
 		// Zero would stand for the entry's own default.
 		Linger:      max(s.Time.Drain, time.Nanosecond),
-		Connections: int(s.Limits.Connections), Limit: int(s.Limits.Queue),
+		Connections: bounds.Connections(s.Limits.Connections, s.Limits.Files), Limit: int(s.Limits.Queue),
 	}
+	bounds.Memory(s.Limits.Memory)
 	for _, l := range []struct {
 		setting string
 		address string
--- /dev/null
+++ b/internal/control/dispatch/advice.go
@@ -0,0 +1,171 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"gypsumreel/internal/api/inner"
+	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/base/event"
+	"gypsumreel/internal/domain/flow"
+	"gypsumreel/internal/policy/steps"
+)
+
+// Bounds of questions to the adviser.
+const (
+	// permitParts is the part of a permit's time that is kept for the commit and
+	// the way to the server: a start with a permit that is over is refused.
+	permitParts = 5
+	// adviceSlack is what a question may take beyond what it should.
+	adviceSlack = time.Second
+	// askPause is the pause before a question that failed is asked again.
+	askPause = 100 * time.Millisecond
+	// longFactor tells long questions from short ones: those that take this many
+	// times as long as the shortest kind.
+	longFactor = 5
+	// longParts of longOf is the part of the helpers that long questions may
+	// occupy: each is asked one question at a time, and a short one must find
+	// one free.
+	longParts, longOf = 2, 3
+)
+
+// advice is what is known of the adviser's mind about one step.
+type advice struct {
+	// may tells which servers may run the step; it never changes.
+	may map[string]bool
+	// permits are those at hand, by server.
+	permits map[string]permit
+	asking  bool
+	next    time.Duration
+}
+
+type permit struct {
+	ticket string
+	born   int64
+	until  time.Duration
+}
+
+// permission tells the planner what is known of a step on a server.
+func (d *Dispatcher) permission(id flow.StepID, server string) steps.Permission {
+	a := d.lead.advice[id]
+	if a == nil {
+		return steps.Unasked
+	}
+	may, known := a.may[server]
+	switch {
+	case !known:
+		return steps.Unasked
+	case !may:
+		return steps.Denied
+	}
+	if p, ok := a.permits[server]; ok && d.lead.planned < p.until {
+		if s := d.lead.sessions[server]; s != nil && s.born == p.born {
+			return steps.Granted
+		}
+	}
+	return steps.Stale
+}
+
+// questions asks what the plan wants to know, as far as helpers are free. What
+// finds none is wanted again by the next plan.
+func (d *Dispatcher) questions(wants []steps.Want, now time.Duration) {
+	shortest := d.shortest()
+	for _, w := range wants {
+		q, ok := d.Host.Flows().QueueOf(w.Item.Flow)
+		if !ok || q.GetAdvice() == nil {
+			continue
+		}
+		a := d.lead.advice[w.Item.StepID]
+		if a == nil {
+			a = &advice{may: map[string]bool{}, permits: map[string]permit{}}
+			d.lead.advice[w.Item.StepID] = a
+		}
+		if a.asking || now < a.next {
+			continue
+		}
+		takes := cost(q.GetAdvice(), len(w.Servers))
+		h := d.freeHelper(takes > longFactor*shortest, now)
+		if h == nil {
+			continue
+		}
+		d.question(h, w, a, q.GetAdvice(), takes)
+	}
+}
+
+// cost returns how long a question should take.
+func cost(a *v1.Advice, servers int) time.Duration {
+	return time.Duration((a.GetBase() + a.GetEach()*float64(servers)) * float64(time.Millisecond))
+}
+
+// shortest returns the time of the shortest kind of question there is.
+func (d *Dispatcher) shortest() time.Duration {
+	var least time.Duration
+	for _, q := range d.Host.Flows().Config().GetQueues() {
+		if q.GetAdvice() == nil {
+			continue
+		}
+		if c := cost(q.GetAdvice(), steps.MostAsked); least == 0 || c < least {
+			least = c
+		}
+	}
+	return least
+}
+
+// question lets a helper ask the adviser.
+func (d *Dispatcher) question(h *helper, w steps.Want, a *advice, terms *v1.Advice, takes time.Duration) {
+	id := w.Item.StepID
+	a.asking = true
+	long := takes > longFactor*d.shortest()
+	h.take(long)
+	lives := map[string]int64{}
+	for _, s := range w.Servers {
+		if one := d.lead.sessions[s]; one != nil {
+			lives[s] = one.born
+		}
+	}
+	timeout := takes + adviceSlack
+	req := &inner.AdviseRequest{
+		Cell: d.Cell, Flow: id.Flow, Turn: id.Turn, Step: id.Step, Servers: w.Servers, Budget: uint64(timeout / time.Millisecond),
+	}
+	term, ctx, address, sent := d.lead.term, d.lead.ctx, h.address, d.Now()
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		rep := d.Helpers.Advise(ctx, address, req)
+		came := d.Now()
+		d.Host.Post(func() {
+			h.free(long, code.Code(rep.GetCode()) == code.OK, came)
+			if d.lead != nil && d.lead.term == term {
+				d.advised(id, a, lives, rep, terms, sent, came)
+			}
+		})
+	}()
+}
+
+// advised takes the adviser's answer.
+func (d *Dispatcher) advised(id flow.StepID, a *advice, lives map[string]int64, rep *inner.AdviseReply, terms *v1.Advice, sent, came time.Duration) {
+	a.asking = false
+	d.lead.dirty = true
+	d.meter.advise(code.Code(rep.GetCode()), came-sent)
+	if c := code.Code(rep.GetCode()); c != code.OK {
+		a.next = came + askPause
+		event.Log(d.Log, event.AdviceFailed, "flow", id.Flow, "step", id.String(), "code", uint32(c), "detail", rep.GetDetail(), "took", (came - sent).String())
+		return
+	}
+	valid := rep.GetValid()
+	if valid == 0 {
+		valid = terms.GetValid()
+	}
+	until := came + time.Duration(valid)*time.Millisecond*(permitParts-1)/permitParts
+	for server := range lives {
+		if _, known := a.may[server]; !known {
+			a.may[server] = false
+		}
+	}
+	for _, p := range rep.GetPermits() {
+		a.may[p.GetServer()] = true
+		a.permits[p.GetServer()] = permit{ticket: p.GetTicket(), born: lives[p.GetServer()], until: until}
+	}
+	event.Log(d.Log, event.AdviceTaken, "flow", id.Flow, "step", id.String(), "asked", len(lives), "permits", len(rep.GetPermits()), "took", (came - sent).String())
+}
--- /dev/null
+++ b/internal/control/dispatch/dispatch.go
@@ -0,0 +1,302 @@
+// Package dispatch is the part of the control thread that runs flows: it takes
+// what callers, operators and backend servers ask, decides with package steps,
+// and carries the decisions out at the backend servers. Everything that it
+// decides is in the ledger before anybody outside hears of it; what it keeps
+// itself can be found out again by whoever leads next.
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
+
+	"gypsumreel/internal/api/inner"
+	"gypsumreel/internal/api/record"
+	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/base/event"
+	"gypsumreel/internal/domain/flow"
+	"gypsumreel/internal/ledger/flows"
+	"gypsumreel/internal/replica/group"
+	"gypsumreel/internal/replica/quorum"
+)
+
+// Defaults and bounds.
+const (
+	// DefaultHold is the longest lease that a backend server gives.
+	DefaultHold = 6 * time.Second
+	// leaseParts of leaseOf is the part of the longest lease that is used: the
+	// rest covers the way and the clocks.
+	leaseParts, leaseOf = 4, 5
+	// slowest is the rate of the slowest clock of a backend server beside ours.
+	slowest = 0.98
+	// leaseMargin is added to the end of a lease before it counts as over: the
+	// server looks at its clock now and then only.
+	leaseMargin = 100 * time.Millisecond
+
+	// DefaultRetention is how long flows are remembered after their end.
+	DefaultRetention = 150 * time.Second
+	// DefaultOpen bounds the flows that have not ended. At a few hundred bytes a
+	// task it keeps the ledger within tens of megabytes.
+	DefaultOpen = 8_000
+
+	// callTimeout bounds a call to a backend server beyond what it may wait
+	// there: more than the slowest healthy answer, and short beside a lease.
+	callTimeout = time.Second
+	// longestWait bounds how long a backend server holds an answer back for news.
+	longestWait = time.Second
+	// waitParts is the number of waits in a lease: a lost answer must not let
+	// the lease run out.
+	waitParts = 4
+	// planEvery is the longest time between two plans while something waits.
+	planEvery = 50 * time.Millisecond
+	// sweepEvery is how often what is over is forgotten.
+	sweepEvery = time.Second
+)
+
+// Host is the control thread as this part uses it. But for Post and Status, its
+// methods are called on the control thread only.
+type Host interface {
+	// Decide applies a command and queues it for the log.
+	Decide(f *record.Flow) *code.Error
+	// After runs fn once everything decided so far is committed.
+	After(fn func())
+	// Proved runs fn once it is proved that this replica led at a time after received.
+	Proved(received time.Duration, fn func())
+	// Leads tells whether this replica leads and a quorum confirmed so lately.
+	Leads() bool
+	Flows() *flows.Ledger
+	// Clock is the ledger's time.
+	Clock() time.Duration
+	// Full tells that the disk has too little room for new work.
+	Full() bool
+	Members() group.Members
+	Alter(m quorum.Member, remove bool)
+	// Post runs fn on the control thread.
+	Post(fn func()) bool
+}
+
+// Backends calls backend servers. Calls are made on goroutines of their own.
+type Backends interface {
+	// Call makes one call; what goes wrong is in the answer's verdict.
+	Call(ctx context.Context, c *inner.ServerCall) *inner.ServerAnswer
+}
+
+// Helpers are the processes that make calls for the leader.
+type Helpers interface {
+	// Advise lets the process at that address ask the adviser; this process
+	// itself when the address is empty.
+	Advise(ctx context.Context, address string, r *inner.AdviseRequest) *inner.AdviseReply
+	// Relay lets it call a backend server.
+	Relay(ctx context.Context, address string, c *inner.ServerCall) *inner.ServerAnswer
+}
+
+// Dispatcher is the part of the control thread that runs flows. The exported
+// fields are set before use.
+type Dispatcher struct {
+	Host Host
+	Cell string
+	// Now is the group's clock.
+	Now      func() time.Duration
+	Backends Backends
+	Helpers  Helpers
+	// Hold is the longest lease that a backend server gives.
+	Hold      time.Duration
+	Retention time.Duration
+	// Open bounds the flows that have not ended.
+	Open int
+	// Replicas is the number of voters that the group grows to.
+	Replicas int
+	// Meters receives the metrics; nil for none.
+	Meters *metrics.Set
+	Log    logr.Logger
+
+	meter *meters
+	// Owned by the control thread.
+	lead *lead
+	// helpers and joiners are who made themselves known, by address and by id.
+	helpers map[string]*helper
+	joiners map[string]*joiner
+}
+
+// lead is what is kept only while this replica leads.
+type lead struct {
+	term    uint64
+	elected time.Duration
+	ctx     context.Context
+	cancel  context.CancelFunc
+
+	sessions map[string]*session
+	advice   map[flow.StepID]*advice
+	timed    map[string]bool
+	buckets  map[string]*bucket
+	surplus  map[string]bool
+	paces    map[string]*pace
+	// asked are the requests that wait for a commit or a proof; each is told
+	// when this replica is deposed before.
+	asked  map[uint64]func()
+	serial uint64
+
+	dirty   bool
+	planned time.Duration
+	swept   time.Duration
+	roster  time.Duration
+}
+
+// New returns a dispatcher with the defaults.
+func New() *Dispatcher {
+	return &Dispatcher{
+		Hold: DefaultHold, Retention: DefaultRetention, Open: DefaultOpen, Replicas: DefaultReplicas, Log: logr.Discard(),
+		helpers: map[string]*helper{}, joiners: map[string]*joiner{},
+	}
+}
+
+// lease returns the length of the leases that are given.
+func (d *Dispatcher) lease() time.Duration { return d.Hold * leaseParts / leaseOf }
+
+// Elected takes over: what servers hold is asked of them before anything new is
+// placed there.
+func (d *Dispatcher) Elected(term uint64, elected time.Duration) {
+	if d.meter == nil {
+		d.meter = newMeters(d.Meters)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	d.lead = &lead{
+		term: term, elected: elected, ctx: ctx, cancel: cancel, sessions: map[string]*session{},
+		advice: map[flow.StepID]*advice{}, timed: map[string]bool{}, buckets: map[string]*bucket{}, surplus: map[string]bool{},
+		paces: map[string]*pace{}, asked: map[uint64]func(){}, dirty: true,
+	}
+	ledger := d.Host.Flows()
+	for _, b := range ledger.Servers() {
+		if b.Over {
+			continue
+		}
+		s := d.open(b)
+		// The leader before this one may have renewed leases until it noticed
+		// that it was deposed: not later than the proof of its lead could last.
+		s.over = d.Now() + proofAge + d.lease() + leaseMargin
+	}
+	for id, f := range ledger.Flows() {
+		if f.Spec.GetTimes() > 0 && !f.Final() {
+			d.lead.timed[id] = true
+		}
+	}
+	event.Log(d.Log, event.DispatchBegun, "term", term, "servers", len(d.lead.sessions), "flows", ledger.Open())
+}
+
+// proofAge is the greatest age of the proof on which a leader still acts.
+const proofAge = time.Second
+
+// Deposed drops everything. Requests under way learn that the answer is not
+// known here.
+func (d *Dispatcher) Deposed() {
+	ld := d.lead
+	if ld == nil {
+		return
+	}
+	d.lead = nil
+	ld.cancel()
+	for _, fail := range ld.asked {
+		fail()
+	}
+}
+
+// Turn decides once in a turn of the control thread.
+func (d *Dispatcher) Turn() {
+	if d.lead == nil || !d.Host.Leads() {
+		return
+	}
+	d.stopUnwanted()
+	now := d.Now()
+	if d.lead.dirty || now-d.lead.planned >= planEvery {
+		d.lead.planned, d.lead.dirty = now, false
+		d.plan(now)
+	}
+}
+
+// Tick does what is due.
+func (d *Dispatcher) Tick(now time.Duration) {
+	if d.lead == nil || !d.Host.Leads() {
+		return
+	}
+	for _, s := range d.lead.sessions {
+		d.watch(s, now)
+	}
+	d.beginTurns()
+	if now-d.lead.swept >= sweepEvery {
+		d.lead.swept = now
+		d.sweep(now)
+	}
+	d.members(now)
+}
+
+// post runs fn on the control thread, unless another term has begun there.
+func (d *Dispatcher) post(term uint64, fn func()) {
+	d.Host.Post(func() {
+		if d.lead != nil && d.lead.term == term {
+			fn()
+		}
+	})
+}
+
+// sweep forgets flows that ended long ago and servers that are over.
+func (d *Dispatcher) sweep(now time.Duration) {
+	const most = 500
+	ledger := d.Host.Flows()
+	before := d.Host.Clock() - d.Retention
+	f := &record.FlowForget{}
+	for id, one := range ledger.Flows() {
+		if one.Final() && one.Ended < before && one.Held == 0 && len(f.Flows) < most {
+			f.Flows = append(f.Flows, id)
+		}
+	}
+	for id, b := range ledger.Servers() {
+		if b.Over && len(b.Held) == 0 && d.lead.sessions[id] == nil {
+			f.Servers = append(f.Servers, id)
+		}
+	}
+	if len(f.Flows)+len(f.Servers) > 0 {
+		d.decide(&record.Flow{What: &record.Flow_Forget{Forget: f}})
+	}
+	for id := range d.lead.advice {
+		if s, ok := ledger.Step(id); !ok || s.Flow.Final() || s.Done == len(s.Tasks) {
+			delete(d.lead.advice, id)
+		}
+	}
+	for id := range d.lead.surplus {
+		if f, ok := ledger.Flow(id); !ok || f.Final() {
+			delete(d.lead.surplus, id)
+		}
+	}
+	d.forgetHelpers(now)
+	d.meter.look(d)
+}
+
+// decide is Decide for what may be refused without harm: the refusal is logged,
+// since it shows that the picture here and the ledger differ.
+func (d *Dispatcher) decide(f *record.Flow) bool {
+	if err := d.Host.Decide(f); err != nil {
+		event.Fail(d.Log, event.DecisionRefused, err, "term", d.lead.term)
+		return false
+	}
+	d.lead.dirty = true
+	return true
+}
+
+// beginTurns begins the turns of flows that run at times and are due.
+func (d *Dispatcher) beginTurns() {
+	ledger := d.Host.Flows()
+	for id := range d.lead.timed {
+		f, ok := ledger.Flow(id)
+		if !ok || f.Final() || f.Next >= f.Spec.GetTimes() {
+			delete(d.lead.timed, id)
+			continue
+		}
+		due := time.Duration(f.Spec.GetFirst()+int64(f.Next)*int64(f.Spec.GetEvery())) * time.Millisecond
+		if due <= d.Host.Clock() {
+			event.Log(d.Log, event.TurnBegun, "flow", id, "turn", f.Next, "late", (d.Host.Clock() - due).String())
+			d.decide(&record.Flow{What: &record.Flow_Due{Due: &record.FlowDue{Id: id}}})
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/dispatch/helper.go
@@ -0,0 +1,121 @@
+package dispatch
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"gypsumreel/internal/api/inner"
+)
+
+const (
+	// helperAge is how long a process counts as a helper after it was heard of.
+	helperAge = 2 * time.Second
+	// helperPause is how long a helper whose call failed is passed over.
+	helperPause = 500 * time.Millisecond
+)
+
+// helper is a process that makes calls for the leader, one question to the
+// adviser at a time. The one with an empty address is this process.
+type helper struct {
+	address string
+	zone    string
+	heard   time.Duration
+	busy    bool
+	long    bool
+	avoid   time.Duration
+	used    time.Duration
+}
+
+func (h *helper) take(long bool) { h.busy, h.long = true, long }
+
+func (h *helper) free(_, worked bool, now time.Duration) {
+	h.busy, h.long, h.used = false, false, now
+	if !worked {
+		h.avoid = now + helperPause
+	}
+}
+
+// joiner is a control replica that made itself known and may be no member yet.
+type joiner struct {
+	address string
+	heard   time.Duration
+}
+
+// Greet makes a process known and tells it who leads; any goroutine may call it.
+func (d *Dispatcher) Greet(ctx context.Context, g *inner.Greeting) *inner.Welcome {
+	heard := d.Now()
+	w, err := ask(ctx, d, errNotLeading, func(reply func(*inner.Welcome)) {
+		if g.GetReplica() != "" {
+			d.joiners[g.GetReplica()] = &joiner{address: g.GetAddress(), heard: heard}
+		}
+		h := d.helpers[g.GetAddress()]
+		if h == nil {
+			h = &helper{address: g.GetAddress(), zone: g.GetZone()}
+			d.helpers[g.GetAddress()] = h
+		}
+		h.heard = heard
+		out := &inner.Welcome{Term: d.lead.term, Leads: true, Version: d.Host.Flows().Config().GetVersion()}
+		for _, m := range d.Host.Members().Members {
+			out.Members = append(out.Members, m.Address)
+		}
+		d.Host.After(func() { reply(out) })
+	})
+	if err != nil {
+		return &inner.Welcome{}
+	}
+	return w
+}
+
+// forgetHelpers drops processes that were not heard of for long.
+func (d *Dispatcher) forgetHelpers(now time.Duration) {
+	maps.DeleteFunc(d.helpers, func(_ string, h *helper) bool { return !h.busy && h.address != "" && now-h.heard > 10*helperAge })
+	maps.DeleteFunc(d.joiners, func(_ string, j *joiner) bool { return now-j.heard > 10*helperAge })
+}
+
+// freeHelper returns the process that may ask the next question, the one that
+// rested longest; nil when none is free. This process asks too, as the last.
+func (d *Dispatcher) freeHelper(long bool, now time.Duration) *helper {
+	if d.helpers[""] == nil {
+		d.helpers[""] = &helper{}
+	}
+	var best *helper
+	alive, occupied := 0, 0
+	for _, address := range slices.Sorted(maps.Keys(d.helpers)) {
+		h := d.helpers[address]
+		if address != "" && now-h.heard > helperAge || now < h.avoid {
+			continue
+		}
+		alive++
+		if h.busy {
+			if h.long {
+				occupied++
+			}
+			continue
+		}
+		if best == nil || best.address == "" || address != "" && h.used < best.used {
+			best = h
+		}
+	}
+	if long && occupied*longOf >= alive*longParts {
+		return nil
+	}
+	return best
+}
+
+// otherWay returns the next way to a server that could not be reached: through
+// each helper in turn, then directly again.
+func (d *Dispatcher) otherWay(now string) string {
+	var ways []string
+	for _, address := range slices.Sorted(maps.Keys(d.helpers)) {
+		if address != "" && d.Now()-d.helpers[address].heard <= helperAge {
+			ways = append(ways, address)
+		}
+	}
+	i := slices.IndexFunc(ways, func(w string) bool { return w > now })
+	if i < 0 {
+		return ""
+	}
+	return ways[i]
+}
--- /dev/null
+++ b/internal/control/dispatch/order.go
@@ -0,0 +1,214 @@
+package dispatch
+
+import (
+	"time"
+
+	"gypsumreel/internal/api/inner"
+	"gypsumreel/internal/api/record"
+	"gypsumreel/internal/base/event"
+	"gypsumreel/internal/domain/flow"
+	"gypsumreel/internal/ledger/flows"
+)
+
+// Bounds of orders.
+const (
+	// startTries is how often a start is sent before its run is given up: the
+	// first answer may be lost.
+	startTries = 2
+	// orderPause is the pause before an order without an answer is sent again.
+	orderPause = 100 * time.Millisecond
+	// firstAvoid and lastAvoid bound how long a server that said it is unwell
+	// gets nothing new; the time doubles with each refusal in a row.
+	firstAvoid = 250 * time.Millisecond
+	lastAvoid  = 4 * time.Second
+)
+
+// run is what this leader knows of one run at a server.
+type run struct {
+	flow.RunID
+	held *flows.Held
+	// placed is when it was decided, on our clock; 0 when another leader did.
+	placed time.Duration
+	permit string
+	// busy counts the orders under way.
+	busy int
+	// tries counts the starts sent.
+	tries int
+	// maybe tells that a start may have arrived without an answer, ghost that
+	// it may be carried out by another life of the server.
+	maybe bool
+	ghost bool
+	// settled is when the server answered a start or a stop: a list made later
+	// that does not show the run proves that it does not run. 0 before that.
+	settled time.Duration
+	// there tells that the server listed it or confirmed its start.
+	there bool
+	// stopping tells that it is to be stopped, and next when that is asked again.
+	stopping bool
+	next     time.Duration
+	// saved is its latest checkpoint, percent its progress and load its use, at
+	// looked on our clock.
+	saved   string
+	percent float64
+	load    float64
+	looked  time.Duration
+	// moved is when its progress last changed.
+	moved time.Duration
+}
+
+// look takes what a list tells of the run.
+func (r *run) look(m *inner.RunningRun, now time.Duration) {
+	if m.GetCheckpoint() != "" {
+		r.saved = m.GetCheckpoint()
+	}
+	if m.GetPercent() != r.percent || r.moved == 0 {
+		r.moved = now
+	}
+	r.there, r.maybe, r.ghost = true, false, false
+	r.percent, r.load, r.looked = m.GetPercent(), m.GetLoad(), now
+}
+
+// start sends the start of a run whose placement is committed.
+func (d *Dispatcher) start(s *session, r *run) {
+	f, ok := d.Host.Flows().Flow(r.Flow)
+	step, known := d.Host.Flows().Step(r.StepID)
+	if !ok || !known || f.Final() || r.stopping || s.closing != "" {
+		return // what became unwanted meanwhile is stopped, or never sent
+	}
+	r.busy++
+	r.tries++
+	c := &inner.StartRun{Run: r.Message(), Input: f.Spec.GetInput(), Checkpoint: step.Tasks[r.Index].Checkpoint, Permit: r.permit}
+	d.call(s, &inner.ServerCall{What: &inner.ServerCall_Start{Start: c}}, 0, true, func(a *inner.ServerAnswer, sent, came time.Duration) {
+		r.busy--
+		d.meter.call("start", a.GetVerdict(), came-sent)
+		if d.lead.sessions[s.id] == s && s.runs[r.TaskID] == r {
+			d.started(s, r, a, came)
+		}
+	})
+}
+
+// started takes the answer to a start.
+func (d *Dispatcher) started(s *session, r *run, a *inner.ServerAnswer, came time.Duration) {
+	verdict := a.GetVerdict()
+	if verdict != inner.Verdict_VERDICT_DONE {
+		event.Log(d.Log, event.StartRefused, "flow", r.Flow, "run", r.String(), "server", s.id, "verdict", verdict.String(), "detail", a.GetDetail(), "try", r.tries)
+	}
+	switch verdict {
+	case inner.Verdict_VERDICT_DONE:
+		r.there, r.settled, r.ghost = true, came, s.closing != ""
+		s.unwell = 0
+		return
+	case inner.Verdict_VERDICT_OLD:
+		r.settled = came
+		return
+	case inner.Verdict_VERDICT_SILENT:
+		r.maybe, r.ghost = true, true
+		d.again(s, r)
+		return
+	case inner.Verdict_VERDICT_FENCED:
+		// Another leader gives orders here; this one is about to learn of it.
+		r.maybe = true
+		return
+	}
+	d.judge(s, r, verdict, came)
+	if r.maybe {
+		// An earlier try may still be carried out: only a stop rules that out.
+		d.unwant(s, r)
+		return
+	}
+	end := &record.FlowEnd{Run: r.Message(), How: inner.RunEnd_RUN_END_LOST}
+	d.ends(s, &record.FlowEnds{Server: s.id, Born: s.born, Ends: []*record.FlowEnd{end}}, came)
+}
+
+// judge learns from a refusal what not to try again at once.
+func (d *Dispatcher) judge(s *session, r *run, v inner.Verdict, now time.Duration) {
+	switch v {
+	case inner.Verdict_VERDICT_UNWELL, inner.Verdict_VERDICT_ROOM, inner.Verdict_VERDICT_MALFORMED, inner.Verdict_VERDICT_LATE:
+		s.avoid = now + min(firstAvoid<<min(s.unwell, 6), lastAvoid)
+		s.unwell++
+	case inner.Verdict_VERDICT_PERMIT:
+		if a := d.lead.advice[r.StepID]; a != nil {
+			delete(a.permits, s.id)
+		}
+	case inner.Verdict_VERDICT_ABSENT, inner.Verdict_VERDICT_STRANGER, inner.Verdict_VERDICT_UNSENT:
+		s.avoid = now + firstAvoid
+	}
+}
+
+// again sends a start without an answer once more: the same run is started only
+// once. A second silence gives the run up.
+func (d *Dispatcher) again(s *session, r *run) {
+	b, ok := d.Host.Flows().Server(s.id)
+	if r.tries >= startTries || !ok || b.Leaving || s.closing != "" {
+		d.unwant(s, r)
+		return
+	}
+	r.next = d.Now() + orderPause
+	term := d.lead.term
+	time.AfterFunc(orderPause, func() { d.post(term, func() { d.start(s, r) }) })
+}
+
+// unwant stops a run; a gang is stopped whole, since its others wait for this one.
+func (d *Dispatcher) unwant(s *session, r *run) {
+	r.stopping = true
+	d.stop(s, r)
+}
+
+// stopUnwanted orders a stop for every run that the ledger does not want.
+func (d *Dispatcher) stopUnwanted() {
+	now := d.Now()
+	for id, h := range d.Host.Flows().Unwanted() {
+		s := d.lead.sessions[h.Server]
+		if s == nil {
+			continue
+		}
+		if r := s.runs[id]; r != nil && r.Number == h.Number && !r.stopping {
+			r.stopping = true
+			d.Host.After(func() { d.stop(s, r) })
+		}
+	}
+	for _, s := range d.lead.sessions {
+		for _, r := range s.runs {
+			if r.stopping && r.busy == 0 && r.next > 0 && now >= r.next {
+				d.stop(s, r)
+			}
+		}
+	}
+}
+
+// stop orders the stop of a run, and asks again until it is answered. A server
+// refuses a run from then on that it is told to stop and does not know.
+func (d *Dispatcher) stop(s *session, r *run) {
+	if r.busy > 0 && !r.stopping || s.runs[r.TaskID] != r {
+		return
+	}
+	r.busy++
+	r.next = 0
+	c := &inner.ServerCall{What: &inner.ServerCall_Stop{Stop: &inner.StopRun{Run: r.Message()}}}
+	d.call(s, c, 0, false, func(a *inner.ServerAnswer, sent, came time.Duration) {
+		r.busy--
+		d.meter.call("stop", a.GetVerdict(), came-sent)
+		switch a.GetVerdict() {
+		case inner.Verdict_VERDICT_DONE, inner.Verdict_VERDICT_OLD:
+			r.settled, r.ghost = came, false
+			if !s.holding {
+				d.hold(s)
+			}
+		case inner.Verdict_VERDICT_ABSENT, inner.Verdict_VERDICT_STRANGER:
+			r.ghost = false
+			r.next = came + orderPause
+		default:
+			r.next = came + orderPause
+		}
+	})
+}
+
+// stopStray stops a run that a server holds and the ledger does not know there:
+// a start that was given up and carried out late.
+func (d *Dispatcher) stopStray(s *session, id flow.RunID) {
+	event.Log(d.Log, event.RunStray, "flow", id.Flow, "run", id.String(), "server", s.id)
+	c := &inner.ServerCall{What: &inner.ServerCall_Stop{Stop: &inner.StopRun{Run: id.Message()}}}
+	d.call(s, c, 0, false, func(a *inner.ServerAnswer, sent, came time.Duration) {
+		d.meter.call("stop", a.GetVerdict(), came-sent)
+	})
+}
--- /dev/null
+++ b/internal/control/dispatch/plan.go
@@ -0,0 +1,200 @@
+package dispatch
+
+import (
+	"time"
+
+	"gypsumreel/internal/api/inner"
+	"gypsumreel/internal/api/record"
+	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/base/event"
+	"gypsumreel/internal/domain/capacity"
+	"gypsumreel/internal/domain/flow"
+	"gypsumreel/internal/ledger/flows"
+	"gypsumreel/internal/policy/steps"
+)
+
+// unbounded stands for a limit that binds nothing.
+const unbounded = 1 << 50
+
+// lateFactor is how many objectives a flow may take before its end is worth
+// nothing more to its caller.
+const lateFactor = 3
+
+// plan decides what starts and carries it out.
+func (d *Dispatcher) plan(now time.Duration) {
+	ledger := d.Host.Flows()
+	if len(ledger.Ready()) == 0 {
+		return
+	}
+	begin := d.Now()
+	v := steps.View{Room: d.room, Permission: d.permission}
+	for id, s := range d.lead.sessions {
+		b, ok := ledger.Server(id)
+		if ok && !b.Leaving && !b.Over && b.Born == s.born && s.usable(now) {
+			v.Servers = append(v.Servers, steps.Server{Server: b, Pace: d.pace(b)})
+		}
+	}
+	clock := d.Host.Clock()
+	for _, s := range ledger.Ready() {
+		if it, ok := d.item(s, clock); ok {
+			v.Items = append(v.Items, it)
+		}
+	}
+	p := steps.Make(v)
+	for _, one := range p.Placements {
+		d.place(one, now)
+	}
+	d.questions(p.Wants, now)
+	d.meter.plan.Update((d.Now() - begin).Seconds())
+}
+
+// room returns what a customer may still start.
+func (d *Dispatcher) room(customer string) capacity.Size {
+	limit, used := d.Host.Flows().Limit(customer), d.Host.Flows().Used(customer)
+	left := func(limit, used int64) int64 {
+		if limit == capacity.Unlimited {
+			return unbounded
+		}
+		return limit - used
+	}
+	return capacity.Size{CPU: left(limit.CPU, used.CPU), Memory: left(limit.Memory, used.Memory), Accel: left(limit.Accel, used.Accel)}
+}
+
+// item describes a ready step to the planner.
+func (d *Dispatcher) item(s *flows.Step, clock time.Duration) (steps.Item, bool) {
+	q, ok := d.Host.Flows().QueueOf(s.Flow)
+	if !ok {
+		return steps.Item{}, false
+	}
+	turn := s.Flow.Turns[s.Turn]
+	objective := time.Duration(q.GetFactor()*float64(chain(s.Flow.Spec, 0, nil)))*time.Millisecond + time.Duration(q.GetTarget())*time.Millisecond
+	left := time.Duration(chain(s.Flow.Spec, 0, turn)) * time.Millisecond
+	begun := s.Flow.Accepted
+	if s.Flow.Spec.GetTimes() > 0 {
+		begun = time.Duration(s.Flow.Spec.GetFirst()+int64(s.Turn)*int64(s.Flow.Spec.GetEvery())) * time.Millisecond
+	}
+	age := clock - begun
+	return steps.Item{
+		Step: s, Pool: q.GetPool(), Priority: q.GetPriority(), Slack: objective - age - left,
+		Hopeless: !s.Spec.GetLasting() && age+left > lateFactor*objective, Surplus: d.lead.surplus[s.Flow.ID], Permits: q.GetAdvice() != nil,
+	}, true
+}
+
+// chain returns the declared run time in milliseconds of a flow's longest chain
+// of steps; of what is left of it when a turn is given.
+func chain(spec *v1.FlowSpec, from int, turn *flows.Turn) uint64 {
+	ends := make([]uint64, len(spec.GetSteps()))
+	longest := uint64(0)
+	for i, s := range spec.GetSteps() {
+		if turn == nil || turn.Steps[i].Done < len(turn.Steps[i].Tasks) {
+			ends[i] = s.GetRuntime()
+		}
+		begin := uint64(0)
+		for _, before := range s.GetAfter() {
+			begin = max(begin, ends[before])
+		}
+		ends[i] += begin
+		if i >= from {
+			longest = max(longest, ends[i])
+		}
+	}
+	return longest
+}
+
+// place commits a placement and sends the starts once it is committed.
+func (d *Dispatcher) place(p steps.Placement, now time.Duration) {
+	start := &record.FlowStart{}
+	var number uint32
+	for _, t := range p.Step.Tasks {
+		number = max(number, t.Number)
+	}
+	for _, one := range p.Places {
+		n := p.Step.Tasks[one.Index].Number
+		if p.Step.Spec.GetGang() {
+			n = number // the members of a gang share a number
+		}
+		id := flow.RunID{TaskID: one.TaskID, Number: n + 1}
+		start.Places = append(start.Places, &record.FlowPlace{Run: id.Message(), Server: one.Server})
+	}
+	if !d.decide(&record.Flow{What: &record.Flow_Start{Start: start}}) {
+		return
+	}
+	var runs []*run
+	for _, m := range start.GetPlaces() {
+		runs = append(runs, d.placed(m, now))
+	}
+	waited := d.Host.Clock() - p.Step.Since
+	q := p.Step.Flow.Queue
+	d.meter.waited(q, waited)
+	d.Host.After(func() {
+		event.Log(d.Log, event.RunsPlaced, "flow", p.Step.Flow.ID, "step", p.Step.StepID.String(), "runs", len(runs), "first", start.Places[0].GetServer(), "queue", q, "waited", waited.String(), "term", d.lead.term)
+		for _, r := range runs {
+			if s := d.lead.sessions[r.held.Server]; s != nil && s.runs[r.TaskID] == r {
+				d.start(s, r)
+			}
+		}
+	})
+}
+
+// placed notes a run that was placed just now.
+func (d *Dispatcher) placed(m *record.FlowPlace, now time.Duration) *run {
+	id := flow.RunOf(m.GetRun())
+	b, _ := d.Host.Flows().Server(m.GetServer())
+	r := &run{RunID: id, held: b.Held[id.TaskID], placed: now}
+	if a := d.lead.advice[id.StepID]; a != nil {
+		r.permit = a.permits[m.GetServer()].ticket
+	}
+	d.lead.sessions[b.ID].runs[id.TaskID] = r
+	return r
+}
+
+// pace is how fast a server works: how long runs took there beside what was
+// declared, compared with the same of all servers of its pool.
+type pace struct {
+	ratio float64
+	runs  int
+}
+
+// Bounds of what is learned of a server's pace.
+const (
+	// paceWeight is the weight of the latest run: after about ten runs what was
+	// before has little weight left.
+	paceWeight = 0.2
+	// paceRuns is the least number of runs that tell anything.
+	paceRuns = 3
+)
+
+// learn takes the time that a run took.
+func (d *Dispatcher) learn(s *session, r *run, how inner.RunEnd, now time.Duration) {
+	if how != inner.RunEnd_RUN_END_DONE || r.placed == 0 {
+		return
+	}
+	step, ok := d.Host.Flows().Step(r.StepID)
+	if !ok || step.Spec.GetRuntime() == 0 || r.Number > 1 {
+		return
+	}
+	took := (now - r.placed).Seconds() * float64(time.Second/time.Millisecond) / float64(step.Spec.GetRuntime())
+	p := d.lead.paces[s.id]
+	if p == nil {
+		p = &pace{ratio: took}
+		d.lead.paces[s.id] = p
+	}
+	p.ratio += paceWeight * (took - p.ratio)
+	p.runs++
+}
+
+// pace returns how fast a server works beside the others; 1 when nothing is known.
+func (d *Dispatcher) pace(b *flows.Server) float64 {
+	p := d.lead.paces[b.ID]
+	if p == nil || p.runs < paceRuns || p.ratio <= 0 {
+		return 1
+	}
+	sum, n := 0.0, 0
+	for _, o := range d.lead.paces {
+		if o.runs >= paceRuns {
+			sum += o.ratio
+			n++
+		}
+	}
+	return sum / float64(n) / p.ratio
+}
--- /dev/null
+++ b/internal/control/dispatch/session.go
@@ -0,0 +1,360 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"gypsumreel/internal/api/inner"
+	"gypsumreel/internal/api/record"
+	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/base/event"
+	"gypsumreel/internal/domain/capacity"
+	"gypsumreel/internal/domain/flow"
+	"gypsumreel/internal/ledger/flows"
+)
+
+// Bounds of a session.
+const (
+	// firstPause and lastPause bound the pause before a failed call is made again.
+	firstPause = 50 * time.Millisecond
+	lastPause  = 400 * time.Millisecond
+	// absentCalls is how often a server must be found absent, one call after the
+	// other, before its life counts as over: a listener that is opened anew must
+	// not look like a crash.
+	absentCalls = 2
+	// relayAfter is the number of failed calls in a row after which the way
+	// through another process is tried.
+	relayAfter = 2
+)
+
+// session is what this leader knows of one life of a backend server.
+type session struct {
+	id      string
+	born    int64
+	address string
+	// call is the number of the latest report.
+	call uint64
+
+	// clock is what the server's clock showed, at the least, at seen on ours.
+	clock int64
+	seen  time.Duration
+	// over is when everything that runs there has lost its lease, by our clock.
+	over time.Duration
+	// heard is when the server answered last.
+	heard time.Duration
+
+	// holding tells that a hold is under way.
+	holding bool
+	// known tells that the server said what it holds, in this term.
+	known bool
+	// taken is the number of the latest end that was taken from a list, cursor
+	// the latest whose record is committed.
+	taken  uint64
+	cursor uint64
+	// silent tells that the latest hold failed.
+	silent bool
+	fails  int
+	absent int
+	// next is when the next hold is due.
+	next time.Duration
+	// avoid is until when nothing new is placed there, and why it last failed.
+	avoid  time.Duration
+	unwell int
+	// relay is the helper that calls go through; empty for the direct way.
+	relay string
+
+	runs map[flow.TaskID]*run
+
+	// closing tells why the life is being closed; empty when it is not.
+	closing   string
+	closingAt time.Duration
+}
+
+// open begins a session with a server as the ledger has it.
+func (d *Dispatcher) open(b *flows.Server) *session {
+	s := &session{
+		id: b.ID, born: b.Born, address: b.Address, cursor: b.Cursor, taken: b.Cursor,
+		heard: d.Now(), runs: map[flow.TaskID]*run{},
+	}
+	for id, h := range b.Held {
+		// Whether the start ever arrived is not known to this leader.
+		s.runs[id] = &run{RunID: h.RunID, held: h, maybe: true}
+	}
+	d.lead.sessions[b.ID] = s
+	d.hold(s)
+	return s
+}
+
+// reported takes what a report tells of the server's clock.
+func (s *session) reported(r Report, received time.Duration) {
+	s.call = max(s.call, r.Call)
+	if r.Clock > 0 {
+		s.tell(r.Clock, received)
+	}
+}
+
+// tell notes that the server's clock showed at least clock at a time on ours.
+func (s *session) tell(clock int64, at time.Duration) {
+	if at > s.seen {
+		s.clock, s.seen = clock, at
+	}
+}
+
+// promise returns the time on the server's clock that is reached by end on ours
+// at the latest, however slow its clock is; 0 when its clock is not known.
+func (s *session) promise(end time.Duration) int64 {
+	if s.clock == 0 {
+		return 0
+	}
+	return s.clock + int64(slowest*float64(end-s.seen)/float64(time.Millisecond))
+}
+
+// call makes a call to a server and hands the answer to fn on the control
+// thread, with the times on our clock at which it left and came back.
+func (d *Dispatcher) call(s *session, c *inner.ServerCall, wait time.Duration, renew bool, fn func(a *inner.ServerAnswer, sent, came time.Duration)) {
+	now := d.Now()
+	c.Cell, c.Server, c.Address, c.Fence = d.Cell, s.id, s.address, d.lead.term
+	if renew {
+		end := now + d.lease()
+		if c.Until = s.promise(end); c.Until > 0 {
+			s.over = max(s.over, end+leaseMargin)
+		}
+	}
+	timeout := wait + callTimeout
+	c.Budget = uint64(timeout / time.Millisecond)
+	term, ctx, relay := d.lead.term, d.lead.ctx, s.relay
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		var a *inner.ServerAnswer
+		if relay == "" {
+			a = d.Backends.Call(ctx, c)
+		} else {
+			a = d.Helpers.Relay(ctx, relay, c)
+		}
+		came := d.Now()
+		d.post(term, func() {
+			if a.GetClock() > 0 {
+				s.tell(a.GetClock(), came)
+			}
+			fn(a, now, came)
+		})
+	}()
+}
+
+// hold renews the lease and asks what runs. One hold is under way at a time;
+// it waits at the server until something ends.
+func (d *Dispatcher) hold(s *session) {
+	if s.holding || s.closing != "" {
+		return
+	}
+	s.holding = true
+	wait := min(longestWait, d.lease()/waitParts)
+	if !s.known || s.clock == 0 || s.silent || s.pressing() {
+		wait = 0
+	}
+	c := &inner.ServerCall{What: &inner.ServerCall_Hold{Hold: &inner.HoldRuns{Ack: s.cursor, Wait: uint64(wait / time.Millisecond)}}}
+	d.call(s, c, wait, true, func(a *inner.ServerAnswer, sent, came time.Duration) {
+		s.holding = false
+		if d.lead.sessions[s.id] != s || s.closing != "" {
+			return
+		}
+		d.held(s, a, sent, came)
+	})
+}
+
+// pressing tells whether something is to be learned soon from the next list.
+func (s *session) pressing() bool {
+	for _, r := range s.runs {
+		if r.settled > 0 && !r.there {
+			return true
+		}
+	}
+	return false
+}
+
+// held takes the answer to a hold.
+func (d *Dispatcher) held(s *session, a *inner.ServerAnswer, sent, came time.Duration) {
+	switch a.GetVerdict() {
+	case inner.Verdict_VERDICT_DONE:
+	case inner.Verdict_VERDICT_ABSENT, inner.Verdict_VERDICT_STRANGER:
+		s.absent++
+		d.failed(s, a)
+		if s.absent >= absentCalls {
+			d.ending(s, a.GetVerdict().String())
+		}
+		return
+	default:
+		d.failed(s, a)
+		return
+	}
+	if a.GetBorn() != 0 && a.GetBorn() != s.born {
+		d.ending(s, "another life answers")
+		return
+	}
+	if s.silent {
+		event.Log(d.Log, event.ServerBack, "server", s.id, "born", s.born, "silent", (came - s.heard).String())
+	}
+	s.heard, s.silent, s.fails, s.absent = came, false, 0, 0
+	first := !s.known
+	s.known = true
+	d.lists(s, a, sent, came)
+	if first {
+		d.lead.dirty = true
+	}
+	d.Host.After(func() {
+		if d.lead != nil && d.lead.sessions[s.id] == s {
+			s.cursor = s.taken
+			d.hold(s)
+		}
+	})
+}
+
+// failed notes a failed hold and when the next one is due.
+func (d *Dispatcher) failed(s *session, a *inner.ServerAnswer) {
+	if !s.silent {
+		event.Log(d.Log, event.ServerSuspect, "server", s.id, "born", s.born, "verdict", a.GetVerdict().String(), "detail", a.GetDetail(), "held", len(s.runs), "lease", (s.over - d.Now()).String())
+	}
+	s.silent = true
+	s.fails++
+	if s.fails >= relayAfter && a.GetVerdict() != inner.Verdict_VERDICT_ABSENT {
+		s.relay = d.otherWay(s.relay)
+	}
+	s.next = d.Now() + min(firstPause<<min(s.fails, 5), lastPause)
+}
+
+// lists takes what a server says it runs and what ended there.
+func (d *Dispatcher) lists(s *session, a *inner.ServerAnswer, sent, came time.Duration) {
+	listed := map[flow.TaskID]uint32{}
+	for _, m := range a.GetRunning() {
+		id := flow.RunOf(m.GetRun())
+		listed[id.TaskID] = id.Number
+		r := s.runs[id.TaskID]
+		if r == nil || r.Number != id.Number {
+			d.stopStray(s, id)
+			continue
+		}
+		r.look(m, came)
+	}
+	e := &record.FlowEnds{Server: s.id, Born: s.born}
+	for _, m := range a.GetEnded() {
+		id := flow.RunOf(m.GetRun())
+		listed[id.TaskID] = id.Number
+		if m.GetNumber() <= s.taken {
+			continue
+		}
+		s.taken = m.GetNumber()
+		e.Ends = append(e.Ends, &record.FlowEnd{Run: m.GetRun(), How: m.GetHow(), Checkpoint: m.GetCheckpoint()})
+	}
+	for id, r := range s.runs {
+		if number, ok := listed[id]; ok && number == r.Number {
+			continue
+		}
+		// Not listed although its start or its stop was answered before the
+		// list was made: it does not run, and never will.
+		if r.settled > 0 && r.settled < sent {
+			e.Ends = append(e.Ends, &record.FlowEnd{Run: r.Message(), How: inner.RunEnd_RUN_END_LOST, Checkpoint: r.saved})
+		}
+	}
+	if len(e.Ends) == 0 {
+		return
+	}
+	e.Cursor = s.taken
+	d.ends(s, e, came)
+}
+
+// ends records ends and lets go of their runs.
+func (d *Dispatcher) ends(s *session, e *record.FlowEnds, now time.Duration) {
+	if !d.decide(&record.Flow{What: &record.Flow_Ends{Ends: e}}) {
+		return
+	}
+	for _, one := range e.GetEnds() {
+		id := flow.RunOf(one.GetRun())
+		r := s.runs[id.TaskID]
+		if r == nil || r.Number != id.Number {
+			continue
+		}
+		delete(s.runs, id.TaskID)
+		d.ended(s, r, one, now)
+	}
+}
+
+// ended logs an end and learns from it.
+func (d *Dispatcher) ended(s *session, r *run, e *record.FlowEnd, now time.Duration) {
+	state := "gone"
+	if f, ok := d.Host.Flows().Flow(r.Flow); ok {
+		state = f.State.String()
+	}
+	d.meter.end(e.GetHow())
+	event.Log(d.Log, event.RunEnded, "flow", r.Flow, "run", r.String(), "server", s.id, "how", e.GetHow().String(), "took", (now - r.placed).String(), "state", state)
+	d.learn(s, r, e.GetHow(), now)
+}
+
+// watch looks after one session: holds that are due, leases that are over, and
+// lives that are being closed.
+func (d *Dispatcher) watch(s *session, now time.Duration) {
+	if s.closing != "" {
+		d.close(s, now)
+		return
+	}
+	if s.silent && !s.holding && now >= s.next {
+		d.hold(s)
+	}
+	if now > s.over && len(s.runs) > 0 && now-s.heard > d.lease() {
+		event.Log(d.Log, event.ServerGone, "server", s.id, "born", s.born, "heard", (now - s.heard).String(), "held", len(s.runs))
+		d.clear(s, false)
+	}
+}
+
+// ending begins to close a life that is over. Starts that are on their way may
+// reach whoever listens at the address next, so they are settled first.
+func (d *Dispatcher) ending(s *session, why string) {
+	if s.closing == "" {
+		s.closing, s.closingAt = why, d.Now()
+		event.Log(d.Log, event.ServerGone, "server", s.id, "born", s.born, "cause", why, "held", len(s.runs))
+	}
+	d.close(s, d.Now())
+}
+
+// close ends a life once no start can be carried out any more that was sent
+// into it: each doubtful one is stopped at the address, or its time is over.
+func (d *Dispatcher) close(s *session, now time.Duration) {
+	if now < s.closingAt+d.Hold+2*callTimeout {
+		for _, r := range s.runs {
+			if r.busy > 0 {
+				return
+			}
+			if r.ghost && r.settled < s.closingAt {
+				d.stop(s, r)
+				return
+			}
+		}
+	}
+	d.clear(s, true)
+	delete(d.lead.sessions, s.id)
+}
+
+// clear records that nothing that a life held runs any more.
+func (d *Dispatcher) clear(s *session, over bool) {
+	c := &record.FlowClear{Id: s.id, Born: s.born, Over: over}
+	for _, r := range s.runs {
+		if r.saved != "" {
+			c.Saved = append(c.Saved, &record.FlowSaved{Run: r.Message(), Checkpoint: r.saved})
+		}
+		event.Log(d.Log, event.AttemptLost, "flow", r.Flow, "run", r.String(), "server", s.id, "checkpoint", r.saved, "over", over)
+		d.meter.end(inner.RunEnd_RUN_END_LOST)
+	}
+	if d.decide(&record.Flow{What: &record.Flow_Clear{Clear: c}}) {
+		s.runs = map[flow.TaskID]*run{}
+		s.known = false
+	}
+}
+
+// usable tells whether new work may be placed on a server now.
+func (s *session) usable(now time.Duration) bool {
+	return s.known && !s.silent && s.closing == "" && s.clock > 0 && now >= s.avoid && now-s.heard <= longestWait+callTimeout
+}
+
+func sizeMessage(s capacity.Size) *v1.Size {
+	return &v1.Size{Cpu: s.CPU, Memory: s.Memory, Accel: s.Accel, Slots: s.Slots}
+}
--- a/internal/control/leader/lead.go
+++ b/internal/control/leader/lead.go
@@ -31,6 +31,7 @@
 	// pending are the commands that the group has not taken yet.
 	pending  [][]byte
 	held     []heldReply
+	effects  []effect
 	reads    []heldRead
 	waits    map[state.RequestID][]*waiter
 	servers  map[string]*session
@@ -115,6 +116,9 @@
 	}
 	l.status.Store(&Status{Leads: true, Term: n.Term})
 	event.Log(l.Log, event.LeaderElected, "term", n.Term, "index", n.Last)
+	if l.Part != nil {
+		l.Part.Elected(n.Term, n.Elected)
+	}
 	if l.lead.seen.running > 0 {
 		event.Log(l.Log, event.RecoveryWait, "wait", l.Terms.Wait().String(), "tasks", l.lead.seen.running)
 	}
@@ -158,6 +162,9 @@
 		}
 		l.lead = nil
 		l.st.Watch = nil
+		if l.Part != nil {
+			l.Part.Deposed()
+		}
 		if l.applied > ld.committed {
 			l.abandon()
 			l.Group.Reload()
@@ -287,6 +294,9 @@
 		heap.Pop(&ld.due).(due).run()
 	}
 	ld.dirty = true
+	if l.Part != nil {
+		l.Part.Tick(now)
+	}
 	l.promote(now)
 	if now-ld.looked >= lookEvery {
 		ld.looked = now
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -129,6 +129,8 @@
 	// Matches gives the index up to which each other replica has the log on its
 	// disk; nil when that is not known. It must not wait for the control thread.
 	Matches func() map[string]uint64
+	// Part decides about flows; nil for none.
+	Part Part
 	// Meters receives the thread's metrics; nil for none.
 	Meters *metrics.Set
 	Log    logr.Logger
@@ -262,9 +264,13 @@
 // finish ends a turn: decide, propose, and let reads and sessions go on.
 func (l *Leader) finish() {
 	if l.lead != nil {
+		l.perform()
 		l.decide()
 		l.serveServers()
 		l.serveReads()
+		if l.Part != nil {
+			l.Part.Turn()
+		}
 		l.propose()
 		l.deliver()
 	}
--- /dev/null
+++ b/internal/control/leader/part.go
@@ -0,0 +1,99 @@
+package leader
+
+import (
+	"time"
+
+	"gypsumreel/internal/api/record"
+	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/ledger/flows"
+	"gypsumreel/internal/replica/group"
+	"gypsumreel/internal/replica/quorum"
+)
+
+// Part is a further part of the control thread: it decides while the replica
+// leads, through the methods of the Leader below. All its methods are called on
+// the control thread.
+type Part interface {
+	// Elected is called when the replica begins to lead.
+	Elected(term uint64, elected time.Duration)
+	// Deposed is called when it leads no more; what was decided and not
+	// committed is void.
+	Deposed()
+	// Turn is called at the end of each turn, before its commands are proposed.
+	Turn()
+	// Tick is called now and then, for what is due.
+	Tick(now time.Duration)
+}
+
+// effect is something that may only be done once its cause is committed.
+type effect struct {
+	index uint64
+	run   func()
+}
+
+// Decide applies a command about flows to the working ledger and queues it for
+// the log. What the ledger refuses changed nothing and is not logged. Only a
+// Part may call it, while the replica leads.
+func (l *Leader) Decide(f *record.Flow) *code.Error {
+	r := l.resolve(&record.Command{What: &record.Command_Flow{Flow: f}})
+	if r.Code != code.OK {
+		return &code.Error{Code: r.Code, Detail: r.Detail}
+	}
+	return nil
+}
+
+// After runs fn once everything decided so far is committed; never when the
+// replica is deposed before.
+func (l *Leader) After(fn func()) {
+	l.lead.effects = append(l.lead.effects, effect{l.lead.last, fn})
+}
+
+// Proved runs fn once it is proved that this replica still led at a time after
+// received; never when it is deposed before.
+func (l *Leader) Proved(received time.Duration, fn func()) {
+	l.lead.reads = append(l.lead.reads, heldRead{received: received, run: fn})
+}
+
+// Leads tells whether the replica leads and a quorum confirmed so lately.
+func (l *Leader) Leads() bool { return l.lead != nil && l.current() }
+
+// Flows returns the working ledger's flows.
+func (l *Leader) Flows() *flows.Ledger { return l.st.Flows() }
+
+// Clock returns the ledger's time.
+func (l *Leader) Clock() time.Duration { return l.clock() }
+
+// Full tells that the journal's disk has too little room for new work.
+func (l *Leader) Full() bool { return l.full }
+
+// Members returns the membership of the control group as it is committed.
+func (l *Leader) Members() group.Members { return l.members }
+
+// Alter proposes one change of the membership; when it cannot be made now,
+// whoever asked asks again.
+func (l *Leader) Alter(m quorum.Member, remove bool) { l.alter(m, remove) }
+
+// Post runs fn on the control thread. It may be called on any goroutine but
+// that one, and waits for room.
+func (l *Leader) Post(fn func()) bool {
+	select {
+	case l.inbox <- fn:
+		return true
+	case <-l.done:
+		return false
+	}
+}
+
+// perform runs the effects whose cause is committed.
+func (l *Leader) perform() {
+	ld := l.lead
+	n := 0
+	for n < len(ld.effects) && ld.effects[n].index <= ld.committed {
+		ld.effects[n].run()
+		n++
+	}
+	if n > 0 {
+		clear(ld.effects[:n])
+		ld.effects = ld.effects[n:]
+	}
+}
--- a/internal/control/node/found.go
+++ b/internal/control/node/found.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 
 	"gypsumreel/internal/replica/bootstrap"
 	"gypsumreel/internal/replica/quorum"
@@ -15,6 +16,12 @@
 		a.handshake.Know(known(saved, self))
 		return nil
 	}
+	if len(n.Founders) > 0 {
+		if slices.ContainsFunc(n.Founders, func(m quorum.Member) bool { return m.ID == self.ID }) {
+			a.group.Config.Bootstrap = n.Founders
+		}
+		return nil
+	}
 	first, err := a.handshake.Agree(ctx)
 	a.group.Config.Bootstrap = first
 	return err
--- a/internal/control/node/node.go
+++ b/internal/control/node/node.go
@@ -7,6 +7,7 @@
 	"crypto/rand"
 	"crypto/tls"
 	"encoding/binary"
+	"io"
 	"net"
 	"net/http"
 	"path/filepath"
@@ -73,6 +74,20 @@
 	Heartbeat time.Duration
 	Election  time.Duration
 	Handover  time.Duration
+	// Clock is the clock that the parts share: that of package clock in a daemon,
+	// since it counts suspensions. Nil for the language's steady clock, which
+	// tests run on virtual time.
+	Clock func() time.Duration
+	// Founders are the identities that found a new cell, when they are known
+	// beforehand; without them the replicas ask each other. A replica that is
+	// not among them waits to be taken in.
+	Founders []quorum.Member
+	// Nonce is where the identity of a blank disk is drawn from; nil for chance.
+	Nonce io.Reader
+	// Room is the room on the disk that is kept free, in bytes; 0 for the default.
+	Room uint64
+	// Routes adds services to the one for entries and other replicas; nil for none.
+	Routes func(mux *http.ServeMux)
 	// Transport makes the way to the other replicas; receive takes what they
 	// send. Nil for package peer.
 	Transport func(id string, receive func(from string, data []byte)) Transport
@@ -85,7 +100,6 @@
 	Log     logr.Logger
 
 	once  sync.Once
-	begin time.Time
 	done  chan struct{}
 	group atomic.Pointer[group.Group]
 	self  atomic.Value
@@ -104,7 +118,10 @@
 
 func (n *Node) init() {
 	n.once.Do(func() {
-		n.begin = time.Now()
+		if n.Clock == nil {
+			begin := time.Now()
+			n.Clock = func() time.Duration { return time.Since(begin) }
+		}
 		n.done = make(chan struct{})
 		n.meters = metrics.NewSet()
 		if n.Control == nil {
@@ -119,9 +136,21 @@
 // Done is closed when Run has returned.
 func (n *Node) Done() <-chan struct{} { n.init(); return n.done }
 
-// now is the monotonic clock that group and control thread share. It starts
-// above zero, so that zero can mean never.
-func (n *Node) now() time.Duration { return time.Since(n.begin) + time.Hour }
+// now is the time on the clock that group and control thread share. It is above
+// zero, so that zero can mean never.
+func (n *Node) now() time.Duration { return n.Clock() + time.Hour }
+
+// Now returns the time on the clock that the parts of the daemon share.
+func (n *Node) Now() time.Duration { n.init(); return n.now() }
+
+// Meters returns the set of the daemon's metrics.
+func (n *Node) Meters() *metrics.Set { n.init(); return n.meters }
+
+// Self returns NAME/NONCE of this replica; empty before Run has read its disk.
+func (n *Node) Self() string {
+	id, _ := n.self.Load().(string)
+	return id
+}
 
 // Run serves until ctx ends, then hands the lead over and stops. An error means
 // that this replica cannot go on, with the way out in its text.
@@ -171,7 +200,11 @@
 	id, err := store.Load(n.Cell, n.Name)
 	fresh := errors.Is(err, member.ErrNone)
 	if fresh {
-		id, err = store.Make(n.Cell, n.Name, rand.Reader)
+		nonce := n.Nonce
+		if nonce == nil {
+			nonce = rand.Reader
+		}
+		id, err = store.Make(n.Cell, n.Name, nonce)
 	}
 	return quorum.Member{ID: id.ID(), Address: n.Address}, fresh, err
 }
@@ -197,7 +230,7 @@
 	a := &assembly{handshake: n.handshake(self)}
 	a.group = &group.Group{
 		Journal: newDisk(d.journal, n.meters, n.Log), Snapshots: &archive{Snapshots: &d.snapshots, log: n.Log},
-		Saved: d.saved, Now: n.now, Log: n.Log,
+		Saved: d.saved, Now: n.now, Free: n.Room, Log: n.Log,
 	}
 	n.group.Store(a.group)
 	a.service = &entry.Server{Cell: n.Cell, Leader: n.Control, Now: n.now, Dumper: n.State, MaxDump: n.MaxDump, Log: n.Log}
@@ -212,6 +245,9 @@
 	mux.Handle("/twirp/gypsumreel.inner.Control/", a.service.Handler())
 	mux.Handle("/twirp/gypsumreel.inner.Bootstrap/", n.replicas(a.handshake.Handler()))
 	mux.Handle("/", n.replicas(a.transport.Handler()))
+	if n.Routes != nil {
+		n.Routes(mux)
+	}
 	a.server = n.server(mux, n.Server)
 	return a
 }
--- /dev/null
+++ b/internal/edge/helper/helper.go
@@ -0,0 +1,99 @@
+// Package helper is how processes make calls for the leader: questions to the
+// adviser, which takes one at a time from each machine, and calls to backend
+// servers that the leader itself cannot reach. Helpers keep no state: whoever
+// leads decides, and a call carries all that it needs.
+package helper
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/twitchtv/twirp"
+
+	"gypsumreel/internal/api/inner"
+	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/edge/wire"
+)
+
+// Adviser asks the adviser.
+type Adviser interface {
+	Advise(ctx context.Context, r *inner.AdviseRequest) *inner.AdviseReply
+}
+
+// Backends calls backend servers.
+type Backends interface {
+	Call(ctx context.Context, c *inner.ServerCall) *inner.ServerAnswer
+}
+
+// Server makes calls for the leader. The exported fields are set before use.
+type Server struct {
+	Cell     string
+	Adviser  Adviser
+	Backends Backends
+}
+
+var _ inner.Helper = (*Server)(nil)
+
+// Handler returns the HTTP handler of the service.
+func (s *Server) Handler() http.Handler { return inner.NewHelperServer(s) }
+
+// Advise asks the adviser.
+func (s *Server) Advise(ctx context.Context, r *inner.AdviseRequest) (*inner.AdviseReply, error) {
+	if err := s.check(r.GetCell()); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(r.GetBudget())*time.Millisecond)
+	defer cancel()
+	return s.Adviser.Advise(ctx, r), nil
+}
+
+// Relay calls a backend server.
+func (s *Server) Relay(ctx context.Context, c *inner.ServerCall) (*inner.ServerAnswer, error) {
+	if err := s.check(c.GetCell()); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(c.GetBudget())*time.Millisecond)
+	defer cancel()
+	return s.Backends.Call(ctx, c), nil
+}
+
+func (s *Server) check(cell string) error {
+	if cell != s.Cell {
+		return twirp.NewError(twirp.PermissionDenied, "this is cell "+s.Cell)
+	}
+	return nil
+}
+
+// Pool calls helpers, this process among them. The exported fields are set
+// before use.
+type Pool struct {
+	Self   *Server
+	Client *http.Client
+}
+
+// Advise lets the process at that address ask; this process when it is empty.
+func (p *Pool) Advise(ctx context.Context, address string, r *inner.AdviseRequest) *inner.AdviseReply {
+	if address == "" {
+		return p.Self.Adviser.Advise(ctx, r)
+	}
+	rep, err := inner.NewHelperProtobufClient("http://"+address, p.Client).Advise(ctx, r)
+	if err != nil {
+		return &inner.AdviseReply{Code: uint32(code.Unanswered), Detail: err.Error()}
+	}
+	return rep
+}
+
+// Relay lets the process at that address call a backend server. What goes wrong
+// on the way to it may have happened after the call left.
+func (p *Pool) Relay(ctx context.Context, address string, c *inner.ServerCall) *inner.ServerAnswer {
+	rep, err := inner.NewHelperProtobufClient("http://"+address, p.Client).Relay(ctx, c)
+	switch {
+	case err == nil:
+		return rep
+	case wire.NeverSent(err):
+		return &inner.ServerAnswer{Verdict: inner.Verdict_VERDICT_UNSENT, Detail: err.Error()}
+	}
+	return &inner.ServerAnswer{Verdict: inner.Verdict_VERDICT_SILENT, Detail: errors.Wrap(err, "relay").Error()}
+}
--- /dev/null
+++ b/internal/edge/leader/leader.go
@@ -0,0 +1,278 @@
+// Package leader is a process's way to the leader of the control group: it keeps
+// itself known there, finds the next one when the leader changes, and carries
+// callers' requests.
+package leader
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"gypsumreel/internal/api/inner"
+	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/base/event"
+	"gypsumreel/internal/edge/wire"
+)
+
+// Times of the way to the leader.
+const (
+	// greetEvery is how often the process makes itself known.
+	greetEvery = 300 * time.Millisecond
+	// greetTimeout bounds one greeting.
+	greetTimeout = 700 * time.Millisecond
+	// tryTimeout bounds one try of a request: a commit on slow disks and more.
+	tryTimeout = 1500 * time.Millisecond
+	// findTime is how long a request waits for a leader to be found. An election
+	// that takes longer is better waited for by the caller itself.
+	findTime = 700 * time.Millisecond
+	// retryPause is the pause before a request is tried again.
+	retryPause = 50 * time.Millisecond
+	// freshTime is the age of the last word of a leader up to which the process
+	// counts as in touch: an election within it goes unnoticed.
+	freshTime = 4 * time.Second
+)
+
+// Link is the way to the leader. The exported fields are set before Run.
+type Link struct {
+	Cell string
+	// Greeting is what this process says of itself; its replica is empty for an entry.
+	Greeting *inner.Greeting
+	// Seeds are addresses to look for the leader at, first and when all others fail.
+	Seeds func() []string
+	// Leads tells that the leader is this process itself; nil for never.
+	Leads  func() bool
+	Client *http.Client
+	Now    func() time.Duration
+	Log    logr.Logger
+
+	once    sync.Once
+	done    chan struct{}
+	mu      sync.Mutex
+	leader  string
+	members []string
+	term    uint64
+	version uint64
+	heard   time.Duration
+	// changed is closed when another leader is known.
+	changed chan struct{}
+}
+
+func (l *Link) init() {
+	l.once.Do(func() {
+		l.done, l.changed = make(chan struct{}), make(chan struct{})
+		if l.Leads == nil {
+			l.Leads = func() bool { return false }
+		}
+	})
+}
+
+// Done is closed when Run has returned.
+func (l *Link) Done() <-chan struct{} { l.init(); return l.done }
+
+// Fresh returns nil while the leader was heard of lately and has a
+// configuration in force, else why not.
+func (l *Link) Fresh() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case l.heard == 0 || l.Now()-l.heard > freshTime:
+		return errors.New("no leader is in contact")
+	case l.version == 0:
+		return errors.New("no configuration is in force")
+	}
+	return nil
+}
+
+// Run keeps the process known to the leader until ctx ends.
+func (l *Link) Run(ctx context.Context) error {
+	l.init()
+	defer close(l.done)
+	tick := time.NewTicker(greetEvery)
+	defer tick.Stop()
+	for {
+		if !l.Leads() {
+			l.greet(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+	}
+}
+
+// greet greets the leader; when that fails, everybody who may know it.
+func (l *Link) greet(ctx context.Context) {
+	l.mu.Lock()
+	leader := l.leader
+	l.mu.Unlock()
+	if leader != "" && l.greetOne(ctx, leader, false) {
+		return
+	}
+	l.lost(leader)
+	var wg sync.WaitGroup
+	for _, address := range l.known() {
+		wg.Go(func() { l.greetOne(ctx, address, true) })
+	}
+	wg.Wait()
+}
+
+// known lists the addresses where the leader may be.
+func (l *Link) known() []string {
+	l.mu.Lock()
+	all := append(slices.Clone(l.members), l.Seeds()...)
+	l.mu.Unlock()
+	slices.Sort(all)
+	all = slices.Compact(all)
+	return slices.DeleteFunc(all, func(a string) bool { return l.Greeting.GetReplica() != "" && a == l.Greeting.GetAddress() })
+}
+
+// greetOne greets one address, and with follow whoever that one takes for the
+// leader. It tells whether a leader answered.
+func (l *Link) greetOne(ctx context.Context, address string, follow bool) bool {
+	ctx, cancel := context.WithTimeout(ctx, greetTimeout)
+	defer cancel()
+	w, err := inner.NewFlowsProtobufClient("http://"+address, l.Client).Greet(ctx, l.Greeting)
+	if err != nil {
+		return false
+	}
+	if w.GetLeads() {
+		l.found(address, w)
+		return true
+	}
+	if follow && w.GetLeader() != "" && w.GetLeader() != address {
+		return l.greetOne(ctx, w.GetLeader(), false)
+	}
+	return false
+}
+
+// found takes the word of a leader; that of an earlier term is not listened to.
+func (l *Link) found(address string, w *inner.Welcome) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if w.GetTerm() < l.term {
+		return
+	}
+	if l.leader != address {
+		event.Log(l.Log, event.LeaderChanged, "from", l.leader, "to", address, "term", w.GetTerm())
+		l.leader = address
+		close(l.changed)
+		l.changed = make(chan struct{})
+	}
+	l.term, l.members, l.heard = w.GetTerm(), w.GetMembers(), l.Now()
+	l.version = max(l.version, w.GetVersion())
+}
+
+// lost notes that a leader does not answer any more.
+func (l *Link) lost(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if address != "" && l.leader == address {
+		event.Log(l.Log, event.LeaderAway, "replica", address, "term", l.term)
+		l.leader = ""
+	}
+}
+
+// at returns the leader, and what is closed when another one is known.
+func (l *Link) at() (leader string, term uint64, changed <-chan struct{}) {
+	l.init()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.leader, l.term, l.changed
+}
+
+// Ask carries a request to the leader. Every request may be made again: flows
+// have ids, and cancelling or asking twice changes nothing. The answer has code
+// NoLeader when nothing can have been done, and Unanswered when that is not known.
+func (l *Link) Ask(ctx context.Context, a *inner.FlowAsk) *inner.FlowAnswer {
+	a.Cell = l.Cell
+	sent := false
+	give := time.NewTimer(findTime)
+	defer give.Stop()
+	for {
+		leader, term, changed := l.at()
+		if leader != "" {
+			a.Term = term
+			rep, reached := l.try(ctx, leader, a)
+			if rep != nil {
+				return rep
+			}
+			sent = sent || reached
+		}
+		wait := changed
+		if leader != "" {
+			wait = nil // the same one is tried again after the pause
+		}
+		select {
+		case <-wait:
+			continue
+		case <-time.After(retryPause):
+			continue
+		case <-give.C:
+		case <-ctx.Done():
+		}
+		return l.unanswered(a, sent)
+	}
+}
+
+func (l *Link) unanswered(a *inner.FlowAsk, sent bool) *inner.FlowAnswer {
+	c := code.NoLeader
+	if sent {
+		c = code.Unanswered
+	}
+	event.Log(l.Log, event.CallUnanswered, "flow", a.GetSpec().GetId(), "path", a.GetPath(), "verb", a.GetVerb().String(), "code", uint32(c), "leader", l.leaderName())
+	return &inner.FlowAnswer{Code: uint32(c), Retry: uint64(findTime / time.Millisecond)}
+}
+
+func (l *Link) leaderName() string {
+	leader, _, _ := l.at()
+	return leader
+}
+
+// try makes one call; nil when it has to be made again. reached tells that the
+// leader may have taken the request.
+func (l *Link) try(ctx context.Context, leader string, a *inner.FlowAsk) (rep *inner.FlowAnswer, reached bool) {
+	limit := tryTimeout
+	if end, ok := ctx.Deadline(); ok {
+		limit = min(limit, time.Until(end))
+	}
+	a.Budget = uint64(max(limit, 0) / time.Millisecond)
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	rep, err := inner.NewFlowsProtobufClient("http://"+leader, l.Client).Ask(ctx, a)
+	if err != nil {
+		l.lost(leader)
+		return nil, !wire.NeverSent(err)
+	}
+	switch code.Code(rep.GetCode()) {
+	case code.NoLeader:
+		l.moved(leader, rep.GetLeader())
+		return nil, false
+	case code.Unanswered:
+		return nil, true
+	}
+	if rep.GetTerm() > 0 {
+		l.answered(rep.GetTerm())
+	}
+	return rep, true
+}
+
+// moved notes that a replica does not lead, and whom it takes for the leader.
+func (l *Link) moved(from, to string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.leader == from {
+		l.leader = to
+	}
+}
+
+func (l *Link) answered(term uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.term, l.heard = max(l.term, term), l.Now()
+}
--- a/internal/ledger/chart/chart_test.go
+++ b/internal/ledger/chart/chart_test.go
@@ -15,7 +15,7 @@
 	"gypsumreel/internal/ledger/chart"
 )
 
-var all = []chart.Name{chart.Task, chart.Attempt, chart.Lease, chart.Backend, chart.Member}
+var all = []chart.Name{chart.Task, chart.Attempt, chart.Lease, chart.Backend, chart.Member, chart.Flow, chart.Piece}
 
 // path returns the events that lead from the start to a state.
 func path(c *chart.Chart, to chart.State) []chart.Event {
--- a/internal/ledger/chart/names.go
+++ b/internal/ledger/chart/names.go
@@ -7,6 +7,8 @@
 	Lease   Name = "lease"
 	Backend Name = "backend"
 	Member  Name = "member"
+	Flow    Name = "flow"
+	Piece   Name = "piece"
 )
 
 // The states of a task.
@@ -29,6 +31,12 @@
 	Lost    State = "lost"
 )
 
+// The states of a flow, besides Queued, Running and Done.
+const (
+	Failed    State = "failed"
+	Cancelled State = "cancelled"
+)
+
 // The states of a lease.
 const (
 	Held     State = "held"
@@ -87,3 +95,9 @@
 	Promote    Event = "promote"
 	Remove     Event = "remove"
 )
+
+// The events of flows, besides Start and Finish.
+const (
+	Fail   Event = "fail"
+	Cancel Event = "cancel"
+)
--- /dev/null
+++ b/internal/ledger/flows/flows.go
@@ -0,0 +1,406 @@
+// Package flows is the part of the ledger that holds flows (jobs of several
+// steps), the backend servers that run their tasks, and the configuration
+// document. It is a deterministic state machine: the same commands give the
+// same state on every replica. It has no clock and does no I/O.
+package flows
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"gypsumreel/internal/api/inner"
+	"gypsumreel/internal/api/record"
+	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/domain/capacity"
+	"gypsumreel/internal/domain/flow"
+)
+
+// Ledger holds everything about flows. What is derived is kept in step with
+// the records and built anew when a snapshot is read.
+type Ledger struct {
+	config  *flow.Config
+	flows   map[string]*Flow
+	servers map[string]*Server
+	digest  uint64
+	faults  int
+
+	// Derived.
+	ready    map[flow.StepID]*Step
+	unwanted map[flow.TaskID]*Held
+	used     map[string]capacity.Size
+	pending  map[string]int
+	open     int
+}
+
+// Flow is one accepted flow.
+type Flow struct {
+	ID       string
+	Customer string
+	// Queue is the queue as it was when the flow was accepted; it counts when
+	// the document in force has none of that name.
+	Queue string
+	Spec  *v1.FlowSpec
+	// Accepted and Ended are on the ledger's clock.
+	Accepted time.Duration
+	Ended    time.Duration
+	State    v1.FlowState
+	// Next is the number of the next turn of a flow that runs at times.
+	Next uint32
+	// Turns are those under way, by number.
+	Turns map[uint32]*Turn
+	// Held counts the runs that servers may hold.
+	Held int
+}
+
+// Final tells whether the flow's state never changes again.
+func (f *Flow) Final() bool { return f.State >= v1.FlowState_FLOW_STATE_DONE }
+
+// Turn is one pass through the steps of a flow.
+type Turn struct {
+	Number uint32
+	Steps  []*Step
+	// left counts the steps with a task that is not done.
+	left int
+}
+
+// Step is one step of a turn.
+type Step struct {
+	flow.StepID
+	Flow  *Flow
+	Spec  *v1.FlowStep
+	Tasks []Task
+	// Missing counts the steps before it that are not done.
+	Missing int
+	// Queued, Placed and Done count the tasks by phase.
+	Queued int
+	Placed int
+	Done   int
+	// Fails counts the failed runs of a gang, Counted is the last one counted.
+	Fails   uint32
+	Counted uint32
+	// Since is when the step could begin, on the ledger's clock.
+	Since time.Duration
+}
+
+// Task is one task of a step.
+type Task struct {
+	Phase Phase
+	// Number is that of the latest run, 0 before the first.
+	Number uint32
+	// Fails counts the runs that ended as failed.
+	Fails uint32
+	// Checkpoint is where the next run goes on; empty for the beginning.
+	Checkpoint string
+	// Server and Born are where the latest run was placed.
+	Server string
+	Born   int64
+}
+
+// Server is one life of a backend server.
+type Server struct {
+	ID string
+	// Born is when this life began, milliseconds since 1970.
+	Born     int64
+	Address  string
+	Zone     string
+	Pool     string
+	Machine  string
+	Capacity capacity.Size
+	Labels   []string
+	// Leaving servers get no new work.
+	Leaving bool
+	// Over tells that this life has ended.
+	Over bool
+	// Cursor is the number up to which this life's ends are recorded.
+	Cursor uint64
+	// Used is the size of everything that is not proved to have ended.
+	Used capacity.Size
+	Held map[flow.TaskID]*Held
+}
+
+// Held is a run that a server may hold.
+type Held struct {
+	flow.RunID
+	Server   string
+	Customer string
+	Size     capacity.Size
+	// Since is when it was placed, on the ledger's clock.
+	Since time.Duration
+}
+
+// New returns an empty ledger.
+func New() *Ledger {
+	return &Ledger{
+		config: flow.NewConfig(nil), flows: map[string]*Flow{}, servers: map[string]*Server{},
+		ready: map[flow.StepID]*Step{}, unwanted: map[flow.TaskID]*Held{}, used: map[string]capacity.Size{}, pending: map[string]int{},
+	}
+}
+
+// Config returns the configuration in force.
+func (l *Ledger) Config() *flow.Config { return l.config }
+
+// Digest returns a hash over all commands applied.
+func (l *Ledger) Digest() uint64 { return l.digest }
+
+// Faults returns how often an event came that the charts do not allow.
+func (l *Ledger) Faults() int { return l.faults }
+
+// Flow returns a flow by its id.
+func (l *Ledger) Flow(id string) (*Flow, bool) {
+	f, ok := l.flows[id]
+	return f, ok
+}
+
+// Flows returns all flows, to be read only.
+func (l *Ledger) Flows() map[string]*Flow { return l.flows }
+
+// Server returns a server by its id.
+func (l *Ledger) Server(id string) (*Server, bool) {
+	s, ok := l.servers[id]
+	return s, ok
+}
+
+// Servers returns all servers, to be read only.
+func (l *Ledger) Servers() map[string]*Server { return l.servers }
+
+// Step returns a step under way.
+func (l *Ledger) Step(id flow.StepID) (*Step, bool) {
+	f, ok := l.flows[id.Flow]
+	if !ok || f.Turns[id.Turn] == nil {
+		return nil, false
+	}
+	steps := f.Turns[id.Turn].Steps
+	if int(id.Step) >= len(steps) {
+		return nil, false
+	}
+	return steps[id.Step], true
+}
+
+// Ready returns the steps with a task that may be placed now, to be read only.
+func (l *Ledger) Ready() map[flow.StepID]*Step { return l.ready }
+
+// Unwanted returns the runs that are to be stopped, to be read only.
+func (l *Ledger) Unwanted() map[flow.TaskID]*Held { return l.unwanted }
+
+// Used returns what a customer has that is not proved to have ended.
+func (l *Ledger) Used(customer string) capacity.Size { return l.used[customer] }
+
+// Pending returns the number of a queue's flows of which no task has started.
+func (l *Ledger) Pending(queue string) int { return l.pending[queue] }
+
+// Open returns the number of flows that have not ended.
+func (l *Ledger) Open() int { return l.open }
+
+// QueueOf returns the queue of a flow as the document in force has it. A queue
+// that was taken away still has its flows: they were accepted.
+func (l *Ledger) QueueOf(f *Flow) (*v1.Queue, bool) { return l.config.Queue(f.Queue) }
+
+// Limit returns the most that a customer may have running; the fields of a
+// customer without one are capacity.Unlimited.
+func (l *Ledger) Limit(customer string) capacity.Size {
+	none := func(n int64) int64 {
+		if n == 0 {
+			return capacity.Unlimited
+		}
+		return n
+	}
+	c, _ := l.config.Customer(customer)
+	m := c.GetLimit()
+	return capacity.Size{CPU: none(m.GetCpu()), Memory: none(m.GetMemory()), Accel: none(m.GetAccel()), Slots: capacity.Unlimited}
+}
+
+// Apply makes one command take effect, at a time on the ledger's clock. A
+// command that the state does not allow changes nothing and says why.
+func (l *Ledger) Apply(at time.Duration, c *record.Flow) *code.Error {
+	err := l.apply(at, c)
+	if err == nil {
+		l.mix(uint64(at), uint64(len(l.flows)), uint64(len(l.ready)), uint64(l.open))
+	}
+	return err
+}
+
+func (l *Ledger) apply(at time.Duration, c *record.Flow) *code.Error {
+	switch w := c.GetWhat().(type) {
+	case *record.Flow_Document:
+		return l.document(w.Document)
+	case *record.Flow_Accept:
+		return l.accept(at, w.Accept)
+	case *record.Flow_Cancel:
+		return l.cancel(at, w.Cancel)
+	case *record.Flow_Server:
+		return l.server(at, w.Server)
+	case *record.Flow_Clear:
+		return l.clear(at, w.Clear)
+	case *record.Flow_Start:
+		return l.start(at, w.Start)
+	case *record.Flow_Ends:
+		return l.ends(at, w.Ends)
+	case *record.Flow_Forget:
+		return l.forget(w.Forget)
+	case *record.Flow_Due:
+		return l.due(at, w.Due)
+	}
+	return code.New(code.Internal, "empty command")
+}
+
+// mix folds numbers into the digest. The chain depends on every command, so a
+// replica that took another path is found at the next comparison.
+func (l *Ledger) mix(numbers ...uint64) {
+	const prime = 0x9E3779B185EBCA87 // the first prime of xxHash64
+	for _, n := range numbers {
+		l.digest = (l.digest ^ n) * prime
+		l.digest ^= l.digest >> 29
+	}
+}
+
+func (l *Ledger) mixText(s string) { l.mix(xxhash.Sum64String(s)) }
+
+// document puts a document in force that is newer than the one held. One with
+// a version that is not higher changes nothing; asking again is no fault.
+func (l *Ledger) document(d *v1.Document) *code.Error {
+	if err := flow.CheckDocument(d); err != nil {
+		return err
+	}
+	if d.GetVersion() <= l.config.GetVersion() {
+		return nil
+	}
+	l.config = flow.NewConfig(d)
+	l.mix(d.GetVersion())
+	return nil
+}
+
+func (l *Ledger) accept(at time.Duration, a *record.FlowAccept) *code.Error {
+	id := a.GetSpec().GetId()
+	if _, ok := l.flows[id]; ok {
+		return nil // a resend: it remains one flow
+	}
+	if err := flow.Check(a.GetSpec()); err != nil {
+		return err
+	}
+	f := &Flow{
+		ID: id, Customer: a.GetCustomer(), Queue: a.GetQueue(), Spec: a.GetSpec(), Accepted: at,
+		State: v1.FlowState_FLOW_STATE_QUEUED, Turns: map[uint32]*Turn{},
+	}
+	l.flows[id] = f
+	l.pending[f.Queue]++
+	l.open++
+	l.mixText(id)
+	if a.GetSpec().GetTimes() == 0 {
+		l.turn(at, f)
+	}
+	return nil
+}
+
+// turn begins the next turn of a flow.
+func (l *Ledger) turn(at time.Duration, f *Flow) {
+	t := newTurn(f, f.Next)
+	f.Turns[f.Next] = t
+	f.Next++
+	for _, s := range t.Steps {
+		s.Since = at
+		l.index(s)
+	}
+}
+
+func newTurn(f *Flow, number uint32) *Turn {
+	t := &Turn{Number: number, left: len(f.Spec.GetSteps())}
+	for i, spec := range f.Spec.GetSteps() {
+		s := &Step{
+			StepID: flow.StepID{Flow: f.ID, Turn: number, Step: uint32(i)}, Flow: f, Spec: spec,
+			Tasks: make([]Task, spec.GetCount()), Missing: len(spec.GetAfter()), Queued: int(spec.GetCount()),
+		}
+		for j := range s.Tasks {
+			s.Tasks[j].Phase = Queued
+		}
+		t.Steps = append(t.Steps, s)
+	}
+	return t
+}
+
+// due begins a turn whose time has come.
+func (l *Ledger) due(at time.Duration, d *record.FlowDue) *code.Error {
+	f, ok := l.flows[d.GetId()]
+	if !ok || f.Final() || f.Next >= f.Spec.GetTimes() {
+		return code.New(code.Unknown, "no turn of %s is due", d.GetId())
+	}
+	l.mixText(d.GetId())
+	l.turn(at, f)
+	return nil
+}
+
+func (l *Ledger) cancel(at time.Duration, c *record.FlowCancel) *code.Error {
+	f, ok := l.flows[c.GetId()]
+	if !ok {
+		return code.New(code.Unknown, "%s", c.GetId())
+	}
+	if f.Final() {
+		return nil
+	}
+	l.mixText(c.GetId())
+	l.conclude(at, f, v1.FlowState_FLOW_STATE_CANCELLED)
+	return nil
+}
+
+// conclude ends a flow: nothing of it is placed any more, and what its tasks
+// still hold is to be stopped.
+func (l *Ledger) conclude(at time.Duration, f *Flow, end v1.FlowState) {
+	if f.State == v1.FlowState_FLOW_STATE_QUEUED {
+		l.pending[f.Queue]--
+	}
+	l.state(f, end)
+	f.Ended = at
+	l.open--
+	for _, t := range f.Turns {
+		for _, s := range t.Steps {
+			delete(l.ready, s.StepID)
+			l.stopStep(s)
+		}
+	}
+	// The spec and the turns are not needed any more, and a flow is remembered
+	// for minutes after its end.
+	f.Turns, f.Spec = nil, nil
+}
+
+// stopStep marks everything that a step holds as unwanted.
+func (l *Ledger) stopStep(s *Step) {
+	for i, t := range s.Tasks {
+		id := flow.TaskID{StepID: s.StepID, Index: uint32(i)}
+		if b, ok := l.servers[t.Server]; ok && b.Held[id] != nil {
+			l.unwanted[id] = b.Held[id]
+		}
+	}
+}
+
+// index puts a step among those that may be placed, or takes it out.
+func (l *Ledger) index(s *Step) {
+	if s.Missing == 0 && s.Queued > 0 && !s.Flow.Final() && !(s.Spec.GetGang() && s.Queued < len(s.Tasks)) {
+		l.ready[s.StepID] = s
+		return
+	}
+	delete(l.ready, s.StepID)
+}
+
+// forget drops flows that ended long ago and servers that are over and empty.
+func (l *Ledger) forget(c *record.FlowForget) *code.Error {
+	for _, id := range c.GetFlows() {
+		if f, ok := l.flows[id]; ok && f.Final() && f.Held == 0 {
+			delete(l.flows, id)
+			l.mixText(id)
+		}
+	}
+	for _, id := range c.GetServers() {
+		if b, ok := l.servers[id]; ok && b.Over && len(b.Held) == 0 {
+			delete(l.servers, id)
+			l.mixText(id)
+		}
+	}
+	return nil
+}
+
+// lasts tells whether a step's tasks run until their flow is cancelled.
+func (s *Step) lasts() bool { return s.Spec.GetLasting() }
+
+// endOf returns what is in a run's way of ending for its task.
+func counts(how inner.RunEnd) bool { return how == inner.RunEnd_RUN_END_FAILED }
--- /dev/null
+++ b/internal/ledger/flows/snapshot.go
@@ -0,0 +1,222 @@
+package flows
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"gypsumreel/internal/api/record"
+	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/domain/capacity"
+	"gypsumreel/internal/domain/flow"
+)
+
+func sortedTasks[V any](m map[flow.TaskID]V) []flow.TaskID {
+	return slices.SortedFunc(maps.Keys(m), compareTasks)
+}
+
+func compareTasks(a, b flow.TaskID) int {
+	return cmp.Or(cmp.Compare(a.Flow, b.Flow), cmp.Compare(a.Turn, b.Turn), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
+}
+
+// Record returns the whole state, sorted. It copies what later commands change.
+func (l *Ledger) Record() *record.FlowsRecord {
+	r := &record.FlowsRecord{Document: l.config.Document, Digest: l.digest}
+	for _, id := range slices.Sorted(maps.Keys(l.flows)) {
+		r.Flows = append(r.Flows, flowRecord(l.flows[id]))
+	}
+	for _, id := range slices.Sorted(maps.Keys(l.servers)) {
+		r.Servers = append(r.Servers, serverRecord(l.servers[id]))
+	}
+	return r
+}
+
+func flowRecord(f *Flow) *record.FlowRecord {
+	r := &record.FlowRecord{
+		Accept: &record.FlowAccept{Queue: f.Queue, Customer: f.Customer, Spec: f.Spec},
+		Id:     f.ID, Accepted: int64(f.Accepted), State: f.State, Ended: int64(f.Ended), Next: f.Next,
+	}
+	for _, n := range slices.Sorted(maps.Keys(f.Turns)) {
+		t := &record.TurnRecord{Number: n}
+		for _, s := range f.Turns[n].Steps {
+			t.Steps = append(t.Steps, stepRecord(s))
+		}
+		r.Turns = append(r.Turns, t)
+	}
+	return r
+}
+
+func stepRecord(s *Step) *record.StepRecord {
+	r := &record.StepRecord{Fails: s.Fails, Counted: s.Counted, Since: int64(s.Since)}
+	for _, t := range s.Tasks {
+		r.Tasks = append(r.Tasks, &record.TaskRecord{
+			Phase: uint32(t.Phase), Number: t.Number, Fails: t.Fails, Checkpoint: t.Checkpoint, Server: t.Server, Born: t.Born,
+		})
+	}
+	return r
+}
+
+func serverRecord(b *Server) *record.ServerRecord {
+	r := &record.ServerRecord{Server: &record.FlowServer{
+		Id: b.ID, Born: b.Born, Address: b.Address, Zone: b.Zone, Pool: b.Pool, Machine: b.Machine,
+		Capacity: &v1.Size{Cpu: b.Capacity.CPU, Memory: b.Capacity.Memory, Accel: b.Capacity.Accel, Slots: b.Capacity.Slots},
+		Labels:   b.Labels, Leaving: b.Leaving, Cursor: b.Cursor,
+	}, Over: b.Over}
+	for _, id := range sortedTasks(b.Held) {
+		h := b.Held[id]
+		r.Held = append(r.Held, &record.HeldRecord{
+			Run: h.Message(), Customer: h.Customer, Since: int64(h.Since),
+			Size: &v1.Size{Cpu: h.Size.CPU, Memory: h.Size.Memory, Accel: h.Size.Accel},
+		})
+	}
+	return r
+}
+
+// Restore reads a state that Record wrote and builds what is derived from it.
+func Restore(r *record.FlowsRecord) (*Ledger, *code.Error) {
+	l := New()
+	l.digest = r.GetDigest()
+	l.config = flow.NewConfig(r.GetDocument())
+	for _, m := range r.GetFlows() {
+		f, err := restoreFlow(m)
+		if err != nil {
+			return nil, err
+		}
+		l.flows[f.ID] = f
+	}
+	for _, m := range r.GetServers() {
+		l.restoreServer(m)
+	}
+	for _, f := range l.flows {
+		l.derive(f)
+	}
+	l.haunt()
+	return l, nil
+}
+
+func restoreFlow(m *record.FlowRecord) (*Flow, *code.Error) {
+	f := &Flow{
+		ID: m.GetId(), Customer: m.GetAccept().GetCustomer(), Queue: m.GetAccept().GetQueue(), Spec: m.GetAccept().GetSpec(),
+		Accepted: time.Duration(m.GetAccepted()), Ended: time.Duration(m.GetEnded()), State: m.GetState(), Next: m.GetNext(),
+	}
+	if f.Final() {
+		return f, nil
+	}
+	f.Turns = map[uint32]*Turn{}
+	for _, tm := range m.GetTurns() {
+		t := newTurn(f, tm.GetNumber())
+		if len(tm.GetSteps()) != len(t.Steps) {
+			return nil, code.New(code.Internal, "flow %s has %d steps, its record %d", f.ID, len(t.Steps), len(tm.GetSteps()))
+		}
+		for i, sm := range tm.GetSteps() {
+			if err := restoreStep(t.Steps[i], sm); err != nil {
+				return nil, err
+			}
+		}
+		t.settle()
+		f.Turns[t.Number] = t
+	}
+	return f, nil
+}
+
+func restoreStep(s *Step, m *record.StepRecord) *code.Error {
+	if len(m.GetTasks()) != len(s.Tasks) {
+		return code.New(code.Internal, "step %s has %d tasks, its record %d", s.StepID, len(s.Tasks), len(m.GetTasks()))
+	}
+	s.Fails, s.Counted, s.Since = m.GetFails(), m.GetCounted(), time.Duration(m.GetSince())
+	s.Queued = 0
+	for i, tm := range m.GetTasks() {
+		s.Tasks[i] = Task{
+			Phase: Phase(tm.GetPhase()), Number: tm.GetNumber(), Fails: tm.GetFails(), Checkpoint: tm.GetCheckpoint(),
+			Server: tm.GetServer(), Born: tm.GetBorn(),
+		}
+		s.count(s.Tasks[i].Phase, 1)
+	}
+	return nil
+}
+
+// settle counts again which steps are done and which wait for others.
+func (t *Turn) settle() {
+	t.left = 0
+	for _, s := range t.Steps {
+		if s.Done < len(s.Tasks) {
+			t.left++
+		}
+		s.Missing = 0
+		for _, before := range s.Spec.GetAfter() {
+			if b := t.Steps[before]; b.Done < len(b.Tasks) {
+				s.Missing++
+			}
+		}
+	}
+}
+
+func (l *Ledger) restoreServer(m *record.ServerRecord) {
+	s := m.GetServer()
+	b := &Server{
+		ID: s.GetId(), Born: s.GetBorn(), Address: s.GetAddress(), Zone: s.GetZone(), Pool: s.GetPool(), Machine: s.GetMachine(),
+		Capacity: sizeOf(s.GetCapacity()), Labels: s.GetLabels(), Leaving: s.GetLeaving(), Cursor: s.GetCursor(),
+		Over: m.GetOver(), Held: map[flow.TaskID]*Held{},
+	}
+	l.servers[b.ID] = b
+	for _, h := range m.GetHeld() {
+		id := flow.RunOf(h.GetRun())
+		l.hold(b, &Held{RunID: id, Server: b.ID, Customer: h.GetCustomer(), Size: sizeOf(h.GetSize()), Since: time.Duration(h.GetSince())})
+	}
+}
+
+// derive builds what follows from a flow's record.
+func (l *Ledger) derive(f *Flow) {
+	if !f.Final() {
+		l.open++
+	}
+	if f.State == v1.FlowState_FLOW_STATE_QUEUED {
+		l.pending[f.Queue]++
+	}
+	for _, t := range f.Turns {
+		for _, s := range t.Steps {
+			l.index(s)
+		}
+	}
+}
+
+// haunt finds the runs that are to be stopped.
+func (l *Ledger) haunt() {
+	for _, b := range l.servers {
+		for id, h := range b.Held {
+			if f, ok := l.flows[id.Flow]; !ok || l.stray(f, h) {
+				l.unwanted[id] = h
+			}
+		}
+	}
+}
+
+// stray tells whether a run is not wanted any more: its flow has ended, its
+// gang is being stopped, or another run of its task is the latest.
+func (l *Ledger) stray(f *Flow, h *Held) bool {
+	if f.Final() {
+		return true
+	}
+	s, ok := l.Step(h.StepID)
+	if !ok {
+		return true
+	}
+	t := s.Tasks[h.Index]
+	if t.Number != h.Number {
+		return true
+	}
+	if !s.Spec.GetGang() || t.Phase != Placed {
+		return false
+	}
+	for _, other := range s.Tasks {
+		if other.Phase == Resting {
+			return true
+		}
+	}
+	return false
+}
+
+// Free returns the room that a server has left.
+func (b *Server) Free() capacity.Size { return b.Capacity.Sub(b.Used) }
--- a/internal/ledger/state/picture.go
+++ b/internal/ledger/state/picture.go
@@ -27,6 +27,7 @@
 	s.picture.Drop()
 	head := New()
 	head.at, head.next, head.digest, head.table = s.at, s.next, s.digest, s.table
+	head.pictured = s.flows.Record()
 	s.picture = &Picture{
 		of: s, head: head, keys: newPick(s.keys), answers: newPick(s.answers),
 		servers: newPick(s.servers), jobs: newPick(s.jobs), tasks: newPick(s.tasks),
--- a/internal/ledger/state/snapshot.go
+++ b/internal/ledger/state/snapshot.go
@@ -17,6 +17,7 @@
 	"gypsumreel/internal/domain/task"
 	"gypsumreel/internal/domain/team"
 	"gypsumreel/internal/ledger/command"
+	"gypsumreel/internal/ledger/flows"
 )
 
 // version of the snapshot's form; a reader refuses a later one.
@@ -74,9 +75,19 @@
 				return
 			}
 		}
+		yield(&record.Record{What: &record.Record_Flows{Flows: s.flowsRecord()}})
 	}
 }
 
+// flowsRecord returns the record of all flows: that of a picture was taken when
+// the picture was begun, since flows change in place.
+func (s *State) flowsRecord() *record.FlowsRecord {
+	if s.pictured != nil {
+		return s.pictured
+	}
+	return s.flows.Record()
+}
+
 func (s *State) yieldJob(number uint64, yield func(*record.Record) bool) bool {
 	j := s.jobs[number]
 	if !yield(&record.Record{What: &record.Record_Job{Job: jobRecord(j)}}) {
@@ -141,6 +152,12 @@
 			return errors.Wrap(ErrSnapshot, "task without its job")
 		}
 		s.putTask(taskOf(w.Task))
+	case *record.Record_Flows:
+		l, err := flows.Restore(w.Flows)
+		if err != nil {
+			return errors.Mark(err, ErrSnapshot)
+		}
+		s.flows = l
 	default:
 		return errors.Wrap(ErrSnapshot, "record of unknown kind")
 	}
--- a/internal/ledger/state/state.go
+++ b/internal/ledger/state/state.go
@@ -15,6 +15,7 @@
 	"gypsumreel/internal/domain/key"
 	"gypsumreel/internal/domain/table"
 	"gypsumreel/internal/domain/task"
+	"gypsumreel/internal/ledger/flows"
 )
 
 // RequestID names a job as its caller does.
@@ -41,6 +42,9 @@
 	jobs    map[uint64]*Job
 	tasks   map[task.ID]*Task
 	ids     map[RequestID]uint64
+	flows   *flows.Ledger
+	// pictured is the record of all flows in a state that is a picture.
+	pictured *record.FlowsRecord
 
 	// Derived, not part of the digest.
 	faults  int
@@ -112,6 +116,7 @@
 		jobs:    map[uint64]*Job{},
 		tasks:   map[task.ID]*Task{},
 		ids:     map[RequestID]uint64{},
+		flows:   flows.New(),
 		teams:   map[string]*usage{},
 		placed:  map[string]map[task.ID]*Task{},
 		classes: map[capacity.Size]int{},
@@ -150,24 +155,37 @@
 		return s.forget(w.Forget)
 	case *record.Command_Check:
 		return s.check(w.Check)
+	case *record.Command_Flow:
+		return s.flow(w.Flow)
 	}
 	return refused(code.Internal, "empty command")
 }
 
+// flow hands a command to the part of the ledger that holds flows.
+func (s *State) flow(c *record.Flow) Result {
+	if err := s.flows.Apply(s.at, c); err != nil {
+		return refused(err.Code, err.Detail)
+	}
+	return Result{}
+}
+
+// Flows returns the part of the ledger that holds flows, to be read only.
+func (s *State) Flows() *flows.Ledger { return s.flows }
+
 func refused(c code.Code, detail string) Result { return Result{Code: c, Detail: detail} }
 
 // check compares the leader's digest of the state with this replica's own. A
 // replica whose state differs (a fault in memory, on disk or in this program)
 // must not go on: it would lead with a ledger that nobody agreed on.
 func (s *State) check(c *record.Check) Result {
-	if c.GetDigest() != s.digest {
+	if c.GetDigest() != s.Digest() {
 		return refused(code.Internal, "digest differs")
 	}
 	return Result{}
 }
 
 // Digest returns a hash over all records, the same on replicas in the same state.
-func (s *State) Digest() uint64 { return s.digest }
+func (s *State) Digest() uint64 { return s.digest ^ s.flows.Digest() }
 
 // At returns the time of the latest command.
 func (s *State) At() time.Duration { return s.at }
