--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -73,6 +73,8 @@
 	Full() bool
 	Members() group.Members
 	Alter(m quorum.Member, remove bool)
+	// Synced tells whether a member has everything committed on its disk.
+	Synced(id string) bool
 	// Post runs fn on the control thread.
 	Post(fn func()) bool
 }
--- a/internal/control/dispatch/member.go
+++ b/internal/control/dispatch/member.go
@@ -14,7 +14,7 @@
 	DefaultReplicas = 5
 	// rosterEvery is how often the membership is looked at. One change at a time
 	// is made, and each takes a commit.
-	rosterEvery = 300 * time.Millisecond
+	rosterEvery = 150 * time.Millisecond
 )
 
 // members keeps the control group at its size: replicas that make themselves
@@ -25,7 +25,7 @@
 	}
 	d.lead.roster = now
 	m := d.Host.Members()
-	v := roster.View{Self: m.Self, Members: m.Members, Target: d.Replicas}
+	v := roster.View{Self: m.Self, Members: m.Members, Target: d.Replicas, Synced: d.Host.Synced}
 	for id, j := range d.joiners {
 		v.Known = append(v.Known, roster.Known{Member: quorum.Member{ID: id, Address: j.address}, Silent: now - j.heard})
 	}
--- a/internal/control/dispatch/session.go
+++ b/internal/control/dispatch/session.go
@@ -250,6 +250,12 @@
 		if number, ok := listed[id]; ok && number == r.Number {
 			continue
 		}
+		if r.maybe && r.tries == 0 && !r.stopping {
+			// Placed by the leader before this one, and not there. Its start may
+			// still arrive, or never left; a stop rules it out for good.
+			d.unwant(s, r)
+			continue
+		}
 		// Not listed although its start or its stop was answered before the
 		// list was made: it does not run, and never will.
 		if r.settled > 0 && r.settled < sent {
--- a/internal/control/leader/member.go
+++ b/internal/control/leader/member.go
@@ -80,8 +80,8 @@
 // what is committed; until then each try costs an empty entry.
 func (l *Leader) promote(now time.Duration) {
 	ld := l.lead
-	if now-ld.promoted < promoteEvery {
-		return
+	if l.Part != nil || now-ld.promoted < promoteEvery {
+		return // a Part decides about the membership itself
 	}
 	ld.promoted = now
 	for _, m := range l.members.Members {
--- a/internal/control/leader/part.go
+++ b/internal/control/leader/part.go
@@ -73,6 +73,17 @@
 // whoever asked asks again.
 func (l *Leader) Alter(m quorum.Member, remove bool) { l.alter(m, remove) }
 
+// nearly is how many entries a member may lack that counts as synced: those of a
+// moment at full load. The group itself looks more closely before it lets a
+// learner vote.
+const nearly = 256
+
+// Synced tells whether a member has all but the latest entries on its disk. It
+// asks the group, so it is for rare questions.
+func (l *Leader) Synced(id string) bool {
+	return l.Matches != nil && l.lead != nil && l.Matches()[id]+nearly >= l.lead.committed
+}
+
 // Post runs fn on the control thread. It may be called on any goroutine but
 // that one, and waits for room.
 func (l *Leader) Post(fn func()) bool {
