--- /dev/null
+++ b/internal/control/dispatch/dispatch_test.go
@@ -0,0 +1,307 @@
+package dispatch_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gypsumreel/internal/api/inner"
+	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/domain/flow"
+	"gypsumreel/internal/fake/worker"
+)
+
+const (
+	running   = v1.FlowState_FLOW_STATE_RUNNING
+	done      = v1.FlowState_FLOW_STATE_DONE
+	failed    = v1.FlowState_FLOW_STATE_FAILED
+	cancelled = v1.FlowState_FLOW_STATE_CANCELLED
+)
+
+// play runs a test on virtual time.
+func play(t *testing.T, workers int, fn func(t *testing.T, w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, workers)
+		defer w.end()
+		fn(t, w)
+	})
+}
+
+// after returns a step that waits for others.
+func after(s *v1.FlowStep, steps ...uint32) *v1.FlowStep {
+	s.After = steps
+	return s
+}
+
+func TestStepsRunInTheirOrder(t *testing.T) {
+	play(t, 2, func(t *testing.T, w *world) {
+		w.submit("a", step(3, 1000), after(step(2, 2000), 0))
+		begin := time.Now()
+		w.await("a", done, 5*time.Second)
+		if took := time.Since(begin); took < 2*time.Second {
+			t.Errorf("two steps of a second each took %v", took)
+		}
+	})
+}
+
+// A caller's flow stands still for ever. Its placement was committed, but the
+// leader froze before the start left. The server lists nothing of it, and no
+// start or stop was ever answered that would tell the next leader so.
+func TestNextLeaderSettlesWhatWasNeverStarted(t *testing.T) {
+	play(t, 1, func(_ *testing.T, w *world) {
+		lost := true
+		w.workers["s1"].Fault = func(c *inner.ServerCall) worker.Fault {
+			if c.GetStart() != nil && lost {
+				return worker.Fault{Verdict: inner.Verdict_VERDICT_SILENT}
+			}
+			return worker.Fault{}
+		}
+		w.submit("a", step(2, 1000))
+		time.Sleep(50 * time.Millisecond)
+		w.elect()
+		lost = false
+		w.await("a", done, 5*time.Second)
+	})
+}
+
+// A server starts a task and its answer is lost. Started again as another run,
+// the work would be done twice.
+func TestLostAnswerStartsOnce(t *testing.T) {
+	play(t, 2, func(t *testing.T, w *world) {
+		for _, one := range w.workers {
+			first := true
+			one.Fault = func(c *inner.ServerCall) worker.Fault {
+				if c.GetStart() == nil || !first {
+					return worker.Fault{}
+				}
+				first = false
+				return worker.Fault{Lost: true}
+			}
+		}
+		w.submit("a", step(1, 1000))
+		w.await("a", done, 10*time.Second)
+		if len(w.begun) != 1 {
+			t.Errorf("runs that began: %v", w.begun)
+		}
+	})
+}
+
+// A start is held up in the network for seconds. Its task was given to another
+// server meanwhile; carried out then, it would run in two places.
+func TestLateStartIsNotCarriedOut(t *testing.T) {
+	play(t, 2, func(_ *testing.T, w *world) {
+		late := 0
+		for _, one := range w.workers {
+			one.Work = func(flow.RunID) (time.Duration, inner.RunEnd) { return 8 * time.Second, inner.RunEnd_RUN_END_DONE }
+			one.Fault = func(c *inner.ServerCall) worker.Fault {
+				if c.GetStart() == nil || late == 2 {
+					return worker.Fault{}
+				}
+				late++
+				return worker.Fault{Late: 4 * time.Second}
+			}
+		}
+		w.submit("a", step(1, 1000))
+		w.await("a", done, 20*time.Second)
+	})
+}
+
+// A server is cut off with work on it and runs on. The work may be placed again
+// only when its lease is over there, however slow its clock is.
+func TestWorkOfASilentServerWaitsForItsLease(t *testing.T) {
+	play(t, 2, func(t *testing.T, w *world) {
+		for _, one := range w.workers {
+			one.Rate = 0.98
+			one.Work = func(flow.RunID) (time.Duration, inner.RunEnd) { return 3 * time.Second, inner.RunEnd_RUN_END_DONE }
+		}
+		w.submit("a", step(1, 1000))
+		time.Sleep(500 * time.Millisecond)
+		for _, one := range w.workers {
+			if len(one.Running()) > 0 {
+				one.Work = func(flow.RunID) (time.Duration, inner.RunEnd) { return time.Hour, inner.RunEnd_RUN_END_DONE }
+				one.Fault = func(*inner.ServerCall) worker.Fault { return worker.Fault{Verdict: inner.Verdict_VERDICT_SILENT} }
+			}
+		}
+		w.await("a", done, 20*time.Second)
+		if len(w.begun) != 2 {
+			t.Errorf("runs that began: %v", w.begun)
+		}
+	})
+}
+
+// A server's process dies. Nobody listens at its address, so nothing runs there,
+// and its work need not wait for the end of the lease.
+func TestWorkOfADeadServerGoesOnAtOnce(t *testing.T) {
+	play(t, 2, func(t *testing.T, w *world) {
+		w.submit("a", step(1, 1000))
+		time.Sleep(500 * time.Millisecond)
+		for _, one := range w.workers {
+			if len(one.Running()) > 0 {
+				one.Crash()
+			}
+		}
+		begin := time.Now()
+		w.await("a", done, 10*time.Second)
+		if took := time.Since(begin); took > 3*time.Second {
+			t.Errorf("it took %v", took)
+		}
+	})
+}
+
+// A server dies and starts again under its name while a start is on its way. The
+// start reaches the new life, which has seen no fencing token and runs it. The
+// task must not be placed elsewhere before that run is stopped.
+func TestStartThatReachesTheNextLife(t *testing.T) {
+	play(t, 2, func(_ *testing.T, w *world) {
+		reborn := false
+		for id, one := range w.workers {
+			one.Fault = func(c *inner.ServerCall) worker.Fault {
+				if c.GetStart() == nil || reborn {
+					return worker.Fault{}
+				}
+				reborn = true
+				one.Crash()
+				go func() {
+					next := w.add(id, 2)
+					next.Work = func(flow.RunID) (time.Duration, inner.RunEnd) { return 5 * time.Second, inner.RunEnd_RUN_END_DONE }
+					next.Call(w.t.Context(), c)
+				}()
+				return worker.Fault{Verdict: inner.Verdict_VERDICT_SILENT}
+			}
+		}
+		w.submit("a", step(1, 1000))
+		w.await("a", done, 30*time.Second)
+	})
+}
+
+// A member of a gang is refused. The others must be stopped at once and not left
+// to wait for it, and then all start together again.
+func TestRefusedMemberStopsItsGang(t *testing.T) {
+	play(t, 2, func(t *testing.T, w *world) {
+		refused := false
+		for _, one := range w.workers {
+			one.Work = func(flow.RunID) (time.Duration, inner.RunEnd) { return 2 * time.Second, inner.RunEnd_RUN_END_DONE }
+			one.Fault = func(c *inner.ServerCall) worker.Fault {
+				if c.GetStart() == nil || refused {
+					return worker.Fault{}
+				}
+				refused = true
+				return worker.Fault{Verdict: inner.Verdict_VERDICT_UNWELL}
+			}
+		}
+		gang := step(4, 2000)
+		gang.Gang = true
+		w.submit("a", gang)
+		w.await("a", done, 10*time.Second)
+		numbers := map[uint32]int{}
+		for r := range w.begun {
+			numbers[r.Number]++
+		}
+		if numbers[1] != 3 || numbers[2] != 4 {
+			t.Errorf("members that began, by number of the run: %v", numbers)
+		}
+	})
+}
+
+// A caller cancels and is told so. Nothing of its flow may start after that, and
+// what runs is stopped.
+func TestCancelStopsWhatRuns(t *testing.T) {
+	play(t, 2, func(t *testing.T, w *world) {
+		for _, one := range w.workers {
+			one.Work = func(flow.RunID) (time.Duration, inner.RunEnd) { return time.Minute, inner.RunEnd_RUN_END_DONE }
+		}
+		w.submit("a", step(12, 1000))
+		time.Sleep(200 * time.Millisecond)
+		if rep := w.ask(inner.FlowVerb_FLOW_VERB_CANCEL, "a"); rep.GetState() != cancelled {
+			t.Fatal(rep)
+		}
+		began := len(w.begun)
+		time.Sleep(time.Second)
+		for id, one := range w.workers {
+			if left := one.Running(); len(left) > 0 {
+				t.Errorf("%s still runs %v", id, left)
+			}
+		}
+		if len(w.begun) != began {
+			t.Error("something started after the cancel was told")
+		}
+	})
+}
+
+// A task that always fails has used up its attempts: the flow has failed, and no
+// further run of it begins.
+func TestFailedAttemptsAreCounted(t *testing.T) {
+	play(t, 2, func(t *testing.T, w *world) {
+		for _, one := range w.workers {
+			one.Work = func(r flow.RunID) (time.Duration, inner.RunEnd) {
+				if r.Index == 0 {
+					return 100 * time.Millisecond, inner.RunEnd_RUN_END_FAILED
+				}
+				return time.Minute, inner.RunEnd_RUN_END_DONE
+			}
+		}
+		w.submit("a", step(2, 1000))
+		w.await("a", failed, 5*time.Second)
+		time.Sleep(time.Second)
+		if len(w.begun) != 4 {
+			t.Errorf("runs that began: %v", w.begun)
+		}
+	})
+}
+
+// A server says that it leaves and is acknowledged. From then on it gets nothing
+// new, also from the next leader and after a late report that it is ready.
+func TestLeavingServerGetsNothingNew(t *testing.T) {
+	play(t, 1, func(t *testing.T, w *world) {
+		if err := w.report("s1", 1, true); err != nil {
+			t.Fatal(err)
+		}
+		w.elect()
+		if err := w.report("s1", 1, false); err != nil {
+			t.Fatal(err)
+		}
+		w.submit("a", step(1, 1000))
+		time.Sleep(3 * time.Second)
+		if len(w.begun) > 0 {
+			t.Errorf("runs that began: %v", w.begun)
+		}
+	})
+}
+
+// A key is withdrawn by a new document: the next call with it is refused, and
+// what it was refused for is not accepted.
+func TestWithdrawnKeyIsRefusedAtOnce(t *testing.T) {
+	play(t, 1, func(t *testing.T, w *world) {
+		next := document()
+		next.Version, next.Customers[0].Keys = 2, nil
+		if err := w.d.Put(t.Context(), next); err != nil {
+			t.Fatal(err)
+		}
+		if rep := w.ask(inner.FlowVerb_FLOW_VERB_SUBMIT, "a", step(1, 1000)); code.Code(rep.GetCode()) != code.BadKey {
+			t.Errorf("got %v", rep)
+		}
+	})
+}
+
+// Two operators send documents with the same or a lower number: both are told
+// yes, and the one in force stays.
+func TestOlderDocumentChangesNothing(t *testing.T) {
+	play(t, 1, func(t *testing.T, w *world) {
+		other := document()
+		other.Text = []byte("other")
+		if err := w.d.Put(t.Context(), other); err != nil {
+			t.Fatal(err)
+		}
+		text, err := w.d.Read(t.Context())
+		if err != nil || string(text) != "one" {
+			t.Errorf("read %q, %v", text, err)
+		}
+		unsound := document()
+		unsound.Queues[0].Pool = "none"
+		if err := w.d.Put(t.Context(), unsound); err == nil || err.Code != code.Malformed {
+			t.Errorf("an unsound document was answered with %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/control/dispatch/harness_test.go
@@ -0,0 +1,320 @@
+package dispatch_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gypsumreel/internal/api/inner"
+	"gypsumreel/internal/api/record"
+	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/control/dispatch"
+	"gypsumreel/internal/domain/capacity"
+	"gypsumreel/internal/domain/flow"
+	"gypsumreel/internal/fake/worker"
+	"gypsumreel/internal/ledger/flows"
+	"gypsumreel/internal/replica/group"
+	"gypsumreel/internal/replica/quorum"
+)
+
+// commitTime is how long a commit takes in these tests.
+const commitTime = 5 * time.Millisecond
+
+// host is a control thread with a ledger and no replicas: what is decided is
+// committed a little later.
+type host struct {
+	t         *testing.T
+	d         *dispatch.Dispatcher
+	begin     time.Time
+	posts     chan func()
+	done      chan struct{}
+	ledger    *flows.Ledger
+	committed *record.FlowsRecord
+	effects   []effect
+	index     int
+	leads     bool
+	term      uint64
+}
+
+type effect struct {
+	index int
+	run   func()
+}
+
+func (h *host) Decide(f *record.Flow) *code.Error {
+	err := h.ledger.Apply(h.Clock(), f)
+	if err != nil {
+		return err
+	}
+	h.index++
+	at := h.index
+	time.AfterFunc(commitTime, func() { h.Post(func() { h.commit(at) }) })
+	return nil
+}
+
+func (h *host) commit(at int) {
+	if !h.leads {
+		return
+	}
+	if at == h.index {
+		h.committed = h.ledger.Record()
+	}
+	for len(h.effects) > 0 && h.effects[0].index <= at {
+		run := h.effects[0].run
+		h.effects = h.effects[1:]
+		run()
+	}
+}
+
+func (h *host) After(fn func()) {
+	if len(h.effects) == 0 && h.committedAll() {
+		h.effects = append(h.effects, effect{h.index, fn})
+		go h.Post(func() { h.commit(h.index) })
+		return
+	}
+	h.effects = append(h.effects, effect{h.index, fn})
+}
+
+func (h *host) committedAll() bool {
+	return h.index == 0 || h.committed.GetDigest() == h.ledger.Digest()
+}
+
+func (h *host) Proved(_ time.Duration, fn func()) { go h.Post(fn) }
+func (h *host) Leads() bool                       { return h.leads }
+func (h *host) Flows() *flows.Ledger              { return h.ledger }
+func (h *host) Clock() time.Duration              { return time.Duration(time.Now().UnixNano()) }
+func (h *host) Full() bool                        { return false }
+func (h *host) Members() group.Members            { return group.Members{Self: "a/1"} }
+func (h *host) Alter(quorum.Member, bool)         {}
+func (h *host) Synced(string) bool                { return true }
+
+func (h *host) Post(fn func()) bool {
+	select {
+	case h.posts <- fn:
+		return true
+	case <-h.done:
+		return false
+	}
+}
+
+func (h *host) now() time.Duration { return time.Since(h.begin) + time.Hour }
+
+// run is the control thread.
+func (h *host) run() {
+	tick := time.NewTicker(20 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case <-h.done:
+			return
+		case fn := <-h.posts:
+			fn()
+		case <-tick.C:
+			if h.leads {
+				h.d.Tick(h.now())
+			}
+		}
+		if h.leads {
+			h.d.Turn()
+		}
+	}
+}
+
+// do runs fn on the control thread and returns when it has run.
+func (h *host) do(fn func()) {
+	ran := make(chan struct{})
+	h.Post(func() { fn(); close(ran) })
+	<-ran
+}
+
+// world is a dispatcher with backend servers.
+type world struct {
+	*host
+	mu      sync.Mutex
+	workers map[string]*worker.Worker
+	// places are the addresses, by the worker that listens there.
+	begun map[flow.RunID]int
+	twice []string
+	// capacity is that of each worker.
+	capacity capacity.Size
+	advise   func(r *inner.AdviseRequest) *inner.AdviseReply
+}
+
+func (w *world) Call(ctx context.Context, c *inner.ServerCall) *inner.ServerAnswer {
+	w.mu.Lock()
+	one := w.workers[c.GetAddress()]
+	w.mu.Unlock()
+	if one == nil {
+		return &inner.ServerAnswer{Verdict: inner.Verdict_VERDICT_ABSENT}
+	}
+	return one.Call(ctx, c)
+}
+
+func (w *world) Advise(_ context.Context, _ string, r *inner.AdviseRequest) *inner.AdviseReply {
+	return w.advise(r)
+}
+
+func (w *world) Relay(ctx context.Context, _ string, c *inner.ServerCall) *inner.ServerAnswer {
+	return w.Call(ctx, c)
+}
+
+var key = sha256.Sum256([]byte("key"))
+
+func document() *v1.Document {
+	return &v1.Document{
+		Version: 1, Text: []byte("one"), Pools: []*v1.Pool{{Name: "pool"}},
+		Queues:    []*v1.Queue{{Name: "queue", Host: "host", Path: "/q/", Pool: "pool", Attempts: 3, Factor: 2, Target: 1000, Timeout: 3000}},
+		Customers: []*v1.Customer{{Name: "customer", Keys: [][]byte{key[:]}, Weight: 100}},
+	}
+}
+
+// newWorld makes a world with n workers and a document in force.
+func newWorld(t *testing.T, n int) *world {
+	w := &world{
+		host:    &host{t: t, begin: time.Now(), posts: make(chan func(), 1024), done: make(chan struct{}), ledger: flows.New()},
+		workers: map[string]*worker.Worker{}, begun: map[flow.RunID]int{}, capacity: capacity.Size{CPU: 4000, Memory: 4000},
+	}
+	w.committed = w.ledger.Record()
+	go w.run()
+	w.elect()
+	if err := w.d.Put(t.Context(), document()); err != nil {
+		t.Fatal(err)
+	}
+	for i := range n {
+		w.add(fmt.Sprintf("s%d", i+1), 1)
+	}
+	return w
+}
+
+// add starts a life of a worker and lets it report.
+func (w *world) add(id string, born int64) *worker.Worker {
+	one := &worker.Worker{ID: id, Born: born, StopTime: 50 * time.Millisecond}
+	one.Work = func(flow.RunID) (time.Duration, inner.RunEnd) { return time.Second, inner.RunEnd_RUN_END_DONE }
+	one.Started = func(r flow.RunID) { w.started(id, r) }
+	w.mu.Lock()
+	w.workers[id] = one
+	w.mu.Unlock()
+	for {
+		err := w.report(id, born, false)
+		if err == nil {
+			return one
+		}
+		if err.Code != code.Busy {
+			w.t.Error(err)
+			return one
+		}
+		time.Sleep(200 * time.Millisecond) // a server that is not acknowledged reports again
+	}
+}
+
+func (w *world) report(id string, born int64, leaving bool) *code.Error {
+	size := &v1.Size{Cpu: w.capacity.CPU, Memory: w.capacity.Memory}
+	return w.d.Report(w.t.Context(), dispatch.Report{FlowServer: &record.FlowServer{
+		Id: id, Born: born, Address: id, Pool: "pool", Capacity: size, Leaving: leaving,
+	}})
+}
+
+// started notes a run that begins, and one of its task that runs elsewhere.
+func (w *world) started(id string, r flow.RunID) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.begun[r]++
+	for other, one := range w.workers {
+		if other == id {
+			continue
+		}
+		go func() {
+			for _, x := range one.Running() {
+				if x.TaskID == r.TaskID {
+					w.mu.Lock()
+					w.twice = append(w.twice, fmt.Sprintf("%s on %s and %s on %s", r, id, x, other))
+					w.mu.Unlock()
+				}
+			}
+		}()
+	}
+}
+
+// elect makes a new leader of what is committed.
+func (w *world) elect() {
+	w.do(func() {
+		if w.d != nil {
+			w.leads = false
+			w.d.Deposed()
+		}
+		l, err := flows.Restore(w.committed)
+		if err != nil {
+			w.t.Error(err)
+			return
+		}
+		w.ledger, w.effects = l, nil
+		w.term++
+		w.leads = true
+		w.d = dispatch.New()
+		w.d.Host, w.d.Cell, w.d.Now, w.d.Backends, w.d.Helpers = w.host, "cell", w.now, w, w
+		w.d.Elected(w.term, w.now())
+	})
+}
+
+func (w *world) ask(verb inner.FlowVerb, id string, steps ...*v1.FlowStep) *inner.FlowAnswer {
+	a := &inner.FlowAsk{Verb: verb, Host: "host", Path: "/q/" + id, Key: key[:]}
+	if verb == inner.FlowVerb_FLOW_VERB_SUBMIT {
+		a.Spec = &v1.FlowSpec{Id: id, Steps: steps}
+	}
+	return w.d.Ask(w.t.Context(), a)
+}
+
+func (w *world) submit(id string, steps ...*v1.FlowStep) {
+	w.t.Helper()
+	if rep := w.ask(inner.FlowVerb_FLOW_VERB_SUBMIT, id, steps...); rep.GetCode() != 0 {
+		w.t.Fatalf("%s: %v", id, rep)
+	}
+}
+
+func (w *world) state(id string) v1.FlowState {
+	return w.ask(inner.FlowVerb_FLOW_VERB_STATE, id).GetState()
+}
+
+// await waits until a flow is in a state.
+func (w *world) await(id string, want v1.FlowState, within time.Duration) {
+	w.t.Helper()
+	for end := time.Now().Add(within); ; time.Sleep(20 * time.Millisecond) {
+		got := w.state(id)
+		if got == want {
+			return
+		}
+		if time.Now().After(end) {
+			w.t.Fatalf("flow %s is %v after %v, want %v", id, got, within, want)
+		}
+	}
+}
+
+// check tells what no fault may break.
+func (w *world) check() {
+	w.t.Helper()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, what := range w.twice {
+		w.t.Error("in two places: " + what)
+	}
+	for r, n := range w.begun {
+		if n > 1 {
+			w.t.Errorf("%s began %d times", r, n)
+		}
+	}
+}
+
+// end stops everything.
+func (w *world) end() {
+	w.do(func() { w.leads = false; w.d.Deposed() })
+	close(w.done)
+	w.check()
+}
+
+func step(count uint32, cpu int64) *v1.FlowStep {
+	return &v1.FlowStep{Count: count, Size: &v1.Size{Cpu: cpu, Memory: 100}, Runtime: 1000}
+}
--- a/internal/control/dispatch/order.go
+++ b/internal/control/dispatch/order.go
@@ -75,6 +75,10 @@
 	if !ok || !known || f.Final() || r.stopping || s.closing != "" {
 		return // what became unwanted meanwhile is stopped, or never sent
 	}
+	if s.silent {
+		d.withdraw(s, r)
+		return
+	}
 	r.busy++
 	r.tries++
 	c := &inner.StartRun{Run: r.Message(), Input: f.Spec.GetInput(), Checkpoint: step.Tasks[r.Index].Checkpoint, Permit: r.permit}
@@ -111,13 +115,18 @@
 		return
 	}
 	d.judge(s, r, verdict, came)
+	d.withdraw(s, r)
+}
+
+// withdraw ends a run that did not start. When an earlier try may still be
+// carried out, only a stop rules that out.
+func (d *Dispatcher) withdraw(s *session, r *run) {
 	if r.maybe {
-		// An earlier try may still be carried out: only a stop rules that out.
 		d.unwant(s, r)
 		return
 	}
 	end := &record.FlowEnd{Run: r.Message(), How: inner.RunEnd_RUN_END_LOST}
-	d.ends(s, &record.FlowEnds{Server: s.id, Born: s.born, Ends: []*record.FlowEnd{end}}, came)
+	d.ends(s, &record.FlowEnds{Server: s.id, Born: s.born, Ends: []*record.FlowEnd{end}}, d.Now())
 }
 
 // judge learns from a refusal what not to try again at once.
--- a/internal/control/dispatch/session.go
+++ b/internal/control/dispatch/session.go
@@ -154,7 +154,9 @@
 		wait = 0
 	}
 	c := &inner.ServerCall{What: &inner.ServerCall_Hold{Hold: &inner.HoldRuns{Ack: s.cursor, Wait: uint64(wait / time.Millisecond)}}}
-	d.call(s, c, wait, true, func(a *inner.ServerAnswer, sent, came time.Duration) {
+	// A server that does not answer may hear all the same. Renewing its lease with
+	// each try would keep its work from everybody else for ever.
+	d.call(s, c, wait, !s.silent, func(a *inner.ServerAnswer, sent, came time.Duration) {
 		s.holding = false
 		if d.lead.sessions[s.id] != s || s.closing != "" {
 			return
