--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -26,6 +26,8 @@
 const (
 	// DefaultHold is the longest lease that a backend server gives.
 	DefaultHold = 6 * time.Second
+	// DefaultStop is the longest time that a stop takes.
+	DefaultStop = time.Second
 	// leaseParts of leaseOf is the part of the longest lease that is used: the
 	// rest covers the way and the clocks.
 	leaseParts, leaseOf = 4, 5
@@ -104,7 +106,9 @@
 	Backends Backends
 	Helpers  Helpers
 	// Hold is the longest lease that a backend server gives.
-	Hold      time.Duration
+	Hold time.Duration
+	// Stop is the longest time that a backend server takes to stop a run.
+	Stop      time.Duration
 	Retention time.Duration
 	// Open bounds the flows that have not ended.
 	Open int
@@ -149,7 +153,7 @@
 // New returns a dispatcher with the defaults.
 func New() *Dispatcher {
 	return &Dispatcher{
-		Hold: DefaultHold, Retention: DefaultRetention, Open: DefaultOpen, Replicas: DefaultReplicas, Log: logr.Discard(),
+		Hold: DefaultHold, Stop: DefaultStop, Retention: DefaultRetention, Open: DefaultOpen, Replicas: DefaultReplicas, Log: logr.Discard(),
 		helpers: map[string]*helper{}, joiners: map[string]*joiner{},
 	}
 }
--- a/internal/control/dispatch/dispatch_test.go
+++ b/internal/control/dispatch/dispatch_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -51,17 +52,19 @@
 // start or stop was ever answered that would tell the next leader so.
 func TestNextLeaderSettlesWhatWasNeverStarted(t *testing.T) {
 	play(t, 1, func(_ *testing.T, w *world) {
-		lost := true
-		w.workers["s1"].Fault = func(c *inner.ServerCall) worker.Fault {
-			if c.GetStart() != nil && lost {
-				return worker.Fault{Verdict: inner.Verdict_VERDICT_SILENT}
+		var found atomic.Bool
+		w.change(func(_ string, one *worker.Worker) {
+			one.Fault = func(c *inner.ServerCall) worker.Fault {
+				if c.GetStart() != nil && !found.Load() {
+					return worker.Fault{Verdict: inner.Verdict_VERDICT_SILENT}
+				}
+				return worker.Fault{}
 			}
-			return worker.Fault{}
-		}
+		})
 		w.submit("a", step(2, 1000))
 		time.Sleep(50 * time.Millisecond)
 		w.elect()
-		lost = false
+		found.Store(true)
 		w.await("a", done, 5*time.Second)
 	})
 }
@@ -70,7 +73,7 @@
 // the work would be done twice.
 func TestLostAnswerStartsOnce(t *testing.T) {
 	play(t, 2, func(t *testing.T, w *world) {
-		for _, one := range w.workers {
+		w.change(func(_ string, one *worker.Worker) {
 			first := true
 			one.Fault = func(c *inner.ServerCall) worker.Fault {
 				if c.GetStart() == nil || !first {
@@ -79,11 +82,11 @@
 				first = false
 				return worker.Fault{Lost: true}
 			}
-		}
+		})
 		w.submit("a", step(1, 1000))
 		w.await("a", done, 10*time.Second)
-		if len(w.begun) != 1 {
-			t.Errorf("runs that began: %v", w.begun)
+		if began := w.began(); len(began) != 1 {
+			t.Errorf("runs that began: %v", began)
 		}
 	})
 }
@@ -92,17 +95,16 @@
 // server meanwhile; carried out then, it would run in two places.
 func TestLateStartIsNotCarriedOut(t *testing.T) {
 	play(t, 2, func(_ *testing.T, w *world) {
-		late := 0
-		for _, one := range w.workers {
+		var late atomic.Int32
+		w.change(func(_ string, one *worker.Worker) {
 			one.Work = func(flow.RunID) (time.Duration, inner.RunEnd) { return 8 * time.Second, inner.RunEnd_RUN_END_DONE }
 			one.Fault = func(c *inner.ServerCall) worker.Fault {
-				if c.GetStart() == nil || late == 2 {
+				if c.GetStart() == nil || late.Add(1) > 2 {
 					return worker.Fault{}
 				}
-				late++
 				return worker.Fault{Late: 4 * time.Second}
 			}
-		}
+		})
 		w.submit("a", step(1, 1000))
 		w.await("a", done, 20*time.Second)
 	})
@@ -112,21 +114,25 @@
 // only when its lease is over there, however slow its clock is.
 func TestWorkOfASilentServerWaitsForItsLease(t *testing.T) {
 	play(t, 2, func(t *testing.T, w *world) {
-		for _, one := range w.workers {
+		w.change(func(_ string, one *worker.Worker) {
 			one.Rate = 0.98
-			one.Work = func(flow.RunID) (time.Duration, inner.RunEnd) { return 3 * time.Second, inner.RunEnd_RUN_END_DONE }
-		}
+			one.Work = func(r flow.RunID) (time.Duration, inner.RunEnd) {
+				if r.Number == 1 {
+					return time.Hour, inner.RunEnd_RUN_END_DONE
+				}
+				return time.Second, inner.RunEnd_RUN_END_DONE
+			}
+		})
 		w.submit("a", step(1, 1000))
 		time.Sleep(500 * time.Millisecond)
-		for _, one := range w.workers {
-			if len(one.Running()) > 0 {
-				one.Work = func(flow.RunID) (time.Duration, inner.RunEnd) { return time.Hour, inner.RunEnd_RUN_END_DONE }
+		for _, one := range w.busy() {
+			one.Change(func(one *worker.Worker) {
 				one.Fault = func(*inner.ServerCall) worker.Fault { return worker.Fault{Verdict: inner.Verdict_VERDICT_SILENT} }
-			}
+			})
 		}
 		w.await("a", done, 20*time.Second)
-		if len(w.begun) != 2 {
-			t.Errorf("runs that began: %v", w.begun)
+		if began := w.began(); len(began) != 2 {
+			t.Errorf("runs that began: %v", began)
 		}
 	})
 }
@@ -137,10 +143,8 @@
 	play(t, 2, func(t *testing.T, w *world) {
 		w.submit("a", step(1, 1000))
 		time.Sleep(500 * time.Millisecond)
-		for _, one := range w.workers {
-			if len(one.Running()) > 0 {
-				one.Crash()
-			}
+		for _, one := range w.busy() {
+			one.Crash()
 		}
 		begin := time.Now()
 		w.await("a", done, 10*time.Second)
@@ -154,23 +158,25 @@
 // start reaches the new life, which has seen no fencing token and runs it. The
 // task must not be placed elsewhere before that run is stopped.
 func TestStartThatReachesTheNextLife(t *testing.T) {
-	play(t, 2, func(_ *testing.T, w *world) {
-		reborn := false
-		for id, one := range w.workers {
+	play(t, 2, func(t *testing.T, w *world) {
+		var reborn atomic.Bool
+		w.change(func(id string, one *worker.Worker) {
 			one.Fault = func(c *inner.ServerCall) worker.Fault {
-				if c.GetStart() == nil || reborn {
+				if c.GetStart() == nil || reborn.Swap(true) {
 					return worker.Fault{}
 				}
-				reborn = true
-				one.Crash()
 				go func() {
-					next := w.add(id, 2)
-					next.Work = func(flow.RunID) (time.Duration, inner.RunEnd) { return 5 * time.Second, inner.RunEnd_RUN_END_DONE }
-					next.Call(w.t.Context(), c)
+					one.Crash()
+					next := w.place(id, 2)
+					next.Change(func(next *worker.Worker) {
+						next.Work = func(flow.RunID) (time.Duration, inner.RunEnd) { return 5 * time.Second, inner.RunEnd_RUN_END_DONE }
+					})
+					next.Call(t.Context(), c)
+					w.announce(id, 2)
 				}()
 				return worker.Fault{Verdict: inner.Verdict_VERDICT_SILENT}
 			}
-		}
+		})
 		w.submit("a", step(1, 1000))
 		w.await("a", done, 30*time.Second)
 	})
@@ -180,23 +186,22 @@
 // to wait for it, and then all start together again.
 func TestRefusedMemberStopsItsGang(t *testing.T) {
 	play(t, 2, func(t *testing.T, w *world) {
-		refused := false
-		for _, one := range w.workers {
+		var refused atomic.Bool
+		w.change(func(_ string, one *worker.Worker) {
 			one.Work = func(flow.RunID) (time.Duration, inner.RunEnd) { return 2 * time.Second, inner.RunEnd_RUN_END_DONE }
 			one.Fault = func(c *inner.ServerCall) worker.Fault {
-				if c.GetStart() == nil || refused {
+				if c.GetStart() == nil || refused.Swap(true) {
 					return worker.Fault{}
 				}
-				refused = true
 				return worker.Fault{Verdict: inner.Verdict_VERDICT_UNWELL}
 			}
-		}
+		})
 		gang := step(4, 2000)
 		gang.Gang = true
 		w.submit("a", gang)
 		w.await("a", done, 10*time.Second)
 		numbers := map[uint32]int{}
-		for r := range w.begun {
+		for r := range w.began() {
 			numbers[r.Number]++
 		}
 		if numbers[1] != 3 || numbers[2] != 4 {
@@ -209,22 +214,20 @@
 // what runs is stopped.
 func TestCancelStopsWhatRuns(t *testing.T) {
 	play(t, 2, func(t *testing.T, w *world) {
-		for _, one := range w.workers {
+		w.change(func(_ string, one *worker.Worker) {
 			one.Work = func(flow.RunID) (time.Duration, inner.RunEnd) { return time.Minute, inner.RunEnd_RUN_END_DONE }
-		}
+		})
 		w.submit("a", step(12, 1000))
 		time.Sleep(200 * time.Millisecond)
 		if rep := w.ask(inner.FlowVerb_FLOW_VERB_CANCEL, "a"); rep.GetState() != cancelled {
 			t.Fatal(rep)
 		}
-		began := len(w.begun)
+		began := len(w.began())
 		time.Sleep(time.Second)
-		for id, one := range w.workers {
-			if left := one.Running(); len(left) > 0 {
-				t.Errorf("%s still runs %v", id, left)
-			}
+		for id, one := range w.busy() {
+			t.Errorf("%s still runs %v", id, one.Running())
 		}
-		if len(w.begun) != began {
+		if len(w.began()) != began {
 			t.Error("something started after the cancel was told")
 		}
 	})
@@ -234,19 +237,19 @@
 // further run of it begins.
 func TestFailedAttemptsAreCounted(t *testing.T) {
 	play(t, 2, func(t *testing.T, w *world) {
-		for _, one := range w.workers {
+		w.change(func(_ string, one *worker.Worker) {
 			one.Work = func(r flow.RunID) (time.Duration, inner.RunEnd) {
 				if r.Index == 0 {
 					return 100 * time.Millisecond, inner.RunEnd_RUN_END_FAILED
 				}
 				return time.Minute, inner.RunEnd_RUN_END_DONE
 			}
-		}
+		})
 		w.submit("a", step(2, 1000))
 		w.await("a", failed, 5*time.Second)
 		time.Sleep(time.Second)
-		if len(w.begun) != 4 {
-			t.Errorf("runs that began: %v", w.begun)
+		if began := w.began(); len(began) != 4 {
+			t.Errorf("runs that began: %v", began)
 		}
 	})
 }
@@ -264,8 +267,8 @@
 		}
 		w.submit("a", step(1, 1000))
 		time.Sleep(3 * time.Second)
-		if len(w.begun) > 0 {
-			t.Errorf("runs that began: %v", w.begun)
+		if began := w.began(); len(began) > 0 {
+			t.Errorf("runs that began: %v", began)
 		}
 	})
 }
--- a/internal/control/dispatch/harness_test.go
+++ b/internal/control/dispatch/harness_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"fmt"
+	"maps"
 	"sync"
 	"testing"
 	"time"
@@ -136,7 +137,7 @@
 	*host
 	mu      sync.Mutex
 	workers map[string]*worker.Worker
-	// places are the addresses, by the worker that listens there.
+	// begun counts how often each run began.
 	begun map[flow.RunID]int
 	twice []string
 	// capacity is that of each worker.
@@ -191,26 +192,62 @@
 }
 
 // add starts a life of a worker and lets it report.
-func (w *world) add(id string, born int64) *worker.Worker {
+func (w *world) add(id string, born int64) {
+	w.place(id, born)
+	w.announce(id, born)
+}
+
+// place starts a life of a worker at its address.
+func (w *world) place(id string, born int64) *worker.Worker {
 	one := &worker.Worker{ID: id, Born: born, StopTime: 50 * time.Millisecond}
 	one.Work = func(flow.RunID) (time.Duration, inner.RunEnd) { return time.Second, inner.RunEnd_RUN_END_DONE }
 	one.Started = func(r flow.RunID) { w.started(id, r) }
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.workers[id] = one
-	w.mu.Unlock()
+	return one
+}
+
+// announce reports until the report is acknowledged.
+func (w *world) announce(id string, born int64) {
 	for {
 		err := w.report(id, born, false)
 		if err == nil {
-			return one
+			return
 		}
 		if err.Code != code.Busy {
 			w.t.Error(err)
-			return one
+			return
 		}
-		time.Sleep(200 * time.Millisecond) // a server that is not acknowledged reports again
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+// change changes all workers.
+func (w *world) change(fn func(id string, one *worker.Worker)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, one := range w.workers {
+		one.Change(func(one *worker.Worker) { fn(id, one) })
 	}
 }
 
+// busy returns the workers that run something.
+func (w *world) busy() map[string]*worker.Worker {
+	w.mu.Lock()
+	all := maps.Clone(w.workers)
+	w.mu.Unlock()
+	maps.DeleteFunc(all, func(_ string, one *worker.Worker) bool { return len(one.Running()) == 0 })
+	return all
+}
+
+// began returns the runs that began, and how often.
+func (w *world) began() map[flow.RunID]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return maps.Clone(w.begun)
+}
+
 func (w *world) report(id string, born int64, leaving bool) *code.Error {
 	size := &v1.Size{Cpu: w.capacity.CPU, Memory: w.capacity.Memory}
 	return w.d.Report(w.t.Context(), dispatch.Report{FlowServer: &record.FlowServer{
@@ -220,14 +257,20 @@
 
 // started notes a run that begins, and one of its task that runs elsewhere.
 func (w *world) started(id string, r flow.RunID) {
+	// The worker is locked while it tells, so the others are asked beside it.
+	go w.compare(id, r)
+}
+
+func (w *world) compare(id string, r flow.RunID) {
 	w.mu.Lock()
-	defer w.mu.Unlock()
 	w.begun[r]++
-	for other, one := range w.workers {
+	others := maps.Clone(w.workers)
+	w.mu.Unlock()
+	for other, one := range others {
 		if other == id {
 			continue
 		}
-		go func() {
+		func() {
 			for _, x := range one.Running() {
 				if x.TaskID == r.TaskID {
 					w.mu.Lock()
--- a/internal/control/dispatch/order.go
+++ b/internal/control/dispatch/order.go
@@ -38,6 +38,8 @@
 	// it may be carried out by another life of the server.
 	maybe bool
 	ghost bool
+	// laid is when a ghost was stopped; 0 for never.
+	laid time.Duration
 	// settled is when the server answered a start or a stop: a list made later
 	// that does not show the run proves that it does not run. 0 before that.
 	settled time.Duration
@@ -199,6 +201,9 @@
 		d.meter.call("stop", a.GetVerdict(), came-sent)
 		switch a.GetVerdict() {
 		case inner.Verdict_VERDICT_DONE, inner.Verdict_VERDICT_OLD:
+			if r.ghost {
+				r.laid = came
+			}
 			r.settled, r.ghost = came, false
 			if !s.holding {
 				d.hold(s)
--- a/internal/control/dispatch/session.go
+++ b/internal/control/dispatch/session.go
@@ -18,6 +18,8 @@
 	// firstPause and lastPause bound the pause before a failed call is made again.
 	firstPause = 50 * time.Millisecond
 	lastPause  = 400 * time.Millisecond
+	// pressPause is the pause between two holds that do not wait at the server.
+	pressPause = 10 * time.Millisecond
 	// absentCalls is how often a server must be found absent, one call after the
 	// other, before its life counts as over: a listener that is opened anew must
 	// not look like a crash.
@@ -207,11 +209,22 @@
 	d.Host.After(func() {
 		if d.lead != nil && d.lead.sessions[s.id] == s {
 			s.cursor = s.taken
-			d.hold(s)
+			d.holdNext(s)
 		}
 	})
 }
 
+// holdNext makes the next hold: at once when it waits at the server, after a
+// moment when it asks for something that is about to show in the list.
+func (d *Dispatcher) holdNext(s *session) {
+	if !s.pressing() {
+		d.hold(s)
+		return
+	}
+	term := d.lead.term
+	time.AfterFunc(pressPause, func() { d.post(term, func() { d.hold(s) }) })
+}
+
 // failed notes a failed hold and when the next one is due.
 func (d *Dispatcher) failed(s *session, a *inner.ServerAnswer) {
 	if !s.silent {
@@ -325,17 +338,21 @@
 }
 
 // close ends a life once no start can be carried out any more that was sent
-// into it: each doubtful one is stopped at the address, or its time is over.
+// into it: each doubtful one is stopped at the address, or its time is over. What
+// was found there by the stop works on for as long as a stop may take.
 func (d *Dispatcher) close(s *session, now time.Duration) {
 	if now < s.closingAt+d.Hold+2*callTimeout {
 		for _, r := range s.runs {
 			if r.busy > 0 {
 				return
 			}
-			if r.ghost && r.settled < s.closingAt {
+			if r.ghost {
 				d.stop(s, r)
 				return
 			}
+			if r.laid > 0 && now < r.laid+d.Stop+leaseMargin {
+				return
+			}
 		}
 	}
 	d.clear(s, true)
--- a/internal/fake/worker/worker.go
+++ b/internal/fake/worker/worker.go
@@ -43,7 +43,8 @@
 	StopTime time.Duration
 	// Work returns how long a run takes and how it ends.
 	Work func(r flow.RunID) (time.Duration, inner.RunEnd)
-	// Fault returns what goes wrong with a call; nil for nothing.
+	// Fault returns what goes wrong with a call; nil for nothing. It must not
+	// call the worker.
 	Fault func(c *inner.ServerCall) Fault
 	// Permit tells whether a permit is good; nil for every one.
 	Permit func(r flow.RunID, ticket string) bool
@@ -101,6 +102,14 @@
 	w.runs = map[flow.TaskID]*run{}
 }
 
+// Change changes the exported fields of a worker that takes calls.
+func (w *Worker) Change(fn func(w *Worker)) {
+	w.init()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	fn(w)
+}
+
 // Running returns the runs under way.
 func (w *Worker) Running() []flow.RunID {
 	w.init()
@@ -117,12 +126,12 @@
 // Call takes one call.
 func (w *Worker) Call(ctx context.Context, c *inner.ServerCall) *inner.ServerAnswer {
 	w.init()
+	w.mu.Lock()
+	gone := w.gone
 	var f Fault
 	if w.Fault != nil {
 		f = w.Fault(c)
 	}
-	w.mu.Lock()
-	gone := w.gone
 	w.mu.Unlock()
 	switch {
 	case f.Verdict != 0:
