--- /dev/null
+++ b/internal/ledger/flows/flows_test.go
@@ -0,0 +1,201 @@
+package flows_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/testing/protocmp"
+	"pgregory.net/rapid"
+
+	"gypsumreel/internal/api/inner"
+	"gypsumreel/internal/api/record"
+	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/domain/capacity"
+	"gypsumreel/internal/domain/flow"
+	_ "gypsumreel/internal/fake/seed"
+	"gypsumreel/internal/ledger/flows"
+)
+
+// machine drives a ledger with random commands, sound and unsound ones.
+type machine struct {
+	l       *flows.Ledger
+	at      time.Duration
+	flows   int
+	servers []string
+	// done are the tasks that ended well.
+	done map[flow.TaskID]bool
+}
+
+func document() *v1.Document {
+	return &v1.Document{
+		Version: 1, Pools: []*v1.Pool{{Name: "p"}},
+		Queues:    []*v1.Queue{{Name: "q", Host: "h", Path: "/", Pool: "p", Attempts: 2, Timeout: 1}},
+		Customers: []*v1.Customer{{Name: "c", Limit: &v1.Size{Cpu: 9}}},
+	}
+}
+
+func newMachine(t *rapid.T) *machine {
+	m := &machine{l: flows.New(), done: map[flow.TaskID]bool{}}
+	m.apply(t, &record.Flow{What: &record.Flow_Document{Document: document()}})
+	for i := range 3 {
+		id := fmt.Sprintf("s%d", i)
+		m.servers = append(m.servers, id)
+		m.born(t, id, 1)
+	}
+	return m
+}
+
+func (m *machine) born(t *rapid.T, id string, born int64) {
+	m.apply(t, &record.Flow{What: &record.Flow_Server{Server: &record.FlowServer{Id: id, Born: born, Pool: "p", Capacity: &v1.Size{Cpu: 4, Memory: 100}}}})
+}
+
+func (m *machine) apply(t *rapid.T, f *record.Flow) bool {
+	m.at += time.Millisecond
+	before := m.l.Digest()
+	err := m.l.Apply(m.at, f)
+	if err != nil && m.l.Digest() != before {
+		t.Fatalf("a refused command changed the state: %v", err)
+	}
+	return err == nil
+}
+
+// Accept takes in a flow of one or two steps.
+func (m *machine) Accept(t *rapid.T) {
+	m.flows++
+	first := &v1.FlowStep{Count: uint32(rapid.IntRange(1, 3).Draw(t, "count")), Size: &v1.Size{Cpu: 1, Memory: 1}, Gang: rapid.Bool().Draw(t, "gang")}
+	spec := &v1.FlowSpec{Id: fmt.Sprintf("f%d", m.flows), Steps: []*v1.FlowStep{first}}
+	if rapid.Bool().Draw(t, "second") {
+		spec.Steps = append(spec.Steps, &v1.FlowStep{Count: 1, Size: &v1.Size{Cpu: 2}, After: []uint32{0}})
+	}
+	m.apply(t, &record.Flow{What: &record.Flow_Accept{Accept: &record.FlowAccept{Queue: "q", Customer: "c", Spec: spec}}})
+}
+
+// Start places the waiting tasks of a ready step, wherever chance says.
+func (m *machine) Start(t *rapid.T) {
+	ready := slices.SortedFunc(maps.Keys(m.l.Ready()), func(a, b flow.StepID) int { return strings.Compare(a.String(), b.String()) })
+	for _, id := range ready {
+		s, _ := m.l.Step(id)
+		start := &record.FlowStart{}
+		var top uint32
+		for _, task := range s.Tasks {
+			top = max(top, task.Number)
+		}
+		for i, task := range s.Tasks {
+			if task.Phase == flows.Queued {
+				id := flow.RunID{TaskID: flow.TaskID{StepID: s.StepID, Index: uint32(i)}, Number: top + 1}
+				start.Places = append(start.Places, &record.FlowPlace{Run: id.Message(), Server: rapid.SampledFrom(m.servers).Draw(t, "server")})
+			}
+		}
+		m.apply(t, &record.Flow{What: &record.Flow_Start{Start: start}})
+		return
+	}
+}
+
+// End ends something that a server holds, or something that it does not.
+func (m *machine) End(t *rapid.T) {
+	b, _ := m.l.Server(rapid.SampledFrom(m.servers).Draw(t, "server"))
+	held := slices.SortedFunc(maps.Keys(b.Held), func(a, b flow.TaskID) int { return strings.Compare(a.String(), b.String()) })
+	for _, id := range held {
+		h := b.Held[id]
+		how := inner.RunEnd(rapid.IntRange(1, 7).Draw(t, "how"))
+		e := &record.FlowEnd{Run: h.Message(), How: how, Checkpoint: "c"}
+		m.apply(t, &record.Flow{What: &record.Flow_Ends{Ends: &record.FlowEnds{Server: b.ID, Born: b.Born, Ends: []*record.FlowEnd{e, e}}}})
+		m.done[id] = m.done[id] || how == inner.RunEnd_RUN_END_DONE
+		return
+	}
+}
+
+// Cancel cancels some flow.
+func (m *machine) Cancel(t *rapid.T) {
+	id := fmt.Sprintf("f%d", rapid.IntRange(1, 9).Draw(t, "flow"))
+	m.apply(t, &record.Flow{What: &record.Flow_Cancel{Cancel: &record.FlowCancel{Id: id}}})
+}
+
+// Reborn ends a life of a server and begins the next.
+func (m *machine) Reborn(t *rapid.T) {
+	b, _ := m.l.Server(rapid.SampledFrom(m.servers).Draw(t, "server"))
+	m.born(t, b.ID, b.Born+1)
+}
+
+// Clear loses all that a server held.
+func (m *machine) Clear(t *rapid.T) {
+	b, _ := m.l.Server(rapid.SampledFrom(m.servers).Draw(t, "server"))
+	m.apply(t, &record.Flow{What: &record.Flow_Clear{Clear: &record.FlowClear{Id: b.ID, Born: b.Born}}})
+}
+
+// Restore goes on from a snapshot.
+func (m *machine) Restore(t *rapid.T) {
+	l, err := flows.Restore(m.l.Record())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(m.l.Record(), l.Record(), protocmp.Transform()); diff != "" {
+		t.Fatal(diff)
+	}
+	if len(l.Ready()) != len(m.l.Ready()) || len(l.Unwanted()) != len(m.l.Unwanted()) || l.Open() != m.l.Open() || l.Pending("q") != m.l.Pending("q") {
+		t.Fatalf("what is derived differs: ready %d %d, unwanted %d %d, open %d %d, pending %d %d", len(l.Ready()), len(m.l.Ready()),
+			len(l.Unwanted()), len(m.l.Unwanted()), l.Open(), m.l.Open(), l.Pending("q"), m.l.Pending("q"))
+	}
+	m.l = l
+}
+
+// Check tells what no order of commands may break.
+func (m *machine) Check(t *rapid.T) {
+	var used capacity.Size
+	where := map[flow.TaskID]string{}
+	for _, b := range m.l.Servers() {
+		var held capacity.Size
+		for id, h := range b.Held {
+			held = held.Add(h.Size)
+			if other, ok := where[id]; ok {
+				t.Fatalf("%v is held by %s and %s", id, other, b.ID)
+			}
+			where[id] = b.ID
+		}
+		if held != b.Used || !held.Fits(b.Capacity) {
+			t.Fatalf("%s holds %v, counted are %v of %v", b.ID, held, b.Used, b.Capacity)
+		}
+		used = used.Add(held)
+	}
+	if used != m.l.Used("c") || used.CPU > 9 {
+		t.Fatalf("the customer has %v, counted are %v", used, m.l.Used("c"))
+	}
+	if m.l.Faults() > 0 {
+		t.Fatal("an event came that the charts do not allow")
+	}
+	for _, f := range m.l.Flows() {
+		for _, turn := range f.Turns {
+			for _, s := range turn.Steps {
+				checkStep(t, s)
+			}
+		}
+	}
+}
+
+func checkStep(t *rapid.T, s *flows.Step) {
+	counts := map[flows.Phase]int{}
+	for _, task := range s.Tasks {
+		counts[task.Phase]++
+	}
+	if counts[flows.Queued] != s.Queued || counts[flows.Placed] != s.Placed || counts[flows.Done] != s.Done {
+		t.Fatalf("%v counts %d %d %d, it has %v", s.StepID, s.Queued, s.Placed, s.Done, counts)
+	}
+	if s.Spec.GetGang() && s.Placed > 0 && s.Queued > 0 {
+		t.Fatalf("gang %v waits and runs", s.StepID)
+	}
+	if s.Missing > 0 && s.Queued != len(s.Tasks) {
+		t.Fatalf("%v began before the steps before it ended", s.StepID)
+	}
+}
+
+func TestLedgerUnderRandomCommands(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(t)
+		t.Repeat(rapid.StateMachineActions(m))
+	})
+}
--- a/internal/ledger/flows/snapshot.go
+++ b/internal/ledger/flows/snapshot.go
@@ -197,7 +197,9 @@
 // gang is being stopped, or another run of its task is the latest.
 func (l *Ledger) stray(f *Flow, h *Held) bool {
 	if f.Final() {
-		return true
+		// The members of a gang end together: those of a flow that is done are
+		// about to end by themselves.
+		return f.State != v1.FlowState_FLOW_STATE_DONE
 	}
 	s, ok := l.Step(h.StepID)
 	if !ok {
--- /dev/null
+++ b/internal/policy/steps/steps_test.go
@@ -0,0 +1,230 @@
+package steps_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/domain/capacity"
+	"gypsumreel/internal/domain/flow"
+	_ "gypsumreel/internal/fake/seed"
+	"gypsumreel/internal/ledger/flows"
+	"gypsumreel/internal/policy/steps"
+)
+
+func server(id string, cpu int64, labels ...string) steps.Server {
+	return steps.Server{Server: &flows.Server{ID: id, Pool: "pool", Capacity: capacity.Size{CPU: cpu, Memory: 1000}, Labels: labels}, Pace: 1}
+}
+
+func item(id string, spec *v1.FlowStep) steps.Item {
+	s := &flows.Step{StepID: flow.StepID{Flow: id}, Flow: &flows.Flow{ID: id, Customer: "customer"}, Spec: spec, Queued: int(spec.GetCount())}
+	for range spec.GetCount() {
+		s.Tasks = append(s.Tasks, flows.Task{Phase: flows.Queued})
+	}
+	return steps.Item{Step: s, Pool: "pool"}
+}
+
+func tasks(count uint32, cpu int64) *v1.FlowStep {
+	return &v1.FlowStep{Count: count, Size: &v1.Size{Cpu: cpu, Memory: 10}}
+}
+
+func gang(count uint32, cpu int64) *v1.FlowStep {
+	s := tasks(count, cpu)
+	s.Gang = true
+	return s
+}
+
+func view(servers []steps.Server, items ...steps.Item) steps.View {
+	return steps.View{
+		Items: items, Servers: servers,
+		Room:       func(string) capacity.Size { return capacity.Size{CPU: 1 << 40, Memory: 1 << 40, Accel: 1 << 40} },
+		Permission: func(flow.StepID, string) steps.Permission { return steps.Granted },
+	}
+}
+
+// placed returns how many tasks of each flow go to each server.
+func placed(p steps.Plan) map[string]int {
+	out := map[string]int{}
+	for _, one := range p.Placements {
+		for _, place := range one.Places {
+			out[place.Flow+" on "+place.Server]++
+		}
+	}
+	return out
+}
+
+func check(t *testing.T, want map[string]int, p steps.Plan) {
+	t.Helper()
+	if diff := cmp.Diff(want, placed(p)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestFullestServerIsFilledFirst(t *testing.T) {
+	a, b := server("a", 4000), server("b", 4000)
+	b.Used = capacity.Size{CPU: 2000}
+	check(t, map[string]int{"x on b": 2, "x on a": 1}, steps.Make(view([]steps.Server{a, b}, item("x", tasks(3, 1000)))))
+}
+
+func TestFastServerGoesBeforePacking(t *testing.T) {
+	a, b := server("a", 4000), server("b", 4000)
+	b.Used, a.Pace = capacity.Size{CPU: 2000}, 1.5
+	check(t, map[string]int{"x on a": 2}, steps.Make(view([]steps.Server{a, b}, item("x", tasks(2, 1000)))))
+}
+
+func TestOrder(t *testing.T) {
+	urgent, patient, surplus, hopeless := item("urgent", tasks(1, 1)), item("patient", tasks(1, 1)), item("surplus", tasks(1, 1)), item("hopeless", tasks(1, 1))
+	late := item("late", tasks(1, 1))
+	patient.Priority, patient.Slack = 1, time.Second
+	late.Priority, late.Slack = 1, -time.Second
+	surplus.Surplus, hopeless.Hopeless = true, true
+	items := []steps.Item{hopeless, surplus, patient, late, urgent}
+	slices.SortFunc(items, steps.Compare)
+	var got []string
+	for _, it := range items {
+		got = append(got, it.Flow.ID)
+	}
+	if diff := cmp.Diff([]string{"urgent", "late", "patient", "surplus", "hopeless"}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestLabelRackAndApart(t *testing.T) {
+	spec := tasks(4, 1000)
+	spec.Label, spec.Rack, spec.Apart = "big", "r1", 2
+	servers := []steps.Server{server("a", 9000, "big", "r2"), server("b", 9000, "big", "r1"), server("c", 9000, "small", "r1")}
+	check(t, map[string]int{"x on b": 2, "x on a": 2}, steps.Make(view(servers, item("x", spec))))
+}
+
+func TestCustomersLimitBinds(t *testing.T) {
+	v := view([]steps.Server{server("a", 9000)}, item("x", tasks(4, 1000)), item("y", gang(2, 1000)))
+	v.Room = func(string) capacity.Size { return capacity.Size{CPU: 3000, Memory: 1 << 40, Accel: 1 << 40} }
+	check(t, map[string]int{"x on a": 3}, steps.Make(v))
+}
+
+func TestGangOfOneRackWherePossible(t *testing.T) {
+	spec := gang(4, 1000)
+	spec.Together = true
+	servers := []steps.Server{server("a", 3000, "r1"), server("b", 2000, "r2"), server("c", 2000, "r2")}
+	check(t, map[string]int{"x on b": 2, "x on c": 2}, steps.Make(view(servers, item("x", spec))))
+}
+
+// Small work keeps arriving and fills each gap at once. A gang that needs a gap
+// on several servers at the same time would wait for ever; it keeps what it
+// needs from those that come after it.
+func TestGangIsNotStarvedBySmallWork(t *testing.T) {
+	servers := []steps.Server{server("a", 4000), server("b", 4000), server("c", 4000), server("d", 4000)}
+	for i := range servers {
+		servers[i].Used = capacity.Size{CPU: 2000}
+	}
+	large := item("gang", gang(2, 4000))
+	small := item("small", tasks(8, 1000))
+	small.Priority = 2
+	p := steps.Make(view(servers, large, small))
+	left := 0
+	for _, id := range []string{"a", "b", "c", "d"} {
+		if placed(p)["small on "+id] == 0 {
+			left++
+		}
+	}
+	if left != 2 {
+		t.Errorf("%d servers were kept free for the gang, want 2: %v", left, placed(p))
+	}
+}
+
+// A permit has run out while a step waited for room. The room is there now, and
+// the question takes time: were it given away meanwhile, the step would ask for
+// ever and never run.
+func TestRoomIsKeptWhileAPermitIsAskedFor(t *testing.T) {
+	first, second := item("first", gang(2, 2000)), item("second", tasks(4, 1000))
+	first.Permits, second.Priority = true, 1
+	v := view([]steps.Server{server("a", 4000)}, first, second)
+	v.Permission = func(flow.StepID, string) steps.Permission { return steps.Stale }
+	p := steps.Make(v)
+	check(t, map[string]int{}, p)
+	if len(p.Wants) != 1 || !slices.Equal(p.Wants[0].Servers, []string{"a"}) {
+		t.Errorf("questions: %v", p.Wants)
+	}
+}
+
+func TestQuestionsNameServersWithRoomFirst(t *testing.T) {
+	var servers []steps.Server
+	for i := range 40 {
+		s := server(fmt.Sprintf("s%02d", i), 4000)
+		s.Used = capacity.Size{CPU: int64(i) * 100}
+		servers = append(servers, s)
+	}
+	it := item("x", tasks(1, 1000))
+	it.Permits = true
+	v := view(servers, it)
+	v.Permission = func(flow.StepID, string) steps.Permission { return steps.Unasked }
+	p := steps.Make(v)
+	if len(p.Wants) != 1 || len(p.Wants[0].Servers) != steps.MostAsked || p.Wants[0].Servers[0] != "s00" {
+		t.Errorf("questions: %v", p.Wants)
+	}
+}
+
+// Whatever waits: no server is filled beyond its room, no limit is passed, a gang
+// is whole or not at all, and no task is placed twice.
+func TestPlansKeepTheirBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var servers []steps.Server
+		for i := range rapid.IntRange(1, 8).Draw(t, "servers") {
+			s := server(fmt.Sprintf("s%d", i), rapid.Int64Range(0, 16000).Draw(t, "cpu"))
+			s.Used = capacity.Size{CPU: rapid.Int64Range(0, s.Capacity.CPU).Draw(t, "used")}
+			servers = append(servers, s)
+		}
+		var items []steps.Item
+		for i := range rapid.IntRange(0, 12).Draw(t, "items") {
+			spec := tasks(uint32(rapid.IntRange(1, 10).Draw(t, "count")), rapid.Int64Range(1, 5000).Draw(t, "size"))
+			spec.Gang = rapid.Bool().Draw(t, "gang")
+			spec.Apart = uint32(rapid.IntRange(0, 2).Draw(t, "apart"))
+			it := item(fmt.Sprintf("f%d", i), spec)
+			it.Permits = rapid.Bool().Draw(t, "permits")
+			it.Priority = uint32(rapid.IntRange(0, 2).Draw(t, "priority"))
+			items = append(items, it)
+		}
+		limit := rapid.Int64Range(0, 60000).Draw(t, "limit")
+		v := view(servers, items...)
+		v.Room = func(string) capacity.Size { return capacity.Size{CPU: limit, Memory: 1 << 40, Accel: 1 << 40} }
+		v.Permission = func(id flow.StepID, s string) steps.Permission {
+			return steps.Permission((len(id.Flow) + int(id.Flow[1]) + int(s[1])) % 4)
+		}
+		bounds(t, v, steps.Make(v))
+	})
+}
+
+func bounds(t *rapid.T, v steps.View, p steps.Plan) {
+	used, total, seen := map[string]int64{}, int64(0), map[flow.TaskID]bool{}
+	apart := map[string]uint32{}
+	for _, one := range p.Placements {
+		if one.Step.Spec.GetGang() && len(one.Places) != len(one.Step.Tasks) {
+			t.Fatalf("part of a gang: %v", one)
+		}
+		for _, place := range one.Places {
+			if seen[place.TaskID] {
+				t.Fatalf("%v twice", place)
+			}
+			seen[place.TaskID] = true
+			used[place.Server] += one.Step.Spec.GetSize().GetCpu()
+			total += one.Step.Spec.GetSize().GetCpu()
+			at := place.Flow + place.Server
+			if apart[at]++; one.Step.Spec.GetApart() > 0 && apart[at] > one.Step.Spec.GetApart() {
+				t.Fatalf("%v: too many of a step on one server", place)
+			}
+		}
+	}
+	for _, s := range v.Servers {
+		if used[s.ID] > s.Free().CPU {
+			t.Fatalf("%s is given %d, it has %d", s.ID, used[s.ID], s.Free().CPU)
+		}
+	}
+	if total > v.Room("").CPU {
+		t.Fatalf("%d is placed, the limit is %d", total, v.Room("").CPU)
+	}
+}
