Bound what planning takes of the control thread; settle what a caller sent

A plan now looks at the 128 most pressing steps, and takes a fifth of the thread at most. An entry that may have handed a request over asks on until that is settled, in place of an answer that tells its caller nothing.

--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -139,15 +140,18 @@
 	buckets  map[string]*bucket
 	surplus  map[string]bool
 	paces    map[string]*pace
+	times    map[flow.StepID]times
 	// asked are the requests that wait for a commit or a proof; each is told
 	// when this replica is deposed before.
 	asked  map[uint64]func()
 	serial uint64
 
-	dirty   bool
-	planned time.Duration
-	swept   time.Duration
-	roster  time.Duration
+	dirty bool
+	// planned is when the last plan was made, planTook how long it took.
+	planned  time.Duration
+	planTook time.Duration
+	swept    time.Duration
+	roster   time.Duration
 }
 
 // New returns a dispatcher with the defaults.
@@ -171,7 +175,7 @@
 	d.lead = &lead{
 		term: term, elected: elected, ctx: ctx, cancel: cancel, sessions: map[string]*session{},
 		advice: map[flow.StepID]*advice{}, timed: map[string]bool{}, buckets: map[string]*bucket{}, surplus: map[string]bool{},
-		paces: map[string]*pace{}, asked: map[uint64]func(){}, dirty: true,
+		paces: map[string]*pace{}, times: map[flow.StepID]times{}, asked: map[uint64]func(){}, dirty: true,
 	}
 	ledger := d.Host.Flows()
 	for _, b := range ledger.Servers() {
@@ -215,7 +219,7 @@
 	}
 	d.stopUnwanted()
 	now := d.Now()
-	if d.lead.dirty || now-d.lead.planned >= planEvery {
+	if d.planDue(now) {
 		d.lead.planned, d.lead.dirty = now, false
 		d.plan(now)
 	}
@@ -270,6 +274,10 @@
 			delete(d.lead.advice, id)
 		}
 	}
+	maps.DeleteFunc(d.lead.times, func(id flow.StepID, _ times) bool {
+		s, ok := ledger.Step(id)
+		return !ok || s.Done == len(s.Tasks)
+	})
 	for id := range d.lead.surplus {
 		if f, ok := ledger.Flow(id); !ok || f.Final() {
 			delete(d.lead.surplus, id)
--- a/internal/control/dispatch/plan.go
+++ b/internal/control/dispatch/plan.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"gypsumreel/internal/api/inner"
@@ -16,6 +17,16 @@
 // unbounded stands for a limit that binds nothing.
 const unbounded = 1 << 50
 
+// Bounds of the planner's share of the control thread.
+const (
+	// mostItems bounds the steps that one plan looks at, the most pressing first:
+	// many more than start between two plans.
+	mostItems = 128
+	// planRest is how many times as long as it took the last plan must be over
+	// before the next: the planner takes a fifth of the thread at most.
+	planRest = 5
+)
+
 // lateFactor is how many objectives a flow may take before its end is worth
 // nothing more to its caller.
 const lateFactor = 3
@@ -40,12 +51,26 @@
 			v.Items = append(v.Items, it)
 		}
 	}
+	slices.SortFunc(v.Items, steps.Compare)
+	v.Items = v.Items[:min(len(v.Items), mostItems)]
 	p := steps.Make(v)
 	for _, one := range p.Placements {
 		d.place(one, now)
 	}
 	d.questions(p.Wants, now)
-	d.meter.plan.Update((d.Now() - begin).Seconds())
+	d.lead.planTook = d.Now() - begin
+	d.meter.plan.Update(d.lead.planTook.Seconds())
+}
+
+// planDue tells whether it is time for a plan. A plan over a long backlog takes
+// long; made at every turn it would leave no time for heartbeats, the leader
+// would be deposed, and the backlog grow for as long as nobody leads.
+func (d *Dispatcher) planDue(now time.Duration) bool {
+	since := now - d.lead.planned
+	if since < planRest*d.lead.planTook {
+		return false
+	}
+	return d.lead.dirty || since >= planEvery
 }
 
 // room returns what a customer may still start.
@@ -66,20 +91,40 @@
 	if !ok {
 		return steps.Item{}, false
 	}
-	turn := s.Flow.Turns[s.Turn]
-	objective := time.Duration(q.GetFactor()*float64(chain(s.Flow.Spec, 0, nil)))*time.Millisecond + time.Duration(q.GetTarget())*time.Millisecond
-	left := time.Duration(chain(s.Flow.Spec, 0, turn)) * time.Millisecond
+	t := d.times(s, q)
 	begun := s.Flow.Accepted
 	if s.Flow.Spec.GetTimes() > 0 {
 		begun = time.Duration(s.Flow.Spec.GetFirst()+int64(s.Turn)*int64(s.Flow.Spec.GetEvery())) * time.Millisecond
 	}
 	age := clock - begun
 	return steps.Item{
-		Step: s, Pool: q.GetPool(), Priority: q.GetPriority(), Slack: objective - age - left,
-		Hopeless: !s.Spec.GetLasting() && age+left > lateFactor*objective, Surplus: d.lead.surplus[s.Flow.ID], Permits: q.GetAdvice() != nil,
+		Step: s, Pool: q.GetPool(), Priority: q.GetPriority(), Slack: t.objective - age - t.left,
+		Hopeless: !s.Spec.GetLasting() && age+t.left > lateFactor*t.objective, Surplus: d.lead.surplus[s.Flow.ID], Permits: q.GetAdvice() != nil,
 	}, true
 }
 
+// times is what a step's slack follows from.
+type times struct {
+	// objective is how long its flow may take, left what is left of the flow's
+	// longest chain from this step on.
+	objective time.Duration
+	left      time.Duration
+}
+
+// times returns a step's times; they stay the same once the step is ready.
+func (d *Dispatcher) times(s *flows.Step, q *v1.Queue) times {
+	if t, ok := d.lead.times[s.StepID]; ok {
+		return t
+	}
+	whole, left := chain(s.Flow.Spec, 0, nil), chain(s.Flow.Spec, 0, s.Flow.Turns[s.Turn])
+	t := times{
+		objective: time.Duration((q.GetFactor()*float64(whole) + float64(q.GetTarget())) * float64(time.Millisecond)),
+		left:      time.Duration(left) * time.Millisecond,
+	}
+	d.lead.times[s.StepID] = t
+	return t
+}
+
 // chain returns the declared run time in milliseconds of a flow's longest chain
 // of steps; of what is left of it when a turn is given.
 func chain(spec *v1.FlowSpec, from int, turn *flows.Turn) uint64 {
--- a/internal/edge/leader/leader.go
+++ b/internal/edge/leader/leader.go
@@ -214,6 +214,11 @@
 		case <-time.After(retryPause):
 			continue
 		case <-give.C:
+			if sent {
+				// Nobody may say "not run" of it now, and a caller that is told
+				// nothing is worse off than one that waits for the next leader.
+				continue
+			}
 		case <-ctx.Done():
 		}
 		return l.unanswered(a, sent)
--- a/internal/policy/steps/steps.go
+++ b/internal/policy/steps/steps.go
@@ -131,7 +131,7 @@
 	}
 	slices.SortFunc(p.servers, func(a, b *room) int { return cmp.Compare(a.ID, b.ID) })
 	items := slices.Clone(v.Items)
-	slices.SortFunc(items, Compare)
+	slices.SortStableFunc(items, Compare)
 	for _, it := range items {
 		if it.Spec.GetGang() {
 			p.gang(it)
