Find the next leader sooner, pass over failing servers, move runs that hang

Servers that fail all they start drew in work and used up attempts; runs that stood still were waited for.

What was ruled out: leases that run out while no replica runs took the rest of the longest lease with them, so the whole of it is used now.

--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -19,6 +19,7 @@
 	"gypsumreel/internal/base/event"
 	"gypsumreel/internal/domain/flow"
 	"gypsumreel/internal/ledger/flows"
+	"gypsumreel/internal/policy/steps"
 	"gypsumreel/internal/replica/group"
 	"gypsumreel/internal/replica/quorum"
 )
@@ -29,9 +30,6 @@
 	DefaultHold = 6 * time.Second
 	// DefaultStop is the longest time that a stop takes.
 	DefaultStop = time.Second
-	// leaseParts of leaseOf is the part of the longest lease that is used: the
-	// rest covers the way and the clocks.
-	leaseParts, leaseOf = 4, 5
 	// slowest is the rate of the slowest clock of a backend server beside ours.
 	slowest = 0.98
 	// leaseMargin is added to the end of a lease before it counts as over: the
@@ -52,8 +50,6 @@
 	// waitParts is the number of waits in a lease: a lost answer must not let
 	// the lease run out.
 	waitParts = 4
-	// planEvery is the longest time between two plans while something waits.
-	planEvery = 50 * time.Millisecond
 	// sweepEvery is how often what is over is forgotten.
 	sweepEvery = time.Second
 )
@@ -141,17 +137,19 @@
 	surplus  map[string]bool
 	paces    map[string]*pace
 	times    map[flow.StepID]times
+	// shunned are the servers on which a task of a step failed.
+	shunned map[flow.StepID]map[string]bool
 	// asked are the requests that wait for a commit or a proof; each is told
 	// when this replica is deposed before.
 	asked  map[uint64]func()
 	serial uint64
 
 	dirty bool
-	// planned is when the last plan was made, planTook how long it took.
-	planned  time.Duration
-	planTook time.Duration
-	swept    time.Duration
-	roster   time.Duration
+	// planned is when the last plan was made.
+	planned time.Duration
+	pacer   steps.Pacer
+	swept   time.Duration
+	roster  time.Duration
 }
 
 // New returns a dispatcher with the defaults.
@@ -162,8 +160,9 @@
 	}
 }
 
-// lease returns the length of the leases that are given.
-func (d *Dispatcher) lease() time.Duration { return d.Hold * leaseParts / leaseOf }
+// lease returns the length of the leases that are given: the longest there is.
+// What runs then outlives a moment in which no replica runs at all.
+func (d *Dispatcher) lease() time.Duration { return d.Hold }
 
 // Elected takes over: what servers hold is asked of them before anything new is
 // placed there.
@@ -175,7 +174,7 @@
 	d.lead = &lead{
 		term: term, elected: elected, ctx: ctx, cancel: cancel, sessions: map[string]*session{},
 		advice: map[flow.StepID]*advice{}, timed: map[string]bool{}, buckets: map[string]*bucket{}, surplus: map[string]bool{},
-		paces: map[string]*pace{}, times: map[flow.StepID]times{}, asked: map[uint64]func(){}, dirty: true,
+		paces: map[string]*pace{}, times: map[flow.StepID]times{}, shunned: map[flow.StepID]map[string]bool{}, asked: map[uint64]func(){}, dirty: true,
 	}
 	ledger := d.Host.Flows()
 	for _, b := range ledger.Servers() {
@@ -219,7 +218,7 @@
 	}
 	d.stopUnwanted()
 	now := d.Now()
-	if d.planDue(now) {
+	if d.lead.pacer.Due(now, d.lead.dirty) {
 		d.lead.planned, d.lead.dirty = now, false
 		d.plan(now)
 	}
@@ -232,6 +231,7 @@
 	}
 	for _, s := range d.lead.sessions {
 		d.watch(s, now)
+		d.inspect(s, now)
 	}
 	d.beginTurns()
 	if now-d.lead.swept >= sweepEvery {
@@ -278,6 +278,10 @@
 		s, ok := ledger.Step(id)
 		return !ok || s.Done == len(s.Tasks)
 	})
+	maps.DeleteFunc(d.lead.shunned, func(id flow.StepID, _ map[string]bool) bool {
+		s, ok := ledger.Step(id)
+		return !ok || s.Done == len(s.Tasks)
+	})
 	for id := range d.lead.surplus {
 		if f, ok := ledger.Flow(id); !ok || f.Final() {
 			delete(d.lead.surplus, id)
--- a/internal/control/dispatch/dispatch_test.go
+++ b/internal/control/dispatch/dispatch_test.go
@@ -308,3 +308,43 @@
 		}
 	})
 }
+
+// A server hangs: it takes what it is told to start, and nothing moves there. The
+// caller's flow must not wait for it.
+func TestHangingRunIsMoved(t *testing.T) {
+	play(t, 2, func(t *testing.T, w *world) {
+		var first atomic.Bool
+		w.change(func(_ string, one *worker.Worker) {
+			one.Work = func(flow.RunID) (time.Duration, inner.RunEnd) {
+				if !first.Swap(true) {
+					return 1000 * time.Hour, inner.RunEnd_RUN_END_DONE
+				}
+				return time.Second, inner.RunEnd_RUN_END_DONE
+			}
+		})
+		w.submit("a", step(1, 1000))
+		w.await("a", done, 8*time.Second)
+		if began := w.began(); len(began) != 2 {
+			t.Errorf("runs that began: %v", began)
+		}
+	})
+}
+
+// A server fails all that it starts, at once, so that it always has room. A flow
+// that could be done must not use up its attempts there.
+func TestFailingServerIsPassedOver(t *testing.T) {
+	play(t, 2, func(_ *testing.T, w *world) {
+		w.change(func(id string, one *worker.Worker) {
+			if id == "s1" {
+				one.Work = func(flow.RunID) (time.Duration, inner.RunEnd) { return 10 * time.Millisecond, inner.RunEnd_RUN_END_FAILED }
+			}
+		})
+		for _, id := range []string{"a", "b", "c", "d"} {
+			w.submit(id, step(2, 1000))
+		}
+		for _, id := range []string{"a", "b", "c", "d"} {
+			w.await(id, done, 15*time.Second)
+		}
+	})
+}
+
--- /dev/null
+++ b/internal/control/dispatch/learn.go
@@ -0,0 +1,136 @@
+package dispatch
+
+import (
+	"time"
+
+	"gypsumreel/internal/api/inner"
+	"gypsumreel/internal/base/event"
+	"gypsumreel/internal/ledger/flows"
+	"gypsumreel/internal/policy/watchdog"
+)
+
+// pace is how fast a server works: how long runs took there beside what was
+// declared, compared with the same of all servers of its pool.
+type pace struct {
+	ratio float64
+	runs  int
+}
+
+// Bounds of what is learned of a server's pace.
+const (
+	// paceWeight is the weight of the latest run: after about ten runs what was
+	// before has little weight left.
+	paceWeight = 0.2
+	// paceRuns is the least number of runs that tell anything.
+	paceRuns = 3
+)
+
+// learn takes the time that a run took.
+func (d *Dispatcher) learn(s *session, r *run, how inner.RunEnd, now time.Duration) {
+	if how != inner.RunEnd_RUN_END_DONE || r.placed == 0 {
+		return
+	}
+	step, ok := d.Host.Flows().Step(r.StepID)
+	if !ok || step.Spec.GetRuntime() == 0 || r.Number > 1 {
+		return
+	}
+	took := (now - r.placed).Seconds() * float64(time.Second/time.Millisecond) / float64(step.Spec.GetRuntime())
+	p := d.lead.paces[s.id]
+	if p == nil {
+		p = &pace{ratio: took}
+		d.lead.paces[s.id] = p
+	}
+	p.ratio += paceWeight * (took - p.ratio)
+	p.runs++
+}
+
+// pace returns how fast a server works beside the others; 1 when nothing is known.
+func (d *Dispatcher) pace(b *flows.Server) float64 {
+	p := d.lead.paces[b.ID]
+	if p == nil || p.runs < paceRuns || p.ratio <= 0 {
+		return 1
+	}
+	sum, n := 0.0, 0
+	for _, o := range d.lead.paces {
+		if o.runs >= paceRuns {
+			sum += o.ratio
+			n++
+		}
+	}
+	return sum / float64(n) / p.ratio
+}
+
+// typical returns how long a run of the step takes on a sound server: what was
+// declared, corrected by how far declared times are off on the whole.
+func (d *Dispatcher) typical(s *flows.Step) time.Duration {
+	ratio, n := 0.0, 0
+	for _, p := range d.lead.paces {
+		if p.runs >= paceRuns {
+			ratio += p.ratio
+			n++
+		}
+	}
+	declared := time.Duration(s.Spec.GetRuntime()) * time.Millisecond
+	if n == 0 {
+		return declared
+	}
+	return time.Duration(float64(declared) * max(ratio/float64(n), 1))
+}
+
+// trust notes how a run ended for the judgement of its server. The step that
+// failed there is tried elsewhere: whose fault it was is not known, and a
+// server that fails everything would use up all its attempts.
+func (d *Dispatcher) trust(s *session, r *run, how inner.RunEnd, now time.Duration) {
+	switch how {
+	case inner.RunEnd_RUN_END_DONE:
+		s.streak.Done()
+	case inner.RunEnd_RUN_END_FAILED:
+		if d.lead.shunned[r.StepID] == nil {
+			d.lead.shunned[r.StepID] = map[string]bool{}
+		}
+		d.lead.shunned[r.StepID][s.id] = true
+		if rest := s.streak.Failed(r.Flow); rest > 0 {
+			s.avoid = max(s.avoid, now+rest)
+			event.Log(d.Log, event.ServerQuarantined, "server", s.id, "flow", r.Flow, "rest", rest.String())
+		}
+	}
+}
+
+// inspect looks for runs that stand still or crawl, and moves them to another
+// server: they are stopped, and placed again where they last failed not.
+func (d *Dispatcher) inspect(s *session, now time.Duration) {
+	if s.silent || !s.known || s.closing != "" {
+		return
+	}
+	for _, r := range s.runs {
+		if r.stopping || !r.there || r.placed == 0 || r.looked == 0 || now-r.looked > longestWait+callTimeout {
+			continue
+		}
+		step, ok := d.Host.Flows().Step(r.StepID)
+		if !ok || step.Spec.GetLasting() || step.Spec.GetGang() {
+			continue
+		}
+		w := watchdog.Run{Elapsed: r.looked - r.placed, Still: r.looked - r.moved, Percent: r.percent, Typical: d.typical(step), Saves: step.Spec.GetSaves()}
+		if !(r.Number <= mostStuck && watchdog.Stuck(w)) && !(r.Number <= mostDragged && watchdog.Drags(w)) {
+			continue
+		}
+		event.Log(d.Log, event.RunMoved, "flow", r.Flow, "run", r.String(), "server", s.id, "percent", r.percent, "still", w.Still.String(), "elapsed", w.Elapsed.String(), "typical", w.Typical.String())
+		if d.lead.shunned[r.StepID] == nil {
+			d.lead.shunned[r.StepID] = map[string]bool{}
+		}
+		d.lead.shunned[r.StepID][s.id] = true
+		s.avoid = max(s.avoid, now+suspectRest)
+		d.unwant(s, r)
+	}
+}
+
+// A task is moved so often at most: what was declared may be far off, and a task
+// that is slow everywhere must come to its end somewhere.
+const (
+	mostStuck   = 3
+	mostDragged = 1
+)
+
+// suspectRest is how long a server gets nothing new on which a run stood still or
+// crawled; it is renewed while more of them do.
+const suspectRest = 2 * time.Second
--- a/internal/control/dispatch/plan.go
+++ b/internal/control/dispatch/plan.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"gypsumreel/internal/api/inner"
 	"gypsumreel/internal/api/record"
 	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/base/event"
@@ -17,6 +16,46 @@
 // unbounded stands for a limit that binds nothing.
 const unbounded = 1 << 50
 
+// mostItems bounds the steps that one plan looks at, the most pressing first: many
+// more than start between two plans.
+const mostItems = 128
+
+// lateFactor is how many objectives a flow may take before its end is worth
+// nothing more to its caller.
+const lateFactor = 3
+
+// plan decides what starts and carries it out.
+func (d *Dispatcher) plan(now time.Duration) {
+	ledger := d.Host.Flows()
+	if len(ledger.Ready()) == 0 {
+		return
+	}
+	begin := d.Now()
+	v := steps.View{Room: d.room, Permission: d.permission}
+	for id, s := range d.lead.sessions {
+		b, ok := ledger.Server(id)
+		if ok && !b.Leaving && !b.Over && b.Born == s.born && s.usable(now) {
+			v.Servers = append(v.Servers, steps.Server{Server: b, Pace: d.pace(b)})
+		}
+	}
+	clock := d.Host.Clock()
+	for _, s := range ledger.Ready() {
+		if it, ok := d.item(s, clock); ok {
+			v.Items = append(v.Items, it)
+		}
+	}
+	slices.SortFunc(v.Items, steps.Compare)
+	v.Items = v.Items[:min(len(v.Items), mostItems)]
+	p := steps.Make(v)
+	for _, one := range p.Placements {
+		d.place(one, now)
+	}
+	d.questions(p.Wants, now)
+	took := d.Now() - begin
+	d.lead.pacer.Made(now, took)
+	d.meter.plan.Update(took.Seconds())
+}
+
 // Bounds of the planner's share of the control thread.
 const (
 	// mostItems bounds the steps that one plan looks at, the most pressing first:
@@ -58,8 +97,9 @@
 		d.place(one, now)
 	}
 	d.questions(p.Wants, now)
-	d.lead.planTook = d.Now() - begin
-	d.meter.plan.Update(d.lead.planTook.Seconds())
+	took := d.Now() - begin
+	d.lead.pacer.Made(now, took)
+	d.meter.plan.Update(took.Seconds())
 }
 
 // planDue tells whether it is time for a plan. A plan over a long backlog takes
@@ -99,7 +139,7 @@
 	age := clock - begun
 	return steps.Item{
 		Step: s, Pool: q.GetPool(), Priority: q.GetPriority(), Slack: t.objective - age - t.left,
-		Hopeless: !s.Spec.GetLasting() && age+t.left > lateFactor*t.objective, Surplus: d.lead.surplus[s.Flow.ID], Permits: q.GetAdvice() != nil,
+		Hopeless: !s.Spec.GetLasting() && age+t.left > lateFactor*t.objective, Surplus: d.lead.surplus[s.Flow.ID], Permits: q.GetAdvice() != nil, Shunned: d.lead.shunned[s.StepID],
 	}, true
 }
 
@@ -192,54 +232,3 @@
 	d.lead.sessions[b.ID].runs[id.TaskID] = r
 	return r
 }
-
-// pace is how fast a server works: how long runs took there beside what was
-// declared, compared with the same of all servers of its pool.
-type pace struct {
-	ratio float64
-	runs  int
-}
-
-// Bounds of what is learned of a server's pace.
-const (
-	// paceWeight is the weight of the latest run: after about ten runs what was
-	// before has little weight left.
-	paceWeight = 0.2
-	// paceRuns is the least number of runs that tell anything.
-	paceRuns = 3
-)
-
-// learn takes the time that a run took.
-func (d *Dispatcher) learn(s *session, r *run, how inner.RunEnd, now time.Duration) {
-	if how != inner.RunEnd_RUN_END_DONE || r.placed == 0 {
-		return
-	}
-	step, ok := d.Host.Flows().Step(r.StepID)
-	if !ok || step.Spec.GetRuntime() == 0 || r.Number > 1 {
-		return
-	}
-	took := (now - r.placed).Seconds() * float64(time.Second/time.Millisecond) / float64(step.Spec.GetRuntime())
-	p := d.lead.paces[s.id]
-	if p == nil {
-		p = &pace{ratio: took}
-		d.lead.paces[s.id] = p
-	}
-	p.ratio += paceWeight * (took - p.ratio)
-	p.runs++
-}
-
-// pace returns how fast a server works beside the others; 1 when nothing is known.
-func (d *Dispatcher) pace(b *flows.Server) float64 {
-	p := d.lead.paces[b.ID]
-	if p == nil || p.runs < paceRuns || p.ratio <= 0 {
-		return 1
-	}
-	sum, n := 0.0, 0
-	for _, o := range d.lead.paces {
-		if o.runs >= paceRuns {
-			sum += o.ratio
-			n++
-		}
-	}
-	return sum / float64(n) / p.ratio
-}
--- a/internal/control/dispatch/session.go
+++ b/internal/control/dispatch/session.go
@@ -11,6 +11,7 @@
 	"gypsumreel/internal/domain/capacity"
 	"gypsumreel/internal/domain/flow"
 	"gypsumreel/internal/ledger/flows"
+	"gypsumreel/internal/policy/watchdog"
 )
 
 // Bounds of a session.
@@ -62,6 +63,7 @@
 	// avoid is until when nothing new is placed there, and why it last failed.
 	avoid  time.Duration
 	unwell int
+	streak watchdog.Streak
 	// relay is the helper that calls go through; empty for the direct way.
 	relay string
 
@@ -309,6 +311,7 @@
 	d.meter.end(e.GetHow())
 	event.Log(d.Log, event.RunEnded, "flow", r.Flow, "run", r.String(), "server", s.id, "how", e.GetHow().String(), "took", (now - r.placed).String(), "state", state)
 	d.learn(s, r, e.GetHow(), now)
+	d.trust(s, r, e.GetHow(), now)
 }
 
 // watch looks after one session: holds that are due, leases that are over, and
--- a/internal/edge/leader/leader.go
+++ b/internal/edge/leader/leader.go
@@ -23,6 +23,8 @@
 const (
 	// greetEvery is how often the process makes itself known.
 	greetEvery = 300 * time.Millisecond
+	// findEvery is how often a leader is looked for while none is known.
+	findEvery = 100 * time.Millisecond
 	// greetTimeout bounds one greeting.
 	greetTimeout = 700 * time.Millisecond
 	// tryTimeout bounds one try of a request: a commit on slow disks and more.
@@ -58,6 +60,8 @@
 	term    uint64
 	version uint64
 	heard   time.Duration
+	// gone is since when no leader is known.
+	gone time.Duration
 	// changed is closed when another leader is known.
 	changed chan struct{}
 }
@@ -92,34 +96,67 @@
 func (l *Link) Run(ctx context.Context) error {
 	l.init()
 	defer close(l.done)
-	tick := time.NewTicker(greetEvery)
-	defer tick.Stop()
-	for {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for turn := 0; ctx.Err() == nil; turn++ {
+		pause := greetEvery
 		if !l.Leads() {
-			l.greet(ctx)
+			for _, address := range l.targets(turn) {
+				wg.Go(func() { l.greet(ctx, address) })
+			}
+			if leader, _, _ := l.at(); leader == "" {
+				pause = findEvery
+			}
 		}
 		select {
 		case <-ctx.Done():
-			return nil
-		case <-tick.C:
+		case <-time.After(pause):
 		}
 	}
+	return nil
 }
 
-// greet greets the leader; when that fails, everybody who may know it.
-func (l *Link) greet(ctx context.Context) {
-	l.mu.Lock()
-	leader := l.leader
-	l.mu.Unlock()
-	if leader != "" && l.greetOne(ctx, leader, false) {
-		return
+// targets returns whom to greet now: the leader, and one of the others, in turn.
+// A leader that is cut off or stands still does not tell that it was replaced;
+// one of the others does, before calls to the old one have timed out.
+func (l *Link) targets(turn int) []string {
+	leader, _, _ := l.at()
+	all := l.known()
+	if leader == "" || len(all) == 0 {
+		return all
 	}
-	l.lost(leader)
-	var wg sync.WaitGroup
-	for _, address := range l.known() {
-		wg.Go(func() { l.greetOne(ctx, address, true) })
+	other := all[turn%len(all)]
+	if other == leader {
+		return []string{leader}
 	}
-	wg.Wait()
+	return []string{leader, other}
+}
+
+// greet greets one address, and whoever that one takes for the leader.
+func (l *Link) greet(ctx context.Context, address string) {
+	w := l.hello(ctx, address)
+	switch next := w.GetLeader(); {
+	case w == nil:
+		l.lost(address)
+	case w.GetLeads():
+		l.found(address, w)
+	case next == "" || next == address:
+		l.lost(address)
+	default:
+		if w = l.hello(ctx, next); w.GetLeads() {
+			l.found(next, w)
+		}
+	}
+}
+
+func (l *Link) hello(ctx context.Context, address string) *inner.Welcome {
+	ctx, cancel := context.WithTimeout(ctx, greetTimeout)
+	defer cancel()
+	w, err := inner.NewFlowsProtobufClient("http://"+address, l.Client).Greet(ctx, l.Greeting)
+	if err != nil {
+		return nil
+	}
+	return w
 }
 
 // known lists the addresses where the leader may be.
@@ -174,7 +211,7 @@
 	defer l.mu.Unlock()
 	if address != "" && l.leader == address {
 		event.Log(l.Log, event.LeaderAway, "replica", address, "term", l.term)
-		l.leader = ""
+		l.leader, l.gone = "", l.Now()
 	}
 }
 
@@ -192,13 +229,15 @@
 func (l *Link) Ask(ctx context.Context, a *inner.FlowAsk) *inner.FlowAnswer {
 	a.Cell = l.Cell
 	sent := false
-	give := time.NewTimer(findTime)
+	give := time.NewTimer(l.patience())
 	defer give.Stop()
+	ctx, cancel := l.settling(ctx)
+	defer cancel()
 	for {
 		leader, term, changed := l.at()
 		if leader != "" {
 			a.Term = term
-			rep, reached := l.try(ctx, leader, a)
+			rep, reached := l.try(ctx, leader, changed, a)
 			if rep != nil {
 				return rep
 			}
@@ -225,6 +264,27 @@
 	}
 }
 
+// patience returns how long a request that was not sent waits for a leader: less
+// the longer none is known, and not at all when an election should be over.
+func (l *Link) patience() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.leader != "" {
+		return findTime
+	}
+	return max(findTime-(l.Now()-l.gone), 0)
+}
+
+// settling bounds the time in which a request that may have been taken is asked
+// again: half of its caller's, who then has the other half to ask by itself.
+func (l *Link) settling(ctx context.Context) (context.Context, context.CancelFunc) {
+	end, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, time.Until(end)/2)
+}
+
 func (l *Link) unanswered(a *inner.FlowAsk, sent bool) *inner.FlowAnswer {
 	c := code.NoLeader
 	if sent {
@@ -240,8 +300,9 @@
 }
 
 // try makes one call; nil when it has to be made again. reached tells that the
-// leader may have taken the request.
-func (l *Link) try(ctx context.Context, leader string, a *inner.FlowAsk) (rep *inner.FlowAnswer, reached bool) {
+// leader may have taken the request. A call to a leader that was replaced
+// meanwhile is given up: it may stand still for seconds.
+func (l *Link) try(ctx context.Context, leader string, changed <-chan struct{}, a *inner.FlowAsk) (rep *inner.FlowAnswer, reached bool) {
 	limit := tryTimeout
 	if end, ok := ctx.Deadline(); ok {
 		limit = min(limit, time.Until(end))
@@ -249,9 +310,19 @@
 	a.Budget = uint64(max(limit, 0) / time.Millisecond)
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	go func() {
+		select {
+		case <-changed:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	rep, err := inner.NewFlowsProtobufClient("http://"+leader, l.Client).Ask(ctx, a)
 	if err != nil {
-		l.lost(leader)
+		// A call that ended with its caller's time tells nothing of the leader.
+		if wire.NeverSent(err) || limit == tryTimeout && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			l.lost(leader)
+		}
 		return nil, !wire.NeverSent(err)
 	}
 	switch code.Code(rep.GetCode()) {
@@ -271,8 +342,11 @@
 func (l *Link) moved(from, to string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.leader == from {
-		l.leader = to
+	if l.leader != from {
+		return
+	}
+	if l.leader = to; to == "" {
+		l.gone = l.Now()
 	}
 }
 
--- /dev/null
+++ b/internal/edge/leader/leader_test.go
@@ -0,0 +1,166 @@
+package leader_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"gypsumreel/internal/api/inner"
+	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/edge/leader"
+	"gypsumreel/internal/edge/wire"
+)
+
+// replica is a control replica on loopback that may lead, stand still or be gone.
+type replica struct {
+	*httptest.Server
+	mu     sync.Mutex
+	leads  bool
+	term   uint64
+	leader string
+	// frozen replicas answer when it is closed.
+	frozen chan struct{}
+	asked  int
+}
+
+func newReplica(t *testing.T) *replica {
+	r := &replica{}
+	r.Server = httptest.NewServer(inner.NewFlowsServer(r))
+	t.Cleanup(r.Close)
+	return r
+}
+
+func (r *replica) address() string { return strings.TrimPrefix(r.URL, "http://") }
+
+func (r *replica) set(fn func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fn()
+}
+
+func (r *replica) wait(ctx context.Context) {
+	r.mu.Lock()
+	frozen := r.frozen
+	r.mu.Unlock()
+	if frozen != nil {
+		select {
+		case <-frozen:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (r *replica) Ask(ctx context.Context, _ *inner.FlowAsk) (*inner.FlowAnswer, error) {
+	r.set(func() { r.asked++ })
+	r.wait(ctx)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.leads {
+		return &inner.FlowAnswer{Code: uint32(code.NoLeader), Leader: r.leader}, nil
+	}
+	return &inner.FlowAnswer{Term: r.term, Pending: uint32(r.term)}, nil
+}
+
+func (r *replica) Greet(ctx context.Context, _ *inner.Greeting) (*inner.Welcome, error) {
+	r.wait(ctx)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return &inner.Welcome{Term: r.term, Leads: r.leads, Leader: r.leader, Version: 1}, nil
+}
+
+func newLink(t *testing.T, replicas ...*replica) *leader.Link {
+	var seeds []string
+	for _, r := range replicas {
+		seeds = append(seeds, r.address())
+	}
+	begin := time.Now()
+	l := &leader.Link{
+		Greeting: &inner.Greeting{Name: "entry", Address: "127.0.0.1:1"}, Seeds: func() []string { return seeds },
+		Client: wire.Client(4), Now: func() time.Duration { return time.Since(begin) + time.Hour }, Log: logr.Discard(),
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(func() { cancel(); <-l.Done() })
+	go func() { _ = l.Run(ctx) }()
+	return l
+}
+
+// within asks until the answer is of that term.
+func within(t *testing.T, l *leader.Link, term uint32, limit time.Duration) *inner.FlowAnswer {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+	for {
+		rep := l.Ask(ctx, &inner.FlowAsk{})
+		if rep.GetPending() == term {
+			return rep
+		}
+		if ctx.Err() != nil {
+			t.Fatalf("no answer of term %d within %v, last %v", term, limit, rep)
+		}
+	}
+}
+
+func TestLeaderIsFoundAndFollowed(t *testing.T) {
+	a, b := newReplica(t), newReplica(t)
+	a.set(func() { a.leads, a.term = true, 1 })
+	b.set(func() { b.term, b.leader = 1, a.address() })
+	l := newLink(t, a, b)
+	within(t, l, 1, 5*time.Second)
+	if err := l.Fresh(); err != nil {
+		t.Error(err)
+	}
+	a.set(func() { a.leads, a.leader, a.term = false, b.address(), 2 })
+	b.set(func() { b.leads, b.term = true, 2 })
+	within(t, l, 2, 5*time.Second)
+}
+
+// A leader stands still with a caller's request, and another is elected. The
+// request must not wait for the one that sleeps: its caller would give up.
+func TestRequestLeavesAFrozenLeader(t *testing.T) {
+	a, b := newReplica(t), newReplica(t)
+	a.set(func() { a.leads, a.term = true, 1 })
+	b.set(func() { b.term, b.leader = 1, a.address() })
+	l := newLink(t, a, b)
+	within(t, l, 1, 5*time.Second)
+	thaw := make(chan struct{})
+	defer close(thaw)
+	a.set(func() { a.frozen = thaw })
+	time.AfterFunc(300*time.Millisecond, func() { b.set(func() { b.leads, b.term = true, 2 }) })
+	begin := time.Now()
+	within(t, l, 2, 5*time.Second)
+	if took := time.Since(begin); took > 1400*time.Millisecond {
+		t.Errorf("the request took %v", took)
+	}
+}
+
+// A deposed leader wakes up and still believes to lead. What it says is older
+// than what the callers of this entry have seen.
+func TestWordOfAnEarlierTermIsNotTaken(t *testing.T) {
+	a, b := newReplica(t), newReplica(t)
+	a.set(func() { a.leads, a.term = true, 1 })
+	b.set(func() { b.leads, b.term = true, 2 })
+	l := newLink(t, a, b)
+	within(t, l, 2, 5*time.Second)
+	time.Sleep(time.Second)
+	within(t, l, 2, time.Second)
+	if rep := l.Ask(t.Context(), &inner.FlowAsk{}); rep.GetTerm() != 2 {
+		t.Errorf("answered by term %d", rep.GetTerm())
+	}
+}
+
+// Nobody leads, and the request never left: "not run" is true, and is said at
+// once and not at the caller's deadline.
+func TestNoLeaderIsToldAtOnce(t *testing.T) {
+	a := newReplica(t)
+	l := newLink(t, a)
+	begin := time.Now()
+	rep := l.Ask(t.Context(), &inner.FlowAsk{})
+	if code.Code(rep.GetCode()) != code.NoLeader || rep.GetRetry() == 0 || time.Since(begin) > 2*time.Second {
+		t.Errorf("%v after %v", rep, time.Since(begin))
+	}
+}
--- a/internal/policy/steps/steps.go
+++ b/internal/policy/steps/steps.go
@@ -27,6 +27,8 @@
 	Hopeless bool
 	// Surplus tells that the customer sent it beyond what it can count on.
 	Surplus bool
+	// Shunned are servers on which a task of the step failed; they come last.
+	Shunned map[string]bool
 	// Permits tells that only servers with the adviser's permit may run it.
 	Permits bool
 }
@@ -193,7 +195,7 @@
 }
 
 // options returns the servers that may hold a task of the item now, the best
-// first: near the data, then fast, then those that are left fullest, so that
+// first: those on which none of it failed, near the data, then fast, then those that are left fullest, so that
 // large holes stay for large tasks. asked tells whether a server is among the
 // rest that nobody asked the adviser about yet.
 func (p *planner) options(it Item, keep bool) (out []option, unasked []*room) {
@@ -229,7 +231,7 @@
 		}
 	}
 	slices.SortStableFunc(out, func(a, b option) int {
-		return cmp.Or(compareBool(!a.near, !b.near), cmp.Compare(paceClass(b.Pace), paceClass(a.Pace)), cmp.Compare(a.free.CPU, b.free.CPU))
+		return cmp.Or(compareBool(it.Shunned[a.ID], it.Shunned[b.ID]), compareBool(!a.near, !b.near), cmp.Compare(paceClass(b.Pace), paceClass(a.Pace)), cmp.Compare(a.free.CPU, b.free.CPU))
 	})
 	return out, unasked
 }
--- a/internal/replica/quorum/core.go
+++ b/internal/replica/quorum/core.go
@@ -106,7 +106,10 @@
 	if c.blank() && len(cfg.Bootstrap) > 0 {
 		c.bootstrap()
 	}
-	c.resetDeadline()
+	// Nobody is missed yet: when all start at once, the first to ask should not
+	// wait for a leader that there is not. Where there is one, the question before
+	// an election is refused and disturbs nobody.
+	c.retryDeadline()
 	if c.alone() {
 		c.deadline = 0
 	}
