--- a/internal/control/dispatch/dispatch_test.go
+++ b/internal/control/dispatch/dispatch_test.go
@@ -336,7 +336,9 @@
 	play(t, 2, func(_ *testing.T, w *world) {
 		w.change(func(id string, one *worker.Worker) {
 			if id == "s1" {
-				one.Work = func(flow.RunID) (time.Duration, inner.RunEnd) { return 10 * time.Millisecond, inner.RunEnd_RUN_END_FAILED }
+				one.Work = func(flow.RunID) (time.Duration, inner.RunEnd) {
+					return 10 * time.Millisecond, inner.RunEnd_RUN_END_FAILED
+				}
 			}
 		})
 		for _, id := range []string{"a", "b", "c", "d"} {
@@ -347,4 +349,3 @@
 		}
 	})
 }
-
--- a/internal/control/dispatch/plan.go
+++ b/internal/control/dispatch/plan.go
@@ -56,63 +56,6 @@
 	d.meter.plan.Update(took.Seconds())
 }
 
-// Bounds of the planner's share of the control thread.
-const (
-	// mostItems bounds the steps that one plan looks at, the most pressing first:
-	// many more than start between two plans.
-	mostItems = 128
-	// planRest is how many times as long as it took the last plan must be over
-	// before the next: the planner takes a fifth of the thread at most.
-	planRest = 5
-)
-
-// lateFactor is how many objectives a flow may take before its end is worth
-// nothing more to its caller.
-const lateFactor = 3
-
-// plan decides what starts and carries it out.
-func (d *Dispatcher) plan(now time.Duration) {
-	ledger := d.Host.Flows()
-	if len(ledger.Ready()) == 0 {
-		return
-	}
-	begin := d.Now()
-	v := steps.View{Room: d.room, Permission: d.permission}
-	for id, s := range d.lead.sessions {
-		b, ok := ledger.Server(id)
-		if ok && !b.Leaving && !b.Over && b.Born == s.born && s.usable(now) {
-			v.Servers = append(v.Servers, steps.Server{Server: b, Pace: d.pace(b)})
-		}
-	}
-	clock := d.Host.Clock()
-	for _, s := range ledger.Ready() {
-		if it, ok := d.item(s, clock); ok {
-			v.Items = append(v.Items, it)
-		}
-	}
-	slices.SortFunc(v.Items, steps.Compare)
-	v.Items = v.Items[:min(len(v.Items), mostItems)]
-	p := steps.Make(v)
-	for _, one := range p.Placements {
-		d.place(one, now)
-	}
-	d.questions(p.Wants, now)
-	took := d.Now() - begin
-	d.lead.pacer.Made(now, took)
-	d.meter.plan.Update(took.Seconds())
-}
-
-// planDue tells whether it is time for a plan. A plan over a long backlog takes
-// long; made at every turn it would leave no time for heartbeats, the leader
-// would be deposed, and the backlog grow for as long as nobody leads.
-func (d *Dispatcher) planDue(now time.Duration) bool {
-	since := now - d.lead.planned
-	if since < planRest*d.lead.planTook {
-		return false
-	}
-	return d.lead.dirty || since >= planEvery
-}
-
 // room returns what a customer may still start.
 func (d *Dispatcher) room(customer string) capacity.Size {
 	limit, used := d.Host.Flows().Limit(customer), d.Host.Flows().Used(customer)
