--- a/cmd/gypsumreel/verbs.go
+++ b/cmd/gypsumreel/verbs.go
@@ -9,6 +9,7 @@
 	"gypsumreel/internal/cli/drain"
 	"gypsumreel/internal/cli/dump"
 	"gypsumreel/internal/cli/entry"
+	"gypsumreel/internal/cli/explain"
 	"gypsumreel/internal/cli/key"
 	"gypsumreel/internal/cli/load"
 	"gypsumreel/internal/cli/member"
@@ -40,6 +41,7 @@
 		drain.New(),
 		member.New(),
 		dump.New(),
+		explain.New(),
 
 		load.New(),
 	}
--- /dev/null
+++ b/internal/cli/explain/explain.go
@@ -0,0 +1,233 @@
+// Package explain is the verb that tells the life of one request from the logs
+// of any number of processes.
+package explain
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"gypsumreel/internal/cli/verb"
+)
+
+// Bounds of what is read.
+const (
+	// maxLine bounds one line of a log, in bytes; longer ones are passed over.
+	maxLine = 1 << 20
+	// maxLines bounds the lines that are kept.
+	maxLines = 20_000
+	// progressEvery is how often progress is told, in bytes read.
+	progressEvery = 64 << 20
+)
+
+// New returns the verb.
+func New() verb.Verb {
+	return verb.Verb{
+		Name: "explain", Short: "tell the life of a request from logs",
+		Long:   "Reads the logs named (- for standard input) and prints, in the order of time, every line about the flow ID and what befell the control group meanwhile, with the gaps between them. Lines that are not of gypsumreel are counted and passed over.",
+		Runner: &command{},
+	}
+}
+
+type command struct {
+	verb.Output
+	Logs []string `long:"logs" value-name:"FILE" required:"true" description:"a log file; may be given several times"`
+}
+
+// line is one line of a log.
+type line struct {
+	At    time.Time      `json:"time"`
+	Where string         `json:"where,omitempty"`
+	Name  string         `json:"name"`
+	Event int            `json:"event"`
+	Facts map[string]any `json:"facts"`
+	// Gap is the time since the line before.
+	Gap time.Duration `json:"gap"`
+}
+
+// life is the result.
+type life struct {
+	ID    string `json:"id"`
+	Lines []line `json:"lines"`
+	// Longest is the longest gap, After the event that it follows.
+	Longest time.Duration `json:"longest"`
+	After   string        `json:"after"`
+	Foreign int           `json:"foreign"`
+	Left    int           `json:"left"`
+}
+
+// Run prints the life of the one id named.
+func (c *command) Run(ctx context.Context, env verb.Env, args []string) error {
+	if len(args) != 1 || args[0] == "" {
+		return verb.Misuse("Run `gypsumreel explain ID --logs FILE`.", "explain takes one id, got %d", len(args))
+	}
+	r := &reader{id: args[0], err: env.Err}
+	for _, name := range c.Logs {
+		if err := r.file(ctx, env, name); err != nil {
+			return err
+		}
+	}
+	l := r.life()
+	if len(l.Lines) == 0 {
+		return verb.Misuse("Check the id, and that the logs cover its time.", "no line about %s; %d lines are not of gypsumreel", args[0], r.foreign)
+	}
+	return c.Print(env.Out, l, l.grid())
+}
+
+// reader collects the lines about one id.
+type reader struct {
+	id      string
+	err     io.Writer
+	own     []line
+	group   []line
+	foreign int
+	left    int
+	read    int64
+	told    int64
+}
+
+func (r *reader) file(ctx context.Context, env verb.Env, name string) error {
+	in := env.In
+	if name != "-" {
+		f, err := os.Open(name)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = f.Close() }()
+		in = f
+	}
+	s := bufio.NewReaderSize(in, maxLine)
+	for ctx.Err() == nil {
+		b, err := s.ReadSlice('\n')
+		for err == bufio.ErrBufferFull {
+			r.foreign++
+			_, err = s.ReadSlice('\n')
+			b = nil
+		}
+		r.take(b)
+		r.progress(name, len(b))
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return ctx.Err()
+}
+
+func (r *reader) progress(name string, n int) {
+	if r.read += int64(n); r.read-r.told >= progressEvery {
+		r.told = r.read
+		fmt.Fprintf(r.err, "%s: %d MiB read, %d lines found\n", name, r.read>>20, len(r.own))
+	}
+}
+
+// take keeps a line that is about the id, or about who led meanwhile. What
+// stands before the object, such as a process's name, says where it is from.
+func (r *reader) take(b []byte) {
+	b = bytes.TrimSpace(b)
+	if len(b) == 0 {
+		return
+	}
+	start := bytes.IndexByte(b, '{')
+	if start < 0 {
+		r.foreign++
+		return
+	}
+	about := bytes.Contains(b, []byte(r.id))
+	if !about && !bytes.Contains(b, []byte(`"leader-`)) && !bytes.Contains(b, []byte(`"quorum-lost"`)) {
+		return
+	}
+	l, ok := parse(b[start:])
+	if !ok {
+		r.foreign++
+		return
+	}
+	if fields := strings.Fields(string(b[:start])); len(fields) > 0 {
+		l.Where = fields[len(fields)-1]
+	}
+	switch {
+	case len(r.own)+len(r.group) >= maxLines:
+		r.left++
+	case about:
+		r.own = append(r.own, l)
+	default:
+		r.group = append(r.group, l)
+	}
+}
+
+// parse reads one line; false when it is none of ours.
+func parse(b []byte) (line, bool) {
+	var m map[string]any
+	if json.Unmarshal(b, &m) != nil {
+		return line{}, false
+	}
+	text, _ := m["time"].(string)
+	at, err := time.Parse(time.RFC3339Nano, text)
+	name, ok := m["name"].(string)
+	number, _ := m["event"].(float64)
+	if err != nil || !ok {
+		return line{}, false
+	}
+	for _, k := range []string{"time", "level", "msg", "event", "name"} {
+		delete(m, k)
+	}
+	return line{At: at, Name: name, Event: int(number), Facts: m}, true
+}
+
+// life puts the lines in order, with those of the control group that fall
+// between the first and the last.
+func (r *reader) life() life {
+	byTime := func(a, b line) int { return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Event, b.Event)) }
+	slices.SortStableFunc(r.own, byTime)
+	out := life{ID: r.id, Lines: r.own, Foreign: r.foreign, Left: r.left}
+	if len(r.own) == 0 {
+		return out
+	}
+	first, last := r.own[0].At, r.own[len(r.own)-1].At
+	for _, l := range r.group {
+		if l.At.After(first) && l.At.Before(last) {
+			out.Lines = append(out.Lines, l)
+		}
+	}
+	slices.SortStableFunc(out.Lines, byTime)
+	for i := 1; i < len(out.Lines); i++ {
+		gap := out.Lines[i].At.Sub(out.Lines[i-1].At)
+		out.Lines[i].Gap = gap
+		if gap > out.Longest {
+			out.Longest, out.After = gap, out.Lines[i-1].Name
+		}
+	}
+	return out
+}
+
+func (l life) grid() verb.Grid {
+	g := verb.Grid{Head: []string{"time", "gap", "where", "event", "facts"}}
+	for _, one := range l.Lines {
+		g.Rows = append(g.Rows, []string{
+			one.At.Format("15:04:05.000"), one.Gap.Round(time.Millisecond).String(), one.Where,
+			fmt.Sprintf("%d %s", one.Event, one.Name), facts(one.Facts),
+		})
+	}
+	g.Rows = append(g.Rows, []string{"", "", "", "", fmt.Sprintf("longest gap %v, after %s; %d lines are not of gypsumreel, %d were left out", l.Longest.Round(time.Millisecond), l.After, l.Foreign, l.Left)})
+	return g
+}
+
+// facts prints the values of a line, in the order of their names.
+func facts(m map[string]any) string {
+	var out []string
+	for k, v := range m {
+		out = append(out, fmt.Sprintf("%s=%v", k, v))
+	}
+	slices.Sort(out)
+	return strings.Join(out, " ")
+}
--- a/internal/edge/leader/leader.go
+++ b/internal/edge/leader/leader.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"path"
 	"slices"
 	"sync"
 	"time"
@@ -227,6 +228,16 @@
 // have ids, and cancelling or asking twice changes nothing. The answer has code
 // NoLeader when nothing can have been done, and Unanswered when that is not known.
 func (l *Link) Ask(ctx context.Context, a *inner.FlowAsk) *inner.FlowAnswer {
+	begin := l.Now()
+	rep := l.carry(ctx, a)
+	if v := a.GetVerb(); v == inner.FlowVerb_FLOW_VERB_SUBMIT || v == inner.FlowVerb_FLOW_VERB_CANCEL || rep.GetCode() == uint32(code.Unanswered) {
+		event.Log(l.Log, event.CallAnswered, "flow", path.Base(a.GetPath()), "verb", v.String(), "code", rep.GetCode(), "detail", rep.GetDetail(), "term", rep.GetTerm(), "retry", rep.GetRetry(), "took", (l.Now() - begin).String())
+	}
+	return rep
+}
+
+// carry asks the leader, and the next one, until one has answered.
+func (l *Link) carry(ctx context.Context, a *inner.FlowAsk) *inner.FlowAnswer {
 	a.Cell = l.Cell
 	sent := false
 	give := time.NewTimer(l.patience())
@@ -290,7 +301,7 @@
 	if sent {
 		c = code.Unanswered
 	}
-	event.Log(l.Log, event.CallUnanswered, "flow", a.GetSpec().GetId(), "path", a.GetPath(), "verb", a.GetVerb().String(), "code", uint32(c), "leader", l.leaderName())
+	event.Log(l.Log, event.CallUnanswered, "flow", path.Base(a.GetPath()), "verb", a.GetVerb().String(), "code", uint32(c), "leader", l.leaderName())
 	return &inner.FlowAnswer{Code: uint32(c), Retry: uint64(findTime / time.Millisecond)}
 }
 
