Let filling tasks give way, evacuate leaving servers

Cause: nothing kept what serves under its target beside tasks that fill a server, and a server that left took what ran there with it although it could go on from a checkpoint. policy/pace sets the pace of what fills from the tails that a server lists; what would not end before a server leaves is stopped and goes on elsewhere, lasting tasks as many at a time as their flow can miss.

--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -138,6 +138,7 @@
 	CallUnanswered  = def(815, "call-unanswered", Warn, "a caller's request got no answer from the leader in time", "See the events of the control group at that time.")
 	RunMoved        = def(817, "run-moved", Info, "a run stands still or crawls; it is stopped and placed elsewhere", "Many at one server: look at that server.")
 	CallAnswered    = def(818, "call-answered", Info, "a caller's request answered", "None.")
+	RunPaced        = def(819, "run-paced", Debug, "a run that fills a server is told its pace", "None.")
 	LinesLost       = def(816, "lines-lost", Warn, "log lines were left out: the reader is too slow", "Read the logs faster, or log less.")
 )
 
--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -135,7 +135,7 @@
 	timed    map[string]bool
 	buckets  map[string]*bucket
 	surplus  map[string]bool
-	paces    map[string]*pace
+	speeds   map[string]*speed
 	times    map[flow.StepID]times
 	// shunned are the servers on which a task of a step failed.
 	shunned map[flow.StepID]map[string]bool
@@ -174,7 +174,7 @@
 	d.lead = &lead{
 		term: term, elected: elected, ctx: ctx, cancel: cancel, sessions: map[string]*session{},
 		advice: map[flow.StepID]*advice{}, timed: map[string]bool{}, buckets: map[string]*bucket{}, surplus: map[string]bool{},
-		paces: map[string]*pace{}, times: map[flow.StepID]times{}, shunned: map[flow.StepID]map[string]bool{}, asked: map[uint64]func(){}, dirty: true,
+		speeds: map[string]*speed{}, times: map[flow.StepID]times{}, shunned: map[flow.StepID]map[string]bool{}, asked: map[uint64]func(){}, dirty: true,
 	}
 	ledger := d.Host.Flows()
 	for _, b := range ledger.Servers() {
--- a/internal/control/dispatch/dispatch_test.go
+++ b/internal/control/dispatch/dispatch_test.go
@@ -349,3 +349,80 @@
 		}
 	})
 }
+
+// Tasks that fill a server make what serves there answer too slowly. They must
+// give way within seconds, and get back what does no harm.
+func TestFillingTasksGiveWay(t *testing.T) {
+	play(t, 1, func(t *testing.T, w *world) {
+		var tail atomic.Int64
+		w.change(func(_ string, one *worker.Worker) {
+			one.Work = func(flow.RunID) (time.Duration, inner.RunEnd) { return time.Hour, inner.RunEnd_RUN_END_DONE }
+			one.Load = func(r flow.RunID, paces map[flow.TaskID]uint32) float64 {
+				if r.Flow == "fill" {
+					return 0
+				}
+				percent, told := paces[flow.TaskID{StepID: flow.StepID{Flow: "fill"}}]
+				if !told {
+					percent = 100
+				}
+				tail.Store(50 + 2*int64(percent))
+				return float64(tail.Load())
+			}
+		})
+		serve, fill := step(1, 1000), step(1, 3000)
+		serve.Lasting, serve.Target = true, 100
+		fill.Fills, fill.Lasting = true, true
+		w.submit("serve", serve)
+		w.submit("fill", fill)
+		time.Sleep(4 * time.Second)
+		if got := tail.Load(); got > 100 {
+			t.Errorf("the tail is still %d ms", got)
+		}
+		time.Sleep(10 * time.Second)
+		if got := tail.Load(); got > 110 || got < 60 {
+			t.Errorf("the tail has come to %d ms", got)
+		}
+	})
+}
+
+// A server leaves soon with a long run on it. It goes on from its checkpoint
+// elsewhere; left there, what it did since the last one would be lost.
+func TestLeavingServerIsEvacuated(t *testing.T) {
+	play(t, 2, func(t *testing.T, w *world) {
+		w.change(func(_ string, one *worker.Worker) {
+			one.Work = func(r flow.RunID) (time.Duration, inner.RunEnd) {
+				if r.Number == 1 {
+					return time.Hour, inner.RunEnd_RUN_END_DONE
+				}
+				return time.Second, inner.RunEnd_RUN_END_DONE
+			}
+		})
+		long := step(1, 1000)
+		long.Saves, long.Runtime = true, 3_600_000
+		w.submit("a", long)
+		time.Sleep(time.Minute)
+		for id := range w.busy() {
+			if err := w.report(id, 1, true); err != nil {
+				t.Fatal(err)
+			}
+		}
+		w.await("a", done, 5*time.Second)
+	})
+}
+
+// A lasting task ends, for whatever reason: it is back at work at once, and its
+// flow never fails.
+func TestLastingTaskIsBackAtOnce(t *testing.T) {
+	play(t, 2, func(t *testing.T, w *world) {
+		w.change(func(_ string, one *worker.Worker) {
+			one.Work = func(flow.RunID) (time.Duration, inner.RunEnd) { return time.Second, inner.RunEnd_RUN_END_FAILED }
+		})
+		lasting := step(1, 1000)
+		lasting.Lasting = true
+		w.submit("a", lasting)
+		time.Sleep(20 * time.Second)
+		if n := len(w.began()); n < 10 || w.state("a") != running {
+			t.Errorf("%d runs in 20 s, state %v", n, w.state("a"))
+		}
+	})
+}
--- a/internal/control/dispatch/harness_test.go
+++ b/internal/control/dispatch/harness_test.go
@@ -252,7 +252,7 @@
 	size := &v1.Size{Cpu: w.capacity.CPU, Memory: w.capacity.Memory}
 	return w.d.Report(w.t.Context(), dispatch.Report{FlowServer: &record.FlowServer{
 		Id: id, Born: born, Address: id, Pool: "pool", Capacity: size, Leaving: leaving,
-	}})
+	}, Remaining: 2000})
 }
 
 // started notes a run that begins, and one of its task that runs elsewhere.
--- a/internal/control/dispatch/learn.go
+++ b/internal/control/dispatch/learn.go
@@ -9,20 +9,20 @@
 	"gypsumreel/internal/policy/watchdog"
 )
 
-// pace is how fast a server works: how long runs took there beside what was
+// speed is how fast a server works: how long runs took there beside what was
 // declared, compared with the same of all servers of its pool.
-type pace struct {
+type speed struct {
 	ratio float64
 	runs  int
 }
 
-// Bounds of what is learned of a server's pace.
+// Bounds of what is learned of a server's speed.
 const (
-	// paceWeight is the weight of the latest run: after about ten runs what was
+	// speedWeight is the weight of the latest run: after about ten runs what was
 	// before has little weight left.
-	paceWeight = 0.2
-	// paceRuns is the least number of runs that tell anything.
-	paceRuns = 3
+	speedWeight = 0.2
+	// speedRuns is the least number of runs that tell anything.
+	speedRuns = 3
 )
 
 // learn takes the time that a run took.
@@ -35,24 +35,24 @@
 		return
 	}
 	took := (now - r.placed).Seconds() * float64(time.Second/time.Millisecond) / float64(step.Spec.GetRuntime())
-	p := d.lead.paces[s.id]
+	p := d.lead.speeds[s.id]
 	if p == nil {
-		p = &pace{ratio: took}
-		d.lead.paces[s.id] = p
+		p = &speed{ratio: took}
+		d.lead.speeds[s.id] = p
 	}
-	p.ratio += paceWeight * (took - p.ratio)
+	p.ratio += speedWeight * (took - p.ratio)
 	p.runs++
 }
 
-// pace returns how fast a server works beside the others; 1 when nothing is known.
-func (d *Dispatcher) pace(b *flows.Server) float64 {
-	p := d.lead.paces[b.ID]
-	if p == nil || p.runs < paceRuns || p.ratio <= 0 {
+// speed returns how fast a server works beside the others; 1 when nothing is known.
+func (d *Dispatcher) speed(b *flows.Server) float64 {
+	p := d.lead.speeds[b.ID]
+	if p == nil || p.runs < speedRuns || p.ratio <= 0 {
 		return 1
 	}
 	sum, n := 0.0, 0
-	for _, o := range d.lead.paces {
-		if o.runs >= paceRuns {
+	for _, o := range d.lead.speeds {
+		if o.runs >= speedRuns {
 			sum += o.ratio
 			n++
 		}
@@ -64,8 +64,8 @@
 // declared, corrected by how far declared times are off on the whole.
 func (d *Dispatcher) typical(s *flows.Step) time.Duration {
 	ratio, n := 0.0, 0
-	for _, p := range d.lead.paces {
-		if p.runs >= paceRuns {
+	for _, p := range d.lead.speeds {
+		if p.runs >= speedRuns {
 			ratio += p.ratio
 			n++
 		}
@@ -102,6 +102,9 @@
 	if s.silent || !s.known || s.closing != "" {
 		return
 	}
+	if b, ok := d.Host.Flows().Server(s.id); ok && b.Leaving {
+		d.evacuate(s, b, now)
+	}
 	for _, r := range s.runs {
 		if r.stopping || !r.there || r.placed == 0 || r.looked == 0 || now-r.looked > longestWait+callTimeout {
 			continue
--- a/internal/control/dispatch/order.go
+++ b/internal/control/dispatch/order.go
@@ -54,6 +54,8 @@
 	percent float64
 	load    float64
 	looked  time.Duration
+	// paced is the pace that it was told, in percent and one more; 0 for none.
+	paced int
 	// moved is when its progress last changed.
 	moved time.Duration
 }
--- a/internal/control/dispatch/plan.go
+++ b/internal/control/dispatch/plan.go
@@ -35,7 +35,7 @@
 	for id, s := range d.lead.sessions {
 		b, ok := ledger.Server(id)
 		if ok && !b.Leaving && !b.Over && b.Born == s.born && s.usable(now) {
-			v.Servers = append(v.Servers, steps.Server{Server: b, Pace: d.pace(b)})
+			v.Servers = append(v.Servers, steps.Server{Server: b, Speed: d.speed(b)})
 		}
 	}
 	clock := d.Host.Clock()
--- a/internal/control/dispatch/session.go
+++ b/internal/control/dispatch/session.go
@@ -11,6 +11,7 @@
 	"gypsumreel/internal/domain/capacity"
 	"gypsumreel/internal/domain/flow"
 	"gypsumreel/internal/ledger/flows"
+	"gypsumreel/internal/policy/pace"
 	"gypsumreel/internal/policy/watchdog"
 )
 
@@ -19,6 +20,9 @@
 	// firstPause and lastPause bound the pause before a failed call is made again.
 	firstPause = 50 * time.Millisecond
 	lastPause  = 400 * time.Millisecond
+	// sharedWait is how often a server is looked at on which something fills
+	// beside something that serves: its figures are of the last half second.
+	sharedWait = 500 * time.Millisecond
 	// pressPause is the pause between two holds that do not wait at the server.
 	pressPause = 10 * time.Millisecond
 	// absentCalls is how often a server must be found absent, one call after the
@@ -68,6 +72,12 @@
 	relay string
 
 	runs map[flow.TaskID]*run
+	// pace is that of what fills the server, in percent; shared tells that
+	// something serves beside it.
+	pace   int
+	shared bool
+	// leaves is when the server goes, at the earliest; 0 while it does not.
+	leaves time.Duration
 
 	// closing tells why the life is being closed; empty when it is not.
 	closing   string
@@ -78,7 +88,7 @@
 func (d *Dispatcher) open(b *flows.Server) *session {
 	s := &session{
 		id: b.ID, born: b.Born, address: b.Address, cursor: b.Cursor, taken: b.Cursor,
-		heard: d.Now(), runs: map[flow.TaskID]*run{},
+		heard: d.Now(), runs: map[flow.TaskID]*run{}, pace: pace.Full,
 	}
 	for id, h := range b.Held {
 		// Whether the start ever arrived is not known to this leader.
@@ -95,6 +105,9 @@
 	if r.Clock > 0 {
 		s.tell(r.Clock, received)
 	}
+	if r.GetLeaving() {
+		s.leaves = received + time.Duration(r.Remaining)*time.Millisecond
+	}
 }
 
 // tell notes that the server's clock showed at least clock at a time on ours.
@@ -154,6 +167,9 @@
 	}
 	s.holding = true
 	wait := min(longestWait, d.lease()/waitParts)
+	if s.shared {
+		wait = min(wait, sharedWait)
+	}
 	if !s.known || s.clock == 0 || s.silent || s.pressing() {
 		wait = 0
 	}
@@ -205,6 +221,7 @@
 	first := !s.known
 	s.known = true
 	d.lists(s, a, sent, came)
+	d.moderate(s)
 	if first {
 		d.lead.dirty = true
 	}
--- a/internal/fake/worker/worker.go
+++ b/internal/fake/worker/worker.go
@@ -48,6 +48,9 @@
 	Fault func(c *inner.ServerCall) Fault
 	// Permit tells whether a permit is good; nil for every one.
 	Permit func(r flow.RunID, ticket string) bool
+	// Load returns what a run shows of its use; nil for nothing. It is given the
+	// pace of all runs.
+	Load func(r flow.RunID, paces map[flow.TaskID]uint32) float64
 	// Started is told of each run that begins.
 	Started func(r flow.RunID)
 
@@ -59,9 +62,9 @@
 	until   int64
 	runs    map[flow.TaskID]*run
 	highest map[flow.TaskID]uint32
+	paces   map[flow.TaskID]uint32
 	ended   []*inner.EndedRun
 	number  uint64
-	news    chan struct{}
 }
 
 type run struct {
@@ -77,7 +80,7 @@
 	w.once.Do(func() {
 		w.begin = time.Now()
 		w.runs, w.highest = map[flow.TaskID]*run{}, map[flow.TaskID]uint32{}
-		w.news = make(chan struct{})
+		w.paces = map[flow.TaskID]uint32{}
 		if w.Rate == 0 {
 			w.Rate = 1
 		}
@@ -191,6 +194,8 @@
 		a.Verdict = w.start(c, what.Start)
 	case *inner.ServerCall_Stop:
 		w.stop(flow.RunOf(what.Stop.GetRun()))
+	case *inner.ServerCall_Pace:
+		w.paces[flow.RunOf(what.Pace.GetRun()).TaskID] = what.Pace.GetPercent()
 	case *inner.ServerCall_Hold:
 		w.hold(a, what.Hold.GetAck())
 	}
@@ -232,7 +237,11 @@
 	a.Ended = slices.Clone(w.ended)
 	for _, r := range w.runs {
 		percent := 100 * float64(time.Since(r.begun)) / float64(max(r.takes, 1))
-		a.Running = append(a.Running, &inner.RunningRun{Run: r.Message(), Checkpoint: r.saved, Percent: percent})
+		one := &inner.RunningRun{Run: r.Message(), Checkpoint: r.saved, Percent: min(percent, 100)}
+		if w.Load != nil {
+			one.Load = w.Load(r.RunID, w.paces)
+		}
+		a.Running = append(a.Running, one)
 	}
 }
 
--- a/internal/policy/steps/steps.go
+++ b/internal/policy/steps/steps.go
@@ -36,8 +36,8 @@
 // Server is a backend server that takes work now.
 type Server struct {
 	*flows.Server
-	// Pace is how fast it works beside the others; 1 is the usual.
-	Pace float64
+	// Speed is how fast it works beside the others; 1 is the usual.
+	Speed float64
 }
 
 // Permission is what is known of one step on one server.
@@ -231,16 +231,16 @@
 		}
 	}
 	slices.SortStableFunc(out, func(a, b option) int {
-		return cmp.Or(compareBool(it.Shunned[a.ID], it.Shunned[b.ID]), compareBool(!a.near, !b.near), cmp.Compare(paceClass(b.Pace), paceClass(a.Pace)), cmp.Compare(a.free.CPU, b.free.CPU))
+		return cmp.Or(compareBool(it.Shunned[a.ID], it.Shunned[b.ID]), compareBool(!a.near, !b.near), cmp.Compare(speedClass(b.Speed), speedClass(a.Speed)), cmp.Compare(a.free.CPU, b.free.CPU))
 	})
 	return out, unasked
 }
 
-// paceClass groups servers whose pace differs by less than can be told apart
+// speedClass groups servers whose speed differs by less than can be told apart
 // from a few runs, so that packing decides among them.
-func paceClass(pace float64) int {
-	const grain = 4 // quarters of the usual pace
-	return int(pace*grain + 0.5)
+func speedClass(speed float64) int {
+	const grain = 4 // quarters of the usual speed
+	return int(speed*grain + 0.5)
 }
 
 func isNear(it Item, r *room) bool {
--- a/internal/policy/steps/steps_test.go
+++ b/internal/policy/steps/steps_test.go
@@ -18,7 +18,7 @@
 )
 
 func server(id string, cpu int64, labels ...string) steps.Server {
-	return steps.Server{Server: &flows.Server{ID: id, Pool: "pool", Capacity: capacity.Size{CPU: cpu, Memory: 1000}, Labels: labels}, Pace: 1}
+	return steps.Server{Server: &flows.Server{ID: id, Pool: "pool", Capacity: capacity.Size{CPU: cpu, Memory: 1000}, Labels: labels}, Speed: 1}
 }
 
 func item(id string, spec *v1.FlowStep) steps.Item {
@@ -73,7 +73,7 @@
 
 func TestFastServerGoesBeforePacking(t *testing.T) {
 	a, b := server("a", 4000), server("b", 4000)
-	b.Used, a.Pace = capacity.Size{CPU: 2000}, 1.5
+	b.Used, a.Speed = capacity.Size{CPU: 2000}, 1.5
 	check(t, map[string]int{"x on a": 2}, steps.Make(view([]steps.Server{a, b}, item("x", tasks(2, 1000)))))
 }
 
