Carry out waves of upkeep within their cap

Cause: the platform's operators ask for waves of upkeep, and nothing answered. A wave is a record of the ledger; each beginning passes one check there that fewer than its cap are down, and is committed before the order leaves. Machines that are next run empty first; a lasting task that its flow cannot miss is waited for.

--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -139,6 +139,9 @@
 	RunMoved        = def(817, "run-moved", Info, "a run stands still or crawls; it is stopped and placed elsewhere", "Many at one server: look at that server.")
 	CallAnswered    = def(818, "call-answered", Info, "a caller's request answered", "None.")
 	RunPaced        = def(819, "run-paced", Debug, "a run that fills a server is told its pace", "None.")
+	WaveTaken       = def(820, "wave-taken", Info, "wave of upkeep taken", "None.")
+	MachineOrdered  = def(821, "machine-ordered", Info, "machine ordered down for its upkeep", "None. Again and again: look at the platform's word about the machine.")
+	MachineUpkept   = def(822, "machine-upkept", Info, "machine had its upkeep", "None.")
 	LinesLost       = def(816, "lines-lost", Warn, "log lines were left out: the reader is too slow", "Read the logs faster, or log less.")
 )
 
--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -102,6 +102,8 @@
 	Now      func() time.Duration
 	Backends Backends
 	Helpers  Helpers
+	// Machines takes machines down for their upkeep; nil for nobody does.
+	Machines Machines
 	// Hold is the longest lease that a backend server gives.
 	Hold time.Duration
 	// Stop is the longest time that a backend server takes to stop a run.
@@ -144,6 +146,12 @@
 	asked  map[uint64]func()
 	serial uint64
 
+	// emptied are the servers that are to run empty for an upkeep, ordered is
+	// until when the last order about a machine is waited for.
+	emptied map[string]bool
+	ordered map[string]time.Duration
+	waved   time.Duration
+
 	dirty bool
 	// planned is when the last plan was made.
 	planned time.Duration
@@ -174,7 +182,7 @@
 	d.lead = &lead{
 		term: term, elected: elected, ctx: ctx, cancel: cancel, sessions: map[string]*session{},
 		advice: map[flow.StepID]*advice{}, timed: map[string]bool{}, buckets: map[string]*bucket{}, surplus: map[string]bool{},
-		speeds: map[string]*speed{}, times: map[flow.StepID]times{}, shunned: map[flow.StepID]map[string]bool{}, asked: map[uint64]func(){}, dirty: true,
+		speeds: map[string]*speed{}, times: map[flow.StepID]times{}, shunned: map[flow.StepID]map[string]bool{}, asked: map[uint64]func(){}, emptied: map[string]bool{}, ordered: map[string]time.Duration{}, dirty: true,
 	}
 	ledger := d.Host.Flows()
 	for _, b := range ledger.Servers() {
@@ -233,6 +241,7 @@
 		d.watch(s, now)
 		d.inspect(s, now)
 	}
+	d.waves(now)
 	d.beginTurns()
 	if now-d.lead.swept >= sweepEvery {
 		d.lead.swept = now
--- a/internal/control/dispatch/dispatch_test.go
+++ b/internal/control/dispatch/dispatch_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"gypsumreel/internal/api/inner"
+	"gypsumreel/internal/api/record"
 	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/base/code"
 	"gypsumreel/internal/domain/flow"
@@ -426,3 +427,39 @@
 		}
 	})
 }
+
+// An operator asks for a wave of upkeep. No more machines than its cap are down
+// at once, also across a change of leader; what lasts is moved before its machine
+// goes down, one task at a time, and the wave is complete when all are back.
+func TestWaveOfUpkeep(t *testing.T) {
+	play(t, 4, func(t *testing.T, w *world) {
+		lasting := step(3, 1000)
+		lasting.Lasting, lasting.Absent = true, 1
+		w.lasting()
+		w.submit("a", lasting)
+		time.Sleep(time.Second)
+		wave := &record.Wave{Number: 1, Machines: []string{"m-s1", "m-s2", "m-s3", "m-s4"}, Duration: 60_000, Cap: 1}
+		if err := w.d.Wave(t.Context(), wave); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(5 * time.Second)
+		w.elect()
+		for end := time.Now().Add(time.Minute); ; time.Sleep(100 * time.Millisecond) {
+			complete, err := w.d.WaveState(t.Context(), 1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if complete {
+				break
+			}
+			if time.Now().After(end) {
+				t.Fatal("the wave is not complete after a minute")
+			}
+		}
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.mostDown != 1 || w.interrupted != 0 {
+			t.Errorf("%d machines were down at once, %d runs were interrupted", w.mostDown, w.interrupted)
+		}
+	})
+}
--- a/internal/control/dispatch/harness_test.go
+++ b/internal/control/dispatch/harness_test.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"fmt"
 	"maps"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -142,7 +143,14 @@
 	twice []string
 	// capacity is that of each worker.
 	capacity capacity.Size
-	advise   func(r *inner.AdviseRequest) *inner.AdviseReply
+	// work is what runs do on a new life.
+	work func(flow.RunID) (time.Duration, inner.RunEnd)
+	// down are the workers under upkeep, mostDown the most at once, and
+	// interrupted counts the runs that an upkeep ended.
+	down        map[string]bool
+	mostDown    int
+	interrupted int
+	advise      func(r *inner.AdviseRequest) *inner.AdviseReply
 }
 
 func (w *world) Call(ctx context.Context, c *inner.ServerCall) *inner.ServerAnswer {
@@ -163,6 +171,35 @@
 	return w.Call(ctx, c)
 }
 
+// Upkeep takes a worker down for two seconds.
+func (w *world) Upkeep(_ context.Context, machine string, _, _ uint64) dispatch.Upkeep {
+	id := strings.TrimPrefix(machine, "m-")
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.down[id] {
+		return dispatch.UpkeepBegun
+	}
+	w.down[id] = true
+	now := 0
+	for _, down := range w.down {
+		if down {
+			now++
+		}
+	}
+	w.mostDown = max(w.mostDown, now)
+	one := w.workers[id]
+	w.interrupted += len(one.Running())
+	one.Crash()
+	time.AfterFunc(2*time.Second, func() {
+		w.place(id, one.Born+1)
+		w.mu.Lock()
+		w.down[id] = false
+		w.mu.Unlock()
+		w.announce(id, one.Born+1)
+	})
+	return dispatch.UpkeepBegun
+}
+
 var key = sha256.Sum256([]byte("key"))
 
 func document() *v1.Document {
@@ -177,7 +214,9 @@
 func newWorld(t *testing.T, n int) *world {
 	w := &world{
 		host:    &host{t: t, begin: time.Now(), posts: make(chan func(), 1024), done: make(chan struct{}), ledger: flows.New()},
-		workers: map[string]*worker.Worker{}, begun: map[flow.RunID]int{}, capacity: capacity.Size{CPU: 4000, Memory: 4000},
+		workers: map[string]*worker.Worker{}, begun: map[flow.RunID]int{}, down: map[string]bool{},
+		work:     func(flow.RunID) (time.Duration, inner.RunEnd) { return time.Second, inner.RunEnd_RUN_END_DONE },
+		capacity: capacity.Size{CPU: 4000, Memory: 4000},
 	}
 	w.committed = w.ledger.Record()
 	go w.run()
@@ -200,7 +239,7 @@
 // place starts a life of a worker at its address.
 func (w *world) place(id string, born int64) *worker.Worker {
 	one := &worker.Worker{ID: id, Born: born, StopTime: 50 * time.Millisecond}
-	one.Work = func(flow.RunID) (time.Duration, inner.RunEnd) { return time.Second, inner.RunEnd_RUN_END_DONE }
+	one.Work = w.work
 	one.Started = func(r flow.RunID) { w.started(id, r) }
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -223,6 +262,12 @@
 	}
 }
 
+// lasting lets every run last, on the lives of workers to come as well.
+func (w *world) lasting() {
+	w.work = func(flow.RunID) (time.Duration, inner.RunEnd) { return 0, inner.RunEnd_RUN_END_UNSPECIFIED }
+	w.change(func(_ string, one *worker.Worker) { one.Work = w.work })
+}
+
 // change changes all workers.
 func (w *world) change(fn func(id string, one *worker.Worker)) {
 	w.mu.Lock()
@@ -251,7 +296,7 @@
 func (w *world) report(id string, born int64, leaving bool) *code.Error {
 	size := &v1.Size{Cpu: w.capacity.CPU, Memory: w.capacity.Memory}
 	return w.d.Report(w.t.Context(), dispatch.Report{FlowServer: &record.FlowServer{
-		Id: id, Born: born, Address: id, Pool: "pool", Capacity: size, Leaving: leaving,
+		Id: id, Born: born, Address: id, Pool: "pool", Machine: "m-" + id, Capacity: size, Leaving: leaving,
 	}, Remaining: 2000})
 }
 
@@ -299,6 +344,7 @@
 		w.leads = true
 		w.d = dispatch.New()
 		w.d.Host, w.d.Cell, w.d.Now, w.d.Backends, w.d.Helpers = w.host, "cell", w.now, w, w
+		w.d.Machines = w
 		w.d.Elected(w.term, w.now())
 	})
 }
--- a/internal/control/dispatch/plan.go
+++ b/internal/control/dispatch/plan.go
@@ -34,7 +34,7 @@
 	v := steps.View{Room: d.room, Permission: d.permission}
 	for id, s := range d.lead.sessions {
 		b, ok := ledger.Server(id)
-		if ok && !b.Leaving && !b.Over && b.Born == s.born && s.usable(now) {
+		if ok && !b.Leaving && !b.Over && b.Born == s.born && s.usable(now) && !d.lead.emptied[id] {
 			v.Servers = append(v.Servers, steps.Server{Server: b, Speed: d.speed(b)})
 		}
 	}
--- a/internal/control/dispatch/session.go
+++ b/internal/control/dispatch/session.go
@@ -325,8 +325,12 @@
 	if f, ok := d.Host.Flows().Flow(r.Flow); ok {
 		state = f.State.String()
 	}
+	took := "since before this leader"
+	if r.placed > 0 {
+		took = (now - r.placed).String()
+	}
 	d.meter.end(e.GetHow())
-	event.Log(d.Log, event.RunEnded, "flow", r.Flow, "run", r.String(), "server", s.id, "how", e.GetHow().String(), "took", (now - r.placed).String(), "state", state)
+	event.Log(d.Log, event.RunEnded, "flow", r.Flow, "run", r.String(), "server", s.id, "how", e.GetHow().String(), "took", took, "state", state)
 	d.learn(s, r, e.GetHow(), now)
 	d.trust(s, r, e.GetHow(), now)
 }
--- a/internal/fake/worker/worker.go
+++ b/internal/fake/worker/worker.go
@@ -41,7 +41,8 @@
 	// HoldMax is the longest lease, StopTime how long a stop takes.
 	HoldMax  time.Duration
 	StopTime time.Duration
-	// Work returns how long a run takes and how it ends.
+	// Work returns how long a run takes and how it ends; one whose end is
+	// unspecified lasts, and is at work from its start.
 	Work func(r flow.RunID) (time.Duration, inner.RunEnd)
 	// Fault returns what goes wrong with a call; nil for nothing. It must not
 	// call the worker.
@@ -237,6 +238,9 @@
 	a.Ended = slices.Clone(w.ended)
 	for _, r := range w.runs {
 		percent := 100 * float64(time.Since(r.begun)) / float64(max(r.takes, 1))
+		if r.how == inner.RunEnd_RUN_END_UNSPECIFIED {
+			percent = 100
+		}
 		one := &inner.RunningRun{Run: r.Message(), Checkpoint: r.saved, Percent: min(percent, 100)}
 		if w.Load != nil {
 			one.Load = w.Load(r.RunID, w.paces)
@@ -259,7 +263,7 @@
 			w.end(r, inner.RunEnd_RUN_END_LAPSED)
 		case !r.stopping.IsZero() && !now.Before(r.stopping):
 			w.end(r, inner.RunEnd_RUN_END_STOPPED)
-		case now.Sub(r.begun) >= r.takes:
+		case r.how != inner.RunEnd_RUN_END_UNSPECIFIED && now.Sub(r.begun) >= r.takes:
 			w.end(r, r.how)
 		}
 	}
--- a/internal/ledger/flows/flows.go
+++ b/internal/ledger/flows/flows.go
@@ -23,6 +23,7 @@
 	config  *flow.Config
 	flows   map[string]*Flow
 	servers map[string]*Server
+	waves   map[uint64]*Wave
 	digest  uint64
 	faults  int
 
@@ -133,7 +134,7 @@
 // New returns an empty ledger.
 func New() *Ledger {
 	return &Ledger{
-		config: flow.NewConfig(nil), flows: map[string]*Flow{}, servers: map[string]*Server{},
+		config: flow.NewConfig(nil), flows: map[string]*Flow{}, servers: map[string]*Server{}, waves: map[uint64]*Wave{},
 		ready: map[flow.StepID]*Step{}, unwanted: map[flow.TaskID]*Held{}, used: map[string]capacity.Size{}, pending: map[string]int{},
 	}
 }
@@ -241,6 +242,10 @@
 		return l.forget(w.Forget)
 	case *record.Flow_Due:
 		return l.due(at, w.Due)
+	case *record.Flow_Wave:
+		return l.wave(at, w.Wave)
+	case *record.Flow_Upkeep:
+		return l.upkeep(w.Upkeep)
 	}
 	return code.New(code.Internal, "empty command")
 }
--- a/internal/ledger/flows/snapshot.go
+++ b/internal/ledger/flows/snapshot.go
@@ -30,6 +30,9 @@
 	for _, id := range slices.Sorted(maps.Keys(l.servers)) {
 		r.Servers = append(r.Servers, serverRecord(l.servers[id]))
 	}
+	for _, w := range l.Waves() {
+		r.Waves = append(r.Waves, waveRecord(w))
+	}
 	return r
 }
 
@@ -89,6 +92,10 @@
 	for _, m := range r.GetServers() {
 		l.restoreServer(m)
 	}
+	for _, m := range r.GetWaves() {
+		w := restoreWave(m)
+		l.waves[w.Number] = w
+	}
 	for _, f := range l.flows {
 		l.derive(f)
 	}
