Ask again sooner, hand the lead over from a full disk

A call is made again after ten times the usual answer, 250 ms at least; a leader with a full disk hands over.

--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -45,6 +45,14 @@
 	// callTimeout bounds a call to a backend server beyond what it may wait
 	// there: more than the slowest healthy answer, and short beside a lease.
 	callTimeout = time.Second
+	// leastTimeout is the shortest such bound; answerFactor is how many times as
+	// long as usual an answer may take before the call is made again. Every call
+	// may be made twice, so a bound that is too short costs a call, and one that
+	// is too long a second of waiting for an answer that was lost.
+	leastTimeout = 250 * time.Millisecond
+	answerFactor = 10
+	// answerWeight is the weight of the latest answer in what is usual.
+	answerWeight = 0.1
 	// longestWait bounds how long a backend server holds an answer back for news.
 	longestWait = time.Second
 	// waitParts is the number of waits in a lease: a lost answer must not let
@@ -152,6 +160,9 @@
 	ordered map[string]time.Duration
 	waved   time.Duration
 
+	// answers is how long answers to orders usually take.
+	answers time.Duration
+
 	dirty bool
 	// planned is when the last plan was made.
 	planned time.Duration
--- a/internal/control/dispatch/order.go
+++ b/internal/control/dispatch/order.go
@@ -14,9 +14,9 @@
 const (
 	// startTries is how often a start is sent before its run is given up: the
 	// first answer may be lost.
-	startTries = 2
+	startTries = 3
 	// orderPause is the pause before an order without an answer is sent again.
-	orderPause = 100 * time.Millisecond
+	orderPause = 30 * time.Millisecond
 	// firstAvoid and lastAvoid bound how long a server that said it is unwell
 	// gets nothing new; the time doubles with each refusal in a row.
 	firstAvoid = 250 * time.Millisecond
@@ -32,8 +32,9 @@
 	permit string
 	// busy counts the orders under way.
 	busy int
-	// tries counts the starts sent.
+	// tries counts the starts sent, stops the stops.
 	tries int
+	stops int
 	// maybe tells that a start may have arrived without an answer, ghost that
 	// it may be carried out by another life of the server.
 	maybe bool
@@ -86,8 +87,11 @@
 	r.busy++
 	r.tries++
 	c := &inner.StartRun{Run: r.Message(), Input: f.Spec.GetInput(), Checkpoint: step.Tasks[r.Index].Checkpoint, Permit: r.permit}
-	d.call(s, &inner.ServerCall{What: &inner.ServerCall_Start{Start: c}}, 0, true, func(a *inner.ServerAnswer, sent, came time.Duration) {
+	d.call(s, &inner.ServerCall{What: &inner.ServerCall_Start{Start: c}}, 0, r.tries-1, true, func(a *inner.ServerAnswer, sent, came time.Duration) {
 		r.busy--
+		if a.GetVerdict() == inner.Verdict_VERDICT_DONE {
+			d.answered(came - sent)
+		}
 		d.meter.call("start", a.GetVerdict(), came-sent)
 		if d.lead.sessions[s.id] == s && s.runs[r.TaskID] == r {
 			d.started(s, r, a, came)
@@ -198,7 +202,8 @@
 	r.busy++
 	r.next = 0
 	c := &inner.ServerCall{What: &inner.ServerCall_Stop{Stop: &inner.StopRun{Run: r.Message()}}}
-	d.call(s, c, 0, false, func(a *inner.ServerAnswer, sent, came time.Duration) {
+	r.stops++
+	d.call(s, c, 0, r.stops-1, false, func(a *inner.ServerAnswer, sent, came time.Duration) {
 		r.busy--
 		d.meter.call("stop", a.GetVerdict(), came-sent)
 		switch a.GetVerdict() {
@@ -224,7 +229,7 @@
 func (d *Dispatcher) stopStray(s *session, id flow.RunID) {
 	event.Log(d.Log, event.RunStray, "flow", id.Flow, "run", id.String(), "server", s.id)
 	c := &inner.ServerCall{What: &inner.ServerCall_Stop{Stop: &inner.StopRun{Run: id.Message()}}}
-	d.call(s, c, 0, false, func(a *inner.ServerAnswer, sent, came time.Duration) {
+	d.call(s, c, 0, 0, false, func(a *inner.ServerAnswer, sent, came time.Duration) {
 		d.meter.call("stop", a.GetVerdict(), came-sent)
 	})
 }
--- a/internal/control/dispatch/session.go
+++ b/internal/control/dispatch/session.go
@@ -126,9 +126,21 @@
 	return s.clock + int64(slowest*float64(end-s.seen)/float64(time.Millisecond))
 }
 
-// call makes a call to a server and hands the answer to fn on the control
+// timeout returns how long an answer is waited for: less than the longest time
+// while answers usually come soon, and twice as long with each try.
+func (d *Dispatcher) timeout(tries int) time.Duration {
+	usual := max(answerFactor*d.lead.answers, leastTimeout)
+	return min(usual<<min(tries, 4), callTimeout)
+}
+
+// answered takes the time of an answer into what is usual.
+func (d *Dispatcher) answered(took time.Duration) {
+	d.lead.answers += time.Duration(answerWeight * float64(took-d.lead.answers))
+}
+
+// call makes a call to a server, the one after so many tries, and hands the answer to fn on the control
 // thread, with the times on our clock at which it left and came back.
-func (d *Dispatcher) call(s *session, c *inner.ServerCall, wait time.Duration, renew bool, fn func(a *inner.ServerAnswer, sent, came time.Duration)) {
+func (d *Dispatcher) call(s *session, c *inner.ServerCall, wait time.Duration, tries int, renew bool, fn func(a *inner.ServerAnswer, sent, came time.Duration)) {
 	now := d.Now()
 	c.Cell, c.Server, c.Address, c.Fence = d.Cell, s.id, s.address, d.lead.term
 	if renew {
@@ -137,7 +149,7 @@
 			s.over = max(s.over, end+leaseMargin)
 		}
 	}
-	timeout := wait + callTimeout
+	timeout := wait + d.timeout(tries)
 	c.Budget = uint64(timeout / time.Millisecond)
 	term, ctx, relay := d.lead.term, d.lead.ctx, s.relay
 	go func() {
@@ -176,7 +188,7 @@
 	c := &inner.ServerCall{What: &inner.ServerCall_Hold{Hold: &inner.HoldRuns{Ack: s.cursor, Wait: uint64(wait / time.Millisecond)}}}
 	// A server that does not answer may hear all the same. Renewing its lease with
 	// each try would keep its work from everybody else for ever.
-	d.call(s, c, wait, !s.silent, func(a *inner.ServerAnswer, sent, came time.Duration) {
+	d.call(s, c, wait, s.fails, !s.silent, func(a *inner.ServerAnswer, sent, came time.Duration) {
 		s.holding = false
 		if d.lead.sessions[s.id] != s || s.closing != "" {
 			return
--- a/internal/control/dispatch/sharing.go
+++ b/internal/control/dispatch/sharing.go
@@ -48,7 +48,7 @@
 	event.Log(d.Log, event.RunPaced, "flow", r.Flow, "run", r.String(), "server", s.id, "percent", percent)
 	r.busy++
 	c := &inner.ServerCall{What: &inner.ServerCall_Pace{Pace: &inner.PaceRun{Run: r.Message(), Percent: uint32(percent)}}}
-	d.call(s, c, 0, false, func(a *inner.ServerAnswer, sent, came time.Duration) {
+	d.call(s, c, 0, 0, false, func(a *inner.ServerAnswer, sent, came time.Duration) {
 		r.busy--
 		d.meter.call("pace", a.GetVerdict(), came-sent)
 		if a.GetVerdict() != inner.Verdict_VERDICT_DONE {
--- a/internal/control/leader/lead.go
+++ b/internal/control/leader/lead.go
@@ -310,6 +310,7 @@
 		ld.swept = now
 		l.sweep()
 		l.look(now)
+		l.yield()
 	}
 }
 
@@ -321,3 +322,11 @@
 		l.do(&record.Command{What: &record.Command_Forget{Forget: f}})
 	}
 }
+
+// yield hands the lead over while this replica's disk is full: it would refuse
+// all new work, although most others can store it.
+func (l *Leader) yield() {
+	if l.full && l.Yield != nil {
+		l.Yield()
+	}
+}
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -129,6 +129,8 @@
 	// Matches gives the index up to which each other replica has the log on its
 	// disk; nil when that is not known. It must not wait for the control thread.
 	Matches func() map[string]uint64
+	// Yield asks the group to hand the lead over; nil for never. It must not block.
+	Yield func()
 	// Part decides about flows; nil for none.
 	Part Part
 	// Meters receives the thread's metrics; nil for none.
@@ -321,6 +323,9 @@
 	case group.Full:
 		l.fullSeen(n.Full)
 		l.full = n.Full
+		if l.lead != nil {
+			l.yield()
+		}
 	}
 	return nil
 }
--- a/internal/control/node/node.go
+++ b/internal/control/node/node.go
@@ -325,6 +325,7 @@
 	cfg.Seed = binary.LittleEndian.Uint64(seed[:])
 	l := n.Control
 	l.Group, l.Now, l.Root, l.Log, l.Meters = g, n.now, n.Root, n.Log, n.meters
+	l.Yield = func() { go n.yield(g) }
 	l.Matches = func() map[string]uint64 { return matches(g.Dump()) }
 	if l.Planner == nil {
 		l.Planner = func() plan.Planner { return cell.New(cell.Config{}) }
@@ -356,6 +357,15 @@
 	return errors.Newf("no leader is known to %s; if it is new, run: gypsumreel member add %s %s", n.self.Load(), n.self.Load(), n.Address)
 }
 
+// yield hands the lead over, when another can take it.
+func (n *Node) yield(g *group.Group) {
+	ctx, cancel := context.WithTimeout(context.Background(), n.Handover)
+	defer cancel()
+	if err := g.Transfer(ctx); err == nil {
+		event.Log(n.Log, event.LeaderTransferred, "cause", "the disk is full")
+	}
+}
+
 // handOver gives the lead to another replica before a planned stop, so that
 // requests wait for one round trip and not for an election.
 func (n *Node) handOver() {
