--- a/internal/control/leader/notice_test.go
+++ b/internal/control/leader/notice_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -65,9 +66,16 @@
 			{Row: &v1.Row{Team: "rail", Weight: 1, Queue: 1, Limit: &v1.Size{Cpu: 500, Memory: -1, Accel: -1, Slots: -1}}},
 		}}}})
 		log.want(t, "limit-lowered", "table-changed")
+		var yields atomic.Int32
+		if err := c.l.Do(context.Background(), func(*state.State) { c.l.Yield = func() { yields.Add(1) } }); err != nil {
+			t.Fatal(err)
+		}
 		c.g.notes <- group.Full{Full: true}
 		c.g.notes <- group.Full{Full: false}
 		log.want(t, "disk-full", "disk-free")
+		if yields.Load() == 0 {
+			t.Error("a leader with a full disk did not offer the lead to another")
+		}
 		time.Sleep(4 * time.Second) // silent, but within its lease
 		log.want(t, "server-suspect", "no-servers")
 		b.sync(report(a, v1.Phase_PHASE_RUNNING))
--- a/internal/edge/leader/leader.go
+++ b/internal/edge/leader/leader.go
@@ -30,9 +30,12 @@
 	greetTimeout = 700 * time.Millisecond
 	// tryTimeout bounds one try of a request: a commit on slow disks and more.
 	tryTimeout = 1500 * time.Millisecond
-	// findTime is how long a request waits for a leader to be found. An election
-	// that takes longer is better waited for by the caller itself.
-	findTime = 700 * time.Millisecond
+	// findTime is how long after the loss of a leader, or the start of the
+	// process, requests wait for one: an election that goes well is over by then.
+	// One that takes longer is better waited for by the caller itself.
+	findTime = 1200 * time.Millisecond
+	// comeBack is when a caller may return that found no leader.
+	comeBack = time.Second
 	// retryPause is the pause before a request is tried again.
 	retryPause = 50 * time.Millisecond
 	// freshTime is the age of the last word of a leader up to which the process
@@ -97,6 +100,9 @@
 func (l *Link) Run(ctx context.Context) error {
 	l.init()
 	defer close(l.done)
+	l.mu.Lock()
+	l.gone = l.Now()
+	l.mu.Unlock()
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for turn := 0; ctx.Err() == nil; turn++ {
@@ -302,7 +308,7 @@
 		c = code.Unanswered
 	}
 	event.Log(l.Log, event.CallUnanswered, "flow", path.Base(a.GetPath()), "verb", a.GetVerb().String(), "code", uint32(c), "leader", l.leaderName())
-	return &inner.FlowAnswer{Code: uint32(c), Retry: uint64(findTime / time.Millisecond)}
+	return &inner.FlowAnswer{Code: uint32(c), Retry: uint64(comeBack / time.Millisecond)}
 }
 
 func (l *Link) leaderName() string {
