Keep the leader's costs from growing with the square of its servers

Cause: on the grown installation (350 servers) a commit took 127 ms where it takes 13 ms with 48, and one control process ended for want of files. The usual speed of servers was worked out anew for each server of a plan and for each run that was judged, over all servers; every turn went over every run to find stops to repeat; 16 connections to each server took all files.

--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -146,7 +146,9 @@
 	buckets  map[string]*bucket
 	surplus  map[string]bool
 	speeds   map[string]*speed
-	times    map[flow.StepID]times
+	// usual is how long runs take beside what was declared, on the whole.
+	usual float64
+	times map[flow.StepID]times
 	// shunned are the servers on which a task of a step failed.
 	shunned map[flow.StepID]map[string]bool
 	// asked are the requests that wait for a commit or a proof; each is told
@@ -160,6 +162,8 @@
 	ordered map[string]time.Duration
 	waved   time.Duration
 
+	// stops are the runs whose stop is asked again until it is answered.
+	stops map[*run]*session
 	// answers is how long answers to orders usually take.
 	answers time.Duration
 
@@ -193,7 +197,7 @@
 	d.lead = &lead{
 		term: term, elected: elected, ctx: ctx, cancel: cancel, sessions: map[string]*session{},
 		advice: map[flow.StepID]*advice{}, timed: map[string]bool{}, buckets: map[string]*bucket{}, surplus: map[string]bool{},
-		speeds: map[string]*speed{}, times: map[flow.StepID]times{}, shunned: map[flow.StepID]map[string]bool{}, asked: map[uint64]func(){}, emptied: map[string]bool{}, ordered: map[string]time.Duration{}, dirty: true,
+		speeds: map[string]*speed{}, times: map[flow.StepID]times{}, shunned: map[flow.StepID]map[string]bool{}, asked: map[uint64]func(){}, stops: map[*run]*session{}, emptied: map[string]bool{}, ordered: map[string]time.Duration{}, dirty: true,
 	}
 	ledger := d.Host.Flows()
 	for _, b := range ledger.Servers() {
@@ -307,6 +311,7 @@
 			delete(d.lead.surplus, id)
 		}
 	}
+	d.average()
 	d.forgetHelpers(now)
 	d.meter.look(d)
 }
--- a/internal/control/dispatch/learn.go
+++ b/internal/control/dispatch/learn.go
@@ -47,34 +47,32 @@
 // speed returns how fast a server works beside the others; 1 when nothing is known.
 func (d *Dispatcher) speed(b *flows.Server) float64 {
 	p := d.lead.speeds[b.ID]
-	if p == nil || p.runs < speedRuns || p.ratio <= 0 {
+	if p == nil || p.runs < speedRuns || p.ratio <= 0 || d.lead.usual == 0 {
 		return 1
 	}
+	return d.lead.usual / p.ratio
+}
+
+// average works out how far declared times are off on the whole. It goes over all
+// servers, so it is done now and then.
+func (d *Dispatcher) average() {
 	sum, n := 0.0, 0
-	for _, o := range d.lead.speeds {
-		if o.runs >= speedRuns {
-			sum += o.ratio
+	for _, p := range d.lead.speeds {
+		if p.runs >= speedRuns {
+			sum += p.ratio
 			n++
 		}
 	}
-	return sum / float64(n) / p.ratio
+	if n > 0 {
+		d.lead.usual = sum / float64(n)
+	}
 }
 
 // typical returns how long a run of the step takes on a sound server: what was
 // declared, corrected by how far declared times are off on the whole.
 func (d *Dispatcher) typical(s *flows.Step) time.Duration {
-	ratio, n := 0.0, 0
-	for _, p := range d.lead.speeds {
-		if p.runs >= speedRuns {
-			ratio += p.ratio
-			n++
-		}
-	}
 	declared := time.Duration(s.Spec.GetRuntime()) * time.Millisecond
-	if n == 0 {
-		return declared
-	}
-	return time.Duration(float64(declared) * max(ratio/float64(n), 1))
+	return time.Duration(float64(declared) * max(d.lead.usual, 1))
 }
 
 // trust notes how a run ended for the judgement of its server. The step that
@@ -99,9 +97,10 @@
 // inspect looks for runs that stand still or crawl, and moves them to another
 // server: they are stopped, and placed again where they last failed not.
 func (d *Dispatcher) inspect(s *session, now time.Duration) {
-	if s.silent || !s.known || s.closing != "" {
-		return
+	if s.silent || !s.known || s.closing != "" || s.heard == s.inspected {
+		return // nothing new was listed since the last look
 	}
+	s.inspected = s.heard
 	if b, ok := d.Host.Flows().Server(s.id); ok && b.Leaving {
 		d.evacuate(s, b, now)
 	}
--- a/internal/control/dispatch/order.go
+++ b/internal/control/dispatch/order.go
@@ -184,11 +184,12 @@
 			d.Host.After(func() { d.stop(s, r) })
 		}
 	}
-	for _, s := range d.lead.sessions {
-		for _, r := range s.runs {
-			if r.stopping && r.busy == 0 && r.next > 0 && now >= r.next {
-				d.stop(s, r)
-			}
+	for r, s := range d.lead.stops {
+		switch {
+		case s.runs[r.TaskID] != r:
+			delete(d.lead.stops, r)
+		case r.stopping && r.busy == 0 && r.next > 0 && now >= r.next:
+			d.stop(s, r)
 		}
 	}
 }
@@ -201,6 +202,7 @@
 	}
 	r.busy++
 	r.next = 0
+	d.lead.stops[r] = s
 	c := &inner.ServerCall{What: &inner.ServerCall_Stop{Stop: &inner.StopRun{Run: r.Message()}}}
 	r.stops++
 	d.call(s, c, 0, r.stops-1, false, func(a *inner.ServerAnswer, sent, came time.Duration) {
--- a/internal/control/dispatch/plan.go
+++ b/internal/control/dispatch/plan.go
@@ -82,7 +82,7 @@
 	age := clock - begun
 	return steps.Item{
 		Step: s, Pool: q.GetPool(), Priority: q.GetPriority(), Slack: t.objective - age - t.left,
-		Hopeless: !s.Spec.GetLasting() && age+t.left > lateFactor*t.objective, Surplus: d.lead.surplus[s.Flow.ID], Permits: q.GetAdvice() != nil, Shunned: d.lead.shunned[s.StepID],
+		Hopeless: !s.Spec.GetLasting() && age+t.left > lateFactor*t.objective, Surplus: d.lead.surplus[s.Flow.ID], Permits: q.GetAdvice() != nil, Shunned: d.lead.shunned[s.StepID], Asked: d.lead.advice[s.StepID] != nil,
 	}, true
 }
 
--- a/internal/control/dispatch/session.go
+++ b/internal/control/dispatch/session.go
@@ -50,6 +50,8 @@
 	// heard is when the server answered last.
 	heard time.Duration
 
+	// inspected is the list that its runs were last judged by.
+	inspected time.Duration
 	// holding tells that a hold is under way.
 	holding bool
 	// known tells that the server said what it holds, in this term.
--- a/internal/policy/steps/steps.go
+++ b/internal/policy/steps/steps.go
@@ -29,8 +29,10 @@
 	Surplus bool
 	// Shunned are servers on which a task of the step failed; they come last.
 	Shunned map[string]bool
-	// Permits tells that only servers with the adviser's permit may run it.
+	// Permits tells that only servers with the adviser's permit may run it, and
+	// Asked that the adviser was asked about some of them.
 	Permits bool
+	Asked   bool
 }
 
 // Server is a backend server that takes work now.
@@ -210,15 +212,18 @@
 		if !suits(it, r) {
 			continue
 		}
-		perm := p.permission(it, r.ID)
-		if perm == Denied {
-			continue
-		}
 		free := r.free
 		if keep {
 			free = free.Sub(r.kept)
 		}
 		n := fits(size, free)
+		if n == 0 && (it.Asked || !it.Permits) {
+			continue // the usual case where much waits, and the quickest to tell
+		}
+		perm := p.permission(it, r.ID)
+		if perm == Denied {
+			continue
+		}
 		if most := it.Spec.GetApart(); most > 0 {
 			n = min(n, int64(most)-here[r.ID])
 		}
@@ -250,13 +255,20 @@
 
 // fits returns how many tasks of a size fit into a room.
 func fits(size, free capacity.Size) int64 {
+	if !size.Fits(capacity.Size{CPU: free.CPU, Memory: free.Memory, Accel: free.Accel, Slots: size.Slots}) {
+		return 0
+	}
 	n := int64(1 << 30)
-	for _, d := range [][2]int64{{size.CPU, free.CPU}, {size.Memory, free.Memory}, {size.Accel, free.Accel}} {
-		if d[0] > 0 {
-			n = min(n, d[1]/d[0])
-		}
+	if size.CPU > 0 {
+		n = free.CPU / size.CPU
+	}
+	if size.Memory > 0 {
+		n = min(n, free.Memory/size.Memory)
+	}
+	if size.Accel > 0 {
+		n = min(n, free.Accel/size.Accel)
 	}
-	return max(n, 0)
+	return n
 }
 
 // allowed returns how many tasks of the item its customer's limit lets start.
