Gather what a busy leader proposes

Cause: each proposal costs a message to four replicas and four answers, and a leader of 350 servers made one at nearly every turn.

Test: TestProposalsAreGathered.

--- a/internal/control/leader/harness_test.go
+++ b/internal/control/leader/harness_test.go
@@ -34,6 +34,7 @@
 	log       []quorum.Entry
 	committed uint64
 	reloads   int
+	proposals int
 	// compacts are the states of the snapshots that were handed over.
 	compacts [][]byte
 }
@@ -41,6 +42,7 @@
 func (g *fakeGroup) Propose(p group.Proposal) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.proposals++
 	if p.Term != g.term || p.First != uint64(len(g.log))+1 {
 		return true // dropped whole, as the real one does
 	}
@@ -53,6 +55,9 @@
 	return true
 }
 
+// count returns the number of proposals so far.
+func (g *fakeGroup) count() int { g.mu.Lock(); defer g.mu.Unlock(); return g.proposals }
+
 // hold stops commits; cutOff stops confirmed rounds.
 func (g *fakeGroup) hold()   { g.mu.Lock(); defer g.mu.Unlock(); g.held = true }
 func (g *fakeGroup) cutOff() { g.mu.Lock(); defer g.mu.Unlock(); g.cut = true }
--- a/internal/control/leader/lead.go
+++ b/internal/control/leader/lead.go
@@ -29,7 +29,11 @@
 	planner   plan.Planner
 	book      *lease.Book
 	// pending are the commands that the group has not taken yet.
-	pending  [][]byte
+	pending [][]byte
+	// gathered is when the last proposal left, waking tells that a turn is set
+	// for the next.
+	gathered time.Duration
+	waking   bool
 	held     []heldReply
 	effects  []effect
 	reads    []heldRead
@@ -210,7 +214,7 @@
 // propose hands pending commands to the group; what it has no room for stays.
 func (l *Leader) propose() {
 	ld := l.lead
-	if len(ld.pending) == 0 {
+	if len(ld.pending) == 0 || l.gathers() {
 		return
 	}
 	first := ld.last + 1 - uint64(len(ld.pending))
@@ -220,6 +224,26 @@
 	}
 }
 
+// gathers tells that the next proposal has to wait for more, and sees to it that
+// it leaves when its time has come.
+func (l *Leader) gathers() bool {
+	if l.Gather == 0 {
+		return false
+	}
+	ld := l.lead
+	now := l.Now()
+	wait := ld.gathered + l.Gather - now
+	if wait <= 0 {
+		ld.gathered = now
+		return false
+	}
+	if !ld.waking {
+		ld.waking = true
+		time.AfterFunc(wait, func() { l.Post(func() { ld.waking = false }) })
+	}
+	return true
+}
+
 // reply answers an item once everything that the answer rests on is committed.
 func (l *Leader) reply(to Ticket, r *inner.Reply) {
 	r.Seq = to.Seq
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -129,6 +129,10 @@
 	// Matches gives the index up to which each other replica has the log on its
 	// disk; nil when that is not known. It must not wait for the control thread.
 	Matches func() map[string]uint64
+	// Gather is the least time between two proposals; 0 for none. Each proposal
+	// costs a message to every replica and its answer, so a busy leader spends
+	// less on a few large ones. One that comes after a pause leaves at once.
+	Gather time.Duration
 	// Yield asks the group to hand the lead over; nil for never. It must not block.
 	Yield func()
 	// Part decides about flows; nil for none.
--- a/internal/control/leader/leader_test.go
+++ b/internal/control/leader/leader_test.go
@@ -1,6 +1,8 @@
 package leader_test
 
 import (
+	"context"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -407,3 +409,33 @@
 		wantCode(t, code.DeadlinePassed, got.GetStatus())
 	})
 }
+
+// Many decisions follow each other closely. Each as a proposal of its own would
+// cost a message to every replica; together they cost a few, and the first of
+// them does not wait.
+func TestProposalsAreGathered(t *testing.T) {
+	run(t, func(c *cell) {
+		if err := c.l.Do(context.Background(), func(*state.State) { c.l.Gather = 10 * time.Millisecond }); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		before := c.g.count()
+		for i := range 20 {
+			id := strconv.Itoa(i)
+			grant := &v1.KeyGrant{Id: "key-" + id, Team: "rail", Digest: digest()}
+			change := &v1.ChangeRequest{Id: "change-" + id, Change: &v1.ChangeRequest_Grant{Grant: grant}}
+			c.push(&inner.Item{Credential: c.cred("op"), Ask: &inner.Item_Change{Change: change}})
+			if i == 0 {
+				synctest.Wait()
+				if c.g.count() == before {
+					t.Error("the first of them waits")
+				}
+			}
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(100 * time.Millisecond)
+		if n := c.g.count() - before; n > 5 {
+			t.Errorf("20 changes took %d proposals", n)
+		}
+	})
+}
--- a/internal/control/leader/member.go
+++ b/internal/control/leader/member.go
@@ -65,6 +65,7 @@
 // also when it cannot be made now, so that the count of indexes holds.
 func (l *Leader) alter(m quorum.Member, remove bool) {
 	ld := l.lead
+	ld.gathered = 0 // the change takes the next index: what is before it leaves now
 	l.propose()
 	if len(ld.pending) > 0 {
 		return // the group is busy; whoever asked asks again
