Let no blocked step hold up the others; let flows outlive their queue

Cause, found by reading: a plan looked at the 128 most pressing steps only, so a customer whose limit was lowered, or a label that no server has, could keep everything behind it from starting; and a flow whose queue was taken away by a new document was never placed again, although it was accepted. Log lines that went well could push out refusals.

--- a/internal/base/event/writer.go
+++ b/internal/base/event/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -19,6 +20,9 @@
 	writerQueue = 8192
 	// writerBuffer is how many bytes are written at once.
 	writerBuffer = 32 << 10
+	// reserve is the part of the queue that only warnings and errors may use: a
+	// refusal must not be left out for what went well.
+	reserve = writerQueue / 4
 	// lossEvery is how often it is told that lines were lost.
 	lossEvery = time.Second
 )
@@ -47,15 +51,26 @@
 // Write queues one line; it never blocks and never fails.
 func (w *Writer) Write(b []byte) (int, error) {
 	w.init()
+	if len(w.lines) >= writerQueue-reserve && bytes.Contains(b, ordinary) {
+		w.drop()
+		return len(b), nil
+	}
 	select {
 	case w.lines <- append([]byte(nil), b...):
 	default:
-		w.lost.Add(1)
-		w.drops.Inc()
+		w.drop()
 	}
 	return len(b), nil
 }
 
+// ordinary marks a line that may be left out first.
+var ordinary = []byte(`"level":"INFO"`)
+
+func (w *Writer) drop() {
+	w.lost.Add(1)
+	w.drops.Inc()
+}
+
 // Done is closed when Run has returned.
 func (w *Writer) Done() <-chan struct{} { w.init(); return w.done }
 
--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -168,8 +168,9 @@
 	answers time.Duration
 
 	dirty bool
-	// planned is when the last plan was made.
+	// planned is when the last plan was made, plans counts them.
 	planned time.Duration
+	plans   int
 	pacer   steps.Pacer
 	swept   time.Duration
 	roster  time.Duration
--- a/internal/control/dispatch/dispatch_test.go
+++ b/internal/control/dispatch/dispatch_test.go
@@ -463,3 +463,30 @@
 		}
 	})
 }
+
+// An operator takes a queue away while flows of it wait. They were accepted, so
+// they still run, also under the next leader; new ones are refused.
+func TestFlowsOutliveTheirQueue(t *testing.T) {
+	play(t, 1, func(t *testing.T, w *world) {
+		w.submit("a", step(12, 1000))
+		next := document()
+		next.Version, next.Queues = 2, nil
+		if err := w.d.Put(t.Context(), next); err != nil {
+			t.Fatal(err)
+		}
+		if rep := w.ask(inner.FlowVerb_FLOW_VERB_SUBMIT, "b", step(1, 1000)); code.Code(rep.GetCode()) != code.Forbidden {
+			t.Error(rep)
+		}
+		time.Sleep(100 * time.Millisecond)
+		w.elect()
+		time.Sleep(8 * time.Second)
+		again := document()
+		again.Version = 3
+		if err := w.d.Put(t.Context(), again); err != nil {
+			t.Fatal(err)
+		}
+		if got := w.state("a"); got != done {
+			t.Errorf("the flow is %v", got)
+		}
+	})
+}
--- a/internal/control/dispatch/plan.go
+++ b/internal/control/dispatch/plan.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
 	"gypsumreel/internal/api/record"
@@ -16,10 +15,6 @@
 // unbounded stands for a limit that binds nothing.
 const unbounded = 1 << 50
 
-// mostItems bounds the steps that one plan looks at, the most pressing first: many
-// more than start between two plans.
-const mostItems = 128
-
 // lateFactor is how many objectives a flow may take before its end is worth
 // nothing more to its caller.
 const lateFactor = 3
@@ -44,8 +39,8 @@
 			v.Items = append(v.Items, it)
 		}
 	}
-	slices.SortFunc(v.Items, steps.Compare)
-	v.Items = v.Items[:min(len(v.Items), mostItems)]
+	d.lead.plans++
+	v.Items = steps.Pick(v, d.lead.plans)
 	p := steps.Make(v)
 	for _, one := range p.Placements {
 		d.place(one, now)
--- a/internal/edge/leader/leader.go
+++ b/internal/edge/leader/leader.go
@@ -96,6 +96,23 @@
 	return nil
 }
 
+// Dump is the state of a link for a person to read.
+type Dump struct {
+	Leader  string
+	Term    uint64
+	Members []string
+	Version uint64
+	// Heard is how long ago a leader was heard of.
+	Heard string
+}
+
+// State returns the state of the link for a person to read.
+func (l *Link) State() any {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return Dump{Leader: l.leader, Term: l.term, Members: l.members, Version: l.version, Heard: (l.Now() - l.heard).String()}
+}
+
 // Run keeps the process known to the leader until ctx ends.
 func (l *Link) Run(ctx context.Context) error {
 	l.init()
--- a/internal/ledger/flows/flows.go
+++ b/internal/ledger/flows/flows.go
@@ -39,9 +39,10 @@
 type Flow struct {
 	ID       string
 	Customer string
-	// Queue is the queue as it was when the flow was accepted; it counts when
-	// the document in force has none of that name.
+	// Queue names its queue. Was is the queue as it was when the flow was
+	// accepted; it counts when the document in force has none of that name.
 	Queue string
+	Was   *v1.Queue
 	Spec  *v1.FlowSpec
 	// Accepted and Ended are on the ledger's clock.
 	Accepted time.Duration
@@ -196,7 +197,12 @@
 
 // QueueOf returns the queue of a flow as the document in force has it. A queue
 // that was taken away still has its flows: they were accepted.
-func (l *Ledger) QueueOf(f *Flow) (*v1.Queue, bool) { return l.config.Queue(f.Queue) }
+func (l *Ledger) QueueOf(f *Flow) (*v1.Queue, bool) {
+	if q, ok := l.config.Queue(f.Queue); ok {
+		return q, true
+	}
+	return f.Was, f.Was != nil
+}
 
 // Limit returns the most that a customer may have running; the fields of a
 // customer without one are capacity.Unlimited.
@@ -288,6 +294,7 @@
 		ID: id, Customer: a.GetCustomer(), Queue: a.GetQueue(), Spec: a.GetSpec(), Accepted: at,
 		State: v1.FlowState_FLOW_STATE_QUEUED, Turns: map[uint32]*Turn{},
 	}
+	f.Was, _ = l.config.Queue(f.Queue)
 	l.flows[id] = f
 	l.pending[f.Queue]++
 	l.open++
@@ -365,7 +372,7 @@
 	}
 	// The spec and the turns are not needed any more, and a flow is remembered
 	// for minutes after its end.
-	f.Turns, f.Spec = nil, nil
+	f.Turns, f.Spec, f.Was = nil, nil, nil
 }
 
 // stopStep marks everything that a step holds as unwanted.
--- a/internal/ledger/flows/snapshot.go
+++ b/internal/ledger/flows/snapshot.go
@@ -39,7 +39,7 @@
 func flowRecord(f *Flow) *record.FlowRecord {
 	r := &record.FlowRecord{
 		Accept: &record.FlowAccept{Queue: f.Queue, Customer: f.Customer, Spec: f.Spec},
-		Id:     f.ID, Accepted: int64(f.Accepted), State: f.State, Ended: int64(f.Ended), Next: f.Next,
+		Id:     f.ID, Accepted: int64(f.Accepted), State: f.State, Ended: int64(f.Ended), Next: f.Next, Queue: f.Was,
 	}
 	for _, n := range slices.Sorted(maps.Keys(f.Turns)) {
 		t := &record.TurnRecord{Number: n}
@@ -106,7 +106,7 @@
 func restoreFlow(m *record.FlowRecord) (*Flow, *code.Error) {
 	f := &Flow{
 		ID: m.GetId(), Customer: m.GetAccept().GetCustomer(), Queue: m.GetAccept().GetQueue(), Spec: m.GetAccept().GetSpec(),
-		Accepted: time.Duration(m.GetAccepted()), Ended: time.Duration(m.GetEnded()), State: m.GetState(), Next: m.GetNext(),
+		Accepted: time.Duration(m.GetAccepted()), Ended: time.Duration(m.GetEnded()), State: m.GetState(), Next: m.GetNext(), Was: m.GetQueue(),
 	}
 	if f.Final() {
 		return f, nil
--- a/internal/policy/steps/steps_test.go
+++ b/internal/policy/steps/steps_test.go
@@ -94,6 +94,37 @@
 	}
 }
 
+// A customer's limit was lowered far below what it sends, and its flows pile up at
+// the head of the line; others wait for a label that no server has. Neither may
+// keep the flows behind them from room that is there.
+func TestBlockedStepsDoNotHoldUpTheOthers(t *testing.T) {
+	var items []steps.Item
+	for i := range 400 {
+		it := item(fmt.Sprintf("limited%03d", i), tasks(1, 1000))
+		it.Flow.Customer = "limited"
+		label := item(fmt.Sprintf("label%03d", i), tasks(1, 1000))
+		label.Spec.Label = "nowhere"
+		items = append(items, it, label)
+	}
+	last := item("last", tasks(1, 1000))
+	last.Priority = 9
+	v := view([]steps.Server{server("a", 9000)}, append(items, last)...)
+	v.Room = func(customer string) capacity.Size {
+		if customer == "limited" {
+			return capacity.Size{}
+		}
+		return capacity.Size{CPU: 1 << 40, Memory: 1 << 40, Accel: 1 << 40}
+	}
+	for turn := range 20 {
+		w := v
+		w.Items = steps.Pick(v, turn)
+		if len(placed(steps.Make(w))) > 0 {
+			return
+		}
+	}
+	t.Error("the last flow did not start in 20 plans")
+}
+
 func TestLabelRackAndApart(t *testing.T) {
 	spec := tasks(4, 1000)
 	spec.Label, spec.Rack, spec.Apart = "big", "r1", 2
