--- a/internal/ledger/flows/run.go
+++ b/internal/ledger/flows/run.go
@@ -113,7 +113,7 @@
 		}
 		size := flow.SizeOf(s.Spec)
 		more[b.ID] = more[b.ID].Add(size)
-		if !b.Used.Add(more[b.ID]).Fits(b.Capacity.Max(capacity.Size{Slots: 0})) {
+		if !b.Used.Add(more[b.ID]).Fits(b.Capacity) {
 			return code.New(code.NeverFits, "%s is full", b.ID)
 		}
 		owner := s.Flow.Customer
