--- a/internal/base/event/writer.go
+++ b/internal/base/event/writer.go
@@ -9,8 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	"gypsumreel/internal/base/meter"
 )
 
@@ -37,14 +35,15 @@
 	lines chan []byte
 	done  chan struct{}
 	lost  atomic.Int64
-	drops *metrics.Counter
 }
 
+// drops counts the lines left out; it is there, at 0, in every process.
+var drops = meter.Common.GetOrCreateCounter(meter.Name("base", "log_drops_total"))
+
 func (w *Writer) init() {
 	w.once.Do(func() {
 		w.lines = make(chan []byte, writerQueue)
 		w.done = make(chan struct{})
-		w.drops = meter.Common.GetOrCreateCounter(meter.Name("base", "log_drops_total"))
 	})
 }
 
@@ -68,7 +67,7 @@
 
 func (w *Writer) drop() {
 	w.lost.Add(1)
-	w.drops.Inc()
+	drops.Inc()
 }
 
 // Done is closed when Run has returned.
