Let the older word come last in the test of earlier terms

The earlier leader's greeting is slower now, so its word is the last each time. Conclusion: the order of two answers belongs to the story of such a test.

--- a/internal/edge/leader/leader_test.go
+++ b/internal/edge/leader/leader_test.go
@@ -23,6 +23,8 @@
 	leads  bool
 	term   uint64
 	leader string
+	// slow is how long a greeting takes.
+	slow time.Duration
 	// frozen replicas answer when it is closed.
 	frozen chan struct{}
 	asked  int
@@ -70,6 +72,7 @@
 	r.wait(ctx)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	time.Sleep(r.slow)
 	return &inner.Welcome{Term: r.term, Leads: r.leads, Leader: r.leader, Version: 1}, nil
 }
 
@@ -142,7 +145,7 @@
 // than what the callers of this entry have seen.
 func TestWordOfAnEarlierTermIsNotTaken(t *testing.T) {
 	a, b := newReplica(t), newReplica(t)
-	a.set(func() { a.leads, a.term = true, 1 })
+	a.set(func() { a.leads, a.term, a.slow = true, 1, 50*time.Millisecond }) // its word comes last
 	b.set(func() { b.leads, b.term = true, 2 })
 	l := newLink(t, a, b)
 	within(t, l, 2, 5*time.Second)
