--- a/internal/control/dispatch/advice.go
+++ b/internal/control/dispatch/advice.go
@@ -85,11 +85,12 @@
 			continue
 		}
 		takes := cost(q.GetAdvice(), len(w.Servers))
-		h := d.freeHelper(takes > longFactor*shortest, now)
+		long := takes > longFactor*shortest
+		h := d.freeHelper(long, now)
 		if h == nil {
 			continue
 		}
-		d.question(h, w, a, q.GetAdvice(), takes)
+		d.question(h, w, a, q.GetAdvice(), takes, long)
 	}
 }
 
@@ -113,10 +114,9 @@
 }
 
 // question lets a helper ask the adviser.
-func (d *Dispatcher) question(h *helper, w steps.Want, a *advice, terms *v1.Advice, takes time.Duration) {
+func (d *Dispatcher) question(h *helper, w steps.Want, a *advice, terms *v1.Advice, takes time.Duration, long bool) {
 	id := w.Item.StepID
 	a.asking = true
-	long := takes > longFactor*d.shortest()
 	h.take(long)
 	lives := map[string]int64{}
 	for _, s := range w.Servers {
@@ -135,7 +135,7 @@
 		rep := d.Helpers.Advise(ctx, address, req)
 		came := d.Now()
 		d.Host.Post(func() {
-			h.free(long, code.Code(rep.GetCode()) == code.OK, came)
+			h.free(code.Code(rep.GetCode()) == code.OK, came)
 			if d.lead != nil && d.lead.term == term {
 				d.advised(id, a, lives, rep, terms, sent, came)
 			}
--- a/internal/control/dispatch/helper.go
+++ b/internal/control/dispatch/helper.go
@@ -30,7 +30,7 @@
 
 func (h *helper) take(long bool) { h.busy, h.long = true, long }
 
-func (h *helper) free(_, worked bool, now time.Duration) {
+func (h *helper) free(worked bool, now time.Duration) {
 	h.busy, h.long, h.used = false, false, now
 	if !worked {
 		h.avoid = now + helperPause
--- a/internal/control/dispatch/learn.go
+++ b/internal/control/dispatch/learn.go
@@ -83,10 +83,7 @@
 	case inner.RunEnd_RUN_END_DONE:
 		s.streak.Done()
 	case inner.RunEnd_RUN_END_FAILED:
-		if d.lead.shunned[r.StepID] == nil {
-			d.lead.shunned[r.StepID] = map[string]bool{}
-		}
-		d.lead.shunned[r.StepID][s.id] = true
+		d.shun(s, r)
 		if rest := s.streak.Failed(r.Flow); rest > 0 {
 			s.avoid = max(s.avoid, now+rest)
 			event.Log(d.Log, event.ServerQuarantined, "server", s.id, "flow", r.Flow, "rest", rest.String())
@@ -94,6 +91,14 @@
 	}
 }
 
+// shun notes that a step is better tried elsewhere.
+func (d *Dispatcher) shun(s *session, r *run) {
+	if d.lead.shunned[r.StepID] == nil {
+		d.lead.shunned[r.StepID] = map[string]bool{}
+	}
+	d.lead.shunned[r.StepID][s.id] = true
+}
+
 // inspect looks for runs that stand still or crawl, and moves them to another
 // server: they are stopped, and placed again where they last failed not.
 func (d *Dispatcher) inspect(s *session, now time.Duration) {
@@ -117,10 +122,7 @@
 			continue
 		}
 		event.Log(d.Log, event.RunMoved, "flow", r.Flow, "run", r.String(), "server", s.id, "percent", r.percent, "still", w.Still.String(), "elapsed", w.Elapsed.String(), "typical", w.Typical.String())
-		if d.lead.shunned[r.StepID] == nil {
-			d.lead.shunned[r.StepID] = map[string]bool{}
-		}
-		d.lead.shunned[r.StepID][s.id] = true
+		d.shun(s, r)
 		s.avoid = max(s.avoid, now+suspectRest)
 		d.unwant(s, r)
 	}
--- a/internal/control/dispatch/plan.go
+++ b/internal/control/dispatch/plan.go
@@ -94,7 +94,7 @@
 	if t, ok := d.lead.times[s.StepID]; ok {
 		return t
 	}
-	whole, left := chain(s.Flow.Spec, 0, nil), chain(s.Flow.Spec, 0, s.Flow.Turns[s.Turn])
+	whole, left := chain(s.Flow.Spec, nil), chain(s.Flow.Spec, s.Flow.Turns[s.Turn])
 	t := times{
 		objective: time.Duration((q.GetFactor()*float64(whole) + float64(q.GetTarget())) * float64(time.Millisecond)),
 		left:      time.Duration(left) * time.Millisecond,
@@ -105,7 +105,7 @@
 
 // chain returns the declared run time in milliseconds of a flow's longest chain
 // of steps; of what is left of it when a turn is given.
-func chain(spec *v1.FlowSpec, from int, turn *flows.Turn) uint64 {
+func chain(spec *v1.FlowSpec, turn *flows.Turn) uint64 {
 	ends := make([]uint64, len(spec.GetSteps()))
 	longest := uint64(0)
 	for i, s := range spec.GetSteps() {
@@ -117,9 +117,7 @@
 			begin = max(begin, ends[before])
 		}
 		ends[i] += begin
-		if i >= from {
-			longest = max(longest, ends[i])
-		}
+		longest = max(longest, ends[i])
 	}
 	return longest
 }
--- a/internal/edge/leader/leader.go
+++ b/internal/edge/leader/leader.go
@@ -193,25 +193,6 @@
 	return slices.DeleteFunc(all, func(a string) bool { return l.Greeting.GetReplica() != "" && a == l.Greeting.GetAddress() })
 }
 
-// greetOne greets one address, and with follow whoever that one takes for the
-// leader. It tells whether a leader answered.
-func (l *Link) greetOne(ctx context.Context, address string, follow bool) bool {
-	ctx, cancel := context.WithTimeout(ctx, greetTimeout)
-	defer cancel()
-	w, err := inner.NewFlowsProtobufClient("http://"+address, l.Client).Greet(ctx, l.Greeting)
-	if err != nil {
-		return false
-	}
-	if w.GetLeads() {
-		l.found(address, w)
-		return true
-	}
-	if follow && w.GetLeader() != "" && w.GetLeader() != address {
-		return l.greetOne(ctx, w.GetLeader(), false)
-	}
-	return false
-}
-
 // found takes the word of a leader; that of an earlier term is not listened to.
 func (l *Link) found(address string, w *inner.Welcome) {
 	l.mu.Lock()
--- a/internal/ledger/flows/flows.go
+++ b/internal/ledger/flows/flows.go
@@ -414,5 +414,5 @@
 // lasts tells whether a step's tasks run until their flow is cancelled.
 func (s *Step) lasts() bool { return s.Spec.GetLasting() }
 
-// endOf returns what is in a run's way of ending for its task.
+// counts tells whether a way of ending uses up an attempt.
 func counts(how inner.RunEnd) bool { return how == inner.RunEnd_RUN_END_FAILED }
--- a/internal/policy/steps/gang.go
+++ b/internal/policy/steps/gang.go
@@ -13,7 +13,7 @@
 	if it.Queued < len(it.Tasks) || p.allowed(it) < int64(it.Queued) {
 		return
 	}
-	options, unasked := p.options(it, true)
+	options, unasked := p.options(it)
 	chosen, ok := choose(it, options)
 	if !ok {
 		p.reserve(it)
--- a/internal/policy/steps/steps.go
+++ b/internal/policy/steps/steps.go
@@ -197,10 +197,10 @@
 }
 
 // options returns the servers that may hold a task of the item now, the best
-// first: those on which none of it failed, near the data, then fast, then those that are left fullest, so that
-// large holes stay for large tasks. asked tells whether a server is among the
-// rest that nobody asked the adviser about yet.
-func (p *planner) options(it Item, keep bool) (out []option, unasked []*room) {
+// first: those on which none of it failed, near the data, then fast, then those
+// that are left fullest, so that large holes stay for large tasks. unasked are
+// the servers that the adviser was not asked about yet.
+func (p *planner) options(it Item) (out []option, unasked []*room) {
 	size := flow.SizeOf(it.Spec)
 	here := map[string]int64{}
 	for _, t := range it.Tasks {
@@ -212,11 +212,7 @@
 		if !suits(it, r) {
 			continue
 		}
-		free := r.free
-		if keep {
-			free = free.Sub(r.kept)
-		}
-		n := fits(size, free)
+		n := fits(size, r.free.Sub(r.kept))
 		if n == 0 && (it.Asked || !it.Permits) {
 			continue // the usual case where much waits, and the quickest to tell
 		}
@@ -290,7 +286,7 @@
 	if left <= 0 {
 		return
 	}
-	options, unasked := p.options(it, true)
+	options, unasked := p.options(it)
 	var places []Place
 	var stale []string
 	next := queuedTasks(it.Step)
