Keep a run that a list has shown when its start is refused later

A run that a list or an answer has shown is not started again, and no refusal of its start ends it. The test fails without that, and a mutation takes the guard away.

--- a/internal/control/dispatch/dispatch_test.go
+++ b/internal/control/dispatch/dispatch_test.go
@@ -92,6 +92,41 @@
 	})
 }
 
+// A server starts a task and its answer is lost; a list shows that it runs. The
+// start is asked for again all the same, and refused: its permit is over by now.
+// Taken for a start that failed, the task would be placed elsewhere as well.
+func TestRefusalOfARunThatIsThere(t *testing.T) {
+	play(t, 2, func(t *testing.T, w *world) {
+		var starts atomic.Int32
+		w.change(func(_ string, one *worker.Worker) {
+			one.Work = func(r flow.RunID) (time.Duration, inner.RunEnd) {
+				if r.Flow == "a" {
+					return 3 * time.Second, inner.RunEnd_RUN_END_DONE
+				}
+				return 100 * time.Millisecond * time.Duration(r.Index+1), inner.RunEnd_RUN_END_DONE
+			}
+			one.Fault = func(c *inner.ServerCall) worker.Fault {
+				if c.GetStart().GetRun().GetFlow() != "a" {
+					return worker.Fault{}
+				}
+				switch starts.Add(1) {
+				case 1:
+					return worker.Fault{Lost: true}
+				case 2:
+					return worker.Fault{Verdict: inner.Verdict_VERDICT_PERMIT}
+				}
+				return worker.Fault{}
+			}
+		})
+		w.submit("b", step(20, 100))
+		w.submit("a", step(1, 1000))
+		w.await("a", done, 10*time.Second)
+		if got := w.began()[flow.RunID{TaskID: flow.TaskID{StepID: flow.StepID{Flow: "a"}}, Number: 2}]; got != 0 {
+			t.Error("the task was started again although it ran")
+		}
+	})
+}
+
 // A start is held up in the network for seconds. Its task was given to another
 // server meanwhile; carried out then, it would run in two places.
 func TestLateStartIsNotCarriedOut(t *testing.T) {
--- a/internal/control/dispatch/order.go
+++ b/internal/control/dispatch/order.go
@@ -77,7 +77,7 @@
 func (d *Dispatcher) start(s *session, r *run) {
 	f, ok := d.Host.Flows().Flow(r.Flow)
 	step, known := d.Host.Flows().Step(r.StepID)
-	if !ok || !known || f.Final() || r.stopping || s.closing != "" {
+	if !ok || !known || f.Final() || r.stopping || r.there || s.closing != "" {
 		return // what became unwanted meanwhile is stopped, or never sent
 	}
 	if s.silent {
@@ -105,6 +105,11 @@
 	if verdict != inner.Verdict_VERDICT_DONE {
 		event.Log(d.Log, event.StartRefused, "flow", r.Flow, "run", r.String(), "server", s.id, "verdict", verdict.String(), "detail", a.GetDetail(), "try", r.tries)
 	}
+	if r.there && verdict != inner.Verdict_VERDICT_DONE && verdict != inner.Verdict_VERDICT_OLD {
+		// An earlier try was carried out, as a list has shown. Taken for the run's
+		// end, the refusal of a later one would let the task run elsewhere as well.
+		return
+	}
 	switch verdict {
 	case inner.Verdict_VERDICT_DONE:
 		r.there, r.settled, r.ghost = true, came, s.closing != ""
