Stop a gang whole, and spread relayed calls over the entries

After lost answers the leader relayed its calls to some hundred servers through one entry, the first by name; at 16 connections the calls waited behind each other's holds, starts of members came to nothing for 0.75 s, their permits were over at the next try (2.6 s from that refusal to the recorded end), and the rest of the gang waited for them for the whole four seconds.

Each server has its own order of relays, the direct way is tried again after five seconds, and whatever keeps one member from starting stops the others at once. Both tests fail without that.

--- a/internal/control/dispatch/dispatch_test.go
+++ b/internal/control/dispatch/dispatch_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -246,6 +247,62 @@
 	})
 }
 
+// A server is gone without a word while a gang starts there. Its member is not
+// known to have ended before its lease is over, which is longer than the others
+// wait for it: they would hold their room in vain and end alone.
+func TestGangDoesNotWaitForASilentServer(t *testing.T) {
+	play(t, 2, func(t *testing.T, w *world) {
+		w.change(func(id string, one *worker.Worker) {
+			one.Work = func(flow.RunID) (time.Duration, inner.RunEnd) { return time.Minute, inner.RunEnd_RUN_END_DONE }
+			gone := false
+			one.Fault = func(c *inner.ServerCall) worker.Fault {
+				if gone = gone || id == "s1" && c.GetStart() != nil; gone {
+					return worker.Fault{Late: time.Hour}
+				}
+				return worker.Fault{}
+			}
+		})
+		gang := step(4, 2000)
+		gang.Gang = true
+		w.submit("a", gang)
+		time.Sleep(200 * time.Millisecond)
+		if len(w.busy()) != 1 {
+			t.Fatalf("busy servers: %v", w.busy())
+		}
+		time.Sleep(2500 * time.Millisecond)
+		if len(w.busy()) != 0 {
+			t.Error("the other members still wait")
+		}
+	})
+}
+
+// Something cuts the leader off from all servers, and entries still reach them.
+// Relayed through one and the same entry, the calls would wait for each other.
+func TestRelayedCallsAreSpread(t *testing.T) {
+	play(t, 12, func(t *testing.T, w *world) {
+		greet := func() {
+			for i := range 6 {
+				w.d.Greet(t.Context(), &inner.Greeting{Address: fmt.Sprintf("entry%d", i)})
+			}
+		}
+		greet()
+		w.cut.Store(true)
+		for range 8 {
+			time.Sleep(500 * time.Millisecond)
+			greet()
+		}
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		through := map[string]int{}
+		for _, address := range w.relays {
+			through[address]++
+		}
+		if len(w.relays) != 12 || len(through) < 3 {
+			t.Errorf("servers by who relays for them: %v", through)
+		}
+	})
+}
+
 // A caller cancels and is told so. Nothing of its flow may start after that, and
 // what runs is stopped.
 func TestCancelStopsWhatRuns(t *testing.T) {
--- a/internal/control/dispatch/harness_test.go
+++ b/internal/control/dispatch/harness_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -150,10 +151,22 @@
 	down        map[string]bool
 	mostDown    int
 	interrupted int
-	advise      func(r *inner.AdviseRequest) *inner.AdviseReply
+	// cut tells that the leader itself reaches no worker, relays through whom it
+	// last reached each.
+	cut    atomic.Bool
+	relays map[string]string
+	advise func(r *inner.AdviseRequest) *inner.AdviseReply
 }
 
 func (w *world) Call(ctx context.Context, c *inner.ServerCall) *inner.ServerAnswer {
+	if w.cut.Load() {
+		<-ctx.Done()
+		return &inner.ServerAnswer{Verdict: inner.Verdict_VERDICT_SILENT}
+	}
+	return w.reach(ctx, c)
+}
+
+func (w *world) reach(ctx context.Context, c *inner.ServerCall) *inner.ServerAnswer {
 	w.mu.Lock()
 	one := w.workers[c.GetAddress()]
 	w.mu.Unlock()
@@ -167,8 +180,11 @@
 	return w.advise(r)
 }
 
-func (w *world) Relay(ctx context.Context, _ string, c *inner.ServerCall) *inner.ServerAnswer {
-	return w.Call(ctx, c)
+func (w *world) Relay(ctx context.Context, address string, c *inner.ServerCall) *inner.ServerAnswer {
+	w.mu.Lock()
+	w.relays[c.GetServer()] = address
+	w.mu.Unlock()
+	return w.reach(ctx, c)
 }
 
 // Upkeep takes a worker down for two seconds.
@@ -214,7 +230,7 @@
 func newWorld(t *testing.T, n int) *world {
 	w := &world{
 		host:    &host{t: t, begin: time.Now(), posts: make(chan func(), 1024), done: make(chan struct{}), ledger: flows.New()},
-		workers: map[string]*worker.Worker{}, begun: map[flow.RunID]int{}, down: map[string]bool{},
+		workers: map[string]*worker.Worker{}, begun: map[flow.RunID]int{}, down: map[string]bool{}, relays: map[string]string{},
 		work:     func(flow.RunID) (time.Duration, inner.RunEnd) { return time.Second, inner.RunEnd_RUN_END_DONE },
 		capacity: capacity.Size{CPU: 4000, Memory: 4000},
 	}
--- a/internal/control/dispatch/helper.go
+++ b/internal/control/dispatch/helper.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"gypsumreel/internal/api/inner"
 )
 
@@ -105,17 +107,19 @@
 }
 
 // otherWay returns the next way to a server that could not be reached: through
-// each helper in turn, then directly again.
-func (d *Dispatcher) otherWay(now string) string {
-	var ways []string
-	for _, address := range slices.Sorted(maps.Keys(d.helpers)) {
-		if address != "" && d.Now()-d.helpers[address].heard <= helperAge {
-			ways = append(ways, address)
+// each helper in turn, then directly again. Every server has an order of its own:
+// one helper that relayed for all of them would run out of connections, since
+// each relayed call waits at its server.
+func (d *Dispatcher) otherWay(server, now string) string {
+	turn := func(address string) uint64 { return xxhash.Sum64String(server + " " + address) }
+	next, found := "", false
+	for address, h := range d.helpers {
+		if address == "" || d.Now()-h.heard > helperAge || now != "" && turn(address) <= turn(now) {
+			continue
+		}
+		if !found || turn(address) < turn(next) {
+			next, found = address, true
 		}
 	}
-	i := slices.IndexFunc(ways, func(w string) bool { return w > now })
-	if i < 0 {
-		return ""
-	}
-	return ways[i]
+	return next
 }
--- a/internal/control/dispatch/order.go
+++ b/internal/control/dispatch/order.go
@@ -20,7 +20,11 @@
 	// firstAvoid and lastAvoid bound how long a server that said it is unwell
 	// gets nothing new; the time doubles with each refusal in a row.
 	firstAvoid = 250 * time.Millisecond
-	lastAvoid  = 4 * time.Second
+	// gangPatience is how long after its placement a member of a gang may still be
+	// asked to start: the others wait for it, for three seconds and more, and one
+	// more try and the stops have to fit in.
+	gangPatience = time.Second
+	lastAvoid    = 4 * time.Second
 )
 
 // run is what this leader knows of one run at a server.
@@ -77,9 +81,13 @@
 func (d *Dispatcher) start(s *session, r *run) {
 	f, ok := d.Host.Flows().Flow(r.Flow)
 	step, known := d.Host.Flows().Step(r.StepID)
-	if !ok || !known || f.Final() || r.stopping || r.there || s.closing != "" {
+	if !ok || !known || f.Final() || r.stopping || r.there {
 		return // what became unwanted meanwhile is stopped, or never sent
 	}
+	if s.closing != "" {
+		d.disband(r) // its life is over, and its end recorded once that is settled
+		return
+	}
 	if s.silent {
 		d.withdraw(s, r)
 		return
@@ -161,7 +169,8 @@
 // once. A second silence gives the run up.
 func (d *Dispatcher) again(s *session, r *run) {
 	b, ok := d.Host.Flows().Server(s.id)
-	if r.tries >= startTries || !ok || b.Leaving || s.closing != "" {
+	late := r.placed > 0 && d.Now()-r.placed > gangPatience && d.gang(r) != nil
+	if r.tries >= startTries || late || !ok || b.Leaving || s.closing != "" {
 		d.unwant(s, r)
 		return
 	}
@@ -174,6 +183,36 @@
 func (d *Dispatcher) unwant(s *session, r *run) {
 	r.stopping = true
 	d.stop(s, r)
+	d.disband(r)
+}
+
+// gang returns the step of a run whose tasks work only together, else nil.
+func (d *Dispatcher) gang(r *run) *flows.Step {
+	if step, ok := d.Host.Flows().Step(r.StepID); ok && step.Spec.GetGang() {
+		return step
+	}
+	return nil
+}
+
+// disband stops the other members of a run's gang. Until the end of one is
+// recorded the ledger wants the others, and where that takes long, as on a server
+// that is gone, they would hold their room and wait for it in vain.
+func (d *Dispatcher) disband(r *run) {
+	step := d.gang(r)
+	if step == nil {
+		return
+	}
+	for i, t := range step.Tasks {
+		s := d.lead.sessions[t.Server]
+		if t.Phase != flows.Placed || t.Number != r.Number || s == nil {
+			continue
+		}
+		m := s.runs[flow.TaskID{StepID: r.StepID, Index: uint32(i)}]
+		if m != nil && m.Number == r.Number && !m.stopping {
+			m.stopping = true
+			d.stop(s, m)
+		}
+	}
 }
 
 // stopUnwanted orders a stop for every run that the ledger does not want.
--- a/internal/control/dispatch/session.go
+++ b/internal/control/dispatch/session.go
@@ -32,6 +32,9 @@
 	// relayAfter is the number of failed calls in a row after which the way
 	// through another process is tried.
 	relayAfter = 2
+	// relayTime is how long calls go through another process before the direct
+	// way is tried again: cuts last for seconds, and a try costs one silent call.
+	relayTime = 5 * time.Second
 )
 
 // session is what this leader knows of one life of a backend server.
@@ -70,8 +73,9 @@
 	avoid  time.Duration
 	unwell int
 	streak watchdog.Streak
-	// relay is the helper that calls go through; empty for the direct way.
-	relay string
+	// relay is the helper that calls go through since relayed; empty for the direct way.
+	relay   string
+	relayed time.Duration
 
 	runs map[flow.TaskID]*run
 	// pace is that of what fills the server, in percent; shared tells that
@@ -180,6 +184,9 @@
 		return
 	}
 	s.holding = true
+	if s.relay != "" && !s.silent && d.Now()-s.relayed > relayTime {
+		s.relay, s.fails = "", relayAfter-1
+	}
 	wait := min(longestWait, d.lease()/waitParts)
 	if s.shared {
 		wait = min(wait, sharedWait)
@@ -266,7 +273,7 @@
 	s.silent = true
 	s.fails++
 	if s.fails >= relayAfter && a.GetVerdict() != inner.Verdict_VERDICT_ABSENT {
-		s.relay = d.otherWay(s.relay)
+		s.relay, s.relayed = d.otherWay(s.id, s.relay), d.Now()
 	}
 	s.next = d.Now() + min(firstPause<<min(s.fails, 5), lastPause)
 }
