Plan for what can still be in time, and waste less room on gangs

- What cannot be in time goes behind what can; urgent work keeps its place.
- Room for a gang is kept slot by slot where it can begin soonest, for four gangs at most, and what ends before then uses it.
Permits are asked for ahead.
- Questions name as many servers as the step needs by the share that is usually allowed, and more where that costs nothing to speak of.
- Room for a quarter second's worth of urgent tasks is left free, counted in places for such tasks.

--- a/internal/control/dispatch/advice.go
+++ b/internal/control/dispatch/advice.go
@@ -99,6 +99,20 @@
 	return time.Duration((a.GetBase() + a.GetEach()*float64(servers)) * float64(time.Millisecond))
 }
 
+// questionParts is the part of a step's run time that a question about it may take
+// where a shorter one would do: with more servers to choose from, a step waits less
+// for room on one of them.
+const questionParts = 20
+
+// usual returns how many servers a question about a step names.
+func (d *Dispatcher) usual(a *v1.Advice, takes time.Duration) int {
+	ms := float64(takes/questionParts) / float64(time.Millisecond)
+	if a.GetEach() <= 0 || ms <= a.GetBase() {
+		return steps.LeastAsked
+	}
+	return min(max(int((ms-a.GetBase())/a.GetEach()), steps.LeastAsked), steps.MostAsked)
+}
+
 // shortest returns the time of the shortest kind of question there is.
 func (d *Dispatcher) shortest() time.Duration {
 	var least time.Duration
@@ -106,7 +120,7 @@
 		if q.GetAdvice() == nil {
 			continue
 		}
-		if c := cost(q.GetAdvice(), steps.MostAsked); least == 0 || c < least {
+		if c := cost(q.GetAdvice(), steps.LeastAsked); least == 0 || c < least {
 			least = c
 		}
 	}
@@ -167,5 +181,34 @@
 		a.may[p.GetServer()] = true
 		a.permits[p.GetServer()] = permit{ticket: p.GetTicket(), born: lives[p.GetServer()], until: until}
 	}
+	d.learnShare(id, len(lives), len(rep.GetPermits()))
 	event.Log(d.Log, event.AdviceTaken, "flow", id.Flow, "step", id.String(), "asked", len(lives), "permits", len(rep.GetPermits()), "took", (came - sent).String())
 }
+
+// usualShare is the part of the servers asked about that may run a step, while
+// nothing is known of its queue; shareWeight is the weight of the latest answer.
+const (
+	usualShare  = 0.5
+	shareWeight = 0.1
+)
+
+// learnShare notes which part of the servers asked about got a permit.
+func (d *Dispatcher) learnShare(id flow.StepID, asked, permits int) {
+	f, ok := d.Host.Flows().Flow(id.Flow)
+	if !ok || asked == 0 {
+		return
+	}
+	old, known := d.lead.shares[f.Queue]
+	if !known {
+		old = usualShare
+	}
+	d.lead.shares[f.Queue] = old + shareWeight*(float64(permits)/float64(asked)-old)
+}
+
+// granted returns the part of the servers asked about that usually may run a step.
+func (d *Dispatcher) granted(it steps.Item) float64 {
+	if share, ok := d.lead.shares[it.Flow.Queue]; ok {
+		return share
+	}
+	return usualShare
+}
--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -139,13 +139,18 @@
 	elected time.Duration
 	ctx     context.Context
 	cancel  context.CancelFunc
+	calls   *calls
 
 	sessions map[string]*session
 	advice   map[flow.StepID]*advice
-	timed    map[string]bool
-	buckets  map[string]*bucket
-	surplus  map[string]bool
-	speeds   map[string]*speed
+	// shares is the part of the servers asked about that may run a step, by queue.
+	shares map[string]float64
+	timed  map[string]bool
+	// urgent is what urgent work starts, by pool.
+	urgent  map[string]*demand
+	buckets map[string]*bucket
+	surplus map[string]bool
+	speeds  map[string]*speed
 	// usual is how long runs take beside what was declared, on the whole.
 	usual float64
 	times map[flow.StepID]times
@@ -196,8 +201,8 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	d.lead = &lead{
-		term: term, elected: elected, ctx: ctx, cancel: cancel, sessions: map[string]*session{},
-		advice: map[flow.StepID]*advice{}, timed: map[string]bool{}, buckets: map[string]*bucket{}, surplus: map[string]bool{},
+		term: term, elected: elected, ctx: ctx, cancel: cancel, calls: newCalls(ctx), sessions: map[string]*session{},
+		advice: map[flow.StepID]*advice{}, shares: map[string]float64{}, urgent: map[string]*demand{}, timed: map[string]bool{}, buckets: map[string]*bucket{}, surplus: map[string]bool{},
 		speeds: map[string]*speed{}, times: map[flow.StepID]times{}, shunned: map[flow.StepID]map[string]bool{}, asked: map[uint64]func(){}, stops: map[*run]*session{}, emptied: map[string]bool{}, ordered: map[string]time.Duration{}, dirty: true,
 	}
 	ledger := d.Host.Flows()
--- a/internal/control/dispatch/plan.go
+++ b/internal/control/dispatch/plan.go
@@ -19,6 +19,10 @@
 // nothing more to its caller.
 const lateFactor = 3
 
+// leastLeft is the least part of what was declared that a flow should still
+// take: declared times are off, and one that is given up too soon ends late.
+const leastLeft = 0.75
+
 // plan decides what starts and carries it out.
 func (d *Dispatcher) plan(now time.Duration) {
 	ledger := d.Host.Flows()
@@ -26,13 +30,16 @@
 		return
 	}
 	begin := d.Now()
-	v := steps.View{Room: d.room, Permission: d.permission}
+	v := steps.View{Room: d.room, Permission: d.permission, Share: d.granted, Frees: func(server string) []steps.Release { return d.frees(server, now) }}
+	totals := map[string]capacity.Size{}
 	for id, s := range d.lead.sessions {
 		b, ok := ledger.Server(id)
 		if ok && !b.Leaving && !b.Over && b.Born == s.born && s.usable(now) && !d.lead.emptied[id] {
 			v.Servers = append(v.Servers, steps.Server{Server: b, Speed: d.speed(b)})
+			totals[b.Pool] = totals[b.Pool].Add(b.Capacity)
 		}
 	}
+	v.Headroom = func(pool string) steps.Headroom { return d.headroom(pool, totals[pool], now) }
 	clock := d.Host.Clock()
 	for _, s := range ledger.Ready() {
 		if it, ok := d.item(s, clock); ok {
@@ -43,6 +50,7 @@
 	v.Items = steps.Pick(v, d.lead.plans)
 	p := steps.Make(v)
 	for _, one := range p.Placements {
+		d.demands(one, now)
 		d.place(one, now)
 	}
 	d.questions(p.Wants, now)
@@ -75,17 +83,53 @@
 		begun = time.Duration(s.Flow.Spec.GetFirst()+int64(s.Turn)*int64(s.Flow.Spec.GetEvery())) * time.Millisecond
 	}
 	age := clock - begun
+	least := age + time.Duration(leastLeft*float64(t.left))
+	ends, takes := !s.Spec.GetLasting(), d.typical(s)
+	urgent := d.isUrgent(q.GetPool(), q.GetPriority())
 	return steps.Item{
-		Step: s, Pool: q.GetPool(), Priority: q.GetPriority(), Slack: t.objective - age - t.left,
-		Hopeless: !s.Spec.GetLasting() && age+t.left > lateFactor*t.objective, Surplus: d.lead.surplus[s.Flow.ID], Permits: q.GetAdvice() != nil, Shunned: d.lead.shunned[s.StepID], Asked: d.lead.advice[s.StepID] != nil,
+		Step: s, Pool: q.GetPool(), Priority: q.GetPriority(), Urgent: urgent,
+		Slack: t.objective - age - t.left, Takes: takes, Usual: d.usual(q.GetAdvice(), takes),
+		// Whoever waits for urgent work waits on, and it is short.
+		Late:     ends && !urgent && least > t.objective,
+		Hopeless: ends && least > lateFactor*t.hope,
+		Surplus:  d.lead.surplus[s.Flow.ID], Shunned: d.lead.shunned[s.StepID],
+		Permits: q.GetAdvice() != nil, Asked: d.lead.advice[s.StepID] != nil,
 	}, true
 }
 
+// hopeFactor is how many times as long as declared a flow may take when it is
+// asked whether its end is still worth anything: one that is given up by mistake
+// earns nothing.
+const hopeFactor = 2
+
+// frees returns what a server will have free again, by how far its runs are.
+func (d *Dispatcher) frees(server string, now time.Duration) []steps.Release {
+	s := d.lead.sessions[server]
+	if s == nil {
+		return nil
+	}
+	out := make([]steps.Release, 0, len(s.runs))
+	for _, r := range s.runs {
+		step, ok := d.Host.Flows().Step(r.StepID)
+		in := time.Duration(0) // of a flow that has ended: it is being stopped
+		switch {
+		case ok && step.Spec.GetLasting():
+			continue
+		case ok && !r.stopping:
+			in = max(d.rest(step, r, now), 0)
+		}
+		out = append(out, steps.Release{In: in, Size: r.held.Size})
+	}
+	return out
+}
+
 // times is what a step's slack follows from.
 type times struct {
-	// objective is how long its flow may take, left what is left of the flow's
-	// longest chain from this step on.
+	// objective is how long its flow may take, hope the same if the flow takes
+	// much longer than was declared, left what is left of the flow's longest
+	// chain from this step on.
 	objective time.Duration
+	hope      time.Duration
 	left      time.Duration
 }
 
@@ -95,9 +139,12 @@
 		return t
 	}
 	whole, left := chain(s.Flow.Spec, nil), chain(s.Flow.Spec, s.Flow.Turns[s.Turn])
+	objective := func(whole float64) time.Duration {
+		return time.Duration((q.GetFactor()*whole + float64(q.GetTarget())) * float64(time.Millisecond))
+	}
 	t := times{
-		objective: time.Duration((q.GetFactor()*float64(whole) + float64(q.GetTarget())) * float64(time.Millisecond)),
-		left:      time.Duration(left) * time.Millisecond,
+		objective: objective(float64(whole)), hope: objective(hopeFactor * float64(whole)),
+		left: time.Duration(left) * time.Millisecond,
 	}
 	d.lead.times[s.StepID] = t
 	return t
@@ -126,12 +173,12 @@
 func (d *Dispatcher) place(p steps.Placement, now time.Duration) {
 	start := &record.FlowStart{}
 	var number uint32
-	for _, t := range p.Step.Tasks {
+	for _, t := range p.Item.Tasks {
 		number = max(number, t.Number)
 	}
 	for _, one := range p.Places {
-		n := p.Step.Tasks[one.Index].Number
-		if p.Step.Spec.GetGang() {
+		n := p.Item.Tasks[one.Index].Number
+		if p.Item.Spec.GetGang() {
 			n = number // the members of a gang share a number
 		}
 		id := flow.RunID{TaskID: one.TaskID, Number: n + 1}
@@ -144,11 +191,11 @@
 	for _, m := range start.GetPlaces() {
 		runs = append(runs, d.placed(m, now))
 	}
-	waited := d.Host.Clock() - p.Step.Since
-	q := p.Step.Flow.Queue
+	waited := d.Host.Clock() - p.Item.Since
+	q := p.Item.Flow.Queue
 	d.meter.waited(q, waited)
 	d.Host.After(func() {
-		event.Log(d.Log, event.RunsPlaced, "flow", p.Step.Flow.ID, "step", p.Step.StepID.String(), "runs", len(runs), "first", start.Places[0].GetServer(), "queue", q, "waited", waited.String(), "term", d.lead.term)
+		event.Log(d.Log, event.RunsPlaced, "flow", p.Item.Flow.ID, "step", p.Item.StepID.String(), "runs", len(runs), "first", start.Places[0].GetServer(), "queue", q, "waited", waited.String(), "term", d.lead.term)
 		for _, r := range runs {
 			if s := d.lead.sessions[r.held.Server]; s != nil && s.runs[r.TaskID] == r {
 				d.start(s, r)
--- a/internal/control/dispatch/session.go
+++ b/internal/control/dispatch/session.go
@@ -158,7 +158,7 @@
 	timeout := wait + d.timeout(tries)
 	c.Budget = uint64(timeout / time.Millisecond)
 	term, ctx, relay := d.lead.term, d.lead.ctx, s.relay
-	go func() {
+	d.lead.calls.Go(func() {
 		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		var a *inner.ServerAnswer
@@ -174,7 +174,7 @@
 			}
 			fn(a, now, came)
 		})
-	}()
+	})
 }
 
 // hold renews the lease and asks what runs. One hold is under way at a time;
--- a/internal/policy/steps/gang.go
+++ b/internal/policy/steps/gang.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"gypsumreel/internal/domain/flow"
 )
@@ -15,7 +16,7 @@
 	}
 	options, unasked := p.options(it)
 	chosen, ok := choose(it, options)
-	if !ok {
+	if !ok || !p.affords(it, chosen) {
 		p.reserve(it)
 		p.ask(it, unasked)
 		return
@@ -38,7 +39,19 @@
 		p.want(it, all, options)
 		return
 	}
-	p.plan.Placements = append(p.plan.Placements, Placement{it.Step, places})
+	p.plan.Placements = append(p.plan.Placements, Placement{it, places})
+}
+
+// affords tells whether a gang leaves the headroom for urgent work.
+func (p *planner) affords(it Item, chosen []option) bool {
+	if it.Urgent {
+		return true
+	}
+	total := int64(0)
+	for _, c := range chosen {
+		total += p.cost(it, c.room, c.count)
+	}
+	return total == 0 || total <= p.spare[it.Pool]
 }
 
 // choose picks servers for all tasks of a gang: of one rack where the tasks are
@@ -92,39 +105,67 @@
 	return out, left == 0
 }
 
-// reserve keeps room free for a gang: on the servers that may run it and have
-// most room already. At most a part of a pool's servers is kept for gangs.
+// slot is room for one task, and how long it is until a server has it.
+type slot struct {
+	in time.Duration
+	*room
+}
+
+// reserve keeps room for a gang where it can begin soonest, on the servers that
+// may run it. What ends before then may still use it; whatever runs longer would
+// make the gang wait for ever.
 func (p *planner) reserve(it Item) {
-	size := flow.SizeOf(it.Spec)
-	left := int64(it.Queued)
-	var may []*room
+	if p.waiting[it.Pool] >= mostWaiting {
+		return
+	}
+	var slots []slot
 	for _, r := range p.servers {
 		perm := p.permission(it, r.ID)
 		if suits(it, r) && (perm == Stale || perm == Granted) {
-			may = append(may, r)
+			slots = p.slots(slots, it, r)
 		}
 	}
-	slices.SortStableFunc(may, func(a, b *room) int {
-		return cmp.Or(compareBool(!a.marked, !b.marked), cmp.Compare(b.free.CPU-b.kept.CPU, a.free.CPU-a.kept.CPU))
-	})
-	for _, r := range may {
-		n := min(fits(size, r.Capacity.Sub(r.kept)), left)
-		if most := it.Spec.GetApart(); most > 0 {
-			n = min(n, int64(most))
-		}
-		if n == 0 {
-			continue
-		}
-		if !r.marked {
-			if p.reserved[it.Pool]*reserveParts >= p.sizes[it.Pool] {
-				return
-			}
-			p.reserved[it.Pool]++
-			r.marked = true
+	if len(slots) < it.Queued {
+		return // what is known of will never hold it
+	}
+	slices.SortStableFunc(slots, func(a, b slot) int { return cmp.Compare(a.in, b.in) })
+	slots = slots[:it.Queued]
+	p.waiting[it.Pool]++
+	begin := slots[len(slots)-1].in
+	var servers []string
+	for _, s := range slots {
+		s.kept = s.kept.Add(flow.SizeOf(it.Spec))
+		s.until = max(s.until, begin)
+		if !slices.Contains(servers, s.ID) {
+			servers = append(servers, s.ID)
 		}
-		r.kept = r.kept.Add(size.Times(n))
-		if left -= n; left == 0 {
-			return
+	}
+	if it.Permits && begin <= soon {
+		p.plan.Wants = append(p.plan.Wants, Want{it, servers[:min(len(servers), MostAsked)]})
+	}
+}
+
+// slots adds the slots that a server has for an item, now and later.
+func (p *planner) slots(out []slot, it Item, r *room) []slot {
+	size, most := flow.SizeOf(it.Spec), int64(it.Queued)
+	if apart := it.Spec.GetApart(); apart > 0 {
+		most = min(most, int64(apart))
+	}
+	free, have := r.free.Sub(r.kept), int64(0)
+	add := func(in time.Duration) {
+		for n := min(fits(size, free), most); have < n; have++ {
+			out = append(out, slot{in, r})
 		}
 	}
+	add(0)
+	if p.view.Frees == nil || have == most {
+		return out
+	}
+	frees := p.view.Frees(r.ID)
+	slices.SortStableFunc(frees, func(a, b Release) int { return cmp.Compare(a.In, b.In) })
+	for _, f := range frees {
+		free = free.Add(f.Size)
+		add(f.In)
+	}
+	return out
 }
--- a/internal/policy/steps/steps.go
+++ b/internal/policy/steps/steps.go
@@ -22,9 +22,16 @@
 	// Slack is the time that is left for waiting if the flow is to end in time;
 	// negative when it will be late.
 	Slack time.Duration
-	// Hopeless tells that the flow is so late that its end is worth nothing
-	// more to its caller.
+	// Late tells that the flow cannot end in time any more, and Hopeless that
+	// its end is worth nothing more to its caller.
+	Late     bool
 	Hopeless bool
+	// Urgent tells that no queue of its pool comes before its own.
+	Urgent bool
+	// Takes is how long a task of it should run.
+	Takes time.Duration
+	// Usual is how many servers a question about it names where no more are needed.
+	Usual int
 	// Surplus tells that the customer sent it beyond what it can count on.
 	Surplus bool
 	// Shunned are servers on which a task of the step failed; they come last.
@@ -65,6 +72,27 @@
 	Room func(customer string) capacity.Size
 	// Permission tells what is known of a step that needs permits.
 	Permission func(id flow.StepID, server string) Permission
+	// Share is the part of the servers asked about that the adviser lets run a
+	// step of the item's queue; nil while nothing is known.
+	Share func(it Item) float64
+	// Headroom is what work that is not urgent leaves free in a pool; nil for nothing.
+	Headroom func(pool string) Headroom
+	// Frees tells what a server will have free again, and when; nil while
+	// nothing is known.
+	Frees func(server string) []Release
+}
+
+// Headroom is room for so many tasks of a size: what is left over on many servers
+// and holds none of them is no headroom.
+type Headroom struct {
+	Size  capacity.Size
+	Tasks int64
+}
+
+// Release is room that a server has again when a run should have ended.
+type Release struct {
+	In   time.Duration
+	Size capacity.Size
 }
 
 // Place is one task and where it starts.
@@ -75,10 +103,13 @@
 
 // Placement is what is started at once of one step; a gang's is whole.
 type Placement struct {
-	Step   *flows.Step
+	Item   Item
 	Places []Place
 }
 
+// Size returns what the placement takes.
+func (p Placement) Size() capacity.Size { return flow.SizeOf(p.Item.Spec).Times(int64(len(p.Places))) }
+
 // Want is a question to the adviser, the most useful servers first.
 type Want struct {
 	Item    Item
@@ -93,15 +124,23 @@
 
 // Bounds of a plan.
 const (
-	// MostAsked bounds the servers of one question. A question takes longer
-	// with each, and of thirty at least a few may usually run a step.
-	MostAsked = 30
+	// MostAsked bounds the servers of one question: the adviser takes no more.
+	MostAsked = 100
+	// LeastAsked is how many servers a question names at the least: of thirty a
+	// few may usually run a step.
+	LeastAsked = 30
+	// enough is how many times as many tasks as wait the servers of a question
+	// should have room for, by what is known: some fill up until the answer comes.
+	enough = 1.5
 	// spare is how many servers more than needed a question for fresh permits
 	// names: some will have filled up when the answer comes.
 	spare = 4
-	// reserveParts bounds what is kept free for gangs that wait for room: one
-	// part of so many of a pool's servers.
-	reserveParts = 2
+	// mostWaiting bounds the gangs of a pool for which room is kept. Each keeps
+	// what it needs idle until the last of it is free.
+	mostWaiting = 4
+	// soon is how long before its room is free a gang asks for its permits: about
+	// as long as the longest question takes.
+	soon = time.Second
 )
 
 // planner is the state of making one plan.
@@ -110,28 +149,42 @@
 	servers []*room
 	used    map[string]capacity.Size
 	plan    Plan
-	// reserved counts the servers kept for gangs, by pool.
-	reserved map[string]int
-	sizes    map[string]int
+	// waiting counts the gangs for which room is kept, by pool.
+	waiting map[string]int
+	// heads is each pool's headroom for urgent work, spare for how many tasks of
+	// its size there is room beyond it.
+	heads map[string]Headroom
+	spare map[string]int64
 }
 
 // room is what is left on a server in the course of a plan.
 type room struct {
 	Server
 	free capacity.Size
-	// kept is what is kept free for gangs that wait.
-	kept   capacity.Size
-	marked bool
+	// kept is what is kept free for gangs that wait, and until when they wait.
+	kept  capacity.Size
+	until time.Duration
+}
+
+// left returns what an item may use now: room that is kept for a gang only if
+// the item gives it back before the gang can begin.
+func (r *room) left(it Item) capacity.Size {
+	if r.until > 0 && it.Takes > 0 && it.Takes <= r.until {
+		return r.free
+	}
+	return r.free.Sub(r.kept)
 }
 
 // Make makes a plan: items in the order of Compare, each placed as far as there
 // is room. What waits for a permit or, as a gang, for more room keeps the room
 // that it needs from those after it, which would take it for ever otherwise.
 func Make(v View) Plan {
-	p := &planner{view: v, used: map[string]capacity.Size{}, reserved: map[string]int{}, sizes: map[string]int{}}
-	for _, s := range v.Servers {
-		p.servers = append(p.servers, &room{Server: s, free: s.Free()})
-		p.sizes[s.Pool]++
+	p := &planner{view: v, used: map[string]capacity.Size{}, waiting: map[string]int{}, heads: map[string]Headroom{}, spare: map[string]int64{}}
+	rooms := make([]room, len(v.Servers))
+	for i, s := range v.Servers {
+		rooms[i] = room{Server: s, free: s.Free()}
+		p.servers = append(p.servers, &rooms[i])
+		p.head(&rooms[i])
 	}
 	slices.SortFunc(p.servers, func(a, b *room) int { return cmp.Compare(a.ID, b.ID) })
 	items := slices.Clone(v.Items)
@@ -147,11 +200,13 @@
 }
 
 // Compare orders items: what is worth nothing more last, then what was sent
-// beyond its customer's share, then by priority, then by the least slack.
+// beyond its customer's share, then what will be late anyway: it would make those
+// behind it late as well. Then by priority, then by the least slack.
 func Compare(a, b Item) int {
 	return cmp.Or(
 		compareBool(a.Hopeless, b.Hopeless),
 		compareBool(a.Surplus, b.Surplus),
+		compareBool(a.Late, b.Late),
 		cmp.Compare(a.Priority, b.Priority),
 		cmp.Compare(a.Slack, b.Slack),
 		cmp.Compare(a.Flow.ID, b.Flow.ID),
@@ -212,7 +267,7 @@
 		if !suits(it, r) {
 			continue
 		}
-		n := fits(size, r.free.Sub(r.kept))
+		n := fits(size, r.left(it))
 		if n == 0 && (it.Asked || !it.Permits) {
 			continue // the usual case where much waits, and the quickest to tell
 		}
@@ -274,8 +329,49 @@
 	return fits(size, left)
 }
 
+// head counts a server's room for urgent tasks.
+func (p *planner) head(r *room) {
+	if p.view.Headroom == nil {
+		return
+	}
+	h, ok := p.heads[r.Pool]
+	if !ok {
+		h = p.view.Headroom(r.Pool)
+		p.heads[r.Pool], p.spare[r.Pool] = h, -h.Tasks
+	}
+	if h.Tasks > 0 {
+		p.spare[r.Pool] += fits(h.Size, r.free)
+	}
+}
+
+// cost returns for how many urgent tasks less a server has room once it holds n
+// tasks of an item.
+func (p *planner) cost(it Item, r *room, n int64) int64 {
+	h := p.heads[r.Pool]
+	if h.Tasks == 0 {
+		return 0
+	}
+	return fits(h.Size, r.free) - fits(h.Size, r.free.Sub(flow.SizeOf(it.Spec).Times(n)))
+}
+
+// within returns how many of n tasks an item may start on a server, by the headroom
+// for urgent work: any number in what holds no urgent task.
+func (p *planner) within(it Item, r *room, n int64) int64 {
+	if it.Urgent {
+		return n
+	}
+	for n > 0 {
+		if cost := p.cost(it, r, n); cost == 0 || cost <= p.spare[r.Pool] {
+			break
+		}
+		n--
+	}
+	return n
+}
+
 func (p *planner) take(it Item, r *room, n int64) {
 	size := flow.SizeOf(it.Spec).Times(n)
+	p.spare[it.Pool] -= p.cost(it, r, n)
 	r.free = r.free.Sub(size)
 	p.used[it.Flow.Customer] = p.used[it.Flow.Customer].Add(size)
 }
@@ -291,10 +387,13 @@
 	var stale []string
 	next := queuedTasks(it.Step)
 	for _, o := range options {
-		n := min(o.count, left)
-		if n == 0 {
+		if left == 0 {
 			break
 		}
+		n := p.within(it, o.room, min(o.count, left))
+		if n == 0 {
+			continue
+		}
 		p.take(it, o.room, n)
 		left -= n
 		if o.permission != Granted {
@@ -306,7 +405,7 @@
 		}
 	}
 	if len(places) > 0 {
-		p.plan.Placements = append(p.plan.Placements, Placement{it.Step, places})
+		p.plan.Placements = append(p.plan.Placements, Placement{it, places})
 	}
 	switch {
 	case len(stale) > 0:
@@ -342,14 +441,27 @@
 	p.plan.Wants = append(p.plan.Wants, Want{it, servers[:min(len(servers), MostAsked)]})
 }
 
-// ask asks about servers that nobody asked about yet, those with most room first.
+// ask asks about servers that nobody asked about yet, those with most room first:
+// as many as should have room for all that waits, by the part of them that may
+// run it. A gang whose servers are found one small question after the other
+// begins as much later.
 func (p *planner) ask(it Item, unasked []*room) {
 	if len(unasked) == 0 {
 		return
 	}
 	slices.SortStableFunc(unasked, func(a, b *room) int { return cmp.Compare(b.free.CPU, a.free.CPU) })
+	size := flow.SizeOf(it.Spec)
+	share := 1.0
+	if p.view.Share != nil {
+		share = p.view.Share(it)
+	}
+	need, found := enough*float64(it.Queued), 0.0
 	w := Want{Item: it}
 	for _, r := range unasked[:min(len(unasked), MostAsked)] {
+		if found >= need && len(w.Servers) >= max(it.Usual, LeastAsked) {
+			break
+		}
+		found += share * float64(min(fits(size, r.free), int64(it.Queued)))
 		w.Servers = append(w.Servers, r.ID)
 	}
 	p.plan.Wants = append(p.plan.Wants, w)
--- a/internal/policy/steps/steps_test.go
+++ b/internal/policy/steps/steps_test.go
@@ -155,8 +155,12 @@
 	}
 	large := item("gang", gang(2, 4000))
 	small := item("small", tasks(8, 1000))
-	small.Priority = 2
-	p := steps.Make(view(servers, large, small))
+	small.Priority, small.Takes = 2, 5*time.Second
+	v := view(servers, large, small)
+	v.Frees = func(string) []steps.Release {
+		return []steps.Release{{In: 3 * time.Second, Size: capacity.Size{CPU: 2000}}}
+	}
+	p := steps.Make(v)
 	left := 0
 	for _, id := range []string{"a", "b", "c", "d"} {
 		if placed(p)["small on "+id] == 0 {
@@ -168,6 +172,75 @@
 	}
 }
 
+// Room is kept for a gang until the last of it is free. Left idle meanwhile it
+// would serve nobody; what ends before then may use it.
+func TestShortWorkUsesWhatIsKeptForAGang(t *testing.T) {
+	a, b := server("a", 4000), server("b", 4000)
+	a.Used = capacity.Size{CPU: 3000}
+	large, short, long := item("gang", gang(2, 4000)), item("short", tasks(9, 1000)), item("long", tasks(9, 1000))
+	short.Priority, short.Takes = 1, time.Second
+	long.Priority, long.Takes = 2, 4*time.Second
+	v := view([]steps.Server{a, b}, large, short, long)
+	v.Frees = func(id string) []steps.Release {
+		if id != "a" {
+			return nil
+		}
+		return []steps.Release{{In: 3 * time.Second, Size: capacity.Size{CPU: 3000}}}
+	}
+	check(t, map[string]int{"short on a": 1, "short on b": 4}, steps.Make(v))
+	v.Items = []steps.Item{large, long}
+	check(t, map[string]int{}, steps.Make(v))
+}
+
+// Long work fills every server to the last. A quote would find none with room and
+// wait for seconds; what usually comes of quotes is left free.
+func TestUrgentWorkFindsRoom(t *testing.T) {
+	quote, batch := item("quote", tasks(2, 1000)), item("batch", tasks(20, 1000))
+	quote.Urgent, batch.Priority = true, 2
+	v := view([]steps.Server{server("a", 4000), server("b", 4000)}, batch)
+	v.Headroom = func(string) steps.Headroom { return steps.Headroom{Size: capacity.Size{CPU: 1000}, Tasks: 2} }
+	check(t, map[string]int{"batch on a": 4, "batch on b": 2}, steps.Make(v))
+	v.Items = append(v.Items, quote)
+	check(t, map[string]int{"quote on a": 2, "batch on a": 2, "batch on b": 2}, steps.Make(v))
+	wide := item("wide", gang(2, 4000))
+	wide.Priority = 2
+	v.Items = []steps.Item{wide}
+	check(t, map[string]int{}, steps.Make(v))
+	// What holds no quote is left over, and used.
+	v.Headroom = func(string) steps.Headroom { return steps.Headroom{Size: capacity.Size{CPU: 3000}, Tasks: 2} }
+	v.Items = []steps.Item{batch}
+	check(t, map[string]int{"batch on a": 1, "batch on b": 1}, steps.Make(v))
+}
+
+// More comes than can run. What is late already would make all behind it late as
+// well, and in the end nothing would be in time; it goes last, and what the
+// customer was promised nothing for goes behind it.
+func TestLateWorkDoesNotMakeOthersLate(t *testing.T) {
+	late, fresh := item("late", tasks(4, 1000)), item("fresh", tasks(4, 1000))
+	late.Late, late.Slack, fresh.Priority = true, -time.Second, 2
+	check(t, map[string]int{"fresh on a": 4}, steps.Make(view([]steps.Server{server("a", 4000)}, late, fresh)))
+}
+
+// A wide gang needs many servers, of which the adviser allows a few. Found one
+// small question after the other, it would begin seconds later.
+func TestWideStepsAskAboutMoreServers(t *testing.T) {
+	var servers []steps.Server
+	for i := range 200 {
+		servers = append(servers, server(fmt.Sprintf("s%03d", i), 4000))
+	}
+	asked := func(count uint32, share float64) int {
+		it := item("x", gang(count, 3000))
+		it.Permits = true
+		v := view(servers, it)
+		v.Permission = func(flow.StepID, string) steps.Permission { return steps.Unasked }
+		v.Share = func(steps.Item) float64 { return share }
+		return len(steps.Make(v).Wants[0].Servers)
+	}
+	if got := []int{asked(2, 0.5), asked(20, 0.5), asked(20, 0.3)}; !slices.Equal(got, []int{steps.LeastAsked, 60, steps.MostAsked}) {
+		t.Errorf("servers asked about: %v", got)
+	}
+}
+
 // A permit has run out while a step waited for room. The room is there now, and
 // the question takes time: were it given away meanwhile, the step would ask for
 // ever and never run.
@@ -195,7 +268,7 @@
 	v := view(servers, it)
 	v.Permission = func(flow.StepID, string) steps.Permission { return steps.Unasked }
 	p := steps.Make(v)
-	if len(p.Wants) != 1 || len(p.Wants[0].Servers) != steps.MostAsked || p.Wants[0].Servers[0] != "s00" {
+	if len(p.Wants) != 1 || len(p.Wants[0].Servers) != steps.LeastAsked || p.Wants[0].Servers[0] != "s00" {
 		t.Errorf("questions: %v", p.Wants)
 	}
 }
@@ -234,7 +307,7 @@
 	used, total, seen := map[string]int64{}, int64(0), map[flow.TaskID]bool{}
 	apart := map[string]uint32{}
 	for _, one := range p.Placements {
-		if one.Step.Spec.GetGang() && len(one.Places) != len(one.Step.Tasks) {
+		if one.Item.Spec.GetGang() && len(one.Places) != len(one.Item.Tasks) {
 			t.Fatalf("part of a gang: %v", one)
 		}
 		for _, place := range one.Places {
@@ -242,10 +315,10 @@
 				t.Fatalf("%v twice", place)
 			}
 			seen[place.TaskID] = true
-			used[place.Server] += one.Step.Spec.GetSize().GetCpu()
-			total += one.Step.Spec.GetSize().GetCpu()
+			used[place.Server] += one.Item.Spec.GetSize().GetCpu()
+			total += one.Item.Spec.GetSize().GetCpu()
 			at := place.Flow + place.Server
-			if apart[at]++; one.Step.Spec.GetApart() > 0 && apart[at] > one.Step.Spec.GetApart() {
+			if apart[at]++; one.Item.Spec.GetApart() > 0 && apart[at] > one.Item.Spec.GetApart() {
 				t.Fatalf("%v: too many of a step on one server", place)
 			}
 		}
