Ask about a wide step side by side, and again only for permits that are over

Cause: a plan of 16 to 50 tasks took three to seven questions in a row of 0.6 to 1.2 s each, half of them for permits that were still good, while more than half of the processes that may ask rested.

Reserved servers are asked about again only when a permit is over.

--- a/internal/control/dispatch/advice.go
+++ b/internal/control/dispatch/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"gypsumreel/internal/api/inner"
@@ -28,6 +29,10 @@
 	// occupy: each is asked one question at a time, and a short one must find
 	// one free.
 	longParts, longOf = 2, 3
+	// sideBySide is how many servers a question names, at the most, while more
+	// than one part of restingOf of the helpers rest.
+	sideBySide = 40
+	restingOf  = 2
 )
 
 // advice is what is known of the adviser's mind about one step.
@@ -36,8 +41,9 @@
 	may map[string]bool
 	// permits are those at hand, by server.
 	permits map[string]permit
-	asking  bool
-	next    time.Duration
+	// asking counts the questions under way.
+	asking int
+	next   time.Duration
 }
 
 type permit struct {
@@ -81,19 +87,34 @@
 			a = &advice{may: map[string]bool{}, permits: map[string]permit{}}
 			d.lead.advice[w.Item.StepID] = a
 		}
-		if a.asking || now < a.next {
+		if a.asking > 0 || now < a.next {
 			continue
 		}
-		takes := cost(q.GetAdvice(), len(w.Servers))
-		long := takes > longFactor*shortest
-		h := d.freeHelper(long, now)
-		if h == nil {
-			continue
+		whole := cost(q.GetAdvice(), len(w.Servers))
+		for _, servers := range d.split(w.Servers, whole > longFactor*shortest, now) {
+			takes := cost(q.GetAdvice(), len(servers))
+			long := takes > longFactor*shortest
+			h := d.freeHelper(long, now)
+			if h == nil {
+				break
+			}
+			d.question(h, steps.Want{Item: w.Item, Servers: servers}, a, q.GetAdvice(), takes, long)
 		}
-		d.question(h, w, a, q.GetAdvice(), takes, long)
 	}
 }
 
+// split divides what a plan wants to know about a step into questions: several
+// side by side while helpers rest and one would take long, since each server named
+// makes it longer; else as few as may be, since each costs the same besides.
+func (d *Dispatcher) split(servers []string, long bool, now time.Duration) [][]string {
+	size := steps.MostAsked
+	if resting, alive := d.resting(now); long && resting*restingOf > alive {
+		size = sideBySide
+	}
+	parts := (len(servers) + size - 1) / size
+	return slices.Collect(slices.Chunk(servers, (len(servers)+parts-1)/max(parts, 1)))
+}
+
 // cost returns how long a question should take.
 func cost(a *v1.Advice, servers int) time.Duration {
 	return time.Duration((a.GetBase() + a.GetEach()*float64(servers)) * float64(time.Millisecond))
@@ -130,7 +151,7 @@
 // question lets a helper ask the adviser.
 func (d *Dispatcher) question(h *helper, w steps.Want, a *advice, terms *v1.Advice, takes time.Duration, long bool) {
 	id := w.Item.StepID
-	a.asking = true
+	a.asking++
 	h.take(long)
 	lives := map[string]int64{}
 	for _, s := range w.Servers {
@@ -159,7 +180,7 @@
 
 // advised takes the adviser's answer.
 func (d *Dispatcher) advised(id flow.StepID, a *advice, lives map[string]int64, rep *inner.AdviseReply, terms *v1.Advice, sent, came time.Duration) {
-	a.asking = false
+	a.asking--
 	d.lead.dirty = true
 	d.meter.advise(code.Code(rep.GetCode()), came-sent)
 	if c := code.Code(rep.GetCode()); c != code.OK {
--- a/internal/control/dispatch/helper.go
+++ b/internal/control/dispatch/helper.go
@@ -106,6 +106,20 @@
 	return best
 }
 
+// resting counts the helpers that are not busy, and all that can be asked.
+func (d *Dispatcher) resting(now time.Duration) (resting, alive int) {
+	for address, h := range d.helpers {
+		if address != "" && now-h.heard > helperAge || now < h.avoid {
+			continue
+		}
+		alive++
+		if !h.busy {
+			resting++
+		}
+	}
+	return resting, alive
+}
+
 // otherWay returns the next way to a server that could not be reached: through
 // each helper in turn, then directly again. Every server has an order of its own:
 // one helper that relayed for all of them would run out of connections, since
--- a/internal/policy/steps/gang.go
+++ b/internal/policy/steps/gang.go
@@ -133,14 +133,16 @@
 	p.waiting[it.Pool]++
 	begin := slots[len(slots)-1].in
 	var servers []string
+	stale := false
 	for _, s := range slots {
 		s.kept = s.kept.Add(flow.SizeOf(it.Spec))
 		s.until = max(s.until, begin)
 		if !slices.Contains(servers, s.ID) {
 			servers = append(servers, s.ID)
+			stale = stale || p.permission(it, s.ID) == Stale
 		}
 	}
-	if it.Permits && begin <= soon {
+	if stale && begin <= soon {
 		p.plan.Wants = append(p.plan.Wants, Want{it, servers[:min(len(servers), MostAsked)]})
 	}
 }
--- a/internal/policy/steps/steps.go
+++ b/internal/policy/steps/steps.go
@@ -126,6 +126,9 @@
 const (
 	// MostAsked bounds the servers of one question: the adviser takes no more.
 	MostAsked = 100
+	// MostWanted bounds the servers that a plan wants to know about for one step;
+	// they are asked about in several questions side by side.
+	MostWanted = 160
 	// LeastAsked is how many servers a question names at the least: of thirty a
 	// few may usually run a step.
 	LeastAsked = 30
@@ -457,7 +460,7 @@
 	}
 	need, found := enough*float64(it.Queued), 0.0
 	w := Want{Item: it}
-	for _, r := range unasked[:min(len(unasked), MostAsked)] {
+	for _, r := range unasked[:min(len(unasked), MostWanted)] {
 		if found >= need && len(w.Servers) >= max(it.Usual, LeastAsked) {
 			break
 		}
--- a/internal/policy/steps/steps_test.go
+++ b/internal/policy/steps/steps_test.go
@@ -236,7 +236,7 @@
 		v.Share = func(steps.Item) float64 { return share }
 		return len(steps.Make(v).Wants[0].Servers)
 	}
-	if got := []int{asked(2, 0.5), asked(20, 0.5), asked(20, 0.3)}; !slices.Equal(got, []int{steps.LeastAsked, 60, steps.MostAsked}) {
+	if got := []int{asked(2, 0.5), asked(20, 0.5), asked(20, 0.3), asked(100, 0.3)}; !slices.Equal(got, []int{steps.LeastAsked, 60, 100, steps.MostWanted}) {
 		t.Errorf("servers asked about: %v", got)
 	}
 }
