Agree on the time of day among all processes

Cause: the ledger's time was that of the leader's machine and never goes back. A clock that jumps ahead by 2.4 s made all that waits look that much older: quotes became hopeless and went last, and turns began early.

Every greeting tells the time of day; the leader takes the median of all voices of the last five seconds, on its own steady clock, and until it has heard three goes on from the ledger's last time. Its own time of day counts as one voice.

--- /dev/null
+++ b/internal/base/clock/agreed_test.go
@@ -0,0 +1,28 @@
+package clock_test
+
+import (
+	"testing"
+	"time"
+
+	"gypsumreel/internal/base/clock"
+)
+
+// A task that is due at noon starts two seconds early: the time of day of the
+// machine that leads has jumped, and of one more. The others know better.
+func TestAgreedTimeStandsWhenSomeJump(t *testing.T) {
+	const boot, day = time.Hour, 20_000 * 24 * time.Hour
+	var a clock.Agreed
+	if _, ok := a.At(boot); ok {
+		t.Error("a time of day by nobody's word")
+	}
+	for i, wrong := range []time.Duration{0, 2400 * time.Millisecond, 2400 * time.Millisecond, 3 * time.Millisecond, -2 * time.Millisecond} {
+		a.Hear(string(rune('a'+i)), day+wrong, boot)
+	}
+	got, ok := a.At(boot + time.Second)
+	if want := day + time.Second + 3*time.Millisecond; !ok || got != want {
+		t.Errorf("the time is %v, want %v", got, want)
+	}
+	if _, ok := a.At(boot + time.Minute); ok {
+		t.Error("words of a minute ago still count")
+	}
+}
--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -15,6 +15,7 @@
 
 	"gypsumreel/internal/api/inner"
 	"gypsumreel/internal/api/record"
+	"gypsumreel/internal/base/clock"
 	"gypsumreel/internal/base/code"
 	"gypsumreel/internal/base/event"
 	"gypsumreel/internal/domain/flow"
@@ -128,6 +129,8 @@
 	meter *meters
 	// Owned by the control thread.
 	lead *lead
+	// agreed is the time of day by the word of all processes.
+	agreed clock.Agreed
 	// helpers and joiners are who made themselves known, by address and by id.
 	helpers map[string]*helper
 	joiners map[string]*joiner
@@ -253,8 +256,13 @@
 	}
 }
 
+// TimeOfDay returns the time of day, since 1970, that the processes agree on, and
+// whether enough of them are heard. It is called on the control thread.
+func (d *Dispatcher) TimeOfDay(now time.Duration) (time.Duration, bool) { return d.agreed.At(now) }
+
 // Tick does what is due.
 func (d *Dispatcher) Tick(now time.Duration) {
+	d.agreed.Hear("", time.Duration(time.Now().UnixNano()), now)
 	if d.lead == nil || !d.Host.Leads() {
 		return
 	}
--- a/internal/control/dispatch/helper.go
+++ b/internal/control/dispatch/helper.go
@@ -58,6 +58,9 @@
 			d.helpers[g.GetAddress()] = h
 		}
 		h.heard = heard
+		if g.GetClock() > 0 {
+			d.agreed.Hear(g.GetAddress(), time.Duration(g.GetClock()), heard)
+		}
 		out := &inner.Welcome{Term: d.lead.term, Leads: true, Version: d.Host.Flows().Config().GetVersion()}
 		for _, m := range d.Host.Members().Members {
 			out.Members = append(out.Members, m.Address)
--- a/internal/control/leader/lead.go
+++ b/internal/control/leader/lead.go
@@ -20,6 +20,9 @@
 // lead is what a replica has only while it leads; it is dropped whole when deposed.
 type lead struct {
 	term uint64
+	// elected is when this replica began to lead, begun the ledger's time then.
+	elected time.Duration
+	begun   time.Duration
 	// last is the index of the latest command applied to the working ledger.
 	last      uint64
 	committed uint64
@@ -96,6 +99,8 @@
 func (l *Leader) elected(n group.Lead) {
 	l.lead = &lead{
 		term:      n.Term,
+		elected:   n.Elected,
+		begun:     l.st.At(),
 		last:      n.Last,
 		committed: n.Last,
 		planner:   l.Planner(),
@@ -181,8 +186,27 @@
 }
 
 // clock returns the ledger's time: the time of day, never going back.
-func (l *Leader) clock() time.Duration {
-	return max(l.st.At(), time.Duration(l.Wall().UnixNano()))
+func (l *Leader) clock() time.Duration { return max(l.st.At(), l.timeOfDay()) }
+
+// agreeTime is how long a new leader waits for the word of others on the time of
+// day: they make themselves known several times in it.
+const agreeTime = 3 * time.Second
+
+// timeOfDay returns the time of day that is agreed on; before others were heard, as
+// much after the last time in the ledger as this replica leads. Its own time of day
+// counts only where nobody else tells.
+func (l *Leader) timeOfDay() time.Duration {
+	if l.Agreed == nil || l.lead == nil {
+		return time.Duration(l.Wall().UnixNano())
+	}
+	now := l.Now()
+	if at, ok := l.Agreed(now); ok {
+		return at
+	}
+	if led := now - l.lead.elected; l.lead.begun > 0 && led < agreeTime {
+		return l.lead.begun + led
+	}
+	return time.Duration(l.Wall().UnixNano())
 }
 
 // do applies a command to the working ledger and queues it for the log.
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -108,6 +108,10 @@
 	Now func() time.Duration
 	// Wall is the time of day, for the ledger's clock.
 	Wall func() time.Time
+	// Agreed returns the time of day by the word of many processes at a time on the
+	// clock of Now, and whether enough are heard; nil for Wall alone. It is called
+	// on the control thread.
+	Agreed func(now time.Duration) (time.Duration, bool)
 	// Planner makes the planner of a new leader.
 	Planner func() plan.Planner
 	Terms   lease.Terms
--- a/internal/edge/leader/leader.go
+++ b/internal/edge/leader/leader.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
+	"google.golang.org/protobuf/proto"
 
 	"gypsumreel/internal/api/inner"
 	"gypsumreel/internal/base/code"
@@ -176,7 +177,9 @@
 func (l *Link) hello(ctx context.Context, address string) *inner.Welcome {
 	ctx, cancel := context.WithTimeout(ctx, greetTimeout)
 	defer cancel()
-	w, err := inner.NewFlowsProtobufClient("http://"+address, l.Client).Greet(ctx, l.Greeting)
+	g := proto.CloneOf(l.Greeting)
+	g.Clock = time.Now().UnixNano()
+	w, err := inner.NewFlowsProtobufClient("http://"+address, l.Client).Greet(ctx, g)
 	if err != nil {
 		return nil
 	}
