--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -150,7 +150,10 @@
 	shares map[string]float64
 	timed  map[string]bool
 	// urgent is what urgent work starts, by pool.
-	urgent  map[string]*demand
+	urgent map[string]*demand
+	// ranks tells which places are urgent by the configuration ranked.
+	ranked  *flow.Config
+	ranks   map[rank]bool
 	buckets map[string]*bucket
 	surplus map[string]bool
 	speeds  map[string]*speed
@@ -175,11 +178,11 @@
 	// answers is how long answers to orders usually take.
 	answers time.Duration
 
-	dirty bool
 	// planned is when the last plan was made, plans counts them.
 	planned time.Duration
 	plans   int
 	pacer   steps.Pacer
+	dirty   bool
 	swept   time.Duration
 	roster  time.Duration
 }
--- a/internal/control/dispatch/plan.go
+++ b/internal/control/dispatch/plan.go
@@ -30,7 +30,14 @@
 		return
 	}
 	begin := d.Now()
-	v := steps.View{Room: d.room, Permission: d.permission, Share: d.granted, Frees: func(server string) []steps.Release { return d.frees(server, now) }}
+	v := steps.View{Room: d.room, Permission: d.permission, Share: d.granted}
+	v.Frees = func(server string) []steps.Release { return d.frees(server, now) }
+	clock := d.Host.Clock()
+	for _, s := range ledger.Ready() {
+		if it, ok := d.item(s, clock); ok {
+			v.Items = append(v.Items, it)
+		}
+	}
 	totals := map[string]capacity.Size{}
 	for id, s := range d.lead.sessions {
 		b, ok := ledger.Server(id)
@@ -40,12 +47,6 @@
 		}
 	}
 	v.Headroom = func(pool string) steps.Headroom { return d.headroom(pool, totals[pool], now) }
-	clock := d.Host.Clock()
-	for _, s := range ledger.Ready() {
-		if it, ok := d.item(s, clock); ok {
-			v.Items = append(v.Items, it)
-		}
-	}
 	d.lead.plans++
 	v.Items = steps.Pick(v, d.lead.plans)
 	p := steps.Make(v)
--- a/internal/control/dispatch/urgent.go
+++ b/internal/control/dispatch/urgent.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/domain/capacity"
 	"gypsumreel/internal/policy/steps"
 )
@@ -69,16 +70,36 @@
 	return steps.Headroom{Size: mean, Tasks: n}
 }
 
+// rank is a place among the queues of a pool.
+type rank struct {
+	pool     string
+	priority uint32
+}
+
 // isUrgent tells whether no queue of a pool comes before one of that priority, and
 // some come after it.
 func (d *Dispatcher) isUrgent(pool string, priority uint32) bool {
+	config := d.Host.Flows().Config()
+	if d.lead.ranked != config {
+		d.lead.ranked, d.lead.ranks = config, map[rank]bool{}
+	}
+	r := rank{pool, priority}
+	known, ok := d.lead.ranks[r]
+	if !ok {
+		known = first(config.GetQueues(), r)
+		d.lead.ranks[r] = known
+	}
+	return known
+}
+
+func first(queues []*v1.Queue, r rank) bool {
 	after := false
-	for _, q := range d.Host.Flows().Config().GetQueues() {
+	for _, q := range queues {
 		switch {
-		case q.GetPool() != pool:
-		case q.GetPriority() < priority:
+		case q.GetPool() != r.pool:
+		case q.GetPriority() < r.priority:
 			return false
-		case q.GetPriority() > priority:
+		case q.GetPriority() > r.priority:
 			after = true
 		}
 	}
