--- a/cmd/gypsumreel/verbs.go
+++ b/cmd/gypsumreel/verbs.go
@@ -10,6 +10,7 @@
 	"gypsumreel/internal/cli/dump"
 	"gypsumreel/internal/cli/entry"
 	"gypsumreel/internal/cli/explain"
+	"gypsumreel/internal/cli/flow"
 	"gypsumreel/internal/cli/key"
 	"gypsumreel/internal/cli/load"
 	"gypsumreel/internal/cli/member"
@@ -34,6 +35,7 @@
 		status.New(),
 		cancel.New(),
 		ack.New(),
+		flow.New(),
 
 		team.New(),
 		key.New(),
