Let lasting work take kept room, and learn shares from first questions only

Found in reading the change: a lasting task could wait for headroom or for a gang's room although there was room for it; a gang of a whole pool could wait for as long as quotes come; a gang of more servers than one question names asked about its good permits first, for ever; questions for fresh permits of servers known to be allowed raised the share that is expected, so that first questions were too short; a leader that was suspended forgot the agreed time; how long a gang waits was a constant and is a setting of the platform.

--- a/internal/base/clock/agreed.go
+++ b/internal/base/clock/agreed.go
@@ -22,7 +22,7 @@
 // value has heard nobody.
 type Agreed struct {
 	voices map[string]voice
-	// beyond is the median as found at made.
+	// beyond is the median as found at made, 0 before there was one.
 	beyond time.Duration
 	made   time.Duration
 }
@@ -41,8 +41,9 @@
 	a.voices[from] = voice{beyond: said - at, heard: at}
 }
 
-// At returns the time of day, since 1970, at a time on our steady clock; false
-// while too few are heard.
+// At returns the time of day, since 1970, at a time on our steady clock. While too
+// few are heard the last median stands, since our steady clock goes on; false before
+// there was one.
 func (a *Agreed) At(now time.Duration) (time.Duration, bool) {
 	if a.made > 0 && now-a.made < medianAge {
 		return now + a.beyond, true
@@ -50,7 +51,7 @@
 	a.made = 0
 	maps.DeleteFunc(a.voices, func(_ string, v voice) bool { return now-v.heard > voiceAge })
 	if len(a.voices) < leastVoices {
-		return 0, false
+		return now + a.beyond, a.beyond != 0
 	}
 	all := make([]time.Duration, 0, len(a.voices))
 	for _, v := range a.voices {
--- a/internal/control/dispatch/advice.go
+++ b/internal/control/dispatch/advice.go
@@ -193,16 +193,21 @@
 		valid = terms.GetValid()
 	}
 	until := came + time.Duration(valid)*time.Millisecond*(permitParts-1)/permitParts
+	news, allowed := 0, 0
 	for server := range lives {
 		if _, known := a.may[server]; !known {
 			a.may[server] = false
+			news++
 		}
 	}
 	for _, p := range rep.GetPermits() {
+		if !a.may[p.GetServer()] {
+			allowed++
+		}
 		a.may[p.GetServer()] = true
 		a.permits[p.GetServer()] = permit{ticket: p.GetTicket(), born: lives[p.GetServer()], until: until}
 	}
-	d.learnShare(id, len(lives), len(rep.GetPermits()))
+	d.learnShare(id, news, allowed)
 	event.Log(d.Log, event.AdviceTaken, "flow", id.Flow, "step", id.String(), "asked", len(lives), "permits", len(rep.GetPermits()), "took", (came - sent).String())
 }
 
@@ -213,7 +218,8 @@
 	shareWeight = 0.1
 )
 
-// learnShare notes which part of the servers asked about got a permit.
+// learnShare notes which part of the servers that were asked about for the first
+// time may run a step.
 func (d *Dispatcher) learnShare(id flow.StepID, asked, permits int) {
 	f, ok := d.Host.Flows().Flow(id.Flow)
 	if !ok || asked == 0 {
--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -31,6 +31,8 @@
 	DefaultHold = 6 * time.Second
 	// DefaultStop is the longest time that a stop takes.
 	DefaultStop = time.Second
+	// DefaultGang is how long the members of a gang wait for each other.
+	DefaultGang = 3 * time.Second
 	// slowest is the rate of the slowest clock of a backend server beside ours.
 	slowest = 0.98
 	// leaseMargin is added to the end of a lease before it counts as over: the
@@ -116,7 +118,9 @@
 	// Hold is the longest lease that a backend server gives.
 	Hold time.Duration
 	// Stop is the longest time that a backend server takes to stop a run.
-	Stop      time.Duration
+	Stop time.Duration
+	// Gang is how long the members of a gang wait for each other there.
+	Gang      time.Duration
 	Retention time.Duration
 	// Open bounds the flows that have not ended.
 	Open int
@@ -190,7 +194,7 @@
 // New returns a dispatcher with the defaults.
 func New() *Dispatcher {
 	return &Dispatcher{
-		Hold: DefaultHold, Stop: DefaultStop, Retention: DefaultRetention, Open: DefaultOpen, Replicas: DefaultReplicas, Log: logr.Discard(),
+		Hold: DefaultHold, Stop: DefaultStop, Gang: DefaultGang, Retention: DefaultRetention, Open: DefaultOpen, Replicas: DefaultReplicas, Log: logr.Discard(),
 		helpers: map[string]*helper{}, joiners: map[string]*joiner{},
 	}
 }
--- a/internal/control/dispatch/order.go
+++ b/internal/control/dispatch/order.go
@@ -20,11 +20,11 @@
 	// firstAvoid and lastAvoid bound how long a server that said it is unwell
 	// gets nothing new; the time doubles with each refusal in a row.
 	firstAvoid = 250 * time.Millisecond
-	// gangPatience is how long after its placement a member of a gang may still be
-	// asked to start: the others wait for it, for three seconds and more, and one
-	// more try and the stops have to fit in.
-	gangPatience = time.Second
-	lastAvoid    = 4 * time.Second
+	// gangParts is the part of the time for which the members of a gang wait for
+	// each other in which one may still be asked to start: one more try and the
+	// stops of the others have to fit into the rest.
+	gangParts = 3
+	lastAvoid = 4 * time.Second
 )
 
 // run is what this leader knows of one run at a server.
@@ -169,7 +169,7 @@
 // once. A second silence gives the run up.
 func (d *Dispatcher) again(s *session, r *run) {
 	b, ok := d.Host.Flows().Server(s.id)
-	late := r.placed > 0 && d.Now()-r.placed > gangPatience && d.gang(r) != nil
+	late := r.placed > 0 && d.Now()-r.placed > d.Gang/gangParts && d.gang(r) != nil
 	if r.tries >= startTries || late || !ok || b.Leaving || s.closing != "" {
 		d.unwant(s, r)
 		return
--- a/internal/policy/steps/gang.go
+++ b/internal/policy/steps/gang.go
@@ -22,12 +22,13 @@
 		return
 	}
 	var places []Place
-	var stale, all []string
+	var stale, good []string
 	next := queuedTasks(it.Step)
 	for _, c := range chosen {
 		p.take(it, c.room, c.count)
-		all = append(all, c.ID)
-		if c.permission != Granted {
+		if c.permission == Granted {
+			good = append(good, c.ID)
+		} else {
 			stale = append(stale, c.ID)
 		}
 		for range c.count {
@@ -36,22 +37,24 @@
 	}
 	if len(stale) > 0 {
 		// All members need permits that hold at the same time.
-		p.want(it, all, options)
+		p.want(it, append(stale, good...), options)
 		return
 	}
 	p.plan.Placements = append(p.plan.Placements, Placement{it, places})
 }
 
-// affords tells whether a gang leaves the headroom for urgent work.
+// affords tells whether a gang leaves the headroom for urgent work. One that is so
+// large that it never would need not.
 func (p *planner) affords(it Item, chosen []option) bool {
-	if it.Urgent {
+	if it.eager() {
 		return true
 	}
 	total := int64(0)
 	for _, c := range chosen {
 		total += p.cost(it, c.room, c.count)
 	}
-	return total == 0 || total <= p.spare[it.Pool]
+	never := total > p.ever[it.Pool]-p.heads[it.Pool].Tasks
+	return total == 0 || total <= p.spare[it.Pool] || never
 }
 
 // choose picks servers for all tasks of a gang: of one rack where the tasks are
@@ -115,7 +118,7 @@
 // may run it. What ends before then may still use it; whatever runs longer would
 // make the gang wait for ever.
 func (p *planner) reserve(it Item) {
-	if p.waiting[it.Pool] >= mostWaiting {
+	if p.waiting[it.Pool] >= leastWaiting+p.sizes[it.Pool]/waitingPart {
 		return
 	}
 	var slots []slot
@@ -143,7 +146,7 @@
 		}
 	}
 	if stale && begin <= soon {
-		p.plan.Wants = append(p.plan.Wants, Want{it, servers[:min(len(servers), MostAsked)]})
+		p.plan.Wants = append(p.plan.Wants, Want{it, servers[:min(len(servers), MostWanted)]})
 	}
 }
 
--- a/internal/policy/steps/steps.go
+++ b/internal/policy/steps/steps.go
@@ -138,9 +138,11 @@
 	// spare is how many servers more than needed a question for fresh permits
 	// names: some will have filled up when the answer comes.
 	spare = 4
-	// mostWaiting bounds the gangs of a pool for which room is kept. Each keeps
-	// what it needs idle until the last of it is free.
-	mostWaiting = 4
+	// leastWaiting is how many gangs of a pool have room kept for them, and one more
+	// for each waitingPart of its servers. Each keeps what it needs idle until the
+	// last of it is free, and a large pool has more of them waiting.
+	leastWaiting = 4
+	waitingPart  = 100
 	// soon is how long before its room is free a gang asks for its permits: about
 	// as long as the longest question takes.
 	soon = time.Second
@@ -152,12 +154,14 @@
 	servers []*room
 	used    map[string]capacity.Size
 	plan    Plan
-	// waiting counts the gangs for which room is kept, by pool.
+	// waiting counts the gangs for which room is kept, by pool, sizes the servers.
 	waiting map[string]int
+	sizes   map[string]int
 	// heads is each pool's headroom for urgent work, spare for how many tasks of
-	// its size there is room beyond it.
+	// its size there is room beyond it, and ever how many the whole pool holds.
 	heads map[string]Headroom
 	spare map[string]int64
+	ever  map[string]int64
 }
 
 // room is what is left on a server in the course of a plan.
@@ -170,23 +174,28 @@
 }
 
 // left returns what an item may use now: room that is kept for a gang only if
-// the item gives it back before the gang can begin.
+// the item gives it back before the gang can begin, or lasts.
 func (r *room) left(it Item) capacity.Size {
-	if r.until > 0 && it.Takes > 0 && it.Takes <= r.until {
+	if it.Spec.GetLasting() || r.until > 0 && it.Takes > 0 && it.Takes <= r.until {
 		return r.free
 	}
 	return r.free.Sub(r.kept)
 }
 
+// eager tells whether an item takes the headroom as well: it is what that is for,
+// or somebody is served by its tasks and missed while they wait.
+func (it Item) eager() bool { return it.Urgent || it.Spec.GetLasting() }
+
 // Make makes a plan: items in the order of Compare, each placed as far as there
 // is room. What waits for a permit or, as a gang, for more room keeps the room
 // that it needs from those after it, which would take it for ever otherwise.
 func Make(v View) Plan {
-	p := &planner{view: v, used: map[string]capacity.Size{}, waiting: map[string]int{}, heads: map[string]Headroom{}, spare: map[string]int64{}}
+	p := &planner{view: v, used: map[string]capacity.Size{}, waiting: map[string]int{}, sizes: map[string]int{}, heads: map[string]Headroom{}, spare: map[string]int64{}, ever: map[string]int64{}}
 	rooms := make([]room, len(v.Servers))
 	for i, s := range v.Servers {
 		rooms[i] = room{Server: s, free: s.Free()}
 		p.servers = append(p.servers, &rooms[i])
+		p.sizes[s.Pool]++
 		p.head(&rooms[i])
 	}
 	slices.SortFunc(p.servers, func(a, b *room) int { return cmp.Compare(a.ID, b.ID) })
@@ -344,6 +353,7 @@
 	}
 	if h.Tasks > 0 {
 		p.spare[r.Pool] += fits(h.Size, r.free)
+		p.ever[r.Pool] += fits(h.Size, r.Capacity)
 	}
 }
 
@@ -360,7 +370,7 @@
 // within returns how many of n tasks an item may start on a server, by the headroom
 // for urgent work: any number in what holds no urgent task.
 func (p *planner) within(it Item, r *room, n int64) int64 {
-	if it.Urgent {
+	if it.eager() {
 		return n
 	}
 	for n > 0 {
@@ -429,11 +439,12 @@
 	}
 }
 
-// want asks for fresh permits of servers that are known to be allowed.
+// want asks for fresh permits of servers that are known to be allowed, the first
+// ones first where there are too many.
 func (p *planner) want(it Item, servers []string, options []option) {
 	extra := spare
 	for _, o := range options {
-		if extra == 0 || len(servers) >= MostAsked {
+		if extra == 0 || len(servers) >= MostWanted {
 			break
 		}
 		if !slices.Contains(servers, o.ID) {
@@ -441,7 +452,7 @@
 			extra--
 		}
 	}
-	p.plan.Wants = append(p.plan.Wants, Want{it, servers[:min(len(servers), MostAsked)]})
+	p.plan.Wants = append(p.plan.Wants, Want{it, servers[:min(len(servers), MostWanted)]})
 }
 
 // ask asks about servers that nobody asked about yet, those with most room first:
