Work out once what plans compare

Cause: by a profile of the planner, four fifths of a plan over 350 servers went into a stable sort that compared labels and speeds anew for every pair. What comes first is now worked out for each server before; a step that is larger than what any server of its pool has free is passed over when nothing is to be asked about it.

The order of servers is the same, and its tests.

--- a/internal/policy/steps/steps.go
+++ b/internal/policy/steps/steps.go
@@ -157,6 +157,8 @@
 	// waiting counts the gangs for which room is kept, by pool, sizes the servers.
 	waiting map[string]int
 	sizes   map[string]int
+	// most is the most that a server of each pool had free when the plan began.
+	most map[string]int64
 	// heads is each pool's headroom for urgent work, spare for how many tasks of
 	// its size there is room beyond it, and ever how many the whole pool holds.
 	heads map[string]Headroom
@@ -167,7 +169,10 @@
 // room is what is left on a server in the course of a plan.
 type room struct {
 	Server
-	free capacity.Size
+	// at is its place in the order of ids, class that of its speed.
+	at    int
+	class int
+	free  capacity.Size
 	// kept is what is kept free for gangs that wait, and until when they wait.
 	kept  capacity.Size
 	until time.Duration
@@ -190,15 +195,19 @@
 // is room. What waits for a permit or, as a gang, for more room keeps the room
 // that it needs from those after it, which would take it for ever otherwise.
 func Make(v View) Plan {
-	p := &planner{view: v, used: map[string]capacity.Size{}, waiting: map[string]int{}, sizes: map[string]int{}, heads: map[string]Headroom{}, spare: map[string]int64{}, ever: map[string]int64{}}
+	p := &planner{view: v, used: map[string]capacity.Size{}, waiting: map[string]int{}, sizes: map[string]int{}, most: map[string]int64{}, heads: map[string]Headroom{}, spare: map[string]int64{}, ever: map[string]int64{}}
 	rooms := make([]room, len(v.Servers))
 	for i, s := range v.Servers {
 		rooms[i] = room{Server: s, free: s.Free()}
 		p.servers = append(p.servers, &rooms[i])
 		p.sizes[s.Pool]++
+		p.most[s.Pool] = max(p.most[s.Pool], rooms[i].free.CPU)
 		p.head(&rooms[i])
 	}
 	slices.SortFunc(p.servers, func(a, b *room) int { return cmp.Compare(a.ID, b.ID) })
+	for i, r := range p.servers {
+		r.at, r.class = i, speedClass(r.Speed)
+	}
 	items := slices.Clone(v.Items)
 	slices.SortStableFunc(items, Compare)
 	for _, it := range items {
@@ -260,7 +269,36 @@
 	permission Permission
 	// count is how many tasks of the step it may still take.
 	count int64
-	near  bool
+	// last is greater for what comes after all others, by what is known of the
+	// server and the item; ties go by free room.
+	last int
+}
+
+// before orders options. It is called for every pair that a plan compares, and
+// what it compares is worked out beforehand.
+func (o option) before(other option) int {
+	return cmp.Or(o.last-other.last, cmp.Compare(o.free.CPU, other.free.CPU), o.at-other.at)
+}
+
+// Steps in the order of options: a server on which a task of the step failed comes
+// after all others, one that is not near the data after all that are, and a slow
+// one after the faster ones.
+const (
+	slowClasses = 1 << 20
+	farStep     = 2 * slowClasses
+	shunnedStep = 2 * farStep
+)
+
+// last works out where a server comes for an item.
+func last(it Item, r *room) int {
+	n := -min(max(r.class, -slowClasses), slowClasses)
+	if !isNear(it, r) {
+		n += farStep
+	}
+	if it.Shunned[r.ID] {
+		n += shunnedStep
+	}
+	return n
 }
 
 // options returns the servers that may hold a task of the item now, the best
@@ -269,6 +307,10 @@
 // the servers that the adviser was not asked about yet.
 func (p *planner) options(it Item) (out []option, unasked []*room) {
 	size := flow.SizeOf(it.Spec)
+	known := it.Asked || !it.Permits
+	if known && size.CPU > p.most[it.Pool] {
+		return nil, nil // the usual case where much waits
+	}
 	here := map[string]int64{}
 	for _, t := range it.Tasks {
 		if t.Phase == flows.Placed {
@@ -280,8 +322,8 @@
 			continue
 		}
 		n := fits(size, r.left(it))
-		if n == 0 && (it.Asked || !it.Permits) {
-			continue // the usual case where much waits, and the quickest to tell
+		if n == 0 && known {
+			continue
 		}
 		perm := p.permission(it, r.ID)
 		if perm == Denied {
@@ -295,12 +337,10 @@
 			continue
 		}
 		if n > 0 {
-			out = append(out, option{room: r, permission: perm, count: n, near: isNear(it, r)})
+			out = append(out, option{room: r, permission: perm, count: n, last: last(it, r)})
 		}
 	}
-	slices.SortStableFunc(out, func(a, b option) int {
-		return cmp.Or(compareBool(it.Shunned[a.ID], it.Shunned[b.ID]), compareBool(!a.near, !b.near), cmp.Compare(speedClass(b.Speed), speedClass(a.Speed)), cmp.Compare(a.free.CPU, b.free.CPU))
-	})
+	slices.SortFunc(out, option.before)
 	return out, unasked
 }
 
@@ -463,7 +503,7 @@
 	if len(unasked) == 0 {
 		return
 	}
-	slices.SortStableFunc(unasked, func(a, b *room) int { return cmp.Compare(b.free.CPU, a.free.CPU) })
+	slices.SortFunc(unasked, func(a, b *room) int { return cmp.Or(cmp.Compare(b.free.CPU, a.free.CPU), a.at-b.at) })
 	size := flow.SizeOf(it.Spec)
 	share := 1.0
 	if p.view.Share != nil {
