Split the planner by what it decides, and tell three more decisions

Events 823 to 825: a gang is disbanded, a server is called another way, the leader's time of day is off from that of most; the last one is a warning with its entry in the handbook.

--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -142,6 +142,9 @@
 	WaveTaken       = def(820, "wave-taken", Info, "wave of upkeep taken", "None.")
 	MachineOrdered  = def(821, "machine-ordered", Info, "machine ordered down for its upkeep", "None. Again and again: look at the platform's word about the machine.")
 	MachineUpkept   = def(822, "machine-upkept", Info, "machine had its upkeep", "None.")
+	GangDisbanded   = def(823, "gang-disbanded", Info, "a member of a gang does not start; the others are stopped", "None at first. Often: look at the server of the run that is named.")
+	ServerRelayed   = def(824, "server-relayed", Info, "a backend server is called another way", "Many at once: something is cut between the leader and the servers.")
+	TimeDiffers     = def(825, "time-differs", Warn, "this machine's time of day is off from that of most processes", "Check the machine's clock; the ledger's time does not follow it.")
 	LinesLost       = def(816, "lines-lost", Warn, "log lines were left out: the reader is too slow", "Read the logs faster, or log less.")
 )
 
--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -187,8 +187,10 @@
 	plans   int
 	pacer   steps.Pacer
 	dirty   bool
-	swept   time.Duration
-	roster  time.Duration
+	// off tells that this machine's time of day is off.
+	off    bool
+	swept  time.Duration
+	roster time.Duration
 }
 
 // New returns a dispatcher with the defaults.
@@ -211,9 +213,13 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	d.lead = &lead{
-		term: term, elected: elected, ctx: ctx, cancel: cancel, calls: newCalls(ctx), sessions: map[string]*session{},
-		advice: map[flow.StepID]*advice{}, shares: map[string]float64{}, urgent: map[string]*demand{}, timed: map[string]bool{}, buckets: map[string]*bucket{}, surplus: map[string]bool{},
-		speeds: map[string]*speed{}, times: map[flow.StepID]times{}, shunned: map[flow.StepID]map[string]bool{}, asked: map[uint64]func(){}, stops: map[*run]*session{}, emptied: map[string]bool{}, ordered: map[string]time.Duration{}, dirty: true,
+		term: term, elected: elected, ctx: ctx, cancel: cancel, calls: newCalls(ctx), dirty: true,
+		sessions: map[string]*session{}, stops: map[*run]*session{},
+		advice: map[flow.StepID]*advice{}, shares: map[string]float64{},
+		urgent: map[string]*demand{}, timed: map[string]bool{},
+		buckets: map[string]*bucket{}, surplus: map[string]bool{},
+		speeds: map[string]*speed{}, times: map[flow.StepID]times{}, shunned: map[flow.StepID]map[string]bool{},
+		asked: map[uint64]func(){}, emptied: map[string]bool{}, ordered: map[string]time.Duration{},
 	}
 	ledger := d.Host.Flows()
 	for _, b := range ledger.Servers() {
@@ -267,9 +273,26 @@
 // whether enough of them are heard. It is called on the control thread.
 func (d *Dispatcher) TimeOfDay(now time.Duration) (time.Duration, bool) { return d.agreed.At(now) }
 
+// clockSkew is how far a machine's time of day may be off before that is told: far
+// more than what keeps clocks in step lets happen.
+const clockSkew = 500 * time.Millisecond
+
+// compareClocks adds this machine's time of day to the others', and tells once when
+// it is off from theirs.
+func (d *Dispatcher) compareClocks(now time.Duration) {
+	own := time.Duration(time.Now().UnixNano())
+	d.agreed.Hear("", own, now)
+	agreed, ok := d.agreed.At(now)
+	off := ok && (own-agreed).Abs() > clockSkew
+	if off && !d.lead.off {
+		event.Log(d.Log, event.TimeDiffers, "own", own.String(), "agreed", agreed.String())
+	}
+	d.lead.off = off
+}
+
 // Tick does what is due.
 func (d *Dispatcher) Tick(now time.Duration) {
-	d.agreed.Hear("", time.Duration(time.Now().UnixNano()), now)
+	d.compareClocks(now)
 	if d.lead == nil || !d.Host.Leads() {
 		return
 	}
--- a/internal/control/dispatch/order.go
+++ b/internal/control/dispatch/order.go
@@ -202,6 +202,7 @@
 	if step == nil {
 		return
 	}
+	stopped := 0
 	for i, t := range step.Tasks {
 		s := d.lead.sessions[t.Server]
 		if t.Phase != flows.Placed || t.Number != r.Number || s == nil {
@@ -211,8 +212,12 @@
 		if m != nil && m.Number == r.Number && !m.stopping {
 			m.stopping = true
 			d.stop(s, m)
+			stopped++
 		}
 	}
+	if stopped > 0 {
+		event.Log(d.Log, event.GangDisbanded, "flow", r.Flow, "run", r.String(), "server", r.held.Server, "tries", r.tries, "stopped", stopped)
+	}
 }
 
 // stopUnwanted orders a stop for every run that the ledger does not want.
--- a/internal/control/dispatch/session.go
+++ b/internal/control/dispatch/session.go
@@ -185,7 +185,8 @@
 	}
 	s.holding = true
 	if s.relay != "" && !s.silent && d.Now()-s.relayed > relayTime {
-		s.relay, s.fails = "", relayAfter-1
+		s.fails = relayAfter - 1
+		d.relay(s, "")
 	}
 	wait := min(longestWait, d.lease()/waitParts)
 	if s.shared {
@@ -273,11 +274,19 @@
 	s.silent = true
 	s.fails++
 	if s.fails >= relayAfter && a.GetVerdict() != inner.Verdict_VERDICT_ABSENT {
-		s.relay, s.relayed = d.otherWay(s.id, s.relay), d.Now()
+		d.relay(s, d.otherWay(s.id, s.relay))
 	}
 	s.next = d.Now() + min(firstPause<<min(s.fails, 5), lastPause)
 }
 
+// relay changes the way to a server; empty for the direct one.
+func (d *Dispatcher) relay(s *session, through string) {
+	if s.relay != through {
+		event.Log(d.Log, event.ServerRelayed, "server", s.id, "from", s.relay, "to", through, "fails", s.fails, "heard", (d.Now() - s.heard).String())
+	}
+	s.relay, s.relayed = through, d.Now()
+}
+
 // lists takes what a server says it runs and what ended there.
 func (d *Dispatcher) lists(s *session, a *inner.ServerAnswer, sent, came time.Duration) {
 	listed := map[flow.TaskID]uint32{}
--- a/internal/control/dispatch/urgent.go
+++ b/internal/control/dispatch/urgent.go
@@ -92,6 +92,7 @@
 	return known
 }
 
+// first tells whether a rank comes first among queues of its pool, and not alone.
 func first(queues []*v1.Queue, r rank) bool {
 	after := false
 	for _, q := range queues {
--- a/internal/policy/steps/gang.go
+++ b/internal/policy/steps/gang.go
@@ -43,20 +43,6 @@
 	p.plan.Placements = append(p.plan.Placements, Placement{it, places})
 }
 
-// affords tells whether a gang leaves the headroom for urgent work. One that is so
-// large that it never would need not.
-func (p *planner) affords(it Item, chosen []option) bool {
-	if it.eager() {
-		return true
-	}
-	total := int64(0)
-	for _, c := range chosen {
-		total += p.cost(it, c.room, c.count)
-	}
-	never := total > p.ever[it.Pool]-p.heads[it.Pool].Tasks
-	return total == 0 || total <= p.spare[it.Pool] || never
-}
-
 // choose picks servers for all tasks of a gang: of one rack where the tasks are
 // slower across racks and one has the room, else as few servers as possible.
 func choose(it Item, options []option) ([]option, bool) {
--- /dev/null
+++ b/internal/policy/steps/option.go
@@ -0,0 +1,102 @@
+package steps
+
+import (
+	"cmp"
+	"slices"
+
+	"gypsumreel/internal/domain/flow"
+	"gypsumreel/internal/ledger/flows"
+)
+
+// option is a server on which a task could start.
+type option struct {
+	*room
+	permission Permission
+	// count is how many tasks of the step it may still take.
+	count int64
+	// last is greater for what comes after all others, by what is known of the
+	// server and the item; ties go by free room.
+	last int
+}
+
+// before orders options. It is called for every pair that a plan compares, and
+// what it compares is worked out beforehand.
+func (o option) before(other option) int {
+	return cmp.Or(o.last-other.last, cmp.Compare(o.free.CPU, other.free.CPU), o.at-other.at)
+}
+
+// Steps in the order of options: a server on which a task of the step failed comes
+// after all others, one that is not near the data after all that are, and a slow
+// one after the faster ones.
+const (
+	slowClasses = 1 << 20
+	farStep     = 2 * slowClasses
+	shunnedStep = 2 * farStep
+)
+
+// last works out where a server comes for an item.
+func last(it Item, r *room) int {
+	n := -min(max(r.class, -slowClasses), slowClasses)
+	if !isNear(it, r) {
+		n += farStep
+	}
+	if it.Shunned[r.ID] {
+		n += shunnedStep
+	}
+	return n
+}
+
+// options returns the servers that may hold a task of the item now, the best
+// first: those on which none of it failed, near the data, then fast, then those
+// that are left fullest, so that large holes stay for large tasks. unasked are
+// the servers that the adviser was not asked about yet.
+func (p *planner) options(it Item) (out []option, unasked []*room) {
+	size := flow.SizeOf(it.Spec)
+	known := it.Asked || !it.Permits
+	if known && size.CPU > p.most[it.Pool] {
+		return nil, nil // the usual case where much waits
+	}
+	here := map[string]int64{}
+	for _, t := range it.Tasks {
+		if t.Phase == flows.Placed {
+			here[t.Server]++
+		}
+	}
+	for _, r := range p.servers {
+		if !suits(it, r) {
+			continue
+		}
+		n := fits(size, r.left(it))
+		if n == 0 && known {
+			continue
+		}
+		perm := p.permission(it, r.ID)
+		if perm == Denied {
+			continue
+		}
+		if most := it.Spec.GetApart(); most > 0 {
+			n = min(n, int64(most)-here[r.ID])
+		}
+		if perm == Unasked {
+			unasked = append(unasked, r)
+			continue
+		}
+		if n > 0 {
+			out = append(out, option{room: r, permission: perm, count: n, last: last(it, r)})
+		}
+	}
+	slices.SortFunc(out, option.before)
+	return out, unasked
+}
+
+// speedClass groups servers whose speed differs by less than can be told apart
+// from a few runs, so that packing decides among them.
+func speedClass(speed float64) int {
+	const grain = 4 // quarters of the usual speed
+	return int(speed*grain + 0.5)
+}
+
+func isNear(it Item, r *room) bool {
+	rack := it.Spec.GetRack()
+	return rack == "" || slices.Contains(r.Labels, rack)
+}
--- a/internal/policy/steps/steps.go
+++ b/internal/policy/steps/steps.go
@@ -82,13 +82,6 @@
 	Frees func(server string) []Release
 }
 
-// Headroom is room for so many tasks of a size: what is left over on many servers
-// and holds none of them is no headroom.
-type Headroom struct {
-	Size  capacity.Size
-	Tasks int64
-}
-
 // Release is room that a server has again when a run should have ended.
 type Release struct {
 	In   time.Duration
@@ -187,10 +180,6 @@
 	return r.free.Sub(r.kept)
 }
 
-// eager tells whether an item takes the headroom as well: it is what that is for,
-// or somebody is served by its tasks and missed while they wait.
-func (it Item) eager() bool { return it.Urgent || it.Spec.GetLasting() }
-
 // Make makes a plan: items in the order of Compare, each placed as far as there
 // is room. What waits for a permit or, as a gang, for more room keeps the room
 // that it needs from those after it, which would take it for ever otherwise.
@@ -263,99 +252,6 @@
 	return label == "" || slices.Contains(r.Labels, label)
 }
 
-// option is a server on which a task could start.
-type option struct {
-	*room
-	permission Permission
-	// count is how many tasks of the step it may still take.
-	count int64
-	// last is greater for what comes after all others, by what is known of the
-	// server and the item; ties go by free room.
-	last int
-}
-
-// before orders options. It is called for every pair that a plan compares, and
-// what it compares is worked out beforehand.
-func (o option) before(other option) int {
-	return cmp.Or(o.last-other.last, cmp.Compare(o.free.CPU, other.free.CPU), o.at-other.at)
-}
-
-// Steps in the order of options: a server on which a task of the step failed comes
-// after all others, one that is not near the data after all that are, and a slow
-// one after the faster ones.
-const (
-	slowClasses = 1 << 20
-	farStep     = 2 * slowClasses
-	shunnedStep = 2 * farStep
-)
-
-// last works out where a server comes for an item.
-func last(it Item, r *room) int {
-	n := -min(max(r.class, -slowClasses), slowClasses)
-	if !isNear(it, r) {
-		n += farStep
-	}
-	if it.Shunned[r.ID] {
-		n += shunnedStep
-	}
-	return n
-}
-
-// options returns the servers that may hold a task of the item now, the best
-// first: those on which none of it failed, near the data, then fast, then those
-// that are left fullest, so that large holes stay for large tasks. unasked are
-// the servers that the adviser was not asked about yet.
-func (p *planner) options(it Item) (out []option, unasked []*room) {
-	size := flow.SizeOf(it.Spec)
-	known := it.Asked || !it.Permits
-	if known && size.CPU > p.most[it.Pool] {
-		return nil, nil // the usual case where much waits
-	}
-	here := map[string]int64{}
-	for _, t := range it.Tasks {
-		if t.Phase == flows.Placed {
-			here[t.Server]++
-		}
-	}
-	for _, r := range p.servers {
-		if !suits(it, r) {
-			continue
-		}
-		n := fits(size, r.left(it))
-		if n == 0 && known {
-			continue
-		}
-		perm := p.permission(it, r.ID)
-		if perm == Denied {
-			continue
-		}
-		if most := it.Spec.GetApart(); most > 0 {
-			n = min(n, int64(most)-here[r.ID])
-		}
-		if perm == Unasked {
-			unasked = append(unasked, r)
-			continue
-		}
-		if n > 0 {
-			out = append(out, option{room: r, permission: perm, count: n, last: last(it, r)})
-		}
-	}
-	slices.SortFunc(out, option.before)
-	return out, unasked
-}
-
-// speedClass groups servers whose speed differs by less than can be told apart
-// from a few runs, so that packing decides among them.
-func speedClass(speed float64) int {
-	const grain = 4 // quarters of the usual speed
-	return int(speed*grain + 0.5)
-}
-
-func isNear(it Item, r *room) bool {
-	rack := it.Spec.GetRack()
-	return rack == "" || slices.Contains(r.Labels, rack)
-}
-
 // fits returns how many tasks of a size fit into a room.
 func fits(size, free capacity.Size) int64 {
 	if !size.Fits(capacity.Size{CPU: free.CPU, Memory: free.Memory, Accel: free.Accel, Slots: size.Slots}) {
@@ -381,47 +277,6 @@
 	return fits(size, left)
 }
 
-// head counts a server's room for urgent tasks.
-func (p *planner) head(r *room) {
-	if p.view.Headroom == nil {
-		return
-	}
-	h, ok := p.heads[r.Pool]
-	if !ok {
-		h = p.view.Headroom(r.Pool)
-		p.heads[r.Pool], p.spare[r.Pool] = h, -h.Tasks
-	}
-	if h.Tasks > 0 {
-		p.spare[r.Pool] += fits(h.Size, r.free)
-		p.ever[r.Pool] += fits(h.Size, r.Capacity)
-	}
-}
-
-// cost returns for how many urgent tasks less a server has room once it holds n
-// tasks of an item.
-func (p *planner) cost(it Item, r *room, n int64) int64 {
-	h := p.heads[r.Pool]
-	if h.Tasks == 0 {
-		return 0
-	}
-	return fits(h.Size, r.free) - fits(h.Size, r.free.Sub(flow.SizeOf(it.Spec).Times(n)))
-}
-
-// within returns how many of n tasks an item may start on a server, by the headroom
-// for urgent work: any number in what holds no urgent task.
-func (p *planner) within(it Item, r *room, n int64) int64 {
-	if it.eager() {
-		return n
-	}
-	for n > 0 {
-		if cost := p.cost(it, r, n); cost == 0 || cost <= p.spare[r.Pool] {
-			break
-		}
-		n--
-	}
-	return n
-}
-
 func (p *planner) take(it Item, r *room, n int64) {
 	size := flow.SizeOf(it.Spec).Times(n)
 	p.spare[it.Pool] -= p.cost(it, r, n)
@@ -478,45 +333,3 @@
 		return uint32(i)
 	}
 }
-
-// want asks for fresh permits of servers that are known to be allowed, the first
-// ones first where there are too many.
-func (p *planner) want(it Item, servers []string, options []option) {
-	extra := spare
-	for _, o := range options {
-		if extra == 0 || len(servers) >= MostWanted {
-			break
-		}
-		if !slices.Contains(servers, o.ID) {
-			servers = append(servers, o.ID)
-			extra--
-		}
-	}
-	p.plan.Wants = append(p.plan.Wants, Want{it, servers[:min(len(servers), MostWanted)]})
-}
-
-// ask asks about servers that nobody asked about yet, those with most room first:
-// as many as should have room for all that waits, by the part of them that may
-// run it. A gang whose servers are found one small question after the other
-// begins as much later.
-func (p *planner) ask(it Item, unasked []*room) {
-	if len(unasked) == 0 {
-		return
-	}
-	slices.SortFunc(unasked, func(a, b *room) int { return cmp.Or(cmp.Compare(b.free.CPU, a.free.CPU), a.at-b.at) })
-	size := flow.SizeOf(it.Spec)
-	share := 1.0
-	if p.view.Share != nil {
-		share = p.view.Share(it)
-	}
-	need, found := enough*float64(it.Queued), 0.0
-	w := Want{Item: it}
-	for _, r := range unasked[:min(len(unasked), MostWanted)] {
-		if found >= need && len(w.Servers) >= max(it.Usual, LeastAsked) {
-			break
-		}
-		found += share * float64(min(fits(size, r.free), int64(it.Queued)))
-		w.Servers = append(w.Servers, r.ID)
-	}
-	p.plan.Wants = append(p.plan.Wants, w)
-}
