--- a/internal/control/dispatch/dispatch_test.go
+++ b/internal/control/dispatch/dispatch_test.go
@@ -571,6 +571,28 @@
 	})
 }
 
+// A leader has ordered a machine down and is replaced; its order is still on the way.
+// An order of the next one within the lease of that word would make two holders take
+// turns, where fencing tokens are not looked at.
+func TestNextLeaderWaitsBeforeItOrdersMachines(t *testing.T) {
+	play(t, 3, func(t *testing.T, w *world) {
+		wave := &record.Wave{Number: 1, Machines: []string{"m-s1", "m-s2", "m-s3"}, Duration: 60_000, Cap: 1}
+		time.Sleep(5 * time.Second)
+		if err := w.d.Wave(t.Context(), wave); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		elected := w.now()
+		w.elect()
+		time.Sleep(10 * time.Second)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if len(w.orders) != 2 || w.orders[2]-elected < 3*time.Second {
+			t.Errorf("orders at %v, the second leader was elected at %v", w.orders, elected)
+		}
+	})
+}
+
 // An operator takes a queue away while flows of it wait. They were accepted, so
 // they still run, also under the next leader; new ones are refused.
 func TestFlowsOutliveTheirQueue(t *testing.T) {
--- a/internal/control/dispatch/harness_test.go
+++ b/internal/control/dispatch/harness_test.go
@@ -151,6 +151,8 @@
 	down        map[string]bool
 	mostDown    int
 	interrupted int
+	// orders are the first orders about machines, by their fencing token.
+	orders map[uint64]time.Duration
 	// cut tells that the leader itself reaches no worker, relays through whom it
 	// last reached each.
 	cut    atomic.Bool
@@ -188,10 +190,13 @@
 }
 
 // Upkeep takes a worker down for two seconds.
-func (w *world) Upkeep(_ context.Context, machine string, _, _ uint64) dispatch.Upkeep {
+func (w *world) Upkeep(_ context.Context, machine string, _, fence uint64) dispatch.Upkeep {
 	id := strings.TrimPrefix(machine, "m-")
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if _, ok := w.orders[fence]; !ok {
+		w.orders[fence] = w.now()
+	}
 	if w.down[id] {
 		return dispatch.UpkeepBegun
 	}
@@ -230,7 +235,7 @@
 func newWorld(t *testing.T, n int) *world {
 	w := &world{
 		host:    &host{t: t, begin: time.Now(), posts: make(chan func(), 1024), done: make(chan struct{}), ledger: flows.New()},
-		workers: map[string]*worker.Worker{}, begun: map[flow.RunID]int{}, down: map[string]bool{}, relays: map[string]string{},
+		workers: map[string]*worker.Worker{}, begun: map[flow.RunID]int{}, down: map[string]bool{}, relays: map[string]string{}, orders: map[uint64]time.Duration{},
 		work:     func(flow.RunID) (time.Duration, inner.RunEnd) { return time.Second, inner.RunEnd_RUN_END_DONE },
 		capacity: capacity.Size{CPU: 4000, Memory: 4000},
 	}
