--- a/internal/control/dispatch/helper.go
+++ b/internal/control/dispatch/helper.go
@@ -39,6 +39,14 @@
 	}
 }
 
+// alive tells whether the process was heard of lately; this process always was.
+func (h *helper) alive(now time.Duration) bool {
+	return h.address == "" || now-h.heard <= helperAge
+}
+
+// asks tells whether the process can be asked for something now, busy or not.
+func (h *helper) asks(now time.Duration) bool { return h.alive(now) && now >= h.avoid }
+
 // joiner is a control replica that made itself known and may be no member yet.
 type joiner struct {
 	address string
@@ -89,7 +97,7 @@
 	alive, occupied := 0, 0
 	for _, address := range slices.Sorted(maps.Keys(d.helpers)) {
 		h := d.helpers[address]
-		if address != "" && now-h.heard > helperAge || now < h.avoid {
+		if !h.asks(now) {
 			continue
 		}
 		alive++
@@ -111,8 +119,8 @@
 
 // resting counts the helpers that are not busy, and all that can be asked.
 func (d *Dispatcher) resting(now time.Duration) (resting, alive int) {
-	for address, h := range d.helpers {
-		if address != "" && now-h.heard > helperAge || now < h.avoid {
+	for _, h := range d.helpers {
+		if !h.asks(now) {
 			continue
 		}
 		alive++
@@ -131,7 +139,7 @@
 	turn := func(address string) uint64 { return xxhash.Sum64String(server + " " + address) }
 	next, found := "", false
 	for address, h := range d.helpers {
-		if address == "" || d.Now()-h.heard > helperAge || now != "" && turn(address) <= turn(now) {
+		if address == "" || !h.alive(d.Now()) || now != "" && turn(address) <= turn(now) {
 			continue
 		}
 		if !found || turn(address) < turn(next) {
