Carry the calls between our processes on one shared connection

Change: questions, relayed calls, greetings and callers' requests travel on one unencrypted HTTP/2 connection a process (net/http), pinged so that a silent one is left within a second.

--- a/internal/edge/wire/wire.go
+++ b/internal/edge/wire/wire.go
@@ -25,6 +25,13 @@
 	userTimeout = 3 * time.Second
 	// keepAlive is how often an idle connection is probed.
 	keepAlive = 5 * time.Second
+	// pingAfter is how long a shared connection may bring nothing before the other
+	// end is asked for a sign of life, pingTime how long that may take.
+	pingAfter = 500 * time.Millisecond
+	pingTime  = 500 * time.Millisecond
+	// maxStreams bounds the calls that one connection carries at a time: a helper
+	// may have to relay a waiting call to each of some hundred backend servers.
+	maxStreams = 1000
 )
 
 // Client returns a client for calls with their own deadlines. It speaks
@@ -39,6 +46,28 @@
 	}, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 }
 
+// Shared returns a client for calls between our own processes. All calls to one
+// process travel on one connection, which outlives those that are given up: some
+// failures of a network let open connections live and refuse new ones, and a
+// process that had to dial for its next call would be alone until they are over.
+// A connection that went silent would be used again, so it is pinged.
+func Shared() *http.Client {
+	only := new(http.Protocols)
+	only.SetUnencryptedHTTP2(true)
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dial, Protocols: only, DisableCompression: true, MaxConnsPerHost: 1, IdleConnTimeout: IdleTimeout,
+		HTTP2: &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTime},
+	}}
+}
+
+// Serving sets a server up for calls of both kinds of clients.
+func Serving(s *http.Server) {
+	s.Protocols = new(http.Protocols)
+	s.Protocols.SetHTTP1(true)
+	s.Protocols.SetUnencryptedHTTP2(true)
+	s.HTTP2 = &http.HTTP2Config{MaxConcurrentStreams: maxStreams}
+}
+
 func dial(ctx context.Context, network, address string) (net.Conn, error) {
 	d := net.Dialer{Timeout: DialTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAlive, Interval: time.Second, Count: 3}}
 	c, err := d.DialContext(ctx, network, address)
