--- a/internal/control/dispatch/advice.go
+++ b/internal/control/dispatch/advice.go
@@ -10,6 +10,7 @@
 	"gypsumreel/internal/base/code"
 	"gypsumreel/internal/base/event"
 	"gypsumreel/internal/domain/flow"
+	"gypsumreel/internal/policy/crew"
 	"gypsumreel/internal/policy/steps"
 )
 
@@ -25,10 +26,6 @@
 	// longFactor tells long questions from short ones: those that take this many
 	// times as long as the shortest kind.
 	longFactor = 5
-	// longParts of longOf is the part of the helpers that long questions may
-	// occupy: each is asked one question at a time, and a short one must find
-	// one free.
-	longParts, longOf = 2, 3
 	// sideBySide is how many servers a question names, at the most, while more
 	// than one part of restingOf of the helpers rest.
 	sideBySide = 40
@@ -73,34 +70,63 @@
 	return steps.Stale
 }
 
-// questions asks what the plan wants to know, as far as helpers are free. What
-// finds none is wanted again by the next plan.
+// questions asks what a plan wants to know, as far as helpers are free, and keeps
+// the rest for those that become free before the next plan.
 func (d *Dispatcher) questions(wants []steps.Want, now time.Duration) {
+	d.lead.wants = wants
+	d.askMore(now)
+}
+
+// askMore asks what the latest plan wants to know, as far as helpers are free. With
+// much waiting, a helper that rested until the next plan would give one answer a
+// plan, however quick the adviser is.
+func (d *Dispatcher) askMore(now time.Duration) {
+	var left []steps.Want
 	shortest := d.shortest()
-	for _, w := range wants {
-		q, ok := d.Host.Flows().QueueOf(w.Item.Flow)
-		if !ok || q.GetAdvice() == nil {
-			continue
+	full := [2]bool{} // for short and for long questions
+	for i, w := range d.lead.wants {
+		if full[0] {
+			left = append(left, d.lead.wants[i:]...)
+			break
 		}
-		a := d.lead.advice[w.Item.StepID]
-		if a == nil {
-			a = &advice{may: map[string]bool{}, permits: map[string]permit{}}
-			d.lead.advice[w.Item.StepID] = a
+		if !d.askAbout(w, shortest, &full, now) {
+			left = append(left, w)
 		}
-		if a.asking > 0 || now < a.next {
-			continue
-		}
-		whole := cost(q.GetAdvice(), len(w.Servers))
-		for _, servers := range d.split(w.Servers, whole > longFactor*shortest, now) {
-			takes := cost(q.GetAdvice(), len(servers))
-			long := takes > longFactor*shortest
-			h := d.freeHelper(long, now)
-			if h == nil {
-				break
-			}
-			d.question(h, steps.Want{Item: w.Item, Servers: servers}, a, q.GetAdvice(), takes, long)
+	}
+	d.lead.wants = left
+}
+
+// askAbout asks what is wanted of a step; false when no helper is free for it. full
+// tells that none is free for any short question, and for any long one.
+func (d *Dispatcher) askAbout(w steps.Want, shortest time.Duration, full *[2]bool, now time.Duration) bool {
+	q, ok := d.Host.Flows().QueueOf(w.Item.Flow)
+	if !ok || q.GetAdvice() == nil || w.Item.Flow.Final() || w.Item.Queued == 0 {
+		return true
+	}
+	a := d.lead.advice[w.Item.StepID]
+	if a == nil {
+		a = &advice{may: map[string]bool{}, permits: map[string]permit{}}
+		d.lead.advice[w.Item.StepID] = a
+	}
+	if a.asking > 0 || now < a.next {
+		return true
+	}
+	whole := cost(q.GetAdvice(), len(w.Servers))
+	if whole > longFactor*shortest && full[1] {
+		return false
+	}
+	for i, servers := range d.split(w.Servers, whole > longFactor*shortest, now) {
+		takes := cost(q.GetAdvice(), len(servers))
+		long := takes > longFactor*shortest
+		h := d.crew.Take(long, now)
+		if h == nil {
+			full[1] = true
+			full[0] = full[0] || !long
+			return i > 0
 		}
+		d.question(h, steps.Want{Item: w.Item, Servers: servers}, a, q.GetAdvice(), takes)
 	}
+	return true
 }
 
 // split divides what a plan wants to know about a step into questions: several
@@ -108,7 +134,7 @@
 // makes it longer; else as few as may be, since each costs the same besides.
 func (d *Dispatcher) split(servers []string, long bool, now time.Duration) [][]string {
 	size := steps.MostAsked
-	if resting, alive := d.resting(now); long && resting*restingOf > alive {
+	if resting, alive := d.crew.Resting(now); long && resting*restingOf > alive {
 		size = sideBySide
 	}
 	parts := (len(servers) + size - 1) / size
@@ -149,10 +175,9 @@
 }
 
 // question lets a helper ask the adviser.
-func (d *Dispatcher) question(h *helper, w steps.Want, a *advice, terms *v1.Advice, takes time.Duration, long bool) {
+func (d *Dispatcher) question(h *crew.Helper, w steps.Want, a *advice, terms *v1.Advice, takes time.Duration) {
 	id := w.Item.StepID
 	a.asking++
-	h.take(long)
 	lives := map[string]int64{}
 	for _, s := range w.Servers {
 		if one := d.lead.sessions[s]; one != nil {
@@ -163,16 +188,17 @@
 	req := &inner.AdviseRequest{
 		Cell: d.Cell, Flow: id.Flow, Turn: id.Turn, Step: id.Step, Servers: w.Servers, Budget: uint64(timeout / time.Millisecond),
 	}
-	term, ctx, address, sent := d.lead.term, d.lead.ctx, h.address, d.Now()
+	term, ctx, address, sent := d.lead.term, d.lead.ctx, h.Address, d.Now()
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		rep := d.Helpers.Advise(ctx, address, req)
 		came := d.Now()
 		d.Host.Post(func() {
-			h.free(code.Code(rep.GetCode()) == code.OK, came)
+			d.crew.Free(h, code.Code(rep.GetCode()) == code.OK, came)
 			if d.lead != nil && d.lead.term == term {
 				d.advised(id, a, lives, rep, terms, sent, came)
+				d.askMore(came)
 			}
 		})
 	}()
--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -20,6 +20,7 @@
 	"gypsumreel/internal/base/event"
 	"gypsumreel/internal/domain/flow"
 	"gypsumreel/internal/ledger/flows"
+	"gypsumreel/internal/policy/crew"
 	"gypsumreel/internal/policy/steps"
 	"gypsumreel/internal/replica/group"
 	"gypsumreel/internal/replica/quorum"
@@ -135,8 +136,9 @@
 	lead *lead
 	// agreed is the time of day by the word of all processes.
 	agreed clock.Agreed
-	// helpers and joiners are who made themselves known, by address and by id.
-	helpers map[string]*helper
+	// crew are the processes that made themselves known, joiners the replicas among
+	// them that may be no members yet, by id.
+	crew    *crew.Crew
 	joiners map[string]*joiner
 }
 
@@ -150,6 +152,9 @@
 
 	sessions map[string]*session
 	advice   map[flow.StepID]*advice
+	// wants are the questions of the latest plan that found no helper, the most
+	// pressing first.
+	wants []steps.Want
 	// shares is the part of the servers asked about that may run a step, by queue.
 	shares map[string]float64
 	timed  map[string]bool
@@ -197,7 +202,7 @@
 func New() *Dispatcher {
 	return &Dispatcher{
 		Hold: DefaultHold, Stop: DefaultStop, Gang: DefaultGang, Retention: DefaultRetention, Open: DefaultOpen, Replicas: DefaultReplicas, Log: logr.Discard(),
-		helpers: map[string]*helper{}, joiners: map[string]*joiner{},
+		crew: crew.New(), joiners: map[string]*joiner{},
 	}
 }
 
--- a/internal/control/dispatch/harness_test.go
+++ b/internal/control/dispatch/harness_test.go
@@ -41,6 +41,8 @@
 	index     int
 	leads     bool
 	term      uint64
+	// slow is how long the control thread takes to decide on starts.
+	slow time.Duration
 }
 
 type effect struct {
@@ -49,6 +51,9 @@
 }
 
 func (h *host) Decide(f *record.Flow) *code.Error {
+	if f.GetStart() != nil {
+		time.Sleep(h.slow)
+	}
 	err := h.ledger.Apply(h.Clock(), f)
 	if err != nil {
 		return err
