--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -168,7 +168,7 @@
 	speeds  map[string]*speed
 	// usual is how long runs take beside what was declared, on the whole.
 	usual float64
-	times map[flow.StepID]times
+	times map[flow.StepID]steps.Times
 	// shunned are the servers on which a task of a step failed.
 	shunned map[flow.StepID]map[string]bool
 	// asked are the requests that wait for a commit or a proof; each is told
@@ -223,7 +223,7 @@
 		advice: map[flow.StepID]*advice{}, shares: map[string]float64{},
 		urgent: map[string]*demand{}, timed: map[string]bool{},
 		buckets: map[string]*bucket{}, surplus: map[string]bool{},
-		speeds: map[string]*speed{}, times: map[flow.StepID]times{}, shunned: map[flow.StepID]map[string]bool{},
+		speeds: map[string]*speed{}, times: map[flow.StepID]steps.Times{}, shunned: map[flow.StepID]map[string]bool{},
 		asked: map[uint64]func(){}, emptied: map[string]bool{}, ordered: map[string]time.Duration{},
 	}
 	ledger := d.Host.Flows()
@@ -347,7 +347,7 @@
 			delete(d.lead.advice, id)
 		}
 	}
-	maps.DeleteFunc(d.lead.times, func(id flow.StepID, _ times) bool {
+	maps.DeleteFunc(d.lead.times, func(id flow.StepID, _ steps.Times) bool {
 		s, ok := ledger.Step(id)
 		return !ok || s.Done == len(s.Tasks)
 	})
--- a/internal/control/dispatch/dispatch_test.go
+++ b/internal/control/dispatch/dispatch_test.go
@@ -423,6 +423,35 @@
 	})
 }
 
+// A server hangs, and on it a run that somebody waits for and that should take half a
+// second. It has to end elsewhere while its end is still worth something: within
+// three times what such a flow may take, here 3 s.
+func TestHangingUrgentRunIsMovedInTime(t *testing.T) {
+	play(t, 2, func(t *testing.T, w *world) {
+		doc := document()
+		doc.Version = 2
+		doc.Queues[0].Factor, doc.Queues[0].Target = 1.5, 250
+		doc.Queues = append(doc.Queues, &v1.Queue{Name: "later", Host: "host", Path: "/later/", Pool: "pool", Timeout: 3000, Priority: 1})
+		if err := w.d.Put(t.Context(), doc); err != nil {
+			t.Fatal(err)
+		}
+		var first atomic.Bool
+		w.change(func(_ string, one *worker.Worker) {
+			one.StopTime = 900 * time.Millisecond
+			one.Work = func(flow.RunID) (time.Duration, inner.RunEnd) {
+				if !first.Swap(true) {
+					return 1000 * time.Hour, inner.RunEnd_RUN_END_DONE
+				}
+				return 500 * time.Millisecond, inner.RunEnd_RUN_END_DONE
+			}
+		})
+		urgent := step(1, 1000)
+		urgent.Runtime = 500
+		w.submit("a", urgent)
+		w.await("a", done, 3*time.Second)
+	})
+}
+
 // A server fails all that it starts, at once, so that it always has room. A flow
 // that could be done must not use up its attempts there.
 func TestFailingServerIsPassedOver(t *testing.T) {
--- a/internal/control/dispatch/learn.go
+++ b/internal/control/dispatch/learn.go
@@ -6,6 +6,7 @@
 	"gypsumreel/internal/api/inner"
 	"gypsumreel/internal/base/event"
 	"gypsumreel/internal/ledger/flows"
+	"gypsumreel/internal/policy/pace"
 	"gypsumreel/internal/policy/watchdog"
 )
 
@@ -114,8 +115,8 @@
 			continue
 		}
 		step, ok := d.Host.Flows().Step(r.StepID)
-		if !ok || step.Spec.GetLasting() || step.Spec.GetGang() {
-			continue
+		if !ok || step.Spec.GetLasting() || step.Spec.GetGang() || step.Spec.GetFills() && s.pace < pace.Full {
+			continue // it may stand still by order, or until others are there
 		}
 		w := watchdog.Run{Elapsed: r.looked - r.placed, Still: r.looked - r.moved, Percent: r.percent, Typical: d.typical(step), Saves: step.Spec.GetSaves()}
 		if !(r.Number <= mostStuck && watchdog.Stuck(w)) && !(r.Number <= mostDragged && watchdog.Drags(w)) {
--- a/internal/control/dispatch/plan.go
+++ b/internal/control/dispatch/plan.go
@@ -15,14 +15,6 @@
 // unbounded stands for a limit that binds nothing.
 const unbounded = 1 << 50
 
-// lateFactor is how many objectives a flow may take before its end is worth
-// nothing more to its caller.
-const lateFactor = 3
-
-// leastLeft is the least part of what was declared that a flow should still
-// take: declared times are off, and one that is given up too soon ends late.
-const leastLeft = 0.75
-
 // plan decides what starts and carries it out.
 func (d *Dispatcher) plan(now time.Duration) {
 	ledger := d.Host.Flows()
@@ -83,26 +75,16 @@
 	if s.Flow.Spec.GetTimes() > 0 {
 		begun = time.Duration(s.Flow.Spec.GetFirst()+int64(s.Turn)*int64(s.Flow.Spec.GetEvery())) * time.Millisecond
 	}
-	age := clock - begun
-	least := age + time.Duration(leastLeft*float64(t.left))
-	ends, takes := !s.Spec.GetLasting(), d.typical(s)
-	urgent := d.isUrgent(q.GetPool(), q.GetPriority())
-	return steps.Item{
-		Step: s, Pool: q.GetPool(), Priority: q.GetPriority(), Urgent: urgent,
-		Slack: t.objective - age - t.left, Takes: takes, Usual: d.usual(q.GetAdvice(), takes),
-		// Whoever waits for urgent work waits on, and it is short.
-		Late:     ends && !urgent && least > t.objective,
-		Hopeless: ends && least > lateFactor*t.hope,
-		Surplus:  d.lead.surplus[s.Flow.ID], Shunned: d.lead.shunned[s.StepID],
+	takes := d.typical(s)
+	it := steps.Item{
+		Step: s, Pool: q.GetPool(), Priority: q.GetPriority(), Urgent: d.isUrgent(q.GetPool(), q.GetPriority()),
+		Takes: takes, Usual: d.usual(q.GetAdvice(), takes),
+		Surplus: d.lead.surplus[s.Flow.ID], Shunned: d.lead.shunned[s.StepID],
 		Permits: q.GetAdvice() != nil, Asked: d.lead.advice[s.StepID] != nil,
-	}, true
+	}
+	return it.Judged(t, clock-begun), true
 }
 
-// hopeFactor is how many times as long as declared a flow may take when it is
-// asked whether its end is still worth anything: one that is given up by mistake
-// earns nothing.
-const hopeFactor = 2
-
 // frees returns what a server will have free again, by how far its runs are.
 func (d *Dispatcher) frees(server string, now time.Duration) []steps.Release {
 	s := d.lead.sessions[server]
@@ -124,52 +106,16 @@
 	return out
 }
 
-// times is what a step's slack follows from.
-type times struct {
-	// objective is how long its flow may take, hope the same if the flow takes
-	// much longer than was declared, left what is left of the flow's longest
-	// chain from this step on.
-	objective time.Duration
-	hope      time.Duration
-	left      time.Duration
-}
-
 // times returns a step's times; they stay the same once the step is ready.
-func (d *Dispatcher) times(s *flows.Step, q *v1.Queue) times {
-	if t, ok := d.lead.times[s.StepID]; ok {
-		return t
-	}
-	whole, left := chain(s.Flow.Spec, nil), chain(s.Flow.Spec, s.Flow.Turns[s.Turn])
-	objective := func(whole float64) time.Duration {
-		return time.Duration((q.GetFactor()*whole + float64(q.GetTarget())) * float64(time.Millisecond))
-	}
-	t := times{
-		objective: objective(float64(whole)), hope: objective(hopeFactor * float64(whole)),
-		left: time.Duration(left) * time.Millisecond,
+func (d *Dispatcher) times(s *flows.Step, q *v1.Queue) steps.Times {
+	t, ok := d.lead.times[s.StepID]
+	if !ok {
+		t = steps.TimesOf(s, q)
+		d.lead.times[s.StepID] = t
 	}
-	d.lead.times[s.StepID] = t
 	return t
 }
 
-// chain returns the declared run time in milliseconds of a flow's longest chain
-// of steps; of what is left of it when a turn is given.
-func chain(spec *v1.FlowSpec, turn *flows.Turn) uint64 {
-	ends := make([]uint64, len(spec.GetSteps()))
-	longest := uint64(0)
-	for i, s := range spec.GetSteps() {
-		if turn == nil || turn.Steps[i].Done < len(turn.Steps[i].Tasks) {
-			ends[i] = s.GetRuntime()
-		}
-		begin := uint64(0)
-		for _, before := range s.GetAfter() {
-			begin = max(begin, ends[before])
-		}
-		ends[i] += begin
-		longest = max(longest, ends[i])
-	}
-	return longest
-}
-
 // place commits a placement and sends the starts once it is committed.
 func (d *Dispatcher) place(p steps.Placement, now time.Duration) {
 	start := &record.FlowStart{}
--- a/internal/control/dispatch/session.go
+++ b/internal/control/dispatch/session.go
@@ -23,6 +23,9 @@
 	// sharedWait is how often a server is looked at on which something fills
 	// beside something that serves: its figures are of the last half second.
 	sharedWait = 500 * time.Millisecond
+	// overdueWait is how often a server is looked at on which a run should have
+	// ended that somebody waits for.
+	overdueWait = 300 * time.Millisecond
 	// pressPause is the pause between two holds that do not wait at the server.
 	pressPause = 10 * time.Millisecond
 	// absentCalls is how often a server must be found absent, one call after the
@@ -192,6 +195,9 @@
 	if s.shared {
 		wait = min(wait, sharedWait)
 	}
+	if d.overdue(s) {
+		wait = min(wait, overdueWait)
+	}
 	if !s.known || s.clock == 0 || s.silent || s.pressing() {
 		wait = 0
 	}
@@ -207,6 +213,29 @@
 	})
 }
 
+// overdueFactor is how many times as long as usual an urgent run takes before its
+// server is looked at more often: most take about as long as they should.
+const overdueFactor = 1.5
+
+// overdue tells whether an urgent run should have ended on a server.
+func (d *Dispatcher) overdue(s *session) bool {
+	now := d.Now()
+	for _, r := range s.runs {
+		if r.placed == 0 || r.stopping {
+			continue
+		}
+		step, ok := d.Host.Flows().Step(r.StepID)
+		if !ok {
+			continue
+		}
+		q, ok := d.Host.Flows().QueueOf(step.Flow)
+		if ok && d.isUrgent(q.GetPool(), q.GetPriority()) && float64(now-r.placed) > overdueFactor*float64(d.typical(step)) {
+			return true
+		}
+	}
+	return false
+}
+
 // pressing tells whether something is to be learned soon from the next list.
 func (s *session) pressing() bool {
 	for _, r := range s.runs {
--- a/internal/policy/crew/crew.go
+++ b/internal/policy/crew/crew.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"time"
 )
 
@@ -19,9 +20,14 @@
 	// that failed; the time doubles with each failure in a row.
 	firstPause = 500 * time.Millisecond
 	lastPause  = 4 * time.Second
-	// longParts of longOf is the part of the helpers that long questions may
-	// occupy, so that a short one finds one free.
-	longParts, longOf = 2, 3
+	// leastShort is the part of the helpers, one in so many, that long questions
+	// leave to short ones however few of these come.
+	leastShort = 8
+	// chances is how many standard deviations above the mean number of short
+	// questions at a time, which come by chance, still find a helper free.
+	chances = 2
+	// shortMemory is how long it counts how many helpers short questions kept busy.
+	shortMemory = 2 * time.Second
 )
 
 // Helper is a process that makes calls for the leader, one question to the adviser
@@ -34,6 +40,7 @@
 	fails   int
 	avoid   time.Duration
 	used    time.Duration
+	begun   time.Duration
 }
 
 func (h *Helper) own() bool { return h.Address == "" }
@@ -45,7 +52,13 @@
 func (h *Helper) asks(now time.Duration) bool { return h.alive(now) && now >= h.avoid }
 
 // Crew is the processes that make calls for the leader.
-type Crew struct{ all map[string]*Helper }
+type Crew struct {
+	all map[string]*Helper
+	// short is how many helpers were busy with short questions, on the whole, by
+	// the time at.
+	short float64
+	at    time.Duration
+}
 
 // New returns a crew of the leader's own process alone.
 func New() *Crew { return &Crew{all: map[string]*Helper{"": {}}} }
@@ -108,13 +121,26 @@
 			best = h
 		}
 	}
-	if best == nil || long && occupied*longOf >= asked*longParts {
+	if best == nil || long && occupied+c.kept(asked, now) >= asked {
 		return nil
 	}
-	best.busy, best.long = true, long
+	best.busy, best.long, best.begun = true, long, now
 	return best
 }
 
+// kept returns how many helpers long questions leave free: each is busy for long,
+// and a short question, which somebody waits for, must find one at once.
+func (c *Crew) kept(asked int, now time.Duration) int {
+	c.fade(now)
+	return max((asked+leastShort-1)/leastShort, int(math.Round(c.short+chances*math.Sqrt(c.short))))
+}
+
+// fade lets what was asked before count less.
+func (c *Crew) fade(now time.Duration) {
+	c.short *= math.Exp(-float64(now-c.at) / float64(shortMemory))
+	c.at = now
+}
+
 func before(a, b *Helper) bool {
 	if a.own() != b.own() {
 		return b.own()
@@ -124,6 +150,10 @@
 
 // Free notes that a helper's call is over, and whether it went well.
 func (c *Crew) Free(h *Helper, worked bool, now time.Duration) {
+	if !h.long {
+		c.fade(now)
+		c.short += float64(now-h.begun) / float64(shortMemory)
+	}
 	h.busy, h.long, h.used = false, false, now
 	if worked {
 		h.fails = 0
--- a/internal/policy/crew/crew_test.go
+++ b/internal/policy/crew/crew_test.go
@@ -1,6 +1,7 @@
 package crew_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -28,21 +29,39 @@
 }
 
 // Long questions come in a burst and all helpers could be busy with them for a
-// second. An urgent flow then has to find one that is free.
+// second. An urgent flow then has to find one that is free; where many urgent ones
+// come, several have to be.
 func TestLongQuestionsLeaveHelpersFree(t *testing.T) {
-	c := crew.New()
-	for _, a := range []string{"a", "b", "c", "d", "e"} {
-		c.Hear(a, now)
-	}
-	long := 0
-	for c.Take(true, now) != nil {
-		long++
-	}
-	if long != 4 {
-		t.Errorf("%d of 6 helpers are busy with long questions, 4 may be", long)
-	}
-	if c.Take(false, now) == nil {
-		t.Error("no helper is free for a short question")
+	for name, test := range map[string]struct {
+		// short is how many helpers short questions keep busy, want how many long
+		// ones may then, of 24.
+		short, want int
+	}{"none": {0, 21}, "some": {2, 19}, "many": {6, 13}} {
+		c := crew.New()
+		for i := range 23 {
+			c.Hear(fmt.Sprint(i), now)
+		}
+		at := now
+		for range 200 {
+			var busy []*crew.Helper
+			for range test.short {
+				busy = append(busy, c.Take(false, at))
+			}
+			at += 50 * time.Millisecond
+			for _, h := range busy {
+				c.Free(h, true, at)
+			}
+			for i := range 23 {
+				c.Hear(fmt.Sprint(i), at)
+			}
+		}
+		long := 0
+		for c.Take(true, at) != nil {
+			long++
+		}
+		if long != test.want {
+			t.Errorf("%s: long questions keep %d of 24 helpers busy, want %d", name, long, test.want)
+		}
 	}
 }
 
--- a/internal/policy/steps/steps.go
+++ b/internal/policy/steps/steps.go
@@ -139,6 +139,8 @@
 	// soon is how long before its room is free a gang asks for its permits: about
 	// as long as the longest question takes.
 	soon = time.Second
+	// holds is about how long a permit holds.
+	holds = time.Second
 )
 
 // planner is the state of making one plan.
@@ -150,6 +152,8 @@
 	// waiting counts the gangs for which room is kept, by pool, sizes the servers.
 	waiting map[string]int
 	sizes   map[string]int
+	// ahead counts the steps whose permits are asked for before there is room, by pool.
+	ahead map[string]int
 	// most is the most that a server of each pool had free when the plan began.
 	most map[string]int64
 	// heads is each pool's headroom for urgent work, spare for how many tasks of
@@ -184,7 +188,7 @@
 // is room. What waits for a permit or, as a gang, for more room keeps the room
 // that it needs from those after it, which would take it for ever otherwise.
 func Make(v View) Plan {
-	p := &planner{view: v, used: map[string]capacity.Size{}, waiting: map[string]int{}, sizes: map[string]int{}, most: map[string]int64{}, heads: map[string]Headroom{}, spare: map[string]int64{}, ever: map[string]int64{}}
+	p := &planner{view: v, used: map[string]capacity.Size{}, waiting: map[string]int{}, sizes: map[string]int{}, most: map[string]int64{}, heads: map[string]Headroom{}, spare: map[string]int64{}, ever: map[string]int64{}, ahead: map[string]int{}}
 	rooms := make([]room, len(v.Servers))
 	for i, s := range v.Servers {
 		rooms[i] = room{Server: s, free: s.Free()}
@@ -320,6 +324,7 @@
 		p.want(it, stale, options)
 	case left > 0:
 		p.ask(it, unasked)
+		p.foresee(it, len(unasked))
 	}
 }
 
--- a/internal/policy/steps/want.go
+++ b/internal/policy/steps/want.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"gypsumreel/internal/domain/flow"
 )
@@ -20,9 +21,66 @@
 			extra--
 		}
 	}
+	servers = append(servers, p.upcoming(it, servers)...)
 	p.plan.Wants = append(p.plan.Wants, Want{it, servers[:min(len(servers), MostWanted)]})
 }
 
+// foresee asks for fresh permits of servers that are about to have room for the
+// next steps in turn, so that no room lies idle while the adviser is asked.
+func (p *planner) foresee(it Item, unasked int) {
+	if unasked > 0 || !it.Permits || p.ahead[it.Pool] >= leastWaiting+p.sizes[it.Pool]/waitingPart {
+		return
+	}
+	p.ahead[it.Pool]++
+	if servers := p.upcoming(it, nil); len(servers) > 0 {
+		p.plan.Wants = append(p.plan.Wants, Want{it, servers[:min(len(servers), MostWanted)]})
+	}
+}
+
+// upcoming returns servers beside those given that may run the item, whose permits
+// are over, and that should have room for a task of it while a permit asked for now
+// holds: the soonest first, as many as tasks wait. A step whose tasks start one by
+// one, as room comes, would need a question for each otherwise, and its room would
+// lie idle while that is asked.
+func (p *planner) upcoming(it Item, given []string) []string {
+	most := it.Queued - len(given)
+	if p.view.Frees == nil || most <= 0 {
+		return nil
+	}
+	var slots []slot
+	for _, r := range p.servers {
+		if suits(it, r) && p.permission(it, r.ID) == Stale && !slices.Contains(given, r.ID) {
+			if in, ok := p.soonest(it, r); ok {
+				slots = append(slots, slot{in, r})
+			}
+		}
+	}
+	slices.SortStableFunc(slots, func(a, b slot) int { return cmp.Compare(a.in, b.in) })
+	var out []string
+	for _, s := range slots[:min(len(slots), most)] {
+		out = append(out, s.ID)
+	}
+	return out
+}
+
+// soonest returns when a server should have room for a task of the item, if that is
+// while a permit asked for now holds.
+func (p *planner) soonest(it Item, r *room) (time.Duration, bool) {
+	size, free := flow.SizeOf(it.Spec), r.free.Sub(r.kept)
+	frees := p.view.Frees(r.ID)
+	slices.SortStableFunc(frees, func(a, b Release) int { return cmp.Compare(a.In, b.In) })
+	for _, f := range frees {
+		if f.In > soon+holds {
+			return 0, false
+		}
+		free = free.Add(f.Size)
+		if fits(size, free) > 0 {
+			return f.In, true
+		}
+	}
+	return 0, false
+}
+
 // ask asks about servers that nobody asked about yet, those with most room first:
 // as many as should have room for all that waits, by the part of them that may
 // run it. A gang whose servers are found one small question after the other
--- a/internal/policy/watchdog/watchdog.go
+++ b/internal/policy/watchdog/watchdog.go
@@ -6,9 +6,13 @@
 
 // Bounds of the judgement of runs.
 const (
-	// stillLeast is the shortest standstill that tells anything: progress comes
-	// with lists that are up to a second old.
-	stillLeast = 2500 * time.Millisecond
+	// stillLeast is the shortest standstill, between two lists, that tells anything:
+	// a run that goes on from a checkpoint shows no progress for some time. Somebody
+	// may wait for a run that should be over in less, so that of a short run tells
+	// after stillTimes as long as it should take, that of any after stillMost.
+	stillLeast = 800 * time.Millisecond
+	stillTimes = 1.25
+	stillMost  = 2500 * time.Millisecond
 	// stillParts is the part of a run's typical time in which a sound one shows
 	// progress at least once, in whole percents.
 	stillParts = 10
@@ -36,7 +40,8 @@
 
 // Stuck tells that a run stands still: its server hangs, and it would never end.
 func Stuck(r Run) bool {
-	return r.Still >= max(stillLeast, r.Typical/stillParts)
+	least := min(max(stillLeast, time.Duration(stillTimes*float64(r.Typical))), stillMost)
+	return r.Still >= max(least, r.Typical/stillParts)
 }
 
 // Drags tells that a run is so slow that it ends sooner when it is started over
--- a/internal/policy/watchdog/watchdog_test.go
+++ b/internal/policy/watchdog/watchdog_test.go
@@ -16,6 +16,9 @@
 	}{
 		{time.Second, time.Second, false},
 		{3 * time.Second, time.Second, true},
+		{time.Second, 600 * time.Millisecond, true},
+		{700 * time.Millisecond, 100 * time.Millisecond, false},
+		{2 * time.Second, 6 * time.Second, false},
 		{3 * time.Second, time.Minute, false},
 		{7 * time.Second, time.Minute, true},
 	} {
