--- a/internal/control/dispatch/order.go
+++ b/internal/control/dispatch/order.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"gypsumreel/internal/api/inner"
@@ -70,7 +71,11 @@
 	if m.GetCheckpoint() != "" {
 		r.saved = m.GetCheckpoint()
 	}
-	if m.GetPercent() != r.percent || r.moved == 0 {
+	done := math.Floor(m.GetPercent())
+	switch {
+	case r.moved == 0 && done == 0 && r.settled > 0:
+		r.moved = r.settled // it had made no progress when its start was answered
+	case r.moved == 0 || done != math.Floor(r.percent):
 		r.moved = now
 	}
 	r.there, r.maybe, r.ghost = true, false, false
