Lease by what a server holds, and gather urgent work

A shorter lease for all would lapse long work whenever nobody leads for a while.

Change: long work gets the longest lease, a server with nothing but urgent work 2 s, a server without work none. Urgent work prefers chosen servers (policy/brief: room for twice what it uses, a tenth to a third of the pool), the rest avoids them. A start that is tried again renews no lease. Test first; three mutations.

--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -20,6 +20,7 @@
 	"gypsumreel/internal/base/event"
 	"gypsumreel/internal/domain/flow"
 	"gypsumreel/internal/ledger/flows"
+	"gypsumreel/internal/policy/brief"
 	"gypsumreel/internal/policy/crew"
 	"gypsumreel/internal/policy/steps"
 	"gypsumreel/internal/replica/group"
@@ -160,6 +161,8 @@
 	timed  map[string]bool
 	// urgent is what urgent work starts, by pool.
 	urgent map[string]*demand
+	// briefs are the servers on which urgent work is gathered, by pool.
+	briefs map[string]*brief.Choice
 	// ranks tells which places are urgent by the configuration ranked.
 	ranked  *flow.Config
 	ranks   map[rank]bool
@@ -206,10 +209,6 @@
 	}
 }
 
-// lease returns the length of the leases that are given: the longest there is.
-// What runs then outlives a moment in which no replica runs at all.
-func (d *Dispatcher) lease() time.Duration { return d.Hold }
-
 // Elected takes over: what servers hold is asked of them before anything new is
 // placed there.
 func (d *Dispatcher) Elected(term uint64, elected time.Duration) {
@@ -221,7 +220,7 @@
 		term: term, elected: elected, ctx: ctx, cancel: cancel, calls: newCalls(ctx), dirty: true,
 		sessions: map[string]*session{}, stops: map[*run]*session{},
 		advice: map[flow.StepID]*advice{}, shares: map[string]float64{},
-		urgent: map[string]*demand{}, timed: map[string]bool{},
+		urgent: map[string]*demand{}, briefs: map[string]*brief.Choice{}, timed: map[string]bool{},
 		buckets: map[string]*bucket{}, surplus: map[string]bool{},
 		speeds: map[string]*speed{}, times: map[flow.StepID]steps.Times{}, shunned: map[flow.StepID]map[string]bool{},
 		asked: map[uint64]func(){}, emptied: map[string]bool{}, ordered: map[string]time.Duration{},
@@ -234,7 +233,7 @@
 		s := d.open(b)
 		// The leader before this one may have renewed leases until it noticed
 		// that it was deposed: not later than the proof of its lead could last.
-		s.over = d.Now() + proofAge + d.lease() + leaseMargin
+		s.over = d.Now() + proofAge + d.Hold + leaseMargin
 	}
 	for id, f := range ledger.Flows() {
 		if f.Spec.GetTimes() > 0 && !f.Final() {
@@ -361,6 +360,7 @@
 		}
 	}
 	d.average()
+	d.gather()
 	d.forgetHelpers(now)
 	d.meter.look(d)
 }
--- a/internal/control/dispatch/dispatch_test.go
+++ b/internal/control/dispatch/dispatch_test.go
@@ -174,6 +174,53 @@
 	})
 }
 
+// A server is cut off with urgent work on it. Whoever waits for that is served only
+// if it is placed again soon; long work elsewhere must keep its long leases, and no
+// task may run in two places for that.
+func TestUrgentWorkOfASilentServerIsPlacedAgainInTime(t *testing.T) {
+	play(t, 12, func(t *testing.T, w *world) {
+		w.do(func() { w.d.Hold = 10 * time.Second })
+		doc := document()
+		doc.Version = 2
+		doc.Queues[0].Factor, doc.Queues[0].Target = 1.5, 250
+		doc.Queues = append(doc.Queues, &v1.Queue{Name: "later", Host: "host", Path: "/later/", Pool: "pool", Timeout: 3000, Priority: 1})
+		if err := w.d.Put(t.Context(), doc); err != nil {
+			t.Fatal(err)
+		}
+		w.change(func(_ string, one *worker.Worker) {
+			one.Rate = 0.98
+			one.Work = func(r flow.RunID) (time.Duration, inner.RunEnd) {
+				if r.Flow == "b" {
+					return time.Minute, inner.RunEnd_RUN_END_DONE
+				}
+				return 2 * time.Second, inner.RunEnd_RUN_END_DONE
+			}
+		})
+		long, urgent := step(6, 4000), step(2, 1000)
+		long.Runtime, urgent.Runtime = 60000, 2000
+		rep := w.d.Ask(t.Context(), &inner.FlowAsk{Verb: inner.FlowVerb_FLOW_VERB_SUBMIT, Host: "host", Path: "/later/b", Key: key[:], Spec: &v1.FlowSpec{Id: "b", Steps: []*v1.FlowStep{long}}})
+		if rep.GetCode() != 0 {
+			t.Fatal(rep)
+		}
+		time.Sleep(5 * time.Second)
+		w.submit("a", urgent)
+		time.Sleep(200 * time.Millisecond)
+		cut := 0
+		for _, one := range w.busy() {
+			if one.Running()[0].Flow == "a" {
+				cut++
+				one.Change(func(one *worker.Worker) {
+					one.Fault = func(*inner.ServerCall) worker.Fault { return worker.Fault{Verdict: inner.Verdict_VERDICT_SILENT} }
+				})
+			}
+		}
+		if cut == 0 {
+			t.Fatal("no server runs urgent work alone")
+		}
+		w.await("a", done, 9500*time.Millisecond) // three times 1.5 x 2 + 0.25 s
+	})
+}
+
 // A server's process dies. Nobody listens at its address, so nothing runs there,
 // and its work need not wait for the end of the lease.
 func TestWorkOfADeadServerGoesOnAtOnce(t *testing.T) {
--- a/internal/control/dispatch/order.go
+++ b/internal/control/dispatch/order.go
@@ -35,6 +35,8 @@
 	// placed is when it was decided, on our clock; 0 when another leader did.
 	placed time.Duration
 	permit string
+	// urgent tells that somebody waits for it and that it is over soon.
+	urgent bool
 	// busy counts the orders under way.
 	busy int
 	// tries counts the starts sent, stops the stops.
@@ -100,7 +102,10 @@
 	r.busy++
 	r.tries++
 	c := &inner.StartRun{Run: r.Message(), Input: f.Spec.GetInput(), Checkpoint: step.Tasks[r.Index].Checkpoint, Permit: r.permit}
-	d.call(s, &inner.ServerCall{What: &inner.ServerCall_Start{Start: c}}, 0, r.tries-1, true, func(a *inner.ServerAnswer, sent, came time.Duration) {
+	// A server that does not answer may hear all the same: trying again must not
+	// lengthen the lease of what cannot be placed elsewhere before it is over.
+	renew := r.tries == 1
+	d.call(s, &inner.ServerCall{What: &inner.ServerCall_Start{Start: c}}, 0, r.tries-1, renew, func(a *inner.ServerAnswer, sent, came time.Duration) {
 		r.busy--
 		if a.GetVerdict() == inner.Verdict_VERDICT_DONE {
 			d.answered(came - sent)
@@ -132,6 +137,8 @@
 		r.settled = came
 		return
 	case inner.Verdict_VERDICT_SILENT:
+		// It may have gone; more work there would wait for its lease as well.
+		s.avoid = max(s.avoid, came+firstAvoid)
 		r.maybe, r.ghost = true, true
 		d.again(s, r)
 		return
--- a/internal/control/dispatch/plan.go
+++ b/internal/control/dispatch/plan.go
@@ -34,7 +34,7 @@
 	for id, s := range d.lead.sessions {
 		b, ok := ledger.Server(id)
 		if ok && !b.Leaving && !b.Over && b.Born == s.born && s.usable(now) && !d.lead.emptied[id] {
-			v.Servers = append(v.Servers, steps.Server{Server: b, Speed: d.speed(b)})
+			v.Servers = append(v.Servers, steps.Server{Server: b, Speed: d.speed(b), Brief: d.lead.briefs[b.Pool].Has(id)})
 			totals[b.Pool] = totals[b.Pool].Add(b.Capacity)
 		}
 	}
@@ -136,7 +136,7 @@
 	}
 	var runs []*run
 	for _, m := range start.GetPlaces() {
-		runs = append(runs, d.placed(m, now))
+		runs = append(runs, d.placed(m, d.urgent(p.Item.Step), now))
 	}
 	waited := d.Host.Clock() - p.Item.Since
 	q := p.Item.Flow.Queue
@@ -152,10 +152,10 @@
 }
 
 // placed notes a run that was placed just now.
-func (d *Dispatcher) placed(m *record.FlowPlace, now time.Duration) *run {
+func (d *Dispatcher) placed(m *record.FlowPlace, urgent bool, now time.Duration) *run {
 	id := flow.RunOf(m.GetRun())
 	b, _ := d.Host.Flows().Server(m.GetServer())
-	r := &run{RunID: id, held: b.Held[id.TaskID], placed: now}
+	r := &run{RunID: id, held: b.Held[id.TaskID], placed: now, urgent: urgent}
 	if a := d.lead.advice[id.StepID]; a != nil {
 		r.permit = a.permits[m.GetServer()].ticket
 	}
--- a/internal/control/dispatch/session.go
+++ b/internal/control/dispatch/session.go
@@ -101,7 +101,8 @@
 	}
 	for id, h := range b.Held {
 		// Whether the start ever arrived is not known to this leader.
-		s.runs[id] = &run{RunID: h.RunID, held: h, maybe: true}
+		step, ok := d.Host.Flows().Step(h.StepID)
+		s.runs[id] = &run{RunID: h.RunID, held: h, maybe: true, urgent: ok && d.urgent(step)}
 	}
 	d.lead.sessions[b.ID] = s
 	d.hold(s)
@@ -152,11 +153,13 @@
 func (d *Dispatcher) call(s *session, c *inner.ServerCall, wait time.Duration, tries int, renew bool, fn func(a *inner.ServerAnswer, sent, came time.Duration)) {
 	now := d.Now()
 	c.Cell, c.Server, c.Address, c.Fence = d.Cell, s.id, s.address, d.lead.term
-	if renew {
-		end := now + d.lease()
+	if lease := d.lease(s); renew && lease > 0 {
+		end := now + lease
 		if c.Until = s.promise(end); c.Until > 0 {
 			s.over = max(s.over, end+leaseMargin)
 		}
+	} else if c.GetStart() != nil {
+		c.Until = s.promise(s.over - leaseMargin) // what was granted before, no more
 	}
 	timeout := wait + d.timeout(tries)
 	c.Budget = uint64(timeout / time.Millisecond)
@@ -191,7 +194,10 @@
 		s.fails = relayAfter - 1
 		d.relay(s, "")
 	}
-	wait := min(longestWait, d.lease()/waitParts)
+	wait := longestWait
+	if lease := d.lease(s); lease > 0 {
+		wait = min(wait, lease/waitParts)
+	}
 	if s.shared {
 		wait = min(wait, sharedWait)
 	}
@@ -225,11 +231,7 @@
 			continue
 		}
 		step, ok := d.Host.Flows().Step(r.StepID)
-		if !ok {
-			continue
-		}
-		q, ok := d.Host.Flows().QueueOf(step.Flow)
-		if ok && d.isUrgent(q.GetPool(), q.GetPriority()) && float64(now-r.placed) > overdueFactor*float64(d.typical(step)) {
+		if ok && r.urgent && float64(now-r.placed) > overdueFactor*float64(d.typical(step)) {
 			return true
 		}
 	}
@@ -404,7 +406,7 @@
 	if s.silent && !s.holding && now >= s.next {
 		d.hold(s)
 	}
-	if now > s.over && len(s.runs) > 0 && now-s.heard > d.lease() {
+	if now > s.over && len(s.runs) > 0 && now-s.heard > d.lease(s) {
 		event.Log(d.Log, event.ServerGone, "server", s.id, "born", s.born, "heard", (now - s.heard).String(), "held", len(s.runs))
 		d.clear(s, false)
 	}
--- /dev/null
+++ b/internal/policy/brief/brief.go
@@ -0,0 +1,58 @@
+// Package brief chooses the backend servers that keep short leases. When a server
+// goes silent, what it runs is placed again only once its lease is over. A long
+// lease keeps work of minutes alive while nobody leads; urgent work of a second is
+// worth nothing by then. A server has one lease for all that it runs, so urgent
+// work is gathered on a few servers with short ones.
+package brief
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// roomTimes is how many times the room that urgent work takes the chosen servers
+	// have: the adviser lets a step run on a part of them only.
+	roomTimes = 2
+	// leastParts and mostParts bound them to one in so many of a pool. Urgent work may
+	// come when none was seen yet.
+	leastParts, mostParts = 10, 3
+	// fade is the part that is left of a need after each look: a lull must not
+	// move the leases to and fro.
+	fade = 0.95
+)
+
+// Server is one that may be chosen.
+type Server struct {
+	ID    string
+	Cores int64
+}
+
+// Choice is the servers of one pool that have short leases. The zero value has none.
+type Choice struct {
+	need   float64
+	chosen map[string]bool
+}
+
+// Has tells whether a server has a short lease.
+func (c *Choice) Has(id string) bool { return c != nil && c.chosen[id] }
+
+// Look chooses anew, by the room in use by urgent work now. The order of the
+// servers is always the same, whatever the others are, so that few change.
+func (c *Choice) Look(servers []Server, used int64) {
+	c.need = max(float64(used), c.need*fade)
+	c.chosen = map[string]bool{}
+	slices.SortFunc(servers, func(a, b Server) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)), cmp.Compare(a.ID, b.ID))
+	})
+	room := 0.0
+	for i, s := range servers[:len(servers)/mostParts] {
+		if i >= len(servers)/leastParts && room >= roomTimes*c.need {
+			break
+		}
+		room += float64(s.Cores)
+		c.chosen[s.ID] = true
+	}
+}
--- a/internal/policy/steps/option.go
+++ b/internal/policy/steps/option.go
@@ -26,11 +26,12 @@
 }
 
 // Steps in the order of options: a server on which a task of the step failed comes
-// after all others, one that is not near the data after all that are, and a slow
-// one after the faster ones.
+// after all others, one that is not near the data after all that are, one whose
+// leases do not suit after those whose leases do, and a slow one after the faster.
 const (
 	slowClasses = 1 << 20
-	farStep     = 2 * slowClasses
+	leaseStep   = 2 * slowClasses
+	farStep     = 2 * leaseStep
 	shunnedStep = 2 * farStep
 )
 
@@ -40,6 +41,9 @@
 	if !isNear(it, r) {
 		n += farStep
 	}
+	if it.Urgent != r.Brief {
+		n += leaseStep
+	}
 	if it.Shunned[r.ID] {
 		n += shunnedStep
 	}
--- a/internal/policy/steps/steps.go
+++ b/internal/policy/steps/steps.go
@@ -47,6 +47,8 @@
 	*flows.Server
 	// Speed is how fast it works beside the others; 1 is the usual.
 	Speed float64
+	// Brief tells that its leases are short: the place for urgent work.
+	Brief bool
 }
 
 // Permission is what is known of one step on one server.
--- a/internal/policy/steps/want.go
+++ b/internal/policy/steps/want.go
@@ -89,7 +89,9 @@
 	if len(unasked) == 0 {
 		return
 	}
-	slices.SortFunc(unasked, func(a, b *room) int { return cmp.Or(cmp.Compare(b.free.CPU, a.free.CPU), a.at-b.at) })
+	slices.SortFunc(unasked, func(a, b *room) int {
+		return cmp.Or(compareBool(it.Urgent && !a.Brief, it.Urgent && !b.Brief), cmp.Compare(b.free.CPU, a.free.CPU), a.at-b.at)
+	})
 	size := flow.SizeOf(it.Spec)
 	share := 1.0
 	if p.view.Share != nil {
