Acknowledge an end only when it is committed itself

When the first were committed, all that had been taken by then was acknowledged, the later end 3 ms before it was committed. The server forgot it, all processes were killed, and the next leader ran the task again.

Change: each list acknowledges what was taken up to itself. The test's cell commits each decision by itself, so that a leader can die between two.

--- a/internal/control/dispatch/dispatch_test.go
+++ b/internal/control/dispatch/dispatch_test.go
@@ -221,6 +221,49 @@
 	})
 }
 
+// A caller's task runs again although it had ended well. One list tells of an end;
+// before that is committed a stop is answered, which asks for the list again, and the
+// next one tells of another end. Acknowledged with the first, the second is forgotten
+// by the server; the leader dies before it is committed, and nobody knows of it.
+func TestNoEndIsAcknowledgedBeforeItIsCommitted(t *testing.T) {
+	const first, others = time.Second, 10
+	play(t, 1, func(t *testing.T, w *world) {
+		var began atomic.Int64
+		w.change(func(_ string, one *worker.Worker) {
+			one.Work = func(r flow.RunID) (time.Duration, inner.RunEnd) {
+				switch {
+				case r.Flow != "a":
+					return time.Hour, inner.RunEnd_RUN_END_DONE
+				case r.Index == 0:
+					began.Store(time.Now().UnixNano())
+					return first, inner.RunEnd_RUN_END_DONE
+				}
+				return first + commitTime, inner.RunEnd_RUN_END_DONE
+			}
+		})
+		long := step(1, 100)
+		long.Runtime = uint64(time.Hour / time.Millisecond)
+		for i := range others {
+			w.submit(fmt.Sprint("b", i), long)
+		}
+		time.Sleep(time.Second)
+		w.submit("a", step(2, 1000))
+		time.Sleep(500 * time.Millisecond)
+		at := func(d time.Duration) { time.Sleep(time.Until(time.Unix(0, began.Load()).Add(d))) }
+		for i := range others {
+			// Its stop is answered a commit later, one each millisecond around the ends.
+			at(first - commitTime + time.Duration(i)*time.Millisecond)
+			go w.ask(inner.FlowVerb_FLOW_VERB_CANCEL, fmt.Sprint("b", i))
+		}
+		at(first + 2*commitTime - time.Millisecond)
+		w.elect()
+		w.await("a", done, 10*time.Second)
+		if n := len(w.began()); n != others+2 {
+			t.Errorf("%d runs of %d tasks began: %v", n, others+2, w.began())
+		}
+	})
+}
+
 // A server's process dies. Nobody listens at its address, so nothing runs there,
 // and its work need not wait for the end of the lease.
 func TestWorkOfADeadServerGoesOnAtOnce(t *testing.T) {
--- a/internal/control/dispatch/harness_test.go
+++ b/internal/control/dispatch/harness_test.go
@@ -39,8 +39,10 @@
 	committed *record.FlowsRecord
 	effects   []effect
 	index     int
-	leads     bool
-	term      uint64
+	// sure is the index up to which all is committed.
+	sure  int
+	leads bool
+	term  uint64
 	// slow is how long the control thread takes to decide on starts.
 	slow time.Duration
 }
@@ -59,18 +61,22 @@
 		return err
 	}
 	h.index++
-	at := h.index
-	time.AfterFunc(commitTime, func() { h.Post(func() { h.commit(at) }) })
+	at, term, record := h.index, h.term, h.ledger.Record()
+	time.AfterFunc(commitTime, func() {
+		h.Post(func() {
+			if h.term == term {
+				h.commit(at, record)
+			}
+		})
+	})
 	return nil
 }
 
-func (h *host) commit(at int) {
-	if !h.leads {
-		return
-	}
-	if at == h.index {
-		h.committed = h.ledger.Record()
+func (h *host) commit(at int, record *record.FlowsRecord) {
+	if !h.leads || at < h.sure {
+		return // a later one was committed with it
 	}
+	h.committed, h.sure = record, at
 	for len(h.effects) > 0 && h.effects[0].index <= at {
 		run := h.effects[0].run
 		h.effects = h.effects[1:]
@@ -81,7 +87,7 @@
 func (h *host) After(fn func()) {
 	if len(h.effects) == 0 && h.committedAll() {
 		h.effects = append(h.effects, effect{h.index, fn})
-		go h.Post(func() { h.commit(h.index) })
+		go h.Post(func() { h.commit(h.sure, h.committed) })
 		return
 	}
 	h.effects = append(h.effects, effect{h.index, fn})
@@ -365,7 +371,7 @@
 			w.t.Error(err)
 			return
 		}
-		w.ledger, w.effects = l, nil
+		w.ledger, w.effects, w.index = l, nil, w.sure
 		w.term++
 		w.leads = true
 		w.d = dispatch.New()
--- a/internal/control/dispatch/session.go
+++ b/internal/control/dispatch/session.go
@@ -278,9 +278,12 @@
 	if first {
 		d.lead.dirty = true
 	}
+	// Another list may be taken before this one's ends are committed; what that one
+	// tells is not committed with them, and the server forgets what is acknowledged.
+	taken := s.taken
 	d.Host.After(func() {
 		if d.lead != nil && d.lead.sessions[s.id] == s {
-			s.cursor = s.taken
+			s.cursor = max(s.cursor, taken)
 			d.holdNext(s)
 		}
 	})
