--- a/internal/policy/steps/steps_test.go
+++ b/internal/policy/steps/steps_test.go
@@ -380,3 +380,41 @@
 		t.Fatalf("%d is placed, the limit is %d", total, v.Room("").CPU)
 	}
 }
+
+// Servers are full, and a step that waits knows which of them may run it; its permits
+// are over. Asked for only once there is room, room after room would lie idle for as
+// long as the adviser takes.
+func TestPermitsAreAskedForBeforeThereIsRoom(t *testing.T) {
+	soon, late, free := server("soon", 4000), server("late", 4000), server("other", 4000)
+	for _, s := range []steps.Server{soon, late, free} {
+		s.Used = capacity.Size{CPU: 4000}
+	}
+	it := item("x", tasks(2, 4000))
+	it.Permits, it.Asked = true, true
+	v := view([]steps.Server{soon, late, free}, it)
+	v.Permission = func(_ flow.StepID, server string) steps.Permission {
+		if server == "other" {
+			return steps.Denied
+		}
+		return steps.Stale
+	}
+	v.Frees = func(server string) []steps.Release {
+		in := map[string]time.Duration{"soon": 500 * time.Millisecond, "late": time.Minute, "other": 0}[server]
+		return []steps.Release{{In: in, Size: capacity.Size{CPU: 4000}}}
+	}
+	p := steps.Make(v)
+	if len(p.Wants) != 1 || !slices.Equal(p.Wants[0].Servers, []string{"soon"}) {
+		t.Errorf("asked for %+v", p.Wants)
+	}
+}
+
+// Urgent work is gathered where leases are short, and long work keeps away from
+// there while there is room elsewhere, whatever packs better.
+func TestWorkGoesWhereItsLeasesAre(t *testing.T) {
+	brief, usual := server("brief", 4000), server("usual", 4000)
+	brief.Brief = true
+	usual.Used = capacity.Size{CPU: 1000}
+	urgent, long := item("urgent", tasks(1, 1000)), item("long", tasks(4, 1000))
+	urgent.Urgent, long.Priority = true, 1
+	check(t, map[string]int{"urgent on brief": 1, "long on usual": 3, "long on brief": 1}, steps.Make(view([]steps.Server{brief, usual}, urgent, long)))
+}
