--- a/internal/control/dispatch/advice.go
+++ b/internal/control/dispatch/advice.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"gypsumreel/internal/api/inner"
@@ -23,13 +22,6 @@
 	adviceSlack = time.Second
 	// askPause is the pause before a question that failed is asked again.
 	askPause = 100 * time.Millisecond
-	// longFactor tells long questions from short ones: those that take this many
-	// times as long as the shortest kind.
-	longFactor = 5
-	// sideBySide is how many servers a question names, at the most, while more
-	// than one part of restingOf of the helpers rest.
-	sideBySide = 40
-	restingOf  = 2
 )
 
 // advice is what is known of the adviser's mind about one step.
@@ -82,23 +74,25 @@
 // plan, however quick the adviser is.
 func (d *Dispatcher) askMore(now time.Duration) {
 	var left []steps.Want
+	var none busy
 	shortest := d.shortest()
-	full := [2]bool{} // for short and for long questions
 	for i, w := range d.lead.wants {
-		if full[0] {
+		if none.short {
 			left = append(left, d.lead.wants[i:]...)
 			break
 		}
-		if !d.askAbout(w, shortest, &full, now) {
+		if !d.askAbout(w, shortest, &none, now) {
 			left = append(left, w)
 		}
 	}
 	d.lead.wants = left
 }
 
-// askAbout asks what is wanted of a step; false when no helper is free for it. full
-// tells that none is free for any short question, and for any long one.
-func (d *Dispatcher) askAbout(w steps.Want, shortest time.Duration, full *[2]bool, now time.Duration) bool {
+// busy tells for which questions no helper is free.
+type busy struct{ short, long bool }
+
+// askAbout asks what is wanted of a step; false when no helper is free for it.
+func (d *Dispatcher) askAbout(w steps.Want, shortest time.Duration, none *busy, now time.Duration) bool {
 	q, ok := d.Host.Flows().QueueOf(w.Item.Flow)
 	if !ok || q.GetAdvice() == nil || w.Item.Flow.Final() || w.Item.Queued == 0 {
 		return true
@@ -111,17 +105,17 @@
 	if a.asking > 0 || now < a.next {
 		return true
 	}
-	whole := cost(q.GetAdvice(), len(w.Servers))
-	if whole > longFactor*shortest && full[1] {
+	whole := crew.Long(steps.Cost(q.GetAdvice(), len(w.Servers)), shortest)
+	if whole && none.long {
 		return false
 	}
-	for i, servers := range d.split(w.Servers, whole > longFactor*shortest, now) {
-		takes := cost(q.GetAdvice(), len(servers))
-		long := takes > longFactor*shortest
+	for i, servers := range d.crew.Split(w.Servers, steps.MostAsked, whole, now) {
+		takes := steps.Cost(q.GetAdvice(), len(servers))
+		long := crew.Long(takes, shortest)
 		h := d.crew.Take(long, now)
 		if h == nil {
-			full[1] = true
-			full[0] = full[0] || !long
+			none.long = true
+			none.short = none.short || !long
 			return i > 0
 		}
 		d.question(h, steps.Want{Item: w.Item, Servers: servers}, a, q.GetAdvice(), takes)
@@ -129,37 +123,6 @@
 	return true
 }
 
-// split divides what a plan wants to know about a step into questions: several
-// side by side while helpers rest and one would take long, since each server named
-// makes it longer; else as few as may be, since each costs the same besides.
-func (d *Dispatcher) split(servers []string, long bool, now time.Duration) [][]string {
-	size := steps.MostAsked
-	if resting, alive := d.crew.Resting(now); long && resting*restingOf > alive {
-		size = sideBySide
-	}
-	parts := (len(servers) + size - 1) / size
-	return slices.Collect(slices.Chunk(servers, (len(servers)+parts-1)/max(parts, 1)))
-}
-
-// cost returns how long a question should take.
-func cost(a *v1.Advice, servers int) time.Duration {
-	return time.Duration((a.GetBase() + a.GetEach()*float64(servers)) * float64(time.Millisecond))
-}
-
-// questionParts is the part of a step's run time that a question about it may take
-// where a shorter one would do: with more servers to choose from, a step waits less
-// for room on one of them.
-const questionParts = 20
-
-// usual returns how many servers a question about a step names.
-func (d *Dispatcher) usual(a *v1.Advice, takes time.Duration) int {
-	ms := float64(takes/questionParts) / float64(time.Millisecond)
-	if a.GetEach() <= 0 || ms <= a.GetBase() {
-		return steps.LeastAsked
-	}
-	return min(max(int((ms-a.GetBase())/a.GetEach()), steps.LeastAsked), steps.MostAsked)
-}
-
 // shortest returns the time of the shortest kind of question there is.
 func (d *Dispatcher) shortest() time.Duration {
 	var least time.Duration
@@ -167,7 +130,7 @@
 		if q.GetAdvice() == nil {
 			continue
 		}
-		if c := cost(q.GetAdvice(), steps.LeastAsked); least == 0 || c < least {
+		if c := steps.Cost(q.GetAdvice(), steps.LeastAsked); least == 0 || c < least {
 			least = c
 		}
 	}
--- a/internal/control/dispatch/plan.go
+++ b/internal/control/dispatch/plan.go
@@ -78,7 +78,7 @@
 	takes := d.typical(s)
 	it := steps.Item{
 		Step: s, Pool: q.GetPool(), Priority: q.GetPriority(), Urgent: d.isUrgent(q.GetPool(), q.GetPriority()),
-		Takes: takes, Usual: d.usual(q.GetAdvice(), takes),
+		Takes: takes, Usual: steps.Width(q.GetAdvice(), takes),
 		Surplus: d.lead.surplus[s.Flow.ID], Shunned: d.lead.shunned[s.StepID],
 		Permits: q.GetAdvice() != nil, Asked: d.lead.advice[s.StepID] != nil,
 	}
--- a/internal/policy/crew/crew.go
+++ b/internal/policy/crew/crew.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -26,6 +27,13 @@
 	// chances is how many standard deviations above the mean number of short
 	// questions at a time, which come by chance, still find a helper free.
 	chances = 2
+	// longFactor tells long questions from short ones: those that take this many
+	// times as long as the shortest kind.
+	longFactor = 5
+	// sideBySide is how many servers a question names, at the most, while more
+	// than one part of restingOf of the helpers rest.
+	sideBySide = 40
+	restingOf  = 2
 	// shortMemory is how long it counts how many helpers short questions kept busy.
 	shortMemory = 2 * time.Second
 )
@@ -103,6 +111,23 @@
 	return resting, asked
 }
 
+// Long tells whether a question that takes so long is a long one, by the shortest
+// kind there is.
+func Long(takes, shortest time.Duration) bool { return takes > longFactor*shortest }
+
+// Split divides the servers of a question of which one may name so many at the most:
+// several questions side by side while helpers rest and one would take long, since
+// each server named makes it longer; else as few as may be, since each costs the
+// same besides.
+func (c *Crew) Split(servers []string, most int, long bool, now time.Duration) [][]string {
+	size := most
+	if resting, asked := c.Resting(now); long && resting*restingOf > asked {
+		size = min(size, sideBySide)
+	}
+	parts := (len(servers) + size - 1) / size
+	return slices.Collect(slices.Chunk(servers, (len(servers)+parts-1)/max(parts, 1)))
+}
+
 // Take returns the process that makes the next call and makes it busy; nil when
 // none is free. Those whose last call went well come first, then those that rested
 // longest, and the leader's own process last, which has enough to do.
--- a/internal/policy/model/plan.go
+++ b/internal/policy/model/plan.go
@@ -18,13 +18,6 @@
 	"gypsumreel/internal/policy/steps"
 )
 
-// Bounds of questions, as the leader has them.
-const (
-	longFactor = 5
-	sideBySide = 40
-	parts      = 20
-)
-
 // advice is what is known of the adviser's mind about one step.
 type advice struct {
 	may    map[string]bool
@@ -89,11 +82,10 @@
 }
 
 func (m *Model) width(a *v1.Advice, takes time.Duration) int {
-	ms := float64(takes/parts) / float64(time.Millisecond)
-	if m.policy.Without&Width != 0 || ms <= a.GetBase() {
+	if m.policy.Without&Width != 0 {
 		return steps.LeastAsked
 	}
-	return min(max(int((ms-a.GetBase())/a.GetEach()), steps.LeastAsked), steps.MostAsked)
+	return steps.Width(a, takes)
 }
 
 func (m *Model) room(string) capacity.Size {
@@ -177,21 +169,15 @@
 	if a.asking > 0 || w.Item.Queued == 0 || w.Item.Flow.Final() {
 		return true
 	}
-	size := steps.MostAsked
-	shortest := m.setup.Kinds[0].Base + m.setup.Kinds[0].Each*steps.LeastAsked
-	cost := func(n int) float64 { return q.GetAdvice().GetBase() + q.GetAdvice().GetEach()*float64(n) }
-	resting, asked := m.crew.Resting(m.now)
-	if m.policy.Without&SideBySide == 0 && cost(len(w.Servers)) > longFactor*shortest && resting*2 > asked {
-		size = sideBySide
-	}
-	parts := (len(w.Servers) + size - 1) / size
-	for servers := range slices.Chunk(w.Servers, (len(w.Servers)+parts-1)/parts) {
-		takes := cost(len(servers))
-		h := m.crew.Take(takes > longFactor*shortest, m.now)
+	shortest := steps.Cost(m.ledger.Config().GetQueues()[0].GetAdvice(), steps.LeastAsked)
+	whole := crew.Long(steps.Cost(q.GetAdvice(), len(w.Servers)), shortest)
+	for _, servers := range m.crew.Split(w.Servers, steps.MostAsked, whole && m.policy.Without&SideBySide == 0, m.now) {
+		takes := steps.Cost(q.GetAdvice(), len(servers))
+		h := m.crew.Take(crew.Long(takes, shortest), m.now)
 		if h == nil {
 			return a.asking > 0
 		}
-		m.question(a, h, w.Item.StepID, servers, time.Duration(takes*float64(time.Millisecond)))
+		m.question(a, h, w.Item.StepID, servers, takes)
 	}
 	return true
 }
