Say what package brief chooses

Its comments still spoke of servers that have short leases, as in the first try; since leases follow what a server holds, it chooses where urgent work is gathered.

--- a/internal/policy/brief/brief.go
+++ b/internal/policy/brief/brief.go
@@ -1,8 +1,8 @@
-// Package brief chooses the backend servers that keep short leases. When a server
+// Package brief chooses the backend servers on which urgent work is gathered. When a server
 // goes silent, what it runs is placed again only once its lease is over. A long
 // lease keeps work of minutes alive while nobody leads; urgent work of a second is
-// worth nothing by then. A server has one lease for all that it runs, so urgent
-// work is gathered on a few servers with short ones.
+// worth nothing by then. A server has one lease for all that it runs, as long as the
+// longest that any of it needs, so urgent work is kept apart on a few servers.
 package brief
 
 import (
@@ -30,13 +30,14 @@
 	Cores int64
 }
 
-// Choice is the servers of one pool that have short leases. The zero value has none.
+// Choice is the servers of one pool on which urgent work is gathered. The zero value
+// has none.
 type Choice struct {
 	need   float64
 	chosen map[string]bool
 }
 
-// Has tells whether a server has a short lease.
+// Has tells whether urgent work is gathered on a server; on none where no choice is.
 func (c *Choice) Has(id string) bool { return c != nil && c.chosen[id] }
 
 // Look chooses anew, by the room in use by urgent work now. The order of the
--- a/internal/policy/model/model.go
+++ b/internal/policy/model/model.go
@@ -2,8 +2,7 @@
 // and leases, an adviser that takes one question at a time from each process,
 // callers who come back, and a leader that is gone for a while. It drives the
 // product's own decisions (packages ledger/flows, policy/steps and policy/crew), so
-// that a change of policy is seen over hundreds of seeds before it is measured in a
-// cell. What it does not model, it cannot show: the processors of our own
+// that a change of policy is seen over hundreds of seeds before a cell runs it. What it does not model, it cannot show: the processors of our own
 // processes, and anything of the network but delays and silences.
 package model
 
--- a/internal/policy/steps/steps.go
+++ b/internal/policy/steps/steps.go
@@ -47,7 +47,7 @@
 	*flows.Server
 	// Speed is how fast it works beside the others; 1 is the usual.
 	Speed float64
-	// Brief tells that its leases are short: the place for urgent work.
+	// Brief tells that urgent work is gathered there, where leases stay short.
 	Brief bool
 }
 
