--- a/internal/control/node/node.go
+++ b/internal/control/node/node.go
@@ -21,6 +21,7 @@
 
 	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/base/event"
+	"gypsumreel/internal/base/meter"
 	"gypsumreel/internal/control/entry"
 	"gypsumreel/internal/control/leader"
 	"gypsumreel/internal/policy/cell"
@@ -167,7 +168,7 @@
 	if err != nil {
 		return n.damaged(event.SnapshotDamaged, err)
 	}
-	log, recovered, err := journal.Open(filepath.Join(n.Data, "journal"))
+	log, recovered, err := n.journal()
 	if err != nil {
 		return n.damaged(event.JournalDamaged, err)
 	}
@@ -186,6 +187,15 @@
 	return n.serve(ctx, self, disks{journal: log, snapshots: store, saved: saved})
 }
 
+// journal opens the replica's journal.
+func (n *Node) journal() (*journal.Journal, journal.Recovered, error) {
+	put := n.meters.GetOrCreateCounter(meter.Name("control", "segments_put_off_total"))
+	return journal.Config{PutOff: func(err error) {
+		put.Inc()
+		event.Fail(n.Log, event.StoragePutOff, err, "what", "segment")
+	}}.Open(filepath.Join(n.Data, "journal"))
+}
+
 func load(store snapshot.Store) (quorum.Saved, error) {
 	meta, data, err := store.Load()
 	if err != nil {
@@ -229,7 +239,7 @@
 func (n *Node) assemble(self quorum.Member, d disks) *assembly {
 	a := &assembly{handshake: n.handshake(self)}
 	a.group = &group.Group{
-		Journal: newDisk(d.journal, n.meters, n.Log), Snapshots: &archive{Snapshots: &d.snapshots, log: n.Log},
+		Journal: newDisk(d.journal, n.meters, n.Log), Snapshots: newArchive(&d.snapshots, n.meters, n.Log),
 		Saved: d.saved, Now: n.now, Free: n.Room, Log: n.Log,
 	}
 	n.group.Store(a.group)
--- a/internal/replica/disk/disk.go
+++ b/internal/replica/disk/disk.go
@@ -17,6 +17,9 @@
 // ErrFull means that the disk, or the quota on it, has no room left.
 var ErrFull = errors.New("no space left on the disk")
 
+// ErrNoFile means that the process, or the system, may open no more files now.
+var ErrNoFile = errors.New("no more files can be opened")
+
 // ErrMissing means that a file does not exist.
 var ErrMissing = os.ErrNotExist
 
@@ -51,6 +54,9 @@
 	Free(dir string) (uint64, error)
 }
 
+// Passes tells of an error that left everything as it was and that may pass by itself.
+func Passes(err error) bool { return errors.Is(err, ErrFull) || errors.Is(err, ErrNoFile) }
+
 // Permissions of what the system creates: its owner's alone.
 const (
 	filePerm   = 0o600
@@ -153,10 +159,13 @@
 
 func (f file) Close() error { return classify(f.f.Close()) }
 
-// classify marks the errors that mean a full disk.
+// classify marks the errors that mean a full disk or too many open files.
 func classify(err error) error {
-	if errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) {
+	switch {
+	case errors.Is(err, syscall.ENOSPC), errors.Is(err, syscall.EDQUOT):
 		return errors.Mark(err, ErrFull)
+	case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE):
+		return errors.Mark(err, ErrNoFile)
 	}
 	return err
 }
--- a/internal/replica/disk/matrix_test.go
+++ b/internal/replica/disk/matrix_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -208,11 +209,25 @@
 // other work is, and the replica goes on without a restart.
 func TestFullDisk(t *testing.T) {
 	t.Parallel()
+	shortages(t, disk.Full, disk.Create, disk.Write)
+}
+
+// No file can be opened for a while, by the fault of whoever holds them all, and
+// the replica crashes later. It must go on with the files that it has.
+func TestNoFileCanBeOpened(t *testing.T) {
+	t.Parallel()
+	shortages(t, disk.NoFile, disk.Create, disk.SyncFolder)
+}
+
+// shortages plays the script with a shortage at each operation and a crash at each
+// one after it.
+func shortages(t *testing.T, kind disk.Fault, ops ...disk.Op) {
+	t.Helper()
 	cases := 0
 	for n := 1; ; n++ {
-		for _, f := range []shortage{{large, n, 1}, {small, n, 4}} {
+		for _, f := range []shortage{{large, n, 1, kind, ops}, {small, n, 4, kind, ops}} {
 			for crash := n + 1; ; crash++ {
-				hits, more := fullDisk(t, f, crash)
+				hits, more := short(t, f, crash)
 				cases += len(disk.Outcomes)
 				if f.size == small && crash == n+1 && !more {
 					t.Logf("%d cases over %d operations", cases, n)
@@ -226,16 +241,18 @@
 	}
 }
 
-// shortage is a full disk: length operations from n on find no room.
+// shortage refuses some of the length operations from n on.
 type shortage struct {
 	// size of the segments.
 	size      int64
 	n, length int
+	kind      disk.Fault
+	ops       []disk.Op
 }
 
-// fullDisk plays the script with a shortage and a crash at another operation, and
-// tells how many found no room and whether it came to the crash.
-func fullDisk(t *testing.T, f shortage, crash int) (hits int, more bool) {
+// short plays the script with a shortage and a crash at another operation, and
+// tells how many were refused and whether it came to the crash.
+func short(t *testing.T, f shortage, crash int) (hits int, more bool) {
 	t.Helper()
 	r := &replica{size: f.size, disk: &disk.Memory{}}
 	r.disk.Inject = func(count int, op disk.Op, _ string) disk.Fault {
@@ -243,9 +260,9 @@
 		case count == crash:
 			more = true
 			return disk.CrashTorn
-		case count >= f.n && count < f.n+f.length && (op == disk.Create || op == disk.Write):
+		case count >= f.n && count < f.n+f.length && slices.Contains(f.ops, op):
 			hits++
-			return disk.Full
+			return f.kind
 		}
 		return disk.Well
 	}
@@ -269,24 +286,23 @@
 	return hits, more
 }
 
-// try does a step and, where it found the disk full, a small append, which may
-// have room.
+// try does a step and, where it was refused, a small append, which may pass.
 func (r *replica) try(s step) error {
 	err := s.do(r)
-	if !errors.Is(err, disk.ErrFull) {
+	if !disk.Passes(err) {
 		return err
 	}
 	hard := r.h.last().Hard
-	if small := r.j.Append(&hard, nil); small != nil && !errors.Is(small, disk.ErrFull) {
+	if small := r.j.Append(&hard, nil); small != nil && !disk.Passes(small) {
 		return small
 	}
 	return err
 }
 
-// again repeats what finds a full disk.
+// again repeats what is refused for a while.
 func again(times int, do func() error) error {
 	err := do()
-	for ; times > 0 && errors.Is(err, disk.ErrFull); times-- {
+	for ; times > 0 && disk.Passes(err); times-- {
 		err = do()
 	}
 	return err
--- a/internal/replica/disk/memory.go
+++ b/internal/replica/disk/memory.go
@@ -41,6 +41,8 @@
 	CrashTorn
 	// Full refuses the operation for lack of room; half of a write is done.
 	Full
+	// NoFile refuses the operation, which opens a file, since none can be opened.
+	NoFile
 	// Broken fails the operation. A sync that fails loses the data: later syncs
 	// of the file succeed without it, as on common systems.
 	Broken
@@ -214,6 +216,8 @@
 		return fault, nil
 	case Full:
 		return fault, errors.Mark(errors.New("no space left on device"), ErrFull)
+	case NoFile:
+		return fault, errors.Mark(errors.New("too many open files"), ErrNoFile)
 	case Broken:
 		return fault, errBroken
 	}
--- a/internal/replica/disk/replica_test.go
+++ b/internal/replica/disk/replica_test.go
@@ -82,7 +82,7 @@
 		n := len(r.h.states)
 		r.h.append(&hard, entries)
 		err := r.j.Append(&hard, entries)
-		if errors.Is(err, journal.ErrFull) {
+		if disk.Passes(err) {
 			r.h.states = r.h.states[:n]
 		}
 		return err
--- a/internal/replica/group/fake_test.go
+++ b/internal/replica/group/fake_test.go
@@ -25,6 +25,11 @@
 	broken error
 	refuse error
 	free   uint64
+	// unsaved is what Save returns, saves counts its calls; stall, if not nil, is
+	// waited for by each.
+	unsaved error
+	saves   int
+	stall   chan struct{}
 }
 
 func (m *memory) Append(hard *quorum.Hard, entries []quorum.Entry) error {
@@ -78,8 +83,18 @@
 }
 
 func (m *memory) Save(meta snapshot.Meta, state []byte) error {
+	m.mu.Lock()
+	stall := m.stall
+	m.saves++
+	m.mu.Unlock()
+	if stall != nil {
+		<-stall
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.unsaved != nil {
+		return m.unsaved
+	}
 	m.snapshot = quorum.Snapshot{Index: meta.Index, Term: meta.Term, Members: meta.Members, State: state}
 	return nil
 }
--- a/internal/replica/group/group.go
+++ b/internal/replica/group/group.go
@@ -31,6 +31,10 @@
 	freeInterval = time.Second
 	// fullInterval is the time between two tries to write to a full disk.
 	fullInterval = 100 * time.Millisecond
+	// saveTries is how often a snapshot is tried before the next takes its place,
+	// savePause the first pause between two tries; it doubles with each.
+	saveTries = 6
+	savePause = 250 * time.Millisecond
 )
 
 // Errors of a group.
@@ -57,7 +61,8 @@
 
 // Snapshots stores snapshots.
 type Snapshots interface {
-	// Save returns once the snapshot is synced.
+	// Save returns once the snapshot is synced. After an error the one before it is
+	// still there.
 	Save(meta snapshot.Meta, state []byte) error
 }
 
--- a/internal/replica/group/store.go
+++ b/internal/replica/group/store.go
@@ -70,7 +70,7 @@
 		if err == nil {
 			break
 		}
-		if !errors.Is(err, disk.ErrFull) {
+		if !disk.Passes(err) {
 			return errors.Wrap(err, "append to the journal")
 		}
 		if err := j.wait(ctx); err != nil {
@@ -94,7 +94,7 @@
 
 func (j *journalist) compact(index uint64) error {
 	err := j.Journal.Compact(index)
-	if errors.Is(err, disk.ErrFull) {
+	if disk.Passes(err) {
 		// Nothing hangs on it: the next snapshot tries again.
 		return nil
 	}
@@ -107,7 +107,7 @@
 	return nil
 }
 
-// wait holds a write back while the disk is full: the replica acknowledges
+// wait holds a write back while the disk takes none: the replica acknowledges
 // nothing meanwhile, and goes on when there is room, or a snapshot made some.
 func (j *journalist) wait(ctx context.Context) error {
 	j.tell(true)
@@ -145,28 +145,32 @@
 	}
 }
 
-// snapshot saves snapshots on a goroutine of its own: they take long.
+// snapshot saves snapshots on a goroutine of its own: they take long. One that
+// fails ends nothing: the log stands, and holds all that the snapshot would.
 func (g *Group) snapshot(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case s := <-g.saves:
-			ev, err := g.save(s)
-			g.synced <- outcome{ev: ev, err: err}
-			if err != nil {
-				return
-			}
+			g.synced <- outcome{ev: g.save(ctx, s)}
 		}
 	}
 }
 
-// save gives up a snapshot that finds no room: the log stays, and the next
-// snapshot tries again.
-func (g *Group) save(s quorum.Snapshot) (quorum.Event, error) {
-	err := g.Snapshots.Save(snapshot.Meta{Index: s.Index, Term: s.Term, Members: s.Members}, s.State)
-	if errors.Is(err, disk.ErrFull) {
-		return quorum.SnapshotFailed{Index: s.Index}, nil
-	}
-	return quorum.SnapshotSaved{Index: s.Index}, errors.Wrap(err, "save a snapshot")
+// save saves a snapshot, again and again with growing pauses. In the end it gives
+// it up, and the next one tries.
+func (g *Group) save(ctx context.Context, s quorum.Snapshot) quorum.Event {
+	meta := snapshot.Meta{Index: s.Index, Term: s.Term, Members: s.Members}
+	for try := range saveTries {
+		if err := g.Snapshots.Save(meta, s.State); err == nil {
+			return quorum.SnapshotSaved{Index: s.Index}
+		}
+		select {
+		case <-ctx.Done():
+			return quorum.SnapshotFailed{Index: s.Index}
+		case <-time.After(savePause << try):
+		}
+	}
+	return quorum.SnapshotFailed{Index: s.Index}
 }
--- a/internal/replica/journal/errors.go
+++ b/internal/replica/journal/errors.go
@@ -12,6 +12,10 @@
 // stays usable.
 var ErrFull = disk.ErrFull
 
+// ErrNoFile means that no more files can be opened; nothing was appended and the
+// journal stays usable.
+var ErrNoFile = disk.ErrNoFile
+
 // ErrBroken means that a write or sync failed in a way that leaves unknown what
 // is on the disk. The journal refuses everything from then on, and the process
 // must end: a second sync may succeed without the lost data.
--- a/internal/replica/journal/journal.go
+++ b/internal/replica/journal/journal.go
@@ -23,6 +23,9 @@
 	Reserve = 512 << 10
 	// maxBatch is the size from which on entries go into a further frame.
 	maxBatch = 1 << 20
+	// retryParts is the part of a segment's size that is appended before a segment
+	// that could not be begun is tried again; it doubles with each try.
+	retryParts = 16
 )
 
 // Config holds what may differ from the defaults; its zero value is usable.
@@ -33,6 +36,9 @@
 	SegmentSize int64
 	// Reserve in bytes; the constant of that name when 0, none when negative.
 	Reserve int64
+	// PutOff is told of what could not be done now and is tried again later, and
+	// why; nil for nobody. It must not block.
+	PutOff func(error)
 }
 
 // Journal is an open journal. Append and Sync may be called at the same time
@@ -42,6 +48,7 @@
 	dir   string
 	limit int64
 	zeros []byte
+	told  func(error)
 
 	// syncing is held while a file is synced or replaced; taken before mu.
 	syncing sync.Mutex
@@ -56,6 +63,12 @@
 	reserved int64
 	hard     quorum.Hard
 	last     uint64
+	// due is the size from which on the next segment is begun, and puts how often
+	// that was put off.
+	due  int64
+	puts int
+	// stray tells that the removal of a segment that could not be begun may not last.
+	stray bool
 	// floor is the highest index that Compact was given.
 	floor uint64
 	buf   []byte
@@ -67,7 +80,7 @@
 // Open reads the journal in dir and makes it ready for appending. A torn tail is
 // cut off; damage before it is a DamageError.
 func (c Config) Open(dir string) (*Journal, Recovered, error) {
-	j := &Journal{disk: c.Disk, dir: dir, limit: c.SegmentSize}
+	j := &Journal{disk: c.Disk, dir: dir, limit: c.SegmentSize, told: c.PutOff}
 	if j.disk == nil {
 		j.disk = disk.System{}
 	}
@@ -77,6 +90,10 @@
 	if c.Reserve == 0 {
 		c.Reserve = Reserve
 	}
+	j.due = j.limit
+	if j.told == nil {
+		j.told = func(error) {}
+	}
 	j.zeros = make([]byte, max(c.Reserve, 0))
 	r, err := j.recover()
 	if err != nil {
@@ -150,7 +167,7 @@
 
 // Append writes a changed hard state and entries; they last once Sync returned.
 // An entry whose index is already present ends everything from it on. ErrFull,
-// ErrGap and ErrTooLarge leave the journal as it was; other errors break it.
+// ErrNoFile, ErrGap and ErrTooLarge leave the journal as it was; other errors break it.
 func (j *Journal) Append(hard *quorum.Hard, entries []quorum.Entry) error {
 	if hard == nil && len(entries) == 0 {
 		return nil
--- a/internal/replica/journal/roll.go
+++ b/internal/replica/journal/roll.go
@@ -6,19 +6,30 @@
 	"gypsumreel/internal/replica/disk"
 )
 
-// roll begins a new segment when the newest has reached its size.
+// roll begins a new segment when the newest has reached its size. Nothing hangs
+// on that: where none can be begun now, the newest grows on for a while.
 func (j *Journal) roll() error {
 	j.mu.Lock()
-	due := j.size >= j.limit
+	due, stray := j.size >= j.due, j.stray
 	j.mu.Unlock()
-	if !due {
+	if !due && !stray {
 		return nil
 	}
 	j.syncing.Lock()
 	defer j.syncing.Unlock()
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return j.turn()
+	if err := j.forget(); err != nil || !due {
+		return err
+	}
+	err := j.turn()
+	if !disk.Passes(err) {
+		return err
+	}
+	j.due = j.size + j.limit/retryParts<<min(j.puts, retryParts)
+	j.puts++
+	j.told(err)
+	return j.forget()
 }
 
 // turn syncs the newest segment and begins the one after it. Only a completed,
@@ -31,12 +42,27 @@
 		return err
 	}
 	err := j.begin(j.segments.newest().number + 1)
-	if err != nil && !errors.Is(err, ErrFull) {
+	if err != nil && !disk.Passes(err) {
 		return j.fail("begin a segment", err)
 	}
 	return errors.Wrap(err, "begin a segment")
 }
 
+// forget makes the removal of a segment that could not be begun last. Its
+// predecessor is appended to only then: after a crash the file would otherwise make
+// a torn tail of the predecessor look like damage.
+func (j *Journal) forget() error {
+	if !j.stray || j.broken != nil {
+		return j.broken
+	}
+	err := j.disk.SyncFolder(j.dir)
+	if err != nil && !disk.Passes(err) {
+		return j.fail("remove a segment", err)
+	}
+	j.stray = err != nil
+	return errors.Wrap(err, "remove a segment that could not be begun")
+}
+
 // complete cuts the zeros off the newest segment and syncs it.
 func (j *Journal) complete() error {
 	if j.reserved > j.size {
@@ -59,7 +85,7 @@
 	name := segmentName(j.dir, number)
 	f, err := j.disk.Create(name)
 	if err != nil {
-		return err
+		return err // nothing was made
 	}
 	b := appendFrame(header(), number, headerBytes, record{hard: &j.hard})
 	if _, err = f.WriteAt(b, 0); err == nil {
@@ -77,20 +103,21 @@
 	}
 	n := int64(len(b))
 	j.file, j.size, j.synced, j.reserved = f, n, n, n
+	j.due, j.puts = max(j.limit, n), 0
 	j.segments = j.segments.with(number)
 	return nil
 }
 
-// discard removes a segment that could not be begun. Its predecessor is appended
-// to again, so the removal must last: after a crash the file would otherwise
-// make a torn tail of the predecessor look like damage.
+// discard removes a segment that could not be begun.
 func (j *Journal) discard(f disk.File, name string, cause error) error {
-	err := errors.CombineErrors(f.Close(), j.disk.Remove(name))
-	if err == nil {
-		err = j.disk.SyncFolder(j.dir)
+	if err := errors.CombineErrors(f.Close(), j.disk.Remove(name)); err != nil {
+		return errors.Newf("%v, and then: %v", cause, err)
 	}
-	if err != nil {
+	j.stray = true
+	if err := j.disk.SyncFolder(j.dir); err != nil && !disk.Passes(err) {
 		return errors.Newf("%v, and then: %v", cause, err)
+	} else if err == nil {
+		j.stray = false
 	}
 	return cause
 }
@@ -98,7 +125,7 @@
 // Compact drops the segments whose entries are all at or below index: those
 // that a lasting snapshot of that index replaces. It never drops an entry above.
 // When the journal ends at or below index, the next entry may have any index
-// above it, also when a full disk left no room to begin a segment (ErrFull).
+// above it, also when no segment could be begun (ErrFull, ErrNoFile).
 func (j *Journal) Compact(index uint64) error {
 	j.syncing.Lock()
 	defer j.syncing.Unlock()
@@ -108,6 +135,9 @@
 		return j.broken
 	}
 	j.floor = max(j.floor, index)
+	if err := j.forget(); err != nil {
+		return err
+	}
 	if err := j.drop(index); err != nil {
 		return err
 	}
@@ -125,9 +155,12 @@
 func (j *Journal) drop(index uint64) error {
 	for len(j.segments) > 1 && j.segments[0].last <= index {
 		err := j.disk.Remove(segmentName(j.dir, j.segments[0].number))
-		if err == nil {
+		if err == nil || errors.Is(err, disk.ErrMissing) { // missing: removed before, and not made to last
 			err = j.disk.SyncFolder(j.dir)
 		}
+		if disk.Passes(err) {
+			return errors.Wrap(err, "remove a segment")
+		}
 		if err != nil {
 			return j.fail("remove a segment", err)
 		}
--- a/internal/replica/quorum/event.go
+++ b/internal/replica/quorum/event.go
@@ -32,7 +32,7 @@
 // SnapshotSaved tells that the snapshot of Effects.Save at Index is on the disk.
 type SnapshotSaved struct{ Index uint64 }
 
-// SnapshotFailed tells that the snapshot of Effects.Save at Index found no room.
+// SnapshotFailed tells that the snapshot of Effects.Save at Index could not be saved.
 type SnapshotFailed struct{ Index uint64 }
 
 // Compact gives the state after the committed entry at Index.
