A takeover asks servers a few at a time, and relays those beyond its connections

Cause: a new leader held all servers in one moment.

First holds are 32 at a time (policy/intake): servers with urgent work first, then those with other work; one without an answer counts for 150 ms, so that silent racks hold nobody up.

Tests fail without it: a heartbeat waits for 800 ms of 250, the first task begins after 815 ms of 500; mutations takeover-at-once, servers-beyond-connections.

--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -22,6 +22,7 @@
 	"gypsumreel/internal/ledger/flows"
 	"gypsumreel/internal/policy/brief"
 	"gypsumreel/internal/policy/crew"
+	"gypsumreel/internal/policy/intake"
 	"gypsumreel/internal/policy/steps"
 	"gypsumreel/internal/replica/group"
 	"gypsumreel/internal/replica/quorum"
@@ -115,6 +116,10 @@
 	Now      func() time.Duration
 	Backends Backends
 	Helpers  Helpers
+	// Direct returns how many backend servers may be called directly, by the
+	// connections that this takes; the others are called through helpers. Nil for
+	// any number. Any goroutine may call it.
+	Direct func() int
 	// Machines takes machines down for their upkeep; nil for nobody does.
 	Machines Machines
 	// Hold is the longest lease that a backend server gives.
@@ -152,7 +157,11 @@
 	calls   *calls
 
 	sessions map[string]*session
-	advice   map[flow.StepID]*advice
+	// intake are the servers that were not asked yet what they hold.
+	intake intake.Queue[*session]
+	// relayed counts the sessions whose calls go through a helper.
+	relayed int
+	advice  map[flow.StepID]*advice
 	// wants are the questions of the latest plan that found no helper, the most
 	// pressing first.
 	wants []steps.Want
@@ -235,6 +244,7 @@
 		// that it was deposed: not later than the proof of its lead could last.
 		s.over = d.Now() + proofAge + d.Hold + leaseMargin
 	}
+	d.takeIn()
 	for id, f := range ledger.Flows() {
 		if f.Spec.GetTimes() > 0 && !f.Final() {
 			d.lead.timed[id] = true
@@ -300,6 +310,7 @@
 	if d.lead == nil || !d.Host.Leads() {
 		return
 	}
+	d.takeIn()
 	for _, s := range d.lead.sessions {
 		d.watch(s, now)
 		d.inspect(s, now)
--- a/internal/control/dispatch/harness_test.go
+++ b/internal/control/dispatch/harness_test.go
@@ -169,9 +169,20 @@
 	cut    atomic.Bool
 	relays map[string]string
 	advise func(r *inner.AdviseRequest) *inner.AdviseReply
+	// cost is called for each call of the leader, reached tells when it last called
+	// each worker itself, direct is the dispatcher's Direct.
+	cost    atomic.Pointer[func()]
+	reached map[string]time.Duration
+	direct  func() int
 }
 
 func (w *world) Call(ctx context.Context, c *inner.ServerCall) *inner.ServerAnswer {
+	if cost := w.cost.Load(); cost != nil {
+		(*cost)()
+	}
+	w.mu.Lock()
+	w.reached[c.GetServer()] = w.now()
+	w.mu.Unlock()
 	if w.cut.Load() {
 		<-ctx.Done()
 		return &inner.ServerAnswer{Verdict: inner.Verdict_VERDICT_SILENT}
@@ -246,7 +257,7 @@
 func newWorld(t *testing.T, n int) *world {
 	w := &world{
 		host:    &host{t: t, begin: time.Now(), posts: make(chan func(), 1024), done: make(chan struct{}), ledger: flows.New()},
-		workers: map[string]*worker.Worker{}, begun: map[flow.RunID]int{}, down: map[string]bool{}, relays: map[string]string{}, orders: map[uint64]time.Duration{},
+		workers: map[string]*worker.Worker{}, begun: map[flow.RunID]int{}, down: map[string]bool{}, relays: map[string]string{}, reached: map[string]time.Duration{}, orders: map[uint64]time.Duration{},
 		work:     func(flow.RunID) (time.Duration, inner.RunEnd) { return time.Second, inner.RunEnd_RUN_END_DONE },
 		capacity: capacity.Size{CPU: 4000, Memory: 4000},
 	}
@@ -376,7 +387,7 @@
 		w.leads = true
 		w.d = dispatch.New()
 		w.d.Host, w.d.Cell, w.d.Now, w.d.Backends, w.d.Helpers = w.host, "cell", w.now, w, w
-		w.d.Machines = w
+		w.d.Machines, w.d.Direct = w, w.direct
 		w.d.Elected(w.term, w.now())
 	})
 }
--- a/internal/control/dispatch/server.go
+++ b/internal/control/dispatch/server.go
@@ -76,6 +76,7 @@
 	now, _ := ledger.Server(r.GetId())
 	if s := d.lead.sessions[r.GetId()]; s == nil {
 		d.open(now)
+		d.takeIn()
 		event.Log(d.Log, event.ServerAnnounced, "server", r.GetId(), "born", r.GetBorn(), "pool", r.GetPool(), "address", r.GetAddress(), "cpu", now.Capacity.CPU, "memory", now.Capacity.Memory)
 	} else {
 		s.address = now.Address
--- a/internal/control/dispatch/session.go
+++ b/internal/control/dispatch/session.go
@@ -11,6 +11,7 @@
 	"gypsumreel/internal/domain/capacity"
 	"gypsumreel/internal/domain/flow"
 	"gypsumreel/internal/ledger/flows"
+	"gypsumreel/internal/policy/intake"
 	"gypsumreel/internal/policy/pace"
 	"gypsumreel/internal/policy/watchdog"
 )
@@ -105,10 +106,33 @@
 		s.runs[id] = &run{RunID: h.RunID, held: h, maybe: true, urgent: ok && d.urgent(step)}
 	}
 	d.lead.sessions[b.ID] = s
-	d.hold(s)
+	d.lead.intake.Add(s, s.class())
 	return s
 }
 
+// class is how soon a server is asked what it holds.
+func (s *session) class() intake.Class {
+	c := intake.Idle
+	for _, r := range s.runs {
+		if r.urgent {
+			return intake.Urgent
+		}
+		c = intake.Busy
+	}
+	return c
+}
+
+// takeIn asks servers for the first time, as many as may be asked now.
+func (d *Dispatcher) takeIn() {
+	for s, ok := d.lead.intake.Next(d.Now()); ok; s, ok = d.lead.intake.Next(d.Now()) {
+		if d.lead.sessions[s.id] != s {
+			d.lead.intake.Done(s)
+			continue
+		}
+		d.hold(s)
+	}
+}
+
 // reported takes what a report tells of the server's clock.
 func (s *session) reported(r Report, received time.Duration) {
 	s.call = max(s.call, r.Call)
@@ -190,7 +214,10 @@
 		return
 	}
 	s.holding = true
-	if s.relay != "" && !s.silent && d.Now()-s.relayed > relayTime {
+	if s.relay == "" && !d.direct(0) {
+		d.relay(s, d.otherWay(s.id, ""))
+	}
+	if s.relay != "" && !s.silent && d.Now()-s.relayed > relayTime && d.direct(1) {
 		s.fails = relayAfter - 1
 		d.relay(s, "")
 	}
@@ -212,6 +239,8 @@
 	// each try would keep its work from everybody else for ever.
 	d.call(s, c, wait, s.fails, !s.silent, func(a *inner.ServerAnswer, sent, came time.Duration) {
 		s.holding = false
+		d.lead.intake.Done(s)
+		defer d.takeIn()
 		if d.lead.sessions[s.id] != s || s.closing != "" {
 			return
 		}
@@ -318,9 +347,21 @@
 	if s.relay != through {
 		event.Log(d.Log, event.ServerRelayed, "server", s.id, "from", s.relay, "to", through, "fails", s.fails, "heard", (d.Now() - s.heard).String())
 	}
+	if s.relay != "" {
+		d.lead.relayed--
+	}
+	if through != "" {
+		d.lead.relayed++
+	}
 	s.relay, s.relayed = through, d.Now()
 }
 
+// direct tells whether the servers that are called directly, and so many more, may
+// be: each takes connections, and a process may open only so many.
+func (d *Dispatcher) direct(more int) bool {
+	return d.Direct == nil || len(d.lead.sessions)-d.lead.relayed+more <= d.Direct()
+}
+
 // lists takes what a server says it runs and what ended there.
 func (d *Dispatcher) lists(s *session, a *inner.ServerAnswer, sent, came time.Duration) {
 	listed := map[flow.TaskID]uint32{}
@@ -444,6 +485,9 @@
 		}
 	}
 	d.clear(s, true)
+	if s.relay != "" {
+		d.lead.relayed--
+	}
 	delete(d.lead.sessions, s.id)
 }
 
