Share out the files that a process may open

Nothing but the callers of an entry was bounded by the limit.

internal/base/files: the lower one of the system's and the settings' limit, shared out in order: own files, peers, our processes, callers and reports, calls to servers. It takes the place of bounds.Connections.

--- a/internal/base/bounds/bounds.go
+++ b/internal/base/bounds/bounds.go
@@ -11,11 +11,8 @@
 	heapPart, heapOf = 6, 10
 	// roomOf is the part of a disk that is kept free: a snapshot is written
 	// beside the one before it.
-	roomOf = 8
-	// spareFiles are kept for other things than connections from outside: calls
-	// inside, calls to backend servers, and what is open on disk.
-	spareFiles = 600
-	mebibyte   = 1 << 20
+	roomOf   = 8
+	mebibyte = 1 << 20
 )
 
 // Memory keeps the heap well below the instance's memory, in MiB; 0 for not known.
@@ -28,12 +25,3 @@
 // Room returns the bytes that are kept free on a disk of so many MiB; 0, which
 // stands for the default, when its size is not known.
 func Room(mib int64) uint64 { return uint64(mib) * mebibyte / roomOf }
-
-// Connections returns how many connections from outside a process may have that
-// wants so many and may open so many files; 0 files is not known.
-func Connections(want, files int64) int {
-	if files > 0 {
-		want = min(want, max(files-spareFiles, 1))
-	}
-	return int(want)
-}
--- /dev/null
+++ b/internal/base/files/conn.go
@@ -0,0 +1,96 @@
+package files
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// patience is how long a dial waits for room.
+const patience = time.Second
+
+// Dial opens a connection.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dial returns a dial whose connections count for a use. One that finds no room
+// calls full, which closes idle ones, and waits.
+func (b *Budget) Dial(u Use, dial Dial, full func()) Dial {
+	if b == nil {
+		return dial
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		waiting, cancel := context.WithTimeout(ctx, patience)
+		defer cancel()
+		if err := b.Wait(waiting, u, full); err != nil {
+			return nil, &net.OpError{Op: "dial", Net: network, Err: err}
+		}
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			b.Free(u)
+			return nil, err
+		}
+		return &conn{Conn: c, close: sync.OnceFunc(func() { b.Free(u) })}, nil
+	}
+}
+
+// conn is a connection that counts until it is closed.
+type conn struct {
+	net.Conn
+	close func()
+}
+
+func (c *conn) Close() error {
+	defer c.close()
+	return c.Conn.Close()
+}
+
+// Listen returns a listener whose connections count for a use. Without room none is
+// taken: those that come wait until another is closed.
+func (b *Budget) Listen(u Use, l net.Listener) net.Listener {
+	if b == nil {
+		return l
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &listener{Listener: l, budget: b, use: u, ctx: ctx, cancel: cancel}
+}
+
+type listener struct {
+	net.Listener
+	budget *Budget
+	use    Use
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	if err := l.budget.Wait(l.ctx, l.use, func() {}); err != nil {
+		return nil, net.ErrClosed
+	}
+	c, err := l.Listener.Accept()
+	if err != nil {
+		l.budget.Free(l.use)
+		return nil, err
+	}
+	return &conn{Conn: c, close: sync.OnceFunc(func() { l.budget.Free(l.use) })}, nil
+}
+
+func (l *listener) Close() error {
+	l.cancel()
+	return l.Listener.Close()
+}
+
+// Serve returns a handler that lets connections end after their answer while the
+// use is pressed, so that others find room.
+func (b *Budget) Serve(u Use, h http.Handler) http.Handler {
+	if b == nil {
+		return h
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ProtoMajor == 1 && b.Pressed(u) {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/internal/base/files/files.go
@@ -0,0 +1,233 @@
+// Package files shares out the files that a process may have open. A connection is
+// one, and a process that has used up all it may open fails at whatever needs the
+// next: a call, a vote, the log. So each use has a part that the uses after it
+// leave alone, and who finds no room is told so before the kernel has to.
+package files
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+)
+
+// Use is what files are open for. The uses before one come first.
+type Use uint8
+
+// The uses, the most important first.
+const (
+	// Own are journal, snapshot, listeners and what the runtime needs.
+	Own Use = iota
+	// Peers are the connections of the consensus group.
+	Peers
+	// Processes are those between our own processes, and to services beside them.
+	Processes
+	// Callers are those that come in from callers, operators and backend servers.
+	Callers
+	// Servers are those of calls to backend servers.
+	Servers
+	uses
+)
+
+var names = [uses]string{"own", "peers", "processes", "callers", "servers"}
+
+// String returns the name of the use.
+func (u Use) String() string { return names[u] }
+
+// What is kept for each use, in files or as one part of so many of what is left.
+const (
+	// own is kept for Own, at most one part in ownOf of all.
+	own   = 256
+	ownOf = 4
+	// peers are two connections to each of eight replicas, and as many that hang.
+	peers = 32
+	// processesOf and callersOf are the parts kept for these uses.
+	processesOf = 8
+	callersOf   = 4
+	// pressedOf is the part of its share that a use has left when it is pressed.
+	pressedOf = 4
+	// again is how often somebody who waits lets idle connections be closed.
+	again = 20 * time.Millisecond
+)
+
+// ErrNone means that a use has no file left; nothing was opened.
+var ErrNone = errors.New("the process may open no more files for this")
+
+// Budget is how many files a process may open for each use. Own and Peers are not
+// counted, they always have what is kept for them. A nil Budget bounds nothing.
+type Budget struct {
+	limit int
+	kept  [uses]int
+
+	mu    sync.Mutex
+	open  [uses]int
+	waits [uses]int
+	// queues are who waits, each for the end of its channel.
+	queues [uses][]chan struct{}
+}
+
+// New returns the budget of a process that may open so many files.
+func New(limit int) *Budget {
+	b := &Budget{limit: limit}
+	b.kept[Own] = min(own, limit/ownOf)
+	b.kept[Peers] = min(peers, limit/ownOf)
+	left := limit - b.kept[Own] - b.kept[Peers]
+	b.kept[Processes] = left / processesOf
+	b.kept[Callers] = left / callersOf
+	b.kept[Servers] = left - b.kept[Processes] - b.kept[Callers]
+	return b
+}
+
+// Limit returns how many files this process may open: what the system allows, and
+// at most what the settings say, if that is more than 0.
+func Limit(settings int64) int {
+	var r unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &r); err != nil || settings > 0 && uint64(settings) < r.Cur {
+		return int(settings)
+	}
+	return int(min(r.Cur, 1<<24))
+}
+
+// Share returns how many files a use may have open now: all but what is kept for,
+// or used by, the uses before it, and what those after it use.
+func (b *Budget) Share(u Use) int {
+	if b == nil {
+		return 1 << 24
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.share(u)
+}
+
+func (b *Budget) share(u Use) int {
+	left := b.limit
+	for other := range uses {
+		switch {
+		case other < u:
+			left -= max(b.kept[other], b.open[other])
+		case other > u:
+			left -= b.open[other]
+		}
+	}
+	return max(left, 0)
+}
+
+// Take opens a file for a use, unless there is no room.
+func (b *Budget) Take(u Use) bool {
+	if b == nil {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.queues[u]) > 0 || b.open[u] >= b.share(u) {
+		return false
+	}
+	b.open[u]++
+	return true
+}
+
+// Wait opens a file for a use, as soon as there is room; ErrNone when ctx ends
+// before. Where it finds none it calls full now and then, which may make some.
+func (b *Budget) Wait(ctx context.Context, u Use, full func()) error {
+	if b.Take(u) {
+		return nil
+	}
+	full()
+	b.mu.Lock()
+	mine := make(chan struct{})
+	b.queues[u] = append(b.queues[u], mine)
+	b.waits[u]++
+	b.next()
+	b.mu.Unlock()
+	for {
+		select {
+		case <-mine:
+			return nil
+		case <-ctx.Done():
+			return b.give(u, mine)
+		case <-time.After(again):
+		}
+		if b.first(u, mine) {
+			full() // what was in use may be idle by now
+		}
+	}
+}
+
+// first tells whether somebody is the first in a queue.
+func (b *Budget) first(u Use, mine chan struct{}) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.queues[u]) > 0 && b.queues[u][0] == mine
+}
+
+// give ends somebody's wait without a file.
+func (b *Budget) give(u Use, mine chan struct{}) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if i := slices.Index(b.queues[u], mine); i >= 0 {
+		b.queues[u] = slices.Delete(b.queues[u], i, i+1)
+	} else {
+		b.open[u]-- // it was given one in this moment
+		b.next()
+	}
+	return errors.Wrapf(ErrNone, "%s", u)
+}
+
+// next lets those go on for whom there is room, the most important use first.
+func (b *Budget) next() {
+	for u := range uses {
+		for len(b.queues[u]) > 0 && b.open[u] < b.share(u) {
+			close(b.queues[u][0])
+			b.queues[u] = b.queues[u][1:]
+			b.open[u]++
+		}
+	}
+}
+
+// Free closes a file.
+func (b *Budget) Free(u Use) {
+	if b == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.open[u]--
+	b.next()
+}
+
+// Pressed tells that a use has little left: what it keeps open without need should
+// be closed.
+func (b *Budget) Pressed(u Use) bool {
+	if b == nil {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	share := b.share(u)
+	return b.open[u] >= share-share/pressedOf
+}
+
+// Row is one use of the budget.
+type Row struct {
+	Use string
+	// Kept is how many files the uses after it leave it, Open how many it has,
+	// Share how many it may have now, Waits how often it found none.
+	Kept, Open, Share, Waits int
+}
+
+// Rows returns all uses, for dumps and metrics.
+func (b *Budget) Rows() []Row {
+	if b == nil {
+		return nil
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make([]Row, 0, uses)
+	for u := range uses {
+		out = append(out, Row{Use: u.String(), Kept: b.kept[u], Open: b.open[u], Share: b.share(u), Waits: b.waits[u]})
+	}
+	return out
+}
--- a/internal/cli/entry/entry.go
+++ b/internal/cli/entry/entry.go
@@ -12,6 +12,7 @@
 	"gypsumreel/internal/base/bounds"
 	"gypsumreel/internal/base/dump"
 	"gypsumreel/internal/base/event"
+	"gypsumreel/internal/base/files"
 	"gypsumreel/internal/base/settings"
 	"gypsumreel/internal/cli/verb"
 	"gypsumreel/internal/edge/backend"
@@ -64,7 +65,7 @@
 		Cell: s.Cell, Name: s.Name, Drain: s.Time.Finish,
 		// Zero would stand for the entry's own default.
 		Linger:      max(s.Time.Drain, time.Nanosecond),
-		Connections: bounds.Connections(s.Limits.Connections, s.Limits.Files), Limit: int(s.Limits.Queue),
+		Connections: min(int(s.Limits.Connections), files.New(files.Limit(s.Limits.Files)).Share(files.Callers)), Limit: int(s.Limits.Queue),
 	}
 	bounds.Memory(s.Limits.Memory)
 	for _, l := range []struct {
--- a/internal/edge/helper/helper_test.go
+++ b/internal/edge/helper/helper_test.go
@@ -70,7 +70,7 @@
 // and the calls relayed beside it still go through.
 func TestCallsOutliveRefusedConnections(t *testing.T) {
 	r, address := behind(t)
-	p := &helper.Pool{Client: wire.Shared()}
+	p := &helper.Pool{Client: wire.Shared(nil)}
 	ask := func(flow string, limit time.Duration) error {
 		ctx, cancel := context.WithTimeout(t.Context(), limit)
 		defer cancel()
@@ -108,7 +108,7 @@
 // waiting on that connection when a new one would do.
 func TestSilentConnectionIsLeft(t *testing.T) {
 	r, address := behind(t)
-	p := &helper.Pool{Client: wire.Shared()}
+	p := &helper.Pool{Client: wire.Shared(nil)}
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
 	ask := func(limit time.Duration) bool {
--- a/internal/edge/leader/leader_test.go
+++ b/internal/edge/leader/leader_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"gypsumreel/internal/base/files"
+
 	"github.com/go-logr/logr"
 
 	"gypsumreel/internal/api/inner"
@@ -84,7 +86,7 @@
 	begin := time.Now()
 	l := &leader.Link{
 		Greeting: &inner.Greeting{Name: "entry", Address: "127.0.0.1:1"}, Seeds: func() []string { return seeds },
-		Client: wire.Client(4), Now: func() time.Duration { return time.Since(begin) + time.Hour }, Log: logr.Discard(),
+		Client: wire.Client(4, nil, files.Servers), Now: func() time.Duration { return time.Since(begin) + time.Hour }, Log: logr.Discard(),
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(func() { cancel(); <-l.Done() })
--- a/internal/edge/wire/wire.go
+++ b/internal/edge/wire/wire.go
@@ -10,6 +10,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"gypsumreel/internal/base/files"
 )
 
 // Bounds of the connections.
@@ -34,16 +36,21 @@
 	maxStreams = 1000
 )
 
-// Client returns a client for calls with their own deadlines. It speaks
-// HTTP/1.1, where a call that is given up closes its own connection: one that
-// went silent is never used twice.
-func Client(perHost int) *http.Client {
+// idleParts is the part of what a use may open that its idle connections take up.
+const idleParts = 2
+
+// Client returns a client for calls with their own deadlines, whose connections
+// count for a use of the budget. It speaks HTTP/1.1, where a call that is given up
+// closes its own connection: one that went silent is never used twice.
+func Client(perHost int, budget *files.Budget, use files.Use) *http.Client {
 	only := new(http.Protocols)
 	only.SetHTTP1(true)
-	return &http.Client{Transport: &http.Transport{
-		DialContext: dial, Protocols: only, DisableCompression: true,
+	t := &http.Transport{
+		Protocols: only, DisableCompression: true, MaxIdleConns: budget.Share(use) / idleParts,
 		MaxIdleConnsPerHost: perHost, MaxConnsPerHost: perHost, IdleConnTimeout: IdleTimeout,
-	}, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	}
+	t.DialContext = budget.Dial(use, dial, t.CloseIdleConnections)
+	return &http.Client{Transport: t, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 }
 
 // Shared returns a client for calls between our own processes. All calls to one
@@ -51,11 +58,11 @@
 // failures of a network let open connections live and refuse new ones, and a
 // process that had to dial for its next call would be alone until they are over.
 // A connection that went silent would be used again, so it is pinged.
-func Shared() *http.Client {
+func Shared(budget *files.Budget) *http.Client {
 	only := new(http.Protocols)
 	only.SetUnencryptedHTTP2(true)
 	return &http.Client{Transport: &http.Transport{
-		DialContext: dial, Protocols: only, DisableCompression: true, MaxConnsPerHost: 1, IdleConnTimeout: IdleTimeout,
+		DialContext: budget.Dial(files.Processes, dial, func() {}), Protocols: only, DisableCompression: true, MaxConnsPerHost: 1, IdleConnTimeout: IdleTimeout,
 		HTTP2: &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTime},
 	}}
 }
