A plan goes over the servers of which something is known

Cause: each step of a plan went over all servers with four look-ups each, and sorted a thousand of them by room where the adviser was not asked yet.

The planner asks what is known of a step once and goes over that; servers not asked about come lazily by their room now; what a server will have free is worked out once a plan.

Tests: what is known is looked up once; questions go by the room that is left.

--- a/internal/control/dispatch/advice.go
+++ b/internal/control/dispatch/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"iter"
 	"time"
 
 	"gypsumreel/internal/api/inner"
@@ -41,17 +42,24 @@
 	until  time.Duration
 }
 
-// permission tells the planner what is known of a step on a server.
-func (d *Dispatcher) permission(id flow.StepID, server string) steps.Permission {
-	a := d.lead.advice[id]
-	if a == nil {
-		return steps.Unasked
+// known tells the planner what is known of a step on servers.
+func (d *Dispatcher) known(id flow.StepID) iter.Seq2[string, steps.Permission] {
+	return func(yield func(string, steps.Permission) bool) {
+		a := d.lead.advice[id]
+		if a == nil {
+			return
+		}
+		for server, may := range a.may {
+			if !yield(server, d.permission(a, server, may)) {
+				return
+			}
+		}
 	}
-	may, known := a.may[server]
-	switch {
-	case !known:
-		return steps.Unasked
-	case !may:
+}
+
+// permission returns what the adviser said of a server about which it was asked.
+func (d *Dispatcher) permission(a *advice, server string, may bool) steps.Permission {
+	if !may {
 		return steps.Denied
 	}
 	if p, ok := a.permits[server]; ok && d.lead.planned < p.until {
--- a/internal/control/dispatch/plan.go
+++ b/internal/control/dispatch/plan.go
@@ -22,7 +22,7 @@
 		return
 	}
 	begin := d.Now()
-	v := steps.View{Room: d.room, Permission: d.permission, Share: d.granted}
+	v := steps.View{Room: d.room, Known: d.known, Share: d.granted}
 	v.Frees = func(server string) []steps.Release { return d.frees(server, now) }
 	clock := d.Host.Clock()
 	for _, s := range ledger.Ready() {
--- a/internal/policy/model/plan.go
+++ b/internal/policy/model/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"maps"
 	"math"
 	"slices"
@@ -27,7 +28,7 @@
 
 // plan decides once.
 func (m *Model) plan() {
-	v := steps.View{Room: m.room, Permission: m.permission, Share: func(steps.Item) float64 { return m.setup.Share }}
+	v := steps.View{Room: m.room, Known: m.known, Share: func(steps.Item) float64 { return m.setup.Share }}
 	if m.policy.Without&KeptRoom == 0 {
 		v.Frees = m.frees
 	}
@@ -126,22 +127,26 @@
 	}
 }
 
-// permission tells what is known of a step on a server.
-func (m *Model) permission(id flow.StepID, server string) steps.Permission {
-	a := m.advice[id]
-	if a == nil {
-		return steps.Unasked
-	}
-	may, known := a.may[server]
-	switch {
-	case !known:
-		return steps.Unasked
-	case !may:
-		return steps.Denied
-	case m.now < a.until[server]:
-		return steps.Granted
-	}
-	return steps.Stale
+// known tells the planner what is known of a step on servers.
+func (m *Model) known(id flow.StepID) iter.Seq2[string, steps.Permission] {
+	return func(yield func(string, steps.Permission) bool) {
+		a := m.advice[id]
+		if a == nil {
+			return
+		}
+		for server, may := range a.may {
+			p := steps.Stale
+			switch {
+			case !may:
+				p = steps.Denied
+			case m.now < a.until[server]:
+				p = steps.Granted
+			}
+			if !yield(server, p) {
+				return
+			}
+		}
+	}
 }
 
 // ask asks what the plan wants to know, as far as helpers are free.
--- a/internal/policy/steps/bench_test.go
+++ b/internal/policy/steps/bench_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"fmt"
+	"iter"
+	"maps"
 	"testing"
+	"time"
 
 	"gypsumreel/internal/domain/capacity"
+	"gypsumreel/internal/domain/flow"
 	"gypsumreel/internal/policy/steps"
 )
 
@@ -52,3 +56,40 @@
 		steps.Make(v)
 	}
 }
+
+// A burst at a large cell: many new steps, and as many about which the adviser was
+// asked already, before a thousand servers in use at four fifths.
+func BenchmarkBurst(b *testing.B) {
+	const all, most, few = 1100, 150, 60
+	var servers []steps.Server
+	for i := range all {
+		s := server(fmt.Sprintf("s%04d", i), 16000)
+		s.Used = capacity.Size{CPU: int64(i*37*4) % 16000}
+		s.Brief = i%5 == 0
+		servers = append(servers, s)
+	}
+	may := map[flow.StepID]map[string]steps.Permission{}
+	var items []steps.Item
+	for i := range most {
+		it := item(fmt.Sprintf("f%03d", i), tasks(4, 3900))
+		it.Permits, it.Urgent, it.Priority = true, i%3 > 0, uint32(i%3)
+		if i%2 == 0 {
+			it.Asked = true
+			may[it.StepID] = map[string]steps.Permission{}
+			for j := range few {
+				may[it.StepID][servers[(i*31+j*17)%all].ID] = steps.Permission(1 + j%3)
+			}
+		}
+		items = append(items, it)
+	}
+	v := view(servers, items...)
+	v.Known = func(id flow.StepID) iter.Seq2[string, steps.Permission] { return maps.All(may[id]) }
+	v.Share = func(steps.Item) float64 { return 0.3 }
+	v.Frees = func(string) []steps.Release {
+		return []steps.Release{{In: time.Second, Size: capacity.Size{CPU: 3000}}, {In: 100 * time.Millisecond, Size: capacity.Size{CPU: 3000}}}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		steps.Make(v)
+	}
+}
--- a/internal/policy/steps/gang.go
+++ b/internal/policy/steps/gang.go
@@ -14,11 +14,12 @@
 	if it.Queued < len(it.Tasks) || p.allowed(it) < int64(it.Queued) {
 		return
 	}
-	options, unasked := p.options(it)
+	p.look(it)
+	options := p.options(it)
 	chosen, ok := choose(it, options)
 	if !ok || !p.affords(it, chosen) {
 		p.reserve(it)
-		p.ask(it, unasked)
+		p.ask(it)
 		return
 	}
 	var places []Place
@@ -100,6 +101,9 @@
 	*room
 }
 
+// sooner orders slots by when they are there, those of one time by their servers.
+func sooner(a, b slot) int { return cmp.Or(cmp.Compare(a.in, b.in), a.at-b.at) }
+
 // reserve keeps room for a gang where it can begin soonest, on the servers that
 // may run it. What ends before then may still use it; whatever runs longer would
 // make the gang wait for ever.
@@ -108,8 +112,8 @@
 		return
 	}
 	var slots []slot
-	for _, r := range p.servers {
-		perm := p.permission(it, r.ID)
+	for _, r := range p.listed {
+		perm := p.permission(it, r)
 		if suits(it, r) && (perm == Stale || perm == Granted) {
 			slots = p.slots(slots, it, r)
 		}
@@ -117,7 +121,7 @@
 	if len(slots) < it.Queued {
 		return // what is known of will never hold it
 	}
-	slices.SortStableFunc(slots, func(a, b slot) int { return cmp.Compare(a.in, b.in) })
+	slices.SortStableFunc(slots, sooner)
 	slots = slots[:it.Queued]
 	p.waiting[it.Pool]++
 	begin := slots[len(slots)-1].in
@@ -128,7 +132,7 @@
 		s.until = max(s.until, begin)
 		if !slices.Contains(servers, s.ID) {
 			servers = append(servers, s.ID)
-			stale = stale || p.permission(it, s.ID) == Stale
+			stale = stale || p.permission(it, s.room) == Stale
 		}
 	}
 	if stale && begin <= soon {
@@ -136,6 +140,15 @@
 	}
 }
 
+// frees returns what a server will have free again, the soonest first.
+func (p *planner) frees(r *room) []Release {
+	if !r.freed {
+		r.frees, r.freed = p.view.Frees(r.ID), true
+		slices.SortStableFunc(r.frees, func(a, b Release) int { return cmp.Compare(a.In, b.In) })
+	}
+	return r.frees
+}
+
 // slots adds the slots that a server has for an item, now and later.
 func (p *planner) slots(out []slot, it Item, r *room) []slot {
 	size, most := flow.SizeOf(it.Spec), int64(it.Queued)
@@ -152,9 +165,7 @@
 	if p.view.Frees == nil || have == most {
 		return out
 	}
-	frees := p.view.Frees(r.ID)
-	slices.SortStableFunc(frees, func(a, b Release) int { return cmp.Compare(a.In, b.In) })
-	for _, f := range frees {
+	for _, f := range p.frees(r) {
 		free = free.Add(f.Size)
 		add(f.In)
 	}
--- a/internal/policy/steps/option.go
+++ b/internal/policy/steps/option.go
@@ -52,13 +52,11 @@
 
 // options returns the servers that may hold a task of the item now, the best
 // first: those on which none of it failed, near the data, then fast, then those
-// that are left fullest, so that large holes stay for large tasks. unasked are
-// the servers that the adviser was not asked about yet.
-func (p *planner) options(it Item) (out []option, unasked []*room) {
+// that are left fullest, so that large holes stay for large tasks.
+func (p *planner) options(it Item) (out []option) {
 	size := flow.SizeOf(it.Spec)
-	known := it.Asked || !it.Permits
-	if known && size.CPU > p.most[it.Pool] {
-		return nil, nil // the usual case where much waits
+	if p.full(it) {
+		return nil
 	}
 	here := map[string]int64{}
 	for _, t := range it.Tasks {
@@ -66,31 +64,27 @@
 			here[t.Server]++
 		}
 	}
-	for _, r := range p.servers {
-		if !suits(it, r) {
+	for _, r := range p.listed {
+		perm := p.permission(it, r)
+		if perm == Denied || !suits(it, r) {
 			continue
 		}
 		n := fits(size, r.left(it))
-		if n == 0 && known {
-			continue
-		}
-		perm := p.permission(it, r.ID)
-		if perm == Denied {
-			continue
-		}
 		if most := it.Spec.GetApart(); most > 0 {
 			n = min(n, int64(most)-here[r.ID])
 		}
-		if perm == Unasked {
-			unasked = append(unasked, r)
-			continue
-		}
 		if n > 0 {
 			out = append(out, option{room: r, permission: perm, count: n, last: last(it, r)})
 		}
 	}
 	slices.SortFunc(out, option.before)
-	return out, unasked
+	return out
+}
+
+// full tells that no server had room for a task of the item when the plan began, and
+// that the adviser was asked already: the usual case where much waits.
+func (p *planner) full(it Item) bool {
+	return (it.Asked || !it.Permits) && it.Spec.GetSize().GetCpu() > p.most[it.Pool]
 }
 
 // speedClass groups servers whose speed differs by less than can be told apart
--- a/internal/policy/steps/steps.go
+++ b/internal/policy/steps/steps.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"time"
 
@@ -72,8 +73,9 @@
 	Servers []Server
 	// Room is what a customer may still start.
 	Room func(customer string) capacity.Size
-	// Permission tells what is known of a step that needs permits.
-	Permission func(id flow.StepID, server string) Permission
+	// Known goes over the servers of which something is known for a step that needs
+	// permits; the others are Unasked.
+	Known func(id flow.StepID) iter.Seq2[string, Permission]
 	// Share is the part of the servers asked about that the adviser lets run a
 	// step of the item's queue; nil while nothing is known.
 	Share func(it Item) float64
@@ -149,6 +151,13 @@
 type planner struct {
 	view    View
 	servers []*room
+	byID    map[string]*room
+	// turn counts the items looked at; listed are the servers of which something is
+	// known for the latest.
+	turn   int
+	listed []*room
+	// shelves are the servers in the order of their room; nil until that is asked for.
+	shelves map[shelf][]*room
 	used    map[string]capacity.Size
 	plan    Plan
 	// waiting counts the gangs for which room is kept, by pool, sizes the servers.
@@ -171,7 +180,14 @@
 	// at is its place in the order of ids, class that of its speed.
 	at    int
 	class int
+	// began is the room of the processor when the plan began.
+	began int64
 	free  capacity.Size
+	mark
+	// frees is what the server will have free again, the soonest first, once it was
+	// asked for.
+	frees []Release
+	freed bool
 	// kept is what is kept free for gangs that wait, and until when they wait.
 	kept  capacity.Size
 	until time.Duration
@@ -190,11 +206,13 @@
 // is room. What waits for a permit or, as a gang, for more room keeps the room
 // that it needs from those after it, which would take it for ever otherwise.
 func Make(v View) Plan {
-	p := &planner{view: v, used: map[string]capacity.Size{}, waiting: map[string]int{}, sizes: map[string]int{}, most: map[string]int64{}, heads: map[string]Headroom{}, spare: map[string]int64{}, ever: map[string]int64{}, ahead: map[string]int{}}
+	p := &planner{view: v, byID: make(map[string]*room, len(v.Servers)), used: map[string]capacity.Size{}, waiting: map[string]int{}, sizes: map[string]int{}, most: map[string]int64{}, heads: map[string]Headroom{}, spare: map[string]int64{}, ever: map[string]int64{}, ahead: map[string]int{}}
 	rooms := make([]room, len(v.Servers))
 	for i, s := range v.Servers {
-		rooms[i] = room{Server: s, free: s.Free()}
+		free := s.Free()
+		rooms[i] = room{Server: s, free: free, began: free.CPU}
 		p.servers = append(p.servers, &rooms[i])
+		p.byID[s.ID] = &rooms[i]
 		p.sizes[s.Pool]++
 		p.most[s.Pool] = max(p.most[s.Pool], rooms[i].free.CPU)
 		p.head(&rooms[i])
@@ -241,14 +259,6 @@
 	return -1
 }
 
-// permission returns what is known of an item on a server.
-func (p *planner) permission(it Item, server string) Permission {
-	if !it.Permits {
-		return Granted
-	}
-	return p.view.Permission(it.StepID, server)
-}
-
 // suits tells whether a server may hold a task of the item at all.
 func suits(it Item, r *room) bool {
 	if r.Pool != it.Pool {
@@ -296,7 +306,8 @@
 	if left <= 0 {
 		return
 	}
-	options, unasked := p.options(it)
+	p.look(it)
+	options := p.options(it)
 	var places []Place
 	var stale []string
 	next := queuedTasks(it.Step)
@@ -325,8 +336,9 @@
 	case len(stale) > 0:
 		p.want(it, stale, options)
 	case left > 0:
-		p.ask(it, unasked)
-		p.foresee(it, len(unasked))
+		if !p.ask(it) {
+			p.foresee(it)
+		}
 	}
 }
 
--- a/internal/policy/steps/steps_test.go
+++ b/internal/policy/steps/steps_test.go
@@ -1,8 +1,12 @@
 package steps_test
 
 import (
+	gocmp "cmp"
 	"fmt"
+	"iter"
+	"maps"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -42,8 +46,21 @@
 func view(servers []steps.Server, items ...steps.Item) steps.View {
 	return steps.View{
 		Items: items, Servers: servers,
-		Room:       func(string) capacity.Size { return capacity.Size{CPU: 1 << 40, Memory: 1 << 40, Accel: 1 << 40} },
-		Permission: func(flow.StepID, string) steps.Permission { return steps.Granted },
+		Room:  func(string) capacity.Size { return capacity.Size{CPU: 1 << 40, Memory: 1 << 40, Accel: 1 << 40} },
+		Known: known(servers, func(flow.StepID, string) steps.Permission { return steps.Granted }),
+	}
+}
+
+// known returns what is known of each step on each server.
+func known(servers []steps.Server, of func(flow.StepID, string) steps.Permission) func(flow.StepID) iter.Seq2[string, steps.Permission] {
+	return func(id flow.StepID) iter.Seq2[string, steps.Permission] {
+		return func(yield func(string, steps.Permission) bool) {
+			for _, s := range servers {
+				if p := of(id, s.ID); p != steps.Unasked && !yield(s.ID, p) {
+					return
+				}
+			}
+		}
 	}
 }
 
@@ -248,12 +265,12 @@
 	it := item("x", gang(200, 4000))
 	it.Permits = true
 	v := view(servers, it)
-	v.Permission = func(_ flow.StepID, s string) steps.Permission {
+	v.Known = known(v.Servers, func(_ flow.StepID, s string) steps.Permission {
 		if s < "s150" {
 			return steps.Granted
 		}
 		return steps.Stale
-	}
+	})
 	p := steps.Make(v)
 	if len(p.Wants) != 1 || !slices.Contains(p.Wants[0].Servers, "s199") || len(p.Wants[0].Servers) > steps.MostWanted {
 		t.Errorf("questions: %v", p.Wants)
@@ -280,7 +297,7 @@
 		it := item("x", gang(count, 3000))
 		it.Permits = true
 		v := view(servers, it)
-		v.Permission = func(flow.StepID, string) steps.Permission { return steps.Unasked }
+		v.Known = known(nil, nil)
 		v.Share = func(steps.Item) float64 { return share }
 		return len(steps.Make(v).Wants[0].Servers)
 	}
@@ -296,7 +313,7 @@
 	first, second := item("first", gang(2, 2000)), item("second", tasks(4, 1000))
 	first.Permits, second.Priority = true, 1
 	v := view([]steps.Server{server("a", 4000)}, first, second)
-	v.Permission = func(flow.StepID, string) steps.Permission { return steps.Stale }
+	v.Known = known(v.Servers, func(flow.StepID, string) steps.Permission { return steps.Stale })
 	p := steps.Make(v)
 	check(t, map[string]int{}, p)
 	if len(p.Wants) != 1 || !slices.Equal(p.Wants[0].Servers, []string{"a"}) {
@@ -314,7 +331,7 @@
 	it := item("x", tasks(1, 1000))
 	it.Permits = true
 	v := view(servers, it)
-	v.Permission = func(flow.StepID, string) steps.Permission { return steps.Unasked }
+	v.Known = known(nil, nil)
 	p := steps.Make(v)
 	if len(p.Wants) != 1 || len(p.Wants[0].Servers) != steps.LeastAsked || p.Wants[0].Servers[0] != "s00" {
 		t.Errorf("questions: %v", p.Wants)
@@ -344,9 +361,9 @@
 		limit := rapid.Int64Range(0, 60000).Draw(t, "limit")
 		v := view(servers, items...)
 		v.Room = func(string) capacity.Size { return capacity.Size{CPU: limit, Memory: 1 << 40, Accel: 1 << 40} }
-		v.Permission = func(id flow.StepID, s string) steps.Permission {
+		v.Known = known(v.Servers, func(id flow.StepID, s string) steps.Permission {
 			return steps.Permission((len(id.Flow) + int(id.Flow[1]) + int(s[1])) % 4)
-		}
+		})
 		bounds(t, v, steps.Make(v))
 	})
 }
@@ -392,12 +409,12 @@
 	it := item("x", tasks(2, 4000))
 	it.Permits, it.Asked = true, true
 	v := view([]steps.Server{soon, late, free}, it)
-	v.Permission = func(_ flow.StepID, server string) steps.Permission {
+	v.Known = known(v.Servers, func(_ flow.StepID, server string) steps.Permission {
 		if server == "other" {
 			return steps.Denied
 		}
 		return steps.Stale
-	}
+	})
 	v.Frees = func(server string) []steps.Release {
 		in := map[string]time.Duration{"soon": 500 * time.Millisecond, "late": time.Minute, "other": 0}[server]
 		return []steps.Release{{In: in, Size: capacity.Size{CPU: 4000}}}
@@ -418,3 +435,82 @@
 	urgent.Urgent, long.Priority = true, 1
 	check(t, map[string]int{"urgent on brief": 1, "long on usual": 3, "long on brief": 1}, steps.Make(view([]steps.Server{brief, usual}, urgent, long)))
 }
+
+// A plan over a long backlog goes over a thousand servers for each step: it takes
+// tens of milliseconds, and the next one waits five times as long.
+func TestPlanLooksOnceAtWhatIsKnown(t *testing.T) {
+	var servers []steps.Server
+	var items []steps.Item
+	for i := range 200 {
+		s := server(fmt.Sprintf("s%03d", i), 4000)
+		s.Used = capacity.Size{CPU: 4000}
+		servers = append(servers, s)
+	}
+	for i := range 50 {
+		it := item(fmt.Sprintf("f%02d", i), tasks(4, 4000))
+		if i%2 == 0 {
+			it = item(fmt.Sprintf("f%02d", i), gang(4, 4000))
+		}
+		it.Permits, it.Asked = true, true
+		items = append(items, it)
+	}
+	v := view(servers, items...)
+	stale := known(servers, func(flow.StepID, string) steps.Permission { return steps.Stale })
+	looks, frees := map[flow.StepID]int{}, map[string]int{}
+	v.Known = func(id flow.StepID) iter.Seq2[string, steps.Permission] {
+		looks[id]++
+		return stale(id)
+	}
+	v.Frees = func(server string) []steps.Release {
+		frees[server]++
+		return []steps.Release{{In: 100 * time.Millisecond, Size: capacity.Size{CPU: 4000}}}
+	}
+	steps.Make(v)
+	for id, n := range looks {
+		if n > 1 {
+			t.Errorf("what is known of %v was looked up %d times", id, n)
+		}
+	}
+	for s, n := range frees {
+		if n > 1 {
+			t.Errorf("what %s will have free was worked out %d times", s, n)
+		}
+	}
+}
+
+// Work placed earlier in a plan takes room: a question that names servers by the
+// room that they had before asks for permits where there is none.
+func TestQuestionsGoByTheRoomThatIsLeft(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var servers []steps.Server
+		for i := range rapid.IntRange(1, 250).Draw(t, "servers") {
+			s := server(fmt.Sprintf("s%03d", i), 16000)
+			s.Used = capacity.Size{CPU: 100 * rapid.Int64Range(0, 160).Draw(t, "used")}
+			s.Brief = rapid.Bool().Draw(t, "brief")
+			servers = append(servers, s)
+		}
+		placed, asks := item("a", tasks(uint32(rapid.IntRange(1, 200).Draw(t, "placed")), 1000)), item("b", tasks(200, 100))
+		asks.Permits, asks.Priority, asks.Urgent = true, 1, rapid.Bool().Draw(t, "urgent")
+		v := view(servers, placed, asks)
+		v.Known = known(nil, nil)
+		p := steps.Make(v)
+		free, brief := map[string]int64{}, map[string]bool{}
+		for _, s := range servers {
+			free[s.ID], brief[s.ID] = s.Free().CPU, asks.Urgent && s.Brief
+		}
+		for _, one := range p.Placements {
+			for _, place := range one.Places {
+				free[place.Server] -= 1000
+			}
+		}
+		want := slices.SortedFunc(maps.Keys(free), func(a, b string) int {
+			if brief[a] != brief[b] {
+				return map[bool]int{true: -1, false: 1}[brief[a]]
+			}
+			return gocmp.Or(gocmp.Compare(free[b], free[a]), strings.Compare(a, b))
+		})
+		if got := p.Wants[0].Servers; !slices.Equal(got, want[:len(got)]) {
+			t.Fatalf("asked about %v, by room %v", got, want[:len(got)])
+		}
+	})
+}
--- a/internal/policy/steps/want.go
+++ b/internal/policy/steps/want.go
@@ -1,7 +1,6 @@
 package steps
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -27,8 +26,8 @@
 
 // foresee asks for fresh permits of servers that are about to have room for the
 // next steps in turn, so that no room lies idle while the adviser is asked.
-func (p *planner) foresee(it Item, unasked int) {
-	if unasked > 0 || !it.Permits || p.ahead[it.Pool] >= leastWaiting+p.sizes[it.Pool]/waitingPart {
+func (p *planner) foresee(it Item) {
+	if !it.Permits || p.ahead[it.Pool] >= leastWaiting+p.sizes[it.Pool]/waitingPart {
 		return
 	}
 	p.ahead[it.Pool]++
@@ -48,14 +47,14 @@
 		return nil
 	}
 	var slots []slot
-	for _, r := range p.servers {
-		if suits(it, r) && p.permission(it, r.ID) == Stale && !slices.Contains(given, r.ID) {
+	for _, r := range p.listed {
+		if suits(it, r) && p.permission(it, r) == Stale && !slices.Contains(given, r.ID) {
 			if in, ok := p.soonest(it, r); ok {
 				slots = append(slots, slot{in, r})
 			}
 		}
 	}
-	slices.SortStableFunc(slots, func(a, b slot) int { return cmp.Compare(a.in, b.in) })
+	slices.SortFunc(slots, sooner)
 	var out []string
 	for _, s := range slots[:min(len(slots), most)] {
 		out = append(out, s.ID)
@@ -67,9 +66,7 @@
 // while a permit asked for now holds.
 func (p *planner) soonest(it Item, r *room) (time.Duration, bool) {
 	size, free := flow.SizeOf(it.Spec), r.free.Sub(r.kept)
-	frees := p.view.Frees(r.ID)
-	slices.SortStableFunc(frees, func(a, b Release) int { return cmp.Compare(a.In, b.In) })
-	for _, f := range frees {
+	for _, f := range p.frees(r) {
 		if f.In > soon+holds {
 			return 0, false
 		}
@@ -84,14 +81,11 @@
 // ask asks about servers that nobody asked about yet, those with most room first:
 // as many as should have room for all that waits, by the part of them that may
 // run it. A gang whose servers are found one small question after the other
-// begins as much later.
-func (p *planner) ask(it Item, unasked []*room) {
-	if len(unasked) == 0 {
-		return
+// begins as much later. It tells whether there are such servers.
+func (p *planner) ask(it Item) bool {
+	if !it.Permits || p.full(it) {
+		return false
 	}
-	slices.SortFunc(unasked, func(a, b *room) int {
-		return cmp.Or(compareBool(it.Urgent && !a.Brief, it.Urgent && !b.Brief), cmp.Compare(b.free.CPU, a.free.CPU), a.at-b.at)
-	})
 	size := flow.SizeOf(it.Spec)
 	share := 1.0
 	if p.view.Share != nil {
@@ -99,12 +93,19 @@
 	}
 	need, found := enough*float64(it.Queued), 0.0
 	w := Want{Item: it}
-	for _, r := range unasked[:min(len(unasked), MostWanted)] {
-		if found >= need && len(w.Servers) >= max(it.Usual, LeastAsked) {
+	for r := range p.roomy(it) {
+		if len(w.Servers) >= MostWanted || found >= need && len(w.Servers) >= max(it.Usual, LeastAsked) {
 			break
 		}
+		if p.permission(it, r) != Unasked || !suits(it, r) || it.Asked && fits(size, r.left(it)) == 0 {
+			continue
+		}
 		found += share * float64(min(fits(size, r.free), int64(it.Queued)))
 		w.Servers = append(w.Servers, r.ID)
 	}
+	if len(w.Servers) == 0 {
+		return false
+	}
 	p.plan.Wants = append(p.plan.Wants, w)
+	return true
 }
