A standstill in one plan delays no other

Cause: after a plan five times its time passes before the next.

The shorter one of the last two plans counts: a long backlog makes both long, a standstill only one.

--- a/internal/policy/steps/pacer_test.go
+++ b/internal/policy/steps/pacer_test.go
@@ -38,3 +38,22 @@
 		t.Error("without a change a plan is made now and then only")
 	}
 }
+
+// The process stood still for a moment while a plan was made. Nothing would start
+// for a second if that counted as the time that plans take.
+func TestStandstillInOnePlanDelaysNoOther(t *testing.T) {
+	var p steps.Pacer
+	at := time.Second
+	for range 3 {
+		p.Made(at, 2*time.Millisecond)
+		at += 20 * time.Millisecond
+	}
+	p.Made(at, 200*time.Millisecond)
+	if !p.Due(at+220*time.Millisecond, true) {
+		t.Error("the next plan waits for what was no plan's time")
+	}
+	p.Made(at+220*time.Millisecond, 200*time.Millisecond)
+	if p.Due(at+440*time.Millisecond, true) {
+		t.Error("plans that take long one after the other leave no time for the rest")
+	}
+}
