Greetings don't pile up at a new leader

Every process that knows no leader greeted all five replicas ten times a second, each of which named the leader, so that it was greeted ten times more; those under way were not counted. 8,200 goroutines waited at the leader, its control thread had 2 turns in the last tenth, and it lost the lead 1 s after its election.

One greeting to an address at a time; two replicas are asked in turn while no leader is known; the leader tells processes how long to pause, so that it gets 250 greetings a second (490 before, of 147 processes).

--- a/internal/control/dispatch/helper.go
+++ b/internal/control/dispatch/helper.go
@@ -31,7 +31,7 @@
 		if g.GetClock() > 0 {
 			d.agreed.Hear(g.GetAddress(), time.Duration(g.GetClock()), heard)
 		}
-		out := &inner.Welcome{Term: d.lead.term, Leads: true, Version: d.Host.Flows().Config().GetVersion()}
+		out := &inner.Welcome{Term: d.lead.term, Leads: true, Version: d.Host.Flows().Config().GetVersion(), Pause: uint32(d.crew.Pause() / time.Millisecond)}
 		for _, m := range d.Host.Members().Members {
 			out.Members = append(out.Members, m.Address)
 		}
--- a/internal/edge/leader/leader.go
+++ b/internal/edge/leader/leader.go
@@ -23,10 +23,14 @@
 
 // Times of the way to the leader.
 const (
-	// greetEvery is how often the process makes itself known.
+	// greetEvery is how often the process makes itself known, unless a leader told it
+	// otherwise; mostPause is the longest that it lets itself be told.
 	greetEvery = 300 * time.Millisecond
-	// findEvery is how often a leader is looked for while none is known.
-	findEvery = 100 * time.Millisecond
+	mostPause  = time.Second
+	// findParts is the part of that time after which a leader is looked for again
+	// while none is known, and findAsked how many replicas are asked each time.
+	findParts = 3
+	findAsked = 2
 	// greetTimeout bounds one greeting.
 	greetTimeout = 700 * time.Millisecond
 	// tryTimeout bounds one try of a request: a commit on slow disks and more.
@@ -65,6 +69,10 @@
 	term    uint64
 	version uint64
 	heard   time.Duration
+	// pause is the time between two greetings; greeting are the addresses to which
+	// one is under way.
+	pause    time.Duration
+	greeting map[string]bool
 	// gone is since when no leader is known.
 	gone time.Duration
 	// changed is closed when another leader is known.
@@ -74,6 +82,7 @@
 func (l *Link) init() {
 	l.once.Do(func() {
 		l.done, l.changed = make(chan struct{}), make(chan struct{})
+		l.pause, l.greeting = greetEvery, map[string]bool{}
 		if l.Leads == nil {
 			l.Leads = func() bool { return false }
 		}
@@ -124,31 +133,46 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for turn := 0; ctx.Err() == nil; turn++ {
-		pause := greetEvery
 		if !l.Leads() {
 			for _, address := range l.targets(turn) {
 				wg.Go(func() { l.greet(ctx, address) })
 			}
-			if leader, _, _ := l.at(); leader == "" {
-				pause = findEvery
-			}
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(pause):
+		case <-time.After(l.next()):
 		}
 	}
 	return nil
 }
 
+// next returns how long the next greeting waits.
+func (l *Link) next() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.leader == "" {
+		return l.pause / findParts
+	}
+	return l.pause
+}
+
 // targets returns whom to greet now: the leader, and one of the others, in turn.
 // A leader that is cut off or stands still does not tell that it was replaced;
 // one of the others does, before calls to the old one have timed out.
 func (l *Link) targets(turn int) []string {
 	leader, _, _ := l.at()
 	all := l.known()
-	if leader == "" || len(all) == 0 {
-		return all
+	if len(all) == 0 {
+		return nil
+	}
+	if leader == "" {
+		// Each of them knows the leader when there is one. All asked at once by all
+		// processes, the next leader's first second would go to greetings.
+		out := make([]string, 0, findAsked)
+		for i := range min(findAsked, len(all)) {
+			out = append(out, all[(turn*findAsked+i)%len(all)])
+		}
+		return out
 	}
 	other := all[turn%len(all)]
 	if other == leader {
@@ -157,9 +181,31 @@
 	return []string{leader, other}
 }
 
+// begin begins a greeting, unless one to that address is under way. Asked again
+// and again while it is slow, a replica would become slower with each.
+func (l *Link) begin(address string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.greeting[address] {
+		return false
+	}
+	l.greeting[address] = true
+	return true
+}
+
+func (l *Link) end(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.greeting, address)
+}
+
 // greet greets one address, and whoever that one takes for the leader.
 func (l *Link) greet(ctx context.Context, address string) {
+	if !l.begin(address) {
+		return
+	}
 	w := l.hello(ctx, address)
+	l.end(address)
 	switch next := w.GetLeader(); {
 	case w == nil:
 		l.lost(address)
@@ -167,8 +213,10 @@
 		l.found(address, w)
 	case next == "" || next == address:
 		l.lost(address)
-	default:
-		if w = l.hello(ctx, next); w.GetLeads() {
+	case l.begin(next):
+		w = l.hello(ctx, next)
+		l.end(next)
+		if w.GetLeads() {
 			l.found(next, w)
 		}
 	}
@@ -211,6 +259,9 @@
 	}
 	l.term, l.members, l.heard = w.GetTerm(), w.GetMembers(), l.Now()
 	l.version = max(l.version, w.GetVersion())
+	if told := time.Duration(w.GetPause()) * time.Millisecond; told > 0 {
+		l.pause = min(max(told, greetEvery), mostPause)
+	}
 }
 
 // lost notes that a leader does not answer any more.
--- a/internal/edge/leader/leader_test.go
+++ b/internal/edge/leader/leader_test.go
@@ -30,6 +30,11 @@
 	// frozen replicas answer when it is closed.
 	frozen chan struct{}
 	asked  int
+	// greeted counts the greetings, greeting those under way.
+	greeted  int
+	greeting int
+	// pause is what is told of the time between two.
+	pause uint32
 }
 
 func newReplica(t *testing.T) *replica {
@@ -71,11 +76,13 @@
 }
 
 func (r *replica) Greet(ctx context.Context, _ *inner.Greeting) (*inner.Welcome, error) {
+	r.set(func() { r.greeted++; r.greeting++ })
+	defer r.set(func() { r.greeting-- })
 	r.wait(ctx)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	time.Sleep(r.slow)
-	return &inner.Welcome{Term: r.term, Leads: r.leads, Leader: r.leader, Version: 1}, nil
+	return &inner.Welcome{Term: r.term, Leads: r.leads, Leader: r.leader, Version: 1, Pause: r.pause}, nil
 }
 
 func newLink(t *testing.T, replicas ...*replica) *leader.Link {
@@ -202,3 +209,45 @@
 		t.Errorf("answered with %v", rep)
 	}
 }
+
+// A new leader is slow for a moment, since everybody comes at once. Processes that
+// greet it again before it has answered make it slower with each greeting, until it
+// loses the lead.
+func TestGreetingsDoNotPileUp(t *testing.T) {
+	slow := newReplica(t)
+	all := []*replica{slow}
+	for range 4 {
+		other := newReplica(t)
+		other.set(func() { other.leader = slow.address() })
+		all = append(all, other)
+	}
+	thaw := make(chan struct{})
+	slow.set(func() { slow.leads, slow.term, slow.frozen = true, 1, thaw })
+	l := newLink(t, all...)
+	worst := 0
+	for range 50 {
+		time.Sleep(10 * time.Millisecond)
+		slow.set(func() { worst = max(worst, slow.greeting) })
+	}
+	close(thaw)
+	if worst > 1 {
+		t.Errorf("%d greetings of one process at a time", worst)
+	}
+	within(t, l, 1, 5*time.Second)
+}
+
+// The leader of many processes tells them to greet it less often.
+func TestGreetingsFollowTheLeadersPause(t *testing.T) {
+	a := newReplica(t)
+	a.set(func() { a.leads, a.term, a.pause = true, 1, 900 })
+	l := newLink(t, a)
+	within(t, l, 1, 5*time.Second)
+	time.Sleep(400 * time.Millisecond)
+	a.set(func() { a.greeted = 0 })
+	time.Sleep(2 * time.Second)
+	a.set(func() {
+		if a.greeted > 3 {
+			t.Errorf("%d greetings in two seconds", a.greeted)
+		}
+	})
+}
--- a/internal/policy/crew/crew.go
+++ b/internal/policy/crew/crew.go
@@ -36,6 +36,12 @@
 	restingOf  = 2
 	// shortMemory is how long it counts how many helpers short questions kept busy.
 	shortMemory = 2 * time.Second
+	// greetCost is the time between two greetings that come in, on the whole: each
+	// takes about a tenth of a millisecond of the leader. leastPause and mostPause
+	// bound the time between two of one process; age is more than twice that.
+	greetCost  = 4 * time.Millisecond
+	leastPause = 300 * time.Millisecond
+	mostPause  = 900 * time.Millisecond
 )
 
 // Helper is a process that makes calls for the leader, one question to the adviser
@@ -81,6 +87,11 @@
 	h.heard = now
 }
 
+// Pause returns how long a process waits before it makes itself known again.
+func (c *Crew) Pause() time.Duration {
+	return min(max(time.Duration(len(c.all))*greetCost, leastPause), mostPause)
+}
+
 // Forget drops processes that were not heard of for long.
 func (c *Crew) Forget(now time.Duration) {
 	maps.DeleteFunc(c.all, func(_ string, h *Helper) bool { return !h.busy && !h.own() && now-h.heard > keep })
--- a/internal/policy/crew/crew_test.go
+++ b/internal/policy/crew/crew_test.go
@@ -131,3 +131,21 @@
 		t.Errorf("%d helpers are remembered", asked)
 	}
 }
+
+// Each of a thousand processes that greets three times a second leaves the leader
+// little time for anything else; one that is heard of too seldom counts as gone.
+func TestManyProcessesGreetLessOften(t *testing.T) {
+	for _, n := range []int{1, 10, 150, 1000} {
+		c := crew.New()
+		for i := range n {
+			c.Hear(fmt.Sprint(i), 0)
+		}
+		pause := c.Pause()
+		if n <= 10 && pause > 300*time.Millisecond || n >= 150 && float64(n)/pause.Seconds() > 250 && pause < 900*time.Millisecond {
+			t.Errorf("%d processes greet every %v", n, pause)
+		}
+		if len(c.Alive(2*pause)) != n {
+			t.Errorf("%d processes that greet every %v count as gone after two pauses", n, pause)
+		}
+	}
+}
