--- a/internal/edge/leader/leader.go
+++ b/internal/edge/leader/leader.go
@@ -288,8 +288,8 @@
 func (l *Link) Ask(ctx context.Context, a *inner.FlowAsk) *inner.FlowAnswer {
 	begin := l.Now()
 	rep := l.carry(ctx, a)
-	if v := a.GetVerb(); v == inner.FlowVerb_FLOW_VERB_SUBMIT || v == inner.FlowVerb_FLOW_VERB_CANCEL || rep.GetCode() == uint32(code.Unanswered) {
-		event.Log(l.Log, event.CallAnswered, "flow", path.Base(a.GetPath()), "verb", v.String(), "code", rep.GetCode(), "detail", rep.GetDetail(), "term", rep.GetTerm(), "retry", rep.GetRetry(), "took", (l.Now() - begin).String())
+	if changes(a) || rep.GetCode() == uint32(code.Unanswered) {
+		event.Log(l.Log, event.CallAnswered, "flow", path.Base(a.GetPath()), "verb", a.GetVerb().String(), "code", rep.GetCode(), "detail", rep.GetDetail(), "term", rep.GetTerm(), "retry", rep.GetRetry(), "took", (l.Now() - begin).String())
 	}
 	return rep
 }
@@ -310,7 +310,7 @@
 			if rep != nil {
 				return rep
 			}
-			sent = sent || reached
+			sent = sent || reached && changes(a)
 		}
 		wait := changed
 		if leader != "" {
@@ -333,6 +333,12 @@
 	}
 }
 
+// changes tells whether a request changes anything. Of one that only asks it is
+// always true that nothing was done, whoever may have read it.
+func changes(a *inner.FlowAsk) bool {
+	return a.GetVerb() == inner.FlowVerb_FLOW_VERB_SUBMIT || a.GetVerb() == inner.FlowVerb_FLOW_VERB_CANCEL
+}
+
 // patience returns how long a request that was not sent waits for a leader: less
 // the longer none is known, and not at all when an election should be over.
 func (l *Link) patience() time.Duration {
--- a/internal/edge/leader/leader_test.go
+++ b/internal/edge/leader/leader_test.go
@@ -205,7 +205,24 @@
 	a.set(func() { a.frozen = thaw })
 	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 	defer cancel()
-	if rep := l.Ask(ctx, &inner.FlowAsk{}); code.Code(rep.GetCode()) != code.Unanswered {
+	if rep := l.Ask(ctx, &inner.FlowAsk{Verb: inner.FlowVerb_FLOW_VERB_SUBMIT}); code.Code(rep.GetCode()) != code.Unanswered {
+		t.Errorf("answered with %v", rep)
+	}
+}
+
+// A caller asks for a flow's state while the leader stands still. That it is not
+// known whether this was done would keep the caller from asking again: nothing was.
+func TestReadIsNeverLeftInDoubt(t *testing.T) {
+	a := newReplica(t)
+	a.set(func() { a.leads, a.term = true, 1 })
+	l := newLink(t, a)
+	within(t, l, 1, 5*time.Second)
+	thaw := make(chan struct{})
+	defer close(thaw)
+	a.set(func() { a.frozen = thaw })
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	if rep := l.Ask(ctx, &inner.FlowAsk{Verb: inner.FlowVerb_FLOW_VERB_STATE}); code.Code(rep.GetCode()) != code.NoLeader || rep.GetRetry() == 0 {
 		t.Errorf("answered with %v", rep)
 	}
 }
