TestSilentSecureConnection allows for calls that a busy machine does not end

Cause, shown with twenty copies on one core (19 of 20 failed): a call that is not over in its time loses what it carries, as the network may; the test sent each message once. It sends until the message, the failure and the recovery have come, within the same bound; a connection that outlives a failed call would still never deliver. Twenty copies on one core: 20 passed.

--- a/internal/replica/peer/identity_test.go
+++ b/internal/replica/peer/identity_test.go
@@ -115,19 +115,33 @@
 	defer r.end()
 	send := func(data string) { a.Send("b/1", listener.Addr().String(), [][]byte{[]byte(data)}) }
 	for range 3 {
-		send("before")
-		next(t, got)
+		until(t, func() { send("before") }, got, func(m message) bool { return m.Data == "before" })
 		r.mute()
-		send("lost or late")
-		if e := next(t, events); e.Kind != peer.Failed {
-			t.Fatal(e)
-		}
-		send("after")
-		for next(t, got).Data != "after" {
-			continue
-		}
-		if e := next(t, events); e.Kind != peer.Recovered {
-			t.Fatal(e)
+		until(t, func() { send("lost or late") }, events, func(e peer.Event) bool { return e.Kind == peer.Failed })
+		after := func() { send("after") }
+		until(t, after, got, func(m message) bool { return m.Data == "after" })
+		until(t, after, events, func(e peer.Event) bool { return e.Kind == peer.Recovered })
+	}
+}
+
+// until sends a message again and again until what is waited for has come: a call
+// that a busy machine does not end in time loses what it carries, as the network may.
+func until[T any](t *testing.T, send func(), c <-chan T, is func(T) bool) {
+	t.Helper()
+	again := time.NewTicker(time.Second)
+	defer again.Stop()
+	end := time.After(limit)
+	send()
+	for {
+		select {
+		case v := <-c:
+			if is(v) {
+				return
+			}
+		case <-again.C:
+			send()
+		case <-end:
+			t.Fatal("nothing came")
 		}
 	}
 }
