Split a session by what it does, and let probes count as our own

The listeners of probes and metrics count with our own files, and a limit that the system does not tell binds nothing.

--- a/internal/base/files/files.go
+++ b/internal/base/files/files.go
@@ -19,7 +19,8 @@
 
 // The uses, the most important first.
 const (
-	// Own are journal, snapshot, listeners and what the runtime needs.
+	// Own are journal, snapshot, listeners, what the runtime needs, and the few that
+	// ask how the process is.
 	Own Use = iota
 	// Peers are the connections of the consensus group.
 	Peers
@@ -49,6 +50,8 @@
 	callersOf   = 4
 	// pressedOf is the part of its share that a use has left when it is pressed.
 	pressedOf = 4
+	// unbounded stands for a limit that binds nothing.
+	unbounded = 1 << 24
 	// again is how often somebody who waits lets idle connections be closed.
 	again = 20 * time.Millisecond
 )
@@ -84,18 +87,22 @@
 // Limit returns how many files this process may open: what the system allows, and
 // at most what the settings say, if that is more than 0.
 func Limit(settings int64) int {
+	most := uint64(unbounded)
+	if settings > 0 {
+		most = min(most, uint64(settings))
+	}
 	var r unix.Rlimit
-	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &r); err != nil || settings > 0 && uint64(settings) < r.Cur {
-		return int(settings)
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &r); err == nil {
+		most = min(most, r.Cur)
 	}
-	return int(min(r.Cur, 1<<24))
+	return int(most)
 }
 
 // Share returns how many files a use may have open now: all but what is kept for,
 // or used by, the uses before it, and what those after it use.
 func (b *Budget) Share(u Use) int {
 	if b == nil {
-		return 1 << 24
+		return unbounded
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/control/dispatch/helper.go
+++ b/internal/control/dispatch/helper.go
@@ -5,8 +5,6 @@
 	"maps"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"gypsumreel/internal/api/inner"
 )
 
@@ -48,21 +46,3 @@
 	d.crew.Forget(now)
 	maps.DeleteFunc(d.joiners, func(_ string, j *joiner) bool { return now-j.heard > joinerAge })
 }
-
-// otherWay returns the next way to a server that could not be reached: through
-// each helper in turn, then directly again. Every server has an order of its own:
-// one helper that relayed for all of them would run out of connections, since
-// each relayed call waits at its server.
-func (d *Dispatcher) otherWay(server, now string) string {
-	turn := func(address string) uint64 { return xxhash.Sum64String(server + " " + address) }
-	next, found := "", false
-	for _, address := range d.crew.Alive(d.Now()) {
-		if now != "" && turn(address) <= turn(now) {
-			continue
-		}
-		if !found || turn(address) < turn(next) {
-			next, found = address, true
-		}
-	}
-	return next
-}
--- a/internal/control/dispatch/session.go
+++ b/internal/control/dispatch/session.go
@@ -1,20 +1,14 @@
 package dispatch
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"time"
 
 	"gypsumreel/internal/api/inner"
-	"gypsumreel/internal/api/record"
 	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/base/event"
 	"gypsumreel/internal/domain/capacity"
 	"gypsumreel/internal/domain/flow"
-	"gypsumreel/internal/ledger/flows"
-	"gypsumreel/internal/policy/intake"
-	"gypsumreel/internal/policy/pace"
 	"gypsumreel/internal/policy/watchdog"
 )
 
@@ -35,12 +29,6 @@
 	// other, before its life counts as over: a listener that is opened anew must
 	// not look like a crash.
 	absentCalls = 2
-	// relayAfter is the number of failed calls in a row after which the way
-	// through another process is tried.
-	relayAfter = 2
-	// relayTime is how long calls go through another process before the direct
-	// way is tried again: cuts last for seconds, and a try costs one silent call.
-	relayTime = 5 * time.Second
 )
 
 // session is what this leader knows of one life of a backend server.
@@ -100,61 +88,6 @@
 	closingAt time.Duration
 }
 
-// open begins a session with a server as the ledger has it.
-func (d *Dispatcher) open(b *flows.Server) *session {
-	s := &session{
-		id: b.ID, born: b.Born, address: b.Address, cursor: b.Cursor, taken: b.Cursor,
-		heard: d.Now(), runs: map[flow.TaskID]*run{}, pace: pace.Full,
-	}
-	for id, h := range b.Held {
-		// Whether the start ever arrived is not known to this leader.
-		step, ok := d.Host.Flows().Step(h.StepID)
-		s.runs[id] = &run{RunID: h.RunID, held: h, maybe: true, urgent: ok && d.urgent(step)}
-	}
-	s.rate = d.lead.speeds[s.id]
-	d.lead.sessions[b.ID] = s
-	at, _ := slices.BinarySearchFunc(d.lead.sorted, s.id, byID)
-	d.lead.sorted = slices.Insert(d.lead.sorted, at, s)
-	d.lead.intake.Add(s, s.class())
-	return s
-}
-
-// forget ends a session.
-func (d *Dispatcher) forget(s *session) {
-	if s.relay != "" {
-		d.lead.relayed--
-	}
-	delete(d.lead.sessions, s.id)
-	if at, ok := slices.BinarySearchFunc(d.lead.sorted, s.id, byID); ok {
-		d.lead.sorted = slices.Delete(d.lead.sorted, at, at+1)
-	}
-}
-
-func byID(s *session, id string) int { return cmp.Compare(s.id, id) }
-
-// class is how soon a server is asked what it holds.
-func (s *session) class() intake.Class {
-	c := intake.Idle
-	for _, r := range s.runs {
-		if r.urgent {
-			return intake.Urgent
-		}
-		c = intake.Busy
-	}
-	return c
-}
-
-// takeIn asks servers for the first time, as many as may be asked now.
-func (d *Dispatcher) takeIn() {
-	for s, ok := d.lead.intake.Next(d.Now()); ok; s, ok = d.lead.intake.Next(d.Now()) {
-		if d.lead.sessions[s.id] != s {
-			d.lead.intake.Done(s)
-			continue
-		}
-		d.hold(s)
-	}
-}
-
 // reported takes what a report tells of the server's clock.
 func (s *session) reported(r Report, received time.Duration) {
 	s.call = max(s.call, r.Call)
@@ -364,170 +297,6 @@
 	s.next = d.Now() + min(firstPause<<min(s.fails, 5), lastPause)
 }
 
-// relay changes the way to a server; empty for the direct one.
-func (d *Dispatcher) relay(s *session, through string) {
-	if s.relay != through {
-		event.Log(d.Log, event.ServerRelayed, "server", s.id, "from", s.relay, "to", through, "fails", s.fails, "heard", (d.Now() - s.heard).String())
-	}
-	if s.relay != "" {
-		d.lead.relayed--
-	}
-	if through != "" {
-		d.lead.relayed++
-	}
-	s.relay, s.relayed = through, d.Now()
-}
-
-// direct tells whether the servers that are called directly, and so many more, may
-// be: each takes connections, and a process may open only so many.
-func (d *Dispatcher) direct(more int) bool {
-	return d.Direct == nil || len(d.lead.sessions)-d.lead.relayed+more <= d.Direct()
-}
-
-// lists takes what a server says it runs and what ended there.
-func (d *Dispatcher) lists(s *session, a *inner.ServerAnswer, sent, came time.Duration) {
-	s.lists++
-	for _, m := range a.GetRunning() {
-		id := flow.RunOf(m.GetRun())
-		r := s.runs[id.TaskID]
-		if r == nil || r.Number != id.Number {
-			d.stopStray(s, id)
-			continue
-		}
-		r.look(m, came)
-		r.listed = s.lists
-	}
-	e := &record.FlowEnds{Server: s.id, Born: s.born}
-	for _, m := range a.GetEnded() {
-		id := flow.RunOf(m.GetRun())
-		if r := s.runs[id.TaskID]; r != nil && r.Number == id.Number {
-			r.listed = s.lists
-		}
-		if m.GetNumber() <= s.taken {
-			continue
-		}
-		s.taken = m.GetNumber()
-		e.Ends = append(e.Ends, &record.FlowEnd{Run: m.GetRun(), How: m.GetHow(), Checkpoint: m.GetCheckpoint()})
-	}
-	for _, r := range s.runs {
-		if r.listed == s.lists {
-			continue
-		}
-		if r.maybe && r.tries == 0 && !r.stopping {
-			// Placed by the leader before this one, and not there. Its start may
-			// still arrive, or never left; a stop rules it out for good.
-			d.unwant(s, r)
-			continue
-		}
-		// Not listed although its start or its stop was answered before the
-		// list was made: it does not run, and never will.
-		if r.settled > 0 && r.settled < sent {
-			e.Ends = append(e.Ends, &record.FlowEnd{Run: r.Message(), How: inner.RunEnd_RUN_END_LOST, Checkpoint: r.saved})
-		}
-	}
-	if len(e.Ends) == 0 {
-		return
-	}
-	e.Cursor = s.taken
-	d.ends(s, e, came)
-}
-
-// ends records ends and lets go of their runs.
-func (d *Dispatcher) ends(s *session, e *record.FlowEnds, now time.Duration) {
-	if !d.decide(&record.Flow{What: &record.Flow_Ends{Ends: e}}) {
-		return
-	}
-	for _, one := range e.GetEnds() {
-		id := flow.RunOf(one.GetRun())
-		r := s.runs[id.TaskID]
-		if r == nil || r.Number != id.Number {
-			continue
-		}
-		delete(s.runs, id.TaskID)
-		d.ended(s, r, one, now)
-	}
-}
-
-// ended logs an end and learns from it.
-func (d *Dispatcher) ended(s *session, r *run, e *record.FlowEnd, now time.Duration) {
-	state := "gone"
-	if f, ok := d.Host.Flows().Flow(r.Flow); ok {
-		state = f.State.String()
-	}
-	took := "since before this leader"
-	if r.placed > 0 {
-		took = (now - r.placed).String()
-	}
-	d.meter.end(e.GetHow())
-	event.Log(d.Log, event.RunEnded, "flow", r.Flow, "run", r.String(), "server", s.id, "how", e.GetHow().String(), "took", took, "state", state)
-	d.learn(s, r, e.GetHow(), now)
-	d.trust(s, r, e.GetHow(), now)
-}
-
-// watch looks after one session: holds that are due, leases that are over, and
-// lives that are being closed.
-func (d *Dispatcher) watch(s *session, now time.Duration) {
-	if s.closing != "" {
-		d.close(s, now)
-		return
-	}
-	if s.silent && !s.holding && now >= s.next {
-		d.hold(s)
-	}
-	if now > s.over && len(s.runs) > 0 && now-s.heard > d.lease(s) {
-		event.Log(d.Log, event.ServerGone, "server", s.id, "born", s.born, "heard", (now - s.heard).String(), "held", len(s.runs))
-		d.clear(s, false)
-	}
-}
-
-// ending begins to close a life that is over. Starts that are on their way may
-// reach whoever listens at the address next, so they are settled first.
-func (d *Dispatcher) ending(s *session, why string) {
-	if s.closing == "" {
-		s.closing, s.closingAt = why, d.Now()
-		event.Log(d.Log, event.ServerGone, "server", s.id, "born", s.born, "cause", why, "held", len(s.runs))
-	}
-	d.close(s, d.Now())
-}
-
-// close ends a life once no start can be carried out any more that was sent
-// into it: each doubtful one is stopped at the address, or its time is over. What
-// was found there by the stop works on for as long as a stop may take.
-func (d *Dispatcher) close(s *session, now time.Duration) {
-	if now < s.closingAt+d.Hold+2*callTimeout {
-		for _, r := range s.runs {
-			if r.busy > 0 {
-				return
-			}
-			if r.ghost {
-				d.stop(s, r)
-				return
-			}
-			if r.laid > 0 && now < r.laid+d.Stop+leaseMargin {
-				return
-			}
-		}
-	}
-	d.clear(s, true)
-	d.forget(s)
-}
-
-// clear records that nothing that a life held runs any more.
-func (d *Dispatcher) clear(s *session, over bool) {
-	c := &record.FlowClear{Id: s.id, Born: s.born, Over: over}
-	for _, r := range s.runs {
-		if r.saved != "" {
-			c.Saved = append(c.Saved, &record.FlowSaved{Run: r.Message(), Checkpoint: r.saved})
-		}
-		event.Log(d.Log, event.AttemptLost, "flow", r.Flow, "run", r.String(), "server", s.id, "checkpoint", r.saved, "over", over)
-		d.meter.end(inner.RunEnd_RUN_END_LOST)
-	}
-	if d.decide(&record.Flow{What: &record.Flow_Clear{Clear: c}}) {
-		s.runs = map[flow.TaskID]*run{}
-		s.known = false
-	}
-}
-
 // usable tells whether new work may be placed on a server now.
 func (s *session) usable(now time.Duration) bool {
 	return s.known && !s.silent && s.closing == "" && s.clock > 0 && now >= s.avoid && now-s.heard <= longestWait+callTimeout
