One place for what is known of a step, looked up only where it is needed

steps.Permissions serves both; a planner has its Planner's buffers themselves; the look-up is made on first use.

--- a/internal/control/dispatch/advice.go
+++ b/internal/control/dispatch/advice.go
@@ -44,30 +44,15 @@
 
 // known tells the planner what is known of a step on servers.
 func (d *Dispatcher) known(id flow.StepID) iter.Seq2[string, steps.Permission] {
-	return func(yield func(string, steps.Permission) bool) {
-		a := d.lead.advice[id]
-		if a == nil {
-			return
-		}
-		for server, may := range a.may {
-			if !yield(server, d.permission(a, server, may)) {
-				return
-			}
-		}
-	}
-}
-
-// permission returns what the adviser said of a server about which it was asked.
-func (d *Dispatcher) permission(a *advice, server string, may bool) steps.Permission {
-	if !may {
-		return steps.Denied
-	}
-	if p, ok := a.permits[server]; ok && d.lead.planned < p.until {
-		if s := d.lead.sessions[server]; s != nil && s.born == p.born {
-			return steps.Granted
-		}
+	a := d.lead.advice[id]
+	if a == nil {
+		a = &advice{}
 	}
-	return steps.Stale
+	return steps.Permissions(a.may, func(server string) bool {
+		p, ok := a.permits[server]
+		s := d.lead.sessions[server]
+		return ok && d.lead.planned < p.until && s != nil && s.born == p.born
+	})
 }
 
 // questions asks what a plan wants to know, as far as helpers are free, and keeps
--- a/internal/policy/model/plan.go
+++ b/internal/policy/model/plan.go
@@ -129,24 +129,11 @@
 
 // known tells the planner what is known of a step on servers.
 func (m *Model) known(id flow.StepID) iter.Seq2[string, steps.Permission] {
-	return func(yield func(string, steps.Permission) bool) {
-		a := m.advice[id]
-		if a == nil {
-			return
-		}
-		for server, may := range a.may {
-			p := steps.Stale
-			switch {
-			case !may:
-				p = steps.Denied
-			case m.now < a.until[server]:
-				p = steps.Granted
-			}
-			if !yield(server, p) {
-				return
-			}
-		}
+	a := m.advice[id]
+	if a == nil {
+		a = &advice{}
 	}
+	return steps.Permissions(a.may, func(server string) bool { return m.now < a.until[server] })
 }
 
 // ask asks what the plan wants to know, as far as helpers are free.
--- a/internal/policy/steps/gang.go
+++ b/internal/policy/steps/gang.go
@@ -14,7 +14,7 @@
 	if it.Queued < len(it.Tasks) || p.allowed(it) < int64(it.Queued) {
 		return
 	}
-	p.look(it)
+	p.next()
 	options := p.options(it)
 	chosen, ok := choose(it, options)
 	if !ok || !p.affords(it, chosen) {
@@ -112,7 +112,7 @@
 		return
 	}
 	var slots []slot
-	for _, r := range p.listed {
+	for _, r := range p.listed(it) {
 		perm := p.permission(it, r)
 		if suits(it, r) && (perm == Stale || perm == Granted) {
 			slots = p.slots(slots, it, r)
--- a/internal/policy/steps/option.go
+++ b/internal/policy/steps/option.go
@@ -64,7 +64,7 @@
 			here[t.Server]++
 		}
 	}
-	for _, r := range p.listed {
+	for _, r := range p.listed(it) {
 		perm := p.permission(it, r)
 		if perm == Denied || !suits(it, r) {
 			continue
--- a/internal/policy/steps/steps.go
+++ b/internal/policy/steps/steps.go
@@ -149,13 +149,12 @@
 
 // planner is the state of making one plan.
 type planner struct {
-	view    View
-	servers []*room
-	byID    map[string]*room
-	// turn counts the items looked at; listed are the servers of which something is
-	// known for the latest.
+	*Planner
+	view View
+	// turn counts the items turned to; looked tells that what is known of the latest
+	// was looked up.
 	turn   int
-	listed []*room
+	looked bool
 	// shelves are the servers in the order of their room; nil until that is asked for.
 	shelves map[shelf][]*room
 	used    map[string]capacity.Size
@@ -207,8 +206,9 @@
 type Planner struct {
 	rooms   []room
 	servers []*room
-	listed  []*room
 	byID    map[string]*room
+	// known is the room for the servers of which something is known for an item.
+	known []*room
 }
 
 // Make makes one plan.
@@ -223,12 +223,12 @@
 	}
 	clear(m.byID)
 	m.rooms = slices.Grow(m.rooms[:0], len(v.Servers))[:len(v.Servers)]
+	m.servers = m.servers[:0]
 	p := &planner{
-		view: v, servers: m.servers[:0], listed: m.listed, byID: m.byID, used: map[string]capacity.Size{},
+		Planner: m, view: v, used: map[string]capacity.Size{},
 		waiting: map[string]int{}, sizes: map[string]int{}, ahead: map[string]int{}, most: map[string]int64{},
 		heads: map[string]Headroom{}, spare: map[string]int64{}, ever: map[string]int64{},
 	}
-	defer func() { m.servers, m.listed = p.servers, p.listed }()
 	for i, s := range v.Servers {
 		free := s.Free()
 		r := &m.rooms[i]
@@ -348,7 +348,7 @@
 	if left <= 0 {
 		return
 	}
-	p.look(it)
+	p.next()
 	options := p.options(it)
 	var places []Place
 	var stale []string
--- a/internal/policy/steps/want.go
+++ b/internal/policy/steps/want.go
@@ -47,7 +47,7 @@
 		return nil
 	}
 	var slots []slot
-	for _, r := range p.listed {
+	for _, r := range p.listed(it) {
 		if suits(it, r) && p.permission(it, r) == Stale && !slices.Contains(given, r.ID) {
 			if in, ok := p.soonest(it, r); ok {
 				slots = append(slots, slot{in, r})
@@ -86,6 +86,7 @@
 	if !it.Permits || p.full(it) {
 		return false
 	}
+	p.listed(it)
 	size := flow.SizeOf(it.Spec)
 	share := 1.0
 	if p.view.Share != nil {
