One place makes the removal of a segment last

discard synced the folder after removing a segment that could not be begun, and forget did the same again before the next append; while no file could be opened, both failed one after the other. discard notes the removal and leaves the sync to forget, which comes before anything is appended to the predecessor. The crash matrix passes over every shortage as before.

--- a/internal/replica/journal/roll.go
+++ b/internal/replica/journal/roll.go
@@ -108,17 +108,12 @@
 	return nil
 }
 
-// discard removes a segment that could not be begun.
+// discard removes a segment that could not be begun; forget makes that last.
 func (j *Journal) discard(f disk.File, name string, cause error) error {
 	if err := errors.CombineErrors(f.Close(), j.disk.Remove(name)); err != nil {
 		return errors.Newf("%v, and then: %v", cause, err)
 	}
 	j.stray = true
-	if err := j.disk.SyncFolder(j.dir); err != nil && !disk.Passes(err) {
-		return errors.Newf("%v, and then: %v", cause, err)
-	} else if err == nil {
-		j.stray = false
-	}
 	return cause
 }
 
