One gate for a greeting, and one piece for what tests repeat

hello itself passes over an address to which a greeting is under way, where both its callers did so around it. Tests share a link whose leader stands still, the document with an urgent queue, and a group of one replica; their assertions are as they were.

--- a/internal/control/dispatch/dispatch_test.go
+++ b/internal/control/dispatch/dispatch_test.go
@@ -180,13 +180,7 @@
 func TestUrgentWorkOfASilentServerIsPlacedAgainInTime(t *testing.T) {
 	play(t, 12, func(t *testing.T, w *world) {
 		w.do(func() { w.d.Hold = 10 * time.Second })
-		doc := document()
-		doc.Version = 2
-		doc.Queues[0].Factor, doc.Queues[0].Target = 1.5, 250
-		doc.Queues = append(doc.Queues, &v1.Queue{Name: "later", Host: "host", Path: "/later/", Pool: "pool", Timeout: 3000, Priority: 1})
-		if err := w.d.Put(t.Context(), doc); err != nil {
-			t.Fatal(err)
-		}
+		w.urgent()
 		w.change(func(_ string, one *worker.Worker) {
 			one.Rate = 0.98
 			one.Work = func(r flow.RunID) (time.Duration, inner.RunEnd) {
@@ -518,13 +512,7 @@
 // three times what such a flow may take, here 3 s.
 func TestHangingUrgentRunIsMovedInTime(t *testing.T) {
 	play(t, 2, func(t *testing.T, w *world) {
-		doc := document()
-		doc.Version = 2
-		doc.Queues[0].Factor, doc.Queues[0].Target = 1.5, 250
-		doc.Queues = append(doc.Queues, &v1.Queue{Name: "later", Host: "host", Path: "/later/", Pool: "pool", Timeout: 3000, Priority: 1})
-		if err := w.d.Put(t.Context(), doc); err != nil {
-			t.Fatal(err)
-		}
+		w.urgent()
 		var first atomic.Bool
 		w.change(func(_ string, one *worker.Worker) {
 			one.StopTime = 900 * time.Millisecond
--- a/internal/control/dispatch/harness_test.go
+++ b/internal/control/dispatch/harness_test.go
@@ -253,6 +253,18 @@
 	}
 }
 
+// urgent puts a document in force by which what is submitted comes before another
+// queue, and somebody waits for it.
+func (w *world) urgent() {
+	doc := document()
+	doc.Version = 2
+	doc.Queues[0].Factor, doc.Queues[0].Target = 1.5, 250
+	doc.Queues = append(doc.Queues, &v1.Queue{Name: "later", Host: "host", Path: "/later/", Pool: "pool", Timeout: 3000, Priority: 1})
+	if err := w.d.Put(w.t.Context(), doc); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
 // newWorld makes a world with n workers and a document in force.
 func newWorld(t *testing.T, n int) *world {
 	w := &world{
--- a/internal/edge/leader/leader.go
+++ b/internal/edge/leader/leader.go
@@ -181,31 +181,12 @@
 	return []string{leader, other}
 }
 
-// begin begins a greeting, unless one to that address is under way. Asked again
-// and again while it is slow, a replica would become slower with each.
-func (l *Link) begin(address string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.greeting[address] {
-		return false
-	}
-	l.greeting[address] = true
-	return true
-}
-
-func (l *Link) end(address string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.greeting, address)
-}
-
 // greet greets one address, and whoever that one takes for the leader.
 func (l *Link) greet(ctx context.Context, address string) {
-	if !l.begin(address) {
+	w, asked := l.hello(ctx, address)
+	if !asked {
 		return
 	}
-	w := l.hello(ctx, address)
-	l.end(address)
 	switch next := w.GetLeader(); {
 	case w == nil:
 		l.lost(address)
@@ -213,25 +194,46 @@
 		l.found(address, w)
 	case next == "" || next == address:
 		l.lost(address)
-	case l.begin(next):
-		w = l.hello(ctx, next)
-		l.end(next)
-		if w.GetLeads() {
+	default:
+		if w, _ = l.hello(ctx, next); w.GetLeads() {
 			l.found(next, w)
 		}
 	}
 }
 
-func (l *Link) hello(ctx context.Context, address string) *inner.Welcome {
+// hello greets one address, unless a greeting to it is under way. Asked again and
+// again while it is slow, a replica would become slower with each. Nil is no answer.
+func (l *Link) hello(ctx context.Context, address string) (w *inner.Welcome, asked bool) {
+	if !l.begin(address) {
+		return nil, false
+	}
+	defer l.end(address)
 	ctx, cancel := context.WithTimeout(ctx, greetTimeout)
 	defer cancel()
 	g := proto.CloneOf(l.Greeting)
 	g.Clock = time.Now().UnixNano()
 	w, err := inner.NewFlowsProtobufClient("http://"+address, l.Client).Greet(ctx, g)
 	if err != nil {
-		return nil
+		return nil, true
 	}
-	return w
+	return w, true
+}
+
+// begin notes a greeting to an address; false when one is under way.
+func (l *Link) begin(address string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.greeting[address] {
+		return false
+	}
+	l.greeting[address] = true
+	return true
+}
+
+func (l *Link) end(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.greeting, address)
 }
 
 // known lists the addresses where the leader may be.
--- a/internal/edge/leader/leader_test.go
+++ b/internal/edge/leader/leader_test.go
@@ -192,17 +192,23 @@
 	}
 }
 
-// A caller hands a flow in, the leader stores it and stands still before it answers,
-// and nobody is elected. The flow may run when the leader wakes: told "not run", its
-// caller would hand the work in again under another id, and it would be done twice.
-func TestWhatMayHaveBeenTakenIsNotSaidNotToHaveRun(t *testing.T) {
+// linkToFrozen returns a link whose leader, the only replica, stands still.
+func linkToFrozen(t *testing.T) *leader.Link {
 	a := newReplica(t)
 	a.set(func() { a.leads, a.term = true, 1 })
 	l := newLink(t, a)
 	within(t, l, 1, 5*time.Second)
 	thaw := make(chan struct{})
-	defer close(thaw)
+	t.Cleanup(func() { close(thaw) })
 	a.set(func() { a.frozen = thaw })
+	return l
+}
+
+// A caller hands a flow in, the leader stores it and stands still before it answers,
+// and nobody is elected. The flow may run when the leader wakes: told "not run", its
+// caller would hand the work in again under another id, and it would be done twice.
+func TestWhatMayHaveBeenTakenIsNotSaidNotToHaveRun(t *testing.T) {
+	l := linkToFrozen(t)
 	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 	defer cancel()
 	if rep := l.Ask(ctx, &inner.FlowAsk{Verb: inner.FlowVerb_FLOW_VERB_SUBMIT}); code.Code(rep.GetCode()) != code.Unanswered {
@@ -213,13 +219,7 @@
 // A caller asks for a flow's state while the leader stands still. That it is not
 // known whether this was done would keep the caller from asking again: nothing was.
 func TestReadIsNeverLeftInDoubt(t *testing.T) {
-	a := newReplica(t)
-	a.set(func() { a.leads, a.term = true, 1 })
-	l := newLink(t, a)
-	within(t, l, 1, 5*time.Second)
-	thaw := make(chan struct{})
-	defer close(thaw)
-	a.set(func() { a.frozen = thaw })
+	l := linkToFrozen(t)
 	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 	defer cancel()
 	if rep := l.Ask(ctx, &inner.FlowAsk{Verb: inner.FlowVerb_FLOW_VERB_STATE}); code.Code(rep.GetCode()) != code.NoLeader || rep.GetRetry() == 0 {
--- a/internal/replica/group/fake_test.go
+++ b/internal/replica/group/fake_test.go
@@ -262,6 +262,14 @@
 	return append([]string(nil), r.state...), r.lead != nil
 }
 
+// alone runs a group of one replica, which leads.
+func alone(t *testing.T) (*replica, *memory) {
+	d := roomy()
+	r := run(t, newNetwork(), "a/1", d, quorum.Member{ID: "a/1", Address: "a/1"})
+	leaderOf(t, r)
+	return r, d
+}
+
 // leaderOf waits, on the bubble's clock, for the one that leads.
 func leaderOf(t *testing.T, rs ...*replica) *replica {
 	t.Helper()
--- a/internal/replica/group/group_test.go
+++ b/internal/replica/group/group_test.go
@@ -159,9 +159,7 @@
 // that are on no disk; so it ends.
 func TestFailedSync(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n, disk := newNetwork(), roomy()
-		r := run(t, n, "a/1", disk, quorum.Member{ID: "a/1", Address: "a/1"})
-		leaderOf(t, r)
+		r, disk := alone(t)
 		broken := errors.New("input/output error")
 		disk.set(func() { disk.broken = broken })
 		r.propose("x")
@@ -179,9 +177,7 @@
 // by itself instead of ending and being started over and over.
 func TestFullDisk(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n, d := newNetwork(), roomy()
-		r := run(t, n, "a/1", d, quorum.Member{ID: "a/1", Address: "a/1"})
-		leaderOf(t, r)
+		r, d := alone(t)
 		d.set(func() { d.refuse, d.free = disk.ErrFull, 0 })
 		r.propose("x")
 		time.Sleep(3 * time.Second)
--- a/internal/replica/group/save_test.go
+++ b/internal/replica/group/save_test.go
@@ -9,7 +9,6 @@
 	"github.com/cockroachdb/errors"
 
 	"gypsumreel/internal/replica/disk"
-	"gypsumreel/internal/replica/quorum"
 )
 
 // A replica that ends since a snapshot can't be saved takes the quorum with it,
@@ -22,9 +21,7 @@
 	} {
 		t.Run(cause.Error(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				n, d := newNetwork(), roomy()
-				r := run(t, n, "a/1", d, quorum.Member{ID: "a/1", Address: "a/1"})
-				leaderOf(t, r)
+				r, d := alone(t)
 				d.set(func() { d.unsaved = cause })
 				r.propose("x")
 				time.Sleep(time.Second)
@@ -53,9 +50,7 @@
 // A disk that stalls under a snapshot must delay neither commits nor heartbeats.
 func TestStalledSnapshotDelaysNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n, d := newNetwork(), roomy()
-		r := run(t, n, "a/1", d, quorum.Member{ID: "a/1", Address: "a/1"})
-		leaderOf(t, r)
+		r, d := alone(t)
 		stall := make(chan struct{})
 		d.set(func() { d.stall = stall })
 		r.propose("x")
