--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -48,8 +48,8 @@
 	SnapshotDamaged = def(307, "snapshot-damaged", Error, "snapshot damaged", "As for event 301.")
 	SnapshotFetched = def(308, "snapshot-fetched", Info, "snapshot taken from the leader", "None.")
 	SyncSlow        = def(309, "sync-slow", Warn, "fsync took long", "Look at the disk; every acceptance waits for it.")
-	StoragePutOff   = def(311, "storage-put-off", Warn, "a snapshot or a new segment could not be made; it is tried again", "Look at the cause named: open files (`files` in the dump), room, the disk. The log grows until it passes.")
 	StateDiffers    = def(310, "state-differs", Error, "replicas disagree about the state", "Stop the replica named, keep its data folder, report the fault.")
+	StoragePutOff   = def(311, "storage-put-off", Warn, "a snapshot or a new segment could not be made; it is tried again", "Look at the cause named: open files (`files` in the dump), room, the disk. The log grows until it passes.")
 )
 
 // Keys and the table.
--- a/internal/base/files/conn.go
+++ b/internal/base/files/conn.go
@@ -26,15 +26,20 @@
 		if err := b.Wait(waiting, u, full); err != nil {
 			return nil, &net.OpError{Op: "dial", Net: network, Err: err}
 		}
-		c, err := dial(ctx, network, address)
-		if err != nil {
-			b.Free(u)
-			return nil, err
-		}
-		return &conn{Conn: c, close: sync.OnceFunc(func() { b.Free(u) })}, nil
+		return b.counted(u, func() (net.Conn, error) { return dial(ctx, network, address) })
 	}
 }
 
+// counted returns a connection for which there is room; it counts until it is closed.
+func (b *Budget) counted(u Use, open func() (net.Conn, error)) (net.Conn, error) {
+	c, err := open()
+	if err != nil {
+		b.Free(u)
+		return nil, err
+	}
+	return &conn{Conn: c, close: sync.OnceFunc(func() { b.Free(u) })}, nil
+}
+
 // conn is a connection that counts until it is closed.
 type conn struct {
 	net.Conn
@@ -68,12 +73,7 @@
 	if err := l.budget.Wait(l.ctx, l.use, func() {}); err != nil {
 		return nil, net.ErrClosed
 	}
-	c, err := l.Listener.Accept()
-	if err != nil {
-		l.budget.Free(l.use)
-		return nil, err
-	}
-	return &conn{Conn: c, close: sync.OnceFunc(func() { l.budget.Free(l.use) })}, nil
+	return l.budget.counted(l.use, l.Listener.Accept)
 }
 
 func (l *listener) Close() error {
--- a/internal/base/files/files.go
+++ b/internal/base/files/files.go
@@ -59,8 +59,9 @@
 // ErrNone means that a use has no file left; nothing was opened.
 var ErrNone = errors.New("the process may open no more files for this")
 
-// Budget is how many files a process may open for each use. Own and Peers are not
-// counted, they always have what is kept for them. A nil Budget bounds nothing.
+// Budget is how many files a process may open for each use. What is opened for Own
+// and Peers need not be taken: what is kept for them is theirs. A nil Budget bounds
+// nothing.
 type Budget struct {
 	limit int
 	kept  [uses]int
--- a/internal/control/dispatch/dispatch_test.go
+++ b/internal/control/dispatch/dispatch_test.go
@@ -511,7 +511,7 @@
 // second. It has to end elsewhere while its end is still worth something: within
 // three times what such a flow may take, here 3 s.
 func TestHangingUrgentRunIsMovedInTime(t *testing.T) {
-	play(t, 2, func(t *testing.T, w *world) {
+	play(t, 2, func(_ *testing.T, w *world) {
 		w.urgent()
 		var first atomic.Bool
 		w.change(func(_ string, one *worker.Worker) {
--- a/internal/control/dispatch/session.go
+++ b/internal/control/dispatch/session.go
@@ -169,13 +169,7 @@
 		return
 	}
 	s.holding = true
-	if s.relay == "" && !d.direct(0) {
-		d.relay(s, d.otherWay(s.id, ""))
-	}
-	if s.relay != "" && !s.silent && d.Now()-s.relayed > relayTime && d.direct(1) {
-		s.fails = relayAfter - 1
-		d.relay(s, "")
-	}
+	d.chooseWay(s)
 	wait := longestWait
 	if lease := d.lease(s); lease > 0 {
 		wait = min(wait, lease/waitParts)
--- a/internal/control/dispatch/way.go
+++ b/internal/control/dispatch/way.go
@@ -32,6 +32,18 @@
 	s.relay, s.relayed = through, d.Now()
 }
 
+// chooseWay changes the way to a server where it should be another one: through a
+// helper when too many are called directly, and directly again after a while.
+func (d *Dispatcher) chooseWay(s *session) {
+	switch {
+	case s.relay == "" && !d.direct(0):
+		d.relay(s, d.otherWay(s.id, ""))
+	case s.relay != "" && !s.silent && d.Now()-s.relayed > relayTime && d.direct(1):
+		s.fails = relayAfter - 1
+		d.relay(s, "")
+	}
+}
+
 // direct tells whether the servers that are called directly, and so many more, may
 // be: each takes connections, and a process may open only so many.
 func (d *Dispatcher) direct(more int) bool {
--- a/internal/policy/crew/crew.go
+++ b/internal/policy/crew/crew.go
@@ -36,10 +36,10 @@
 	restingOf  = 2
 	// shortMemory is how long it counts how many helpers short questions kept busy.
 	shortMemory = 2 * time.Second
-	// greetCost is the time between two greetings that come in, on the whole: each
-	// takes about a tenth of a millisecond of the leader. leastPause and mostPause
-	// bound the time between two of one process; age is more than twice that.
-	greetCost  = 4 * time.Millisecond
+	// greetGap is the time between two greetings that come in, on the whole, however
+	// many processes there are. leastPause and mostPause bound the time between two
+	// of one process; age is more than twice that.
+	greetGap   = 4 * time.Millisecond
 	leastPause = 300 * time.Millisecond
 	mostPause  = 900 * time.Millisecond
 )
@@ -89,7 +89,7 @@
 
 // Pause returns how long a process waits before it makes itself known again.
 func (c *Crew) Pause() time.Duration {
-	return min(max(time.Duration(len(c.all))*greetCost, leastPause), mostPause)
+	return min(max(time.Duration(len(c.all))*greetGap, leastPause), mostPause)
 }
 
 // Forget drops processes that were not heard of for long.
