Drain an availability zone

A mark by zone in the replicated ledger (flows.zone), committed before it is acknowledged. The ledger refuses placements in a drained zone; a start that was placed before is not sent after it, and what was sent and not answered is stopped. Lasting tasks move as far as they can be missed and find room. With every zone of a pool drained, flows are refused as not run. The product's own jobs obey the same mark (gypsumreel zone drain, undrain, list). Servers that are slow after their start come last.

--- a/cmd/gypsumreel/verbs.go
+++ b/cmd/gypsumreel/verbs.go
@@ -20,6 +20,7 @@
 	"gypsumreel/internal/cli/team"
 	"gypsumreel/internal/cli/verb"
 	"gypsumreel/internal/cli/wait"
+	"gypsumreel/internal/cli/zone"
 )
 
 // verbs lists the verbs in the order of the help text.
@@ -41,6 +42,7 @@
 		key.New(),
 		table.New(),
 		drain.New(),
+		zone.New(),
 		member.New(),
 		dump.New(),
 		explain.New(),
--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -146,6 +146,8 @@
 	GangDisbanded   = def(823, "gang-disbanded", Info, "a member of a gang does not start; the others are stopped", "None at first. Often: look at the server of the run that is named.")
 	ServerRelayed   = def(824, "server-relayed", Info, "a backend server is called another way", "Many at once: something is cut between the leader and the servers.")
 	TimeDiffers     = def(825, "time-differs", Warn, "this machine's time of day is off from that of most processes", "Check the machine's clock; the ledger's time does not follow it.")
+	ZoneMarked      = def(826, "zone-marked", Info, "availability zone drained or taken back", "None. `drain` tells which; `gypsumreel zone list` shows what still runs there.")
+	ZoneRefused     = def(827, "zone-refused", Warn, "order about an unknown availability zone refused", "Compare the name with `gypsumreel zone list`.")
 	LinesLost       = def(816, "lines-lost", Warn, "log lines were left out: the reader is too slow", "Read the logs faster, or log less.")
 )
 
--- a/internal/base/settings/keys.go
+++ b/internal/base/settings/keys.go
@@ -32,6 +32,8 @@
 	MaxReplicas = 7
 	// MaxDigests bounds the list of enrolment digests.
 	MaxDigests = 4
+	// MaxZones bounds the list of availability zones.
+	MaxZones = 256
 	// ElectionBeats is the least number of heartbeats in an election timeout.
 	ElectionBeats = 4
 )
@@ -76,6 +78,12 @@
 		fill: func(s *Settings) { s.Name = string(s.Role) + "-1" },
 	},
 	text("zone", "", allowedName, DefaultZone, isName, "Availability zone of the instance.", func(s *Settings) *string { return &s.Zone }),
+	{
+		Path: "zones", Role: Control, Allowed: allowedNames, Default: "none: those that backend servers are in",
+		Help: "The availability zones of the deployment. Orders to drain any other one are refused.",
+		read: readZones,
+		fill: func(*Settings) {},
+	},
 	text("data", Control, allowedPath, DefaultData, isPath, "Folder of the journal and the snapshots; made when missing. Relative paths start at the file's folder.", func(s *Settings) *string { return &s.Data }),
 
 	text("listen.control", Control, allowedListen, defaultControl, isListen, "For entries and other control replicas.", func(s *Settings) *string { return &s.Listen.Control }),
--- a/internal/base/settings/kind.go
+++ b/internal/base/settings/kind.go
@@ -26,6 +26,7 @@
 
 var (
 	allowedPeers   = fmt.Sprintf("list of 1 to %d objects {name, address}; address is IP:port; an odd number outlives most faults", MaxReplicas)
+	allowedNames   = fmt.Sprintf("list of up to %d names", MaxZones)
 	allowedDigests = fmt.Sprintf("list of up to %d texts of 64 hexadecimal digits, each a SHA-256", MaxDigests)
 	nameForm       = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
 )
@@ -197,6 +198,22 @@
 	}
 }
 
+func readZones(r *reader, s *Settings, v value) {
+	items, ok := v.list()
+	if !ok || len(items) > MaxZones {
+		r.refuse(v, allowedNames)
+		return
+	}
+	for _, item := range items {
+		t, ok := item.text()
+		if !ok || !isName(t) {
+			r.refuse(item, allowedName)
+			continue
+		}
+		s.Zones = append(s.Zones, t)
+	}
+}
+
 // readPlatform keeps an object as it stands in the file, without comments.
 func readPlatform(r *reader, s *Settings, v value) {
 	if _, ok := v.node.Value.(*hujson.Object); !ok {
--- a/internal/base/settings/settings.go
+++ b/internal/base/settings/settings.go
@@ -26,7 +26,10 @@
 	Name string
 	// Zone is the availability zone of the instance.
 	Zone string
-	Role Role
+	// Zones are the availability zones of the deployment; none for those that
+	// backend servers are in.
+	Zones []string
+	Role  Role
 	// Data is the folder of the journal and snapshots; control only.
 	Data   string
 	Listen Listen
--- a/internal/cli/control/control.go
+++ b/internal/cli/control/control.go
@@ -86,6 +86,7 @@
 	}
 	n.Control.Terms.Length = s.Time.Lease
 	n.Control.Retention = s.Time.Retention
+	n.Control.Zones = s.Zones
 	n.Control.Patience = s.Time.Poll
 	n.Control.Snapshot = uint64(s.Limits.Snapshot)
 	if s.Operator != "" {
--- a/internal/client/operator/operator.go
+++ b/internal/client/operator/operator.go
@@ -83,6 +83,7 @@
 	whole.Keys = append(whole.Keys, r.GetKeys()...)
 	whole.Servers = append(whole.Servers, r.GetServers()...)
 	whole.Members = append(whole.Members, r.GetMembers()...)
+	whole.Zones = append(whole.Zones, r.GetZones()...)
 	whole.Jobs = append(whole.Jobs, r.GetJobs()...)
 }
 
--- a/internal/control/dispatch/ask.go
+++ b/internal/control/dispatch/ask.go
@@ -142,7 +142,7 @@
 		d.Host.After(func() { reply(stateOf(f)) })
 		return
 	}
-	if err, retry := d.admit(a, owner); err != nil {
+	if err, retry := d.admit(a, q); err != nil {
 		d.meter.refused(err.Code)
 		event.Fail(d.Log, event.FlowRefused, err, "flow", id, "queue", q.GetName(), "customer", owner, "open", ledger.Open(), "retry", retry.String())
 		reply(refusal(err, retry))
@@ -167,7 +167,7 @@
 }
 
 // admit tells why a flow is not taken, or nil, and when to come back.
-func (d *Dispatcher) admit(a *inner.FlowAsk, owner string) (*code.Error, time.Duration) {
+func (d *Dispatcher) admit(a *inner.FlowAsk, q *v1.Queue) (*code.Error, time.Duration) {
 	if err := flow.Check(a.GetSpec()); err != nil {
 		return err, 0
 	}
@@ -177,7 +177,9 @@
 	if d.Host.Flows().Open() >= d.Open {
 		return code.New(code.Overloaded, "%d flows wait or run", d.Open), comeBack
 	}
-	_ = owner
+	if d.closed(q.GetPool()) {
+		return code.New(code.Overloaded, "every zone of pool %s is drained", q.GetPool()), comeBack
+	}
 	return nil, 0
 }
 
--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -64,6 +64,8 @@
 	// waitParts is the number of waits in a lease: a lost answer must not let
 	// the lease run out.
 	waitParts = 4
+	// zoneEvery is how often drained zones are looked at.
+	zoneEvery = 100 * time.Millisecond
 	// sweepEvery is how often what is over is forgotten.
 	sweepEvery = time.Second
 )
@@ -80,6 +82,8 @@
 	// Leads tells whether this replica leads and a quorum confirmed so lately.
 	Leads() bool
 	Flows() *flows.Ledger
+	// KnowsZone tells whether there is an availability zone of that name.
+	KnowsZone(zone string) bool
 	// Clock is the ledger's time.
 	Clock() time.Duration
 	// Full tells that the disk has too little room for new work.
@@ -193,8 +197,11 @@
 	// emptied are the servers that are to run empty for an upkeep, ordered is
 	// until when the last order about a machine is waited for.
 	emptied map[string]bool
+	// drained are the drained zones as the latest look found them.
+	drained map[string]time.Duration
 	ordered map[string]time.Duration
 	waved   time.Duration
+	zoned   time.Duration
 
 	// stops are the runs whose stop is asked again until it is answered.
 	stops map[*run]*session
@@ -254,7 +261,7 @@
 			d.lead.timed[id] = true
 		}
 	}
-	event.Log(d.Log, event.DispatchBegun, "term", term, "servers", len(d.lead.sessions), "flows", ledger.Open())
+	event.Log(d.Log, event.DispatchBegun, "term", term, "servers", len(d.lead.sessions), "flows", ledger.Open(), "drained", len(ledger.Zones()))
 }
 
 // proofAge is the greatest age of the proof on which a leader still acts.
@@ -320,6 +327,10 @@
 		d.inspect(s, now)
 	}
 	d.waves(now)
+	if now-d.lead.zoned >= zoneEvery {
+		d.lead.zoned = now
+		d.lookAtZones()
+	}
 	d.beginTurns()
 	if now-d.lead.swept >= sweepEvery {
 		d.lead.swept = now
--- a/internal/control/dispatch/dispatch_test.go
+++ b/internal/control/dispatch/dispatch_test.go
@@ -317,9 +317,7 @@
 				return worker.Fault{Verdict: inner.Verdict_VERDICT_UNWELL}
 			}
 		})
-		gang := step(4, 2000)
-		gang.Gang = true
-		w.submit("a", gang)
+		w.submit("a", gangOf(4, 2000))
 		w.await("a", done, 10*time.Second)
 		numbers := map[uint32]int{}
 		for r := range w.began() {
@@ -346,9 +344,7 @@
 				return worker.Fault{}
 			}
 		})
-		gang := step(4, 2000)
-		gang.Gang = true
-		w.submit("a", gang)
+		w.submit("a", gangOf(4, 2000))
 		time.Sleep(200 * time.Millisecond)
 		if len(w.busy()) != 1 {
 			t.Fatalf("busy servers: %v", w.busy())
--- a/internal/control/dispatch/harness_test.go
+++ b/internal/control/dispatch/harness_test.go
@@ -104,6 +104,7 @@
 func (h *host) Full() bool                        { return false }
 func (h *host) Members() group.Members            { return group.Members{Self: "a/1"} }
 func (h *host) Alter(quorum.Member, bool)         {}
+func (h *host) KnowsZone(zone string) bool        { return zone == "x" || zone == "y" }
 func (h *host) Synced(string) bool                { return true }
 
 func (h *host) Post(fn func()) bool {
@@ -351,10 +352,18 @@
 func (w *world) report(id string, born int64, leaving bool) *code.Error {
 	size := &v1.Size{Cpu: w.capacity.CPU, Memory: w.capacity.Memory}
 	return w.d.Report(w.t.Context(), dispatch.Report{FlowServer: &record.FlowServer{
-		Id: id, Born: born, Address: id, Pool: "pool", Machine: "m-" + id, Capacity: size, Leaving: leaving,
+		Id: id, Born: born, Address: id, Zone: zoneOf(id), Pool: "pool", Machine: "m-" + id, Capacity: size, Leaving: leaving,
 	}, Remaining: 2000})
 }
 
+// zoneOf returns the zone of a worker: half of them are in each.
+func zoneOf(id string) string {
+	if n := id[len(id)-1]; n%2 == 1 {
+		return "x"
+	}
+	return "y"
+}
+
 // started notes a run that begins, and one of its task that runs elsewhere.
 func (w *world) started(id string, r flow.RunID) {
 	// The worker is locked while it tells, so the others are asked beside it.
@@ -462,3 +471,9 @@
 func step(count uint32, cpu int64) *v1.FlowStep {
 	return &v1.FlowStep{Count: count, Size: &v1.Size{Cpu: cpu, Memory: 100}, Runtime: 1000}
 }
+
+func gangOf(count uint32, cpu int64) *v1.FlowStep {
+	s := step(count, cpu)
+	s.Gang = true
+	return s
+}
--- a/internal/control/dispatch/lease.go
+++ b/internal/control/dispatch/lease.go
@@ -44,7 +44,7 @@
 		if !ok || b.Over {
 			continue
 		}
-		if !b.Leaving && s.closing == "" {
+		if d.Host.Flows().Takes(b) && s.closing == "" {
 			servers[b.Pool] = append(servers[b.Pool], brief.Server{ID: id, Cores: b.Capacity.CPU})
 		}
 		for _, r := range s.runs {
--- a/internal/control/dispatch/meter.go
+++ b/internal/control/dispatch/meter.go
@@ -22,6 +22,7 @@
 	open     *metrics.Gauge
 	servers  *metrics.Gauge
 	version  *metrics.Gauge
+	drained  *metrics.Gauge
 }
 
 func newMeters(set *metrics.Set) *meters {
@@ -36,6 +37,7 @@
 		open:     set.GetOrCreateGauge(meter.Name(area, "open"), nil),
 		servers:  set.GetOrCreateGauge(meter.Name(area, "servers"), nil),
 		version:  set.GetOrCreateGauge(meter.Name(area, "document_version"), nil),
+		drained:  set.GetOrCreateGauge(meter.Name(area, "drained_zones"), nil),
 	}
 }
 
@@ -69,5 +71,6 @@
 func (m *meters) look(d *Dispatcher) {
 	m.open.Set(float64(d.Host.Flows().Open()))
 	m.servers.Set(float64(len(d.lead.sessions)))
+	m.drained.Set(float64(len(d.Host.Flows().Zones())))
 	m.version.Set(float64(d.Host.Flows().Config().GetVersion()))
 }
--- a/internal/control/dispatch/order.go
+++ b/internal/control/dispatch/order.go
@@ -97,7 +97,7 @@
 		d.disband(r) // its life is over, and its end recorded once that is settled
 		return
 	}
-	if s.silent {
+	if b, ok := d.Host.Flows().Server(s.id); s.silent || ok && d.Host.Flows().Drained(b.Zone) {
 		d.withdraw(s, r)
 		return
 	}
@@ -184,7 +184,7 @@
 func (d *Dispatcher) again(s *session, r *run) {
 	b, ok := d.Host.Flows().Server(s.id)
 	late := r.placed > 0 && d.Now()-r.placed > d.Gang/gangParts && d.gang(r) != nil
-	if r.tries >= startTries || late || !ok || b.Leaving || s.closing != "" {
+	if r.tries >= startTries || late || !ok || !d.Host.Flows().Takes(b) || s.closing != "" {
 		d.unwant(s, r)
 		return
 	}
--- a/internal/control/dispatch/server.go
+++ b/internal/control/dispatch/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"gypsumreel/internal/api/record"
 	"gypsumreel/internal/base/code"
@@ -61,7 +62,7 @@
 	case s != nil && s.born == r.GetBorn() && r.Call < s.call:
 		reply(nil)
 		return
-	case known && s != nil && same(old, r.FlowServer):
+	case known && s != nil && same(old, r.FlowServer) && !d.colder(old, r.FlowServer):
 		// What it repeats may still be on its way into the log.
 		d.Host.After(func() { reply(nil) })
 		return
@@ -87,10 +88,19 @@
 	d.Host.After(func() { reply(nil) })
 }
 
+// coldSlack is how much later than known a server may say that it stops being slow
+// before that is recorded: what it says is rough, and its report is on its way a while.
+const coldSlack = time.Second
+
+// colder tells whether a server says that it stays slow for longer than is known.
+func (d *Dispatcher) colder(b *flows.Server, r *record.FlowServer) bool {
+	return d.Host.Clock()+time.Duration(r.GetCold())*time.Millisecond > max(b.Warm, d.Host.Clock())+coldSlack
+}
+
 // same tells whether a report says nothing new.
 func same(b *flows.Server, r *record.FlowServer) bool {
 	size := capacity.Size{CPU: r.GetCapacity().GetCpu(), Memory: r.GetCapacity().GetMemory(), Accel: r.GetCapacity().GetAccel(), Slots: r.GetCapacity().GetSlots()}
-	return b.Born == r.GetBorn() && b.Address == r.GetAddress() && b.Pool == r.GetPool() && b.Machine == r.GetMachine() &&
+	return b.Born == r.GetBorn() && b.Address == r.GetAddress() && b.Pool == r.GetPool() && b.Machine == r.GetMachine() && b.Zone == r.GetZone() &&
 		b.Capacity == size && slices.Equal(b.Labels, r.GetLabels()) && (b.Leaving || !r.GetLeaving())
 }
 
--- a/internal/control/leader/decide.go
+++ b/internal/control/leader/decide.go
@@ -103,7 +103,7 @@
 // be new work for a server that is leaving. The server notes the stop of what it
 // does not know, and says that nothing was started.
 func (l *Leader) recall(b state.Server, s *session) {
-	if !b.Drain && b.Server.State != backend.Draining {
+	if !b.Drains() && b.Server.State != backend.Draining {
 		return
 	}
 	var idle []task.ID
@@ -141,7 +141,7 @@
 // Server passes a changed server on; a drained one shows as draining.
 func (w watch) Server(b state.Server) {
 	s := b.Server
-	if b.Drain && s.State != backend.Gone {
+	if b.Drains() && s.State != backend.Gone {
 		s.State = backend.Draining
 	}
 	w.l.lead.planner.SetServer(s)
--- a/internal/control/leader/harness_test.go
+++ b/internal/control/leader/harness_test.go
@@ -266,10 +266,13 @@
 	number      uint64
 }
 
+// zoneName is where the servers of these tests are.
+const zoneName = "zone-1"
+
 func (c *cell) announce(name string, cpu int64) *server {
 	c.t.Helper()
 	r := c.must(c.push(&inner.Item{Ask: &inner.Item_Announce{Announce: &v1.AnnounceRequest{
-		Server: name, Nonce: uint64(c.g.now()), Capacity: &v1.Size{Cpu: cpu, Memory: 1, Accel: 1, Slots: 8},
+		Server: name, Nonce: uint64(c.g.now()), Zone: zoneName, Capacity: &v1.Size{Cpu: cpu, Memory: 1, Accel: 1, Slots: 8},
 	}}}))
 	if n := r.GetAnnounce().GetStatus().GetCode(); n != 0 {
 		c.t.Fatalf("announce: %d", n)
--- a/internal/control/leader/inspect.go
+++ b/internal/control/leader/inspect.go
@@ -42,6 +42,8 @@
 	// not heard from for longest.
 	Servers map[string]int
 	Leases  []LeaseView
+	// Zones are the availability zones with their backend servers.
+	Zones []state.Zone
 }
 
 // TeamView is one team's queue.
@@ -87,6 +89,7 @@
 		v.Servers[shownState(b)]++
 		v.Running += l.st.Count(b.ID)
 	})
+	v.Zones = l.st.Zones()
 	v.Teams = l.teamViews()
 	v.Oldest = l.oldest()
 	if ld := l.lead; ld != nil {
@@ -153,7 +156,7 @@
 
 // shownState names a server's state; a drain by an operator stands before it.
 func shownState(b state.Server) string {
-	if b.Drain && b.Server.State != backend.Gone {
+	if b.Drains() && b.Server.State != backend.Gone {
 		return backend.Draining.String()
 	}
 	return b.Server.State.String()
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -120,6 +120,8 @@
 	Silence   time.Duration
 	Retention time.Duration
 	Patience  time.Duration
+	// Zones are the availability zones; none for those that backend servers are in.
+	Zones []string
 	// Backlog bounds the jobs that wait in the cell.
 	Backlog  int
 	Fresh    time.Duration
--- a/internal/control/leader/leader_test.go
+++ b/internal/control/leader/leader_test.go
@@ -233,6 +233,32 @@
 	})
 }
 
+// A zone is drained while work waits: no server there gets any, not even one that
+// comes later, and all do once the zone is taken back.
+func TestADrainedZoneGetsNothingNew(t *testing.T) {
+	run(t, func(c *cell) {
+		s := c.announce("b1", 8000)
+		mark := func(id, zone string, drain bool) *v1.ChangeReply {
+			return c.change(id, &v1.ChangeRequest{Change: &v1.ChangeRequest_Zone{Zone: &v1.ZoneMark{Zone: zone, Drain: drain}}})
+		}
+		unknown := &v1.ChangeRequest{Id: "unknown", Change: &v1.ChangeRequest_Zone{Zone: &v1.ZoneMark{Zone: "nowhere", Drain: true}}}
+		r := c.must(c.push(&inner.Item{Credential: c.cred("op"), Ask: &inner.Item_Change{Change: unknown}}))
+		wantCode(t, code.Unknown, r.GetStatus())
+		mark("drain", zoneName, true)
+		c.accepted(spec("plan"))
+		if got := starts(s.sync()); len(got) > 0 {
+			t.Error("new work for a drained zone")
+		}
+		if got := starts(c.announce("b2", 8000).sync()); len(got) > 0 {
+			t.Error("new work for a server that came to a drained zone")
+		}
+		mark("undrain", zoneName, false)
+		if got := starts(s.sync()); len(got) != 1 {
+			t.Errorf("taken back: %v", got)
+		}
+	})
+}
+
 // A whole gang is ordered, then one of its servers dies: the rest is stopped,
 // and the gang starts again as a whole or not at all.
 func TestAGangThatLosesATaskStartsAgainWhole(t *testing.T) {
--- a/internal/control/leader/notice.go
+++ b/internal/control/leader/notice.go
@@ -53,7 +53,7 @@
 func (l *Leader) serverSeen(b state.Server) {
 	ld := &l.lead.seen
 	old, known := ld.servers[b.ID]
-	next := seenServer{b.Incarnation, b.Server.State, b.Drain, l.st.Count(b.ID) == 0}
+	next := seenServer{b.Incarnation, b.Server.State, b.Drains(), l.st.Count(b.ID) == 0}
 	ld.servers[b.ID] = next
 	if next.state == backend.Gone {
 		delete(ld.servers, b.ID)
@@ -203,6 +203,8 @@
 		event.Log(l.Log, event.KeyGranted, "key", c.Grant.GetId(), "team", c.Grant.GetTeam(), "by", by)
 	case *v1.ChangeRequest_Withdraw:
 		event.Log(l.Log, event.KeyWithdrawn, "key", c.Withdraw.GetId(), "by", by)
+	case *v1.ChangeRequest_Zone:
+		event.Log(l.Log, event.ZoneMarked, "zone", c.Zone.GetZone(), "drain", c.Zone.GetDrain(), "by", by)
 	case *v1.ChangeRequest_Table:
 		event.Log(l.Log, event.TableChanged, "revision", r.Revision, "change", req.GetId(), "by", by)
 		l.lowered(before)
--- a/internal/control/leader/operator.go
+++ b/internal/control/leader/operator.go
@@ -1,12 +1,16 @@
 package leader
 
 import (
+	"slices"
+	"time"
+
 	"gypsumreel/internal/api/inner"
 	"gypsumreel/internal/api/record"
 	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/base/code"
 	"gypsumreel/internal/domain/key"
 	"gypsumreel/internal/ledger/command"
+	"gypsumreel/internal/ledger/state"
 )
 
 // change commits an operator's change and answers with what it came to.
@@ -19,6 +23,10 @@
 		l.member(to, c)
 		return
 	}
+	if c := req.GetZone(); c != nil && !l.KnowsZone(c.GetZone()) {
+		l.refuse(to, code.New(code.Unknown, "zone %q", c.GetZone()))
+		return
+	}
 	before := l.st.Table().Rows()
 	_, resent := l.st.Told(req.GetId())
 	r := l.do(&record.Command{What: &record.Command_Change{Change: &record.Change{By: k.ID, Request: req}}})
@@ -59,6 +67,8 @@
 	case v1.Part_PART_JOBS:
 		jobs, err := l.page("", req.GetAfter(), req.GetLimit())
 		rep.Jobs, rep.Status = jobs, status(err)
+	case v1.Part_PART_ZONES:
+		rep.Zones = l.zoneLines()
 	default:
 		rep.Status = status(code.New(code.Malformed, "no such part"))
 	}
@@ -74,18 +84,33 @@
 		if b.ID <= after || uint32(len(out)) >= limit {
 			continue
 		}
-		shown := b.Server.State.String()
-		if b.Drain {
-			shown = "draining"
-		}
 		out = append(out, &v1.ServerLine{
-			Server: b.ID, Incarnation: b.Incarnation, State: shown, Rack: b.Rack, Zone: b.Zone,
+			Server: b.ID, Incarnation: b.Incarnation, State: shownState(b), Rack: b.Rack, Zone: b.Zone,
 			Capacity: command.SizeMessage(b.Capacity), Held: command.SizeMessage(b.Held), Tasks: uint32(l.st.Count(b.ID)),
 		})
 	}
 	return out
 }
 
+// KnowsZone tells whether there is an availability zone of that name.
+func (l *Leader) KnowsZone(name string) bool {
+	if len(l.Zones) > 0 {
+		return slices.Contains(l.Zones, name)
+	}
+	return slices.ContainsFunc(l.st.Zones(), func(z state.Zone) bool { return z.Name == name })
+}
+
+func (l *Leader) zoneLines() (out []*v1.ZoneLine) {
+	for _, z := range l.st.Zones() {
+		line := &v1.ZoneLine{Zone: z.Name, Drained: z.Drained, Servers: uint32(z.Servers), Tasks: uint32(z.Tasks)}
+		if z.Drained {
+			line.Since = uint64(max(l.clock()-z.Since, 0) / time.Millisecond)
+		}
+		out = append(out, line)
+	}
+	return out
+}
+
 // memberLines lists control replicas and entries. A replica has confirmed the
 // table's revision once it has it on its disk; until then none is told.
 func (l *Leader) memberLines() []*v1.MemberLine {
--- a/internal/edge/operator/check.go
+++ b/internal/edge/operator/check.go
@@ -31,6 +31,8 @@
 		return caller.CheckName("server's name", c.Mark.GetServer())
 	case *v1.ChangeRequest_Member:
 		return caller.CheckName("replica", c.Member.GetReplica())
+	case *v1.ChangeRequest_Zone:
+		return caller.CheckName("zone", c.Zone.GetZone())
 	}
 	return code.New(code.Malformed, "the change says nothing")
 }
@@ -88,7 +90,7 @@
 }
 
 func checkShow(m *v1.ShowRequest) error {
-	if m.GetPart() < v1.Part_PART_TABLE || m.GetPart() > v1.Part_PART_JOBS {
+	if m.GetPart() < v1.Part_PART_TABLE || m.GetPart() > v1.Part_PART_ZONES {
 		return code.New(code.Malformed, "part %d", m.GetPart())
 	}
 	return nil
@@ -107,6 +109,8 @@
 		return "mark", c.Mark.GetServer()
 	case *v1.ChangeRequest_Member:
 		return "member", c.Member.GetReplica()
+	case *v1.ChangeRequest_Zone:
+		return "zone", c.Zone.GetZone()
 	}
 	return "none", ""
 }
--- a/internal/ledger/flows/flows.go
+++ b/internal/ledger/flows/flows.go
@@ -24,6 +24,8 @@
 	flows   map[string]*Flow
 	servers map[string]*Server
 	waves   map[uint64]*Wave
+	// drained are the drained availability zones, and since when.
+	drained map[string]time.Duration
 	digest  uint64
 	faults  int
 
@@ -113,6 +115,8 @@
 	Labels   []string
 	// Leaving servers get no new work.
 	Leaving bool
+	// Warm is when it stops being slow after its start, on the ledger's clock.
+	Warm time.Duration
 	// Over tells that this life has ended.
 	Over bool
 	// Cursor is the number up to which this life's ends are recorded.
@@ -135,7 +139,7 @@
 // New returns an empty ledger.
 func New() *Ledger {
 	return &Ledger{
-		config: flow.NewConfig(nil), flows: map[string]*Flow{}, servers: map[string]*Server{}, waves: map[uint64]*Wave{},
+		config: flow.NewConfig(nil), flows: map[string]*Flow{}, servers: map[string]*Server{}, waves: map[uint64]*Wave{}, drained: map[string]time.Duration{},
 		ready: map[flow.StepID]*Step{}, unwanted: map[flow.TaskID]*Held{}, used: map[string]capacity.Size{}, pending: map[string]int{},
 	}
 }
@@ -252,6 +256,8 @@
 		return l.wave(at, w.Wave)
 	case *record.Flow_Upkeep:
 		return l.upkeep(w.Upkeep)
+	case *record.Flow_Zone:
+		return l.zone(at, w.Zone)
 	}
 	return code.New(code.Internal, "empty command")
 }
--- a/internal/ledger/flows/flows_test.go
+++ b/internal/ledger/flows/flows_test.go
@@ -27,6 +27,8 @@
 	at      time.Duration
 	flows   int
 	servers []string
+	// drained are the zones that are drained by the order of commands.
+	drained map[string]bool
 	// done are the tasks that ended well.
 	done map[flow.TaskID]bool
 }
@@ -40,7 +42,7 @@
 }
 
 func newMachine(t *rapid.T) *machine {
-	m := &machine{l: flows.New(), done: map[flow.TaskID]bool{}}
+	m := &machine{l: flows.New(), done: map[flow.TaskID]bool{}, drained: map[string]bool{}}
 	m.apply(t, &record.Flow{What: &record.Flow_Document{Document: document()}})
 	for i := range 3 {
 		id := fmt.Sprintf("s%d", i)
@@ -51,7 +53,7 @@
 }
 
 func (m *machine) born(t *rapid.T, id string, born int64) {
-	m.apply(t, &record.Flow{What: &record.Flow_Server{Server: &record.FlowServer{Id: id, Born: born, Pool: "p", Capacity: &v1.Size{Cpu: 4, Memory: 100}}}})
+	m.apply(t, &record.Flow{What: &record.Flow_Server{Server: &record.FlowServer{Id: id, Born: born, Zone: zoneOf(id), Pool: "p", Capacity: &v1.Size{Cpu: 4, Memory: 100}}}})
 }
 
 func (m *machine) apply(t *rapid.T, f *record.Flow) bool {
@@ -64,6 +66,21 @@
 	return err == nil
 }
 
+// zoneOf puts the first server into a zone of its own.
+func zoneOf(server string) string {
+	if server == "s0" {
+		return "x"
+	}
+	return "y"
+}
+
+// Zone drains a zone or takes it back.
+func (m *machine) Zone(t *rapid.T) {
+	zone, drain := rapid.SampledFrom([]string{"x", "y"}).Draw(t, "zone"), rapid.Bool().Draw(t, "drain")
+	m.apply(t, &record.Flow{What: &record.Flow_Zone{Zone: &record.ZoneMark{Zone: zone, Drain: drain}}})
+	m.drained[zone] = drain
+}
+
 // Accept takes in a flow of one or two steps.
 func (m *machine) Accept(t *rapid.T) {
 	m.flows++
@@ -91,7 +108,12 @@
 				start.Places = append(start.Places, &record.FlowPlace{Run: id.Message(), Server: rapid.SampledFrom(m.servers).Draw(t, "server")})
 			}
 		}
-		m.apply(t, &record.Flow{What: &record.Flow_Start{Start: start}})
+		ok := m.apply(t, &record.Flow{What: &record.Flow_Start{Start: start}})
+		for _, p := range start.Places {
+			if ok && m.drained[zoneOf(p.GetServer())] {
+				t.Fatalf("%v was started in a drained zone", p)
+			}
+		}
 		return
 	}
 }
--- a/internal/ledger/flows/run.go
+++ b/internal/ledger/flows/run.go
@@ -21,7 +21,7 @@
 	}
 	b := &Server{
 		ID: m.GetId(), Born: m.GetBorn(), Address: m.GetAddress(), Zone: m.GetZone(), Pool: m.GetPool(), Machine: m.GetMachine(),
-		Capacity: sizeOf(m.GetCapacity()), Labels: m.GetLabels(), Leaving: m.GetLeaving(), Held: map[flow.TaskID]*Held{},
+		Capacity: sizeOf(m.GetCapacity()), Labels: m.GetLabels(), Leaving: m.GetLeaving(), Warm: at + time.Duration(m.GetCold())*time.Millisecond, Held: map[flow.TaskID]*Held{},
 	}
 	if known && m.GetBorn() == old.Born {
 		if old.Over {
@@ -108,7 +108,7 @@
 		}
 		seen[id.TaskID] = true
 		b, ok := l.servers[p.GetServer()]
-		if !ok || b.Over || b.Leaving {
+		if !ok || !l.Takes(b) {
 			return code.New(code.Stale, "%s takes no work", p.GetServer())
 		}
 		size := flow.SizeOf(s.Spec)
--- a/internal/ledger/flows/snapshot.go
+++ b/internal/ledger/flows/snapshot.go
@@ -33,6 +33,7 @@
 	for _, w := range l.Waves() {
 		r.Waves = append(r.Waves, waveRecord(w))
 	}
+	r.Zones = l.zoneRecords()
 	return r
 }
 
@@ -66,7 +67,7 @@
 		Id: b.ID, Born: b.Born, Address: b.Address, Zone: b.Zone, Pool: b.Pool, Machine: b.Machine,
 		Capacity: &v1.Size{Cpu: b.Capacity.CPU, Memory: b.Capacity.Memory, Accel: b.Capacity.Accel, Slots: b.Capacity.Slots},
 		Labels:   b.Labels, Leaving: b.Leaving, Cursor: b.Cursor,
-	}, Over: b.Over}
+	}, Over: b.Over, Warm: int64(b.Warm)}
 	for _, id := range sortedTasks(b.Held) {
 		h := b.Held[id]
 		r.Held = append(r.Held, &record.HeldRecord{
@@ -96,6 +97,7 @@
 		w := restoreWave(m)
 		l.waves[w.Number] = w
 	}
+	l.restoreZones(r.GetZones())
 	for _, f := range l.flows {
 		l.derive(f)
 	}
@@ -165,7 +167,7 @@
 	b := &Server{
 		ID: s.GetId(), Born: s.GetBorn(), Address: s.GetAddress(), Zone: s.GetZone(), Pool: s.GetPool(), Machine: s.GetMachine(),
 		Capacity: sizeOf(s.GetCapacity()), Labels: s.GetLabels(), Leaving: s.GetLeaving(), Cursor: s.GetCursor(),
-		Over: m.GetOver(), Held: map[flow.TaskID]*Held{},
+		Over: m.GetOver(), Warm: time.Duration(m.GetWarm()), Held: map[flow.TaskID]*Held{},
 	}
 	l.servers[b.ID] = b
 	for _, h := range m.GetHeld() {
--- a/internal/ledger/state/attempt.go
+++ b/internal/ledger/state/attempt.go
@@ -46,7 +46,7 @@
 			return refused(code.Internal, "task does not wait")
 		}
 		seen[t.ID.Index] = true
-		b, ok := s.servers[spot.GetServer()]
+		b, ok := s.Server(spot.GetServer())
 		if !ok || b.Incarnation != spot.GetIncarnation() || !b.Takes() {
 			return refused(code.Stale, spot.GetServer())
 		}
@@ -66,7 +66,7 @@
 // Takes tells whether the server may be given new work. Quarantined servers
 // take the policy's probes.
 func (b Server) Takes() bool {
-	if b.Drain {
+	if b.Drains() {
 		return false
 	}
 	return b.Server.State == backend.Ready || b.Server.State == backend.Quarantined
--- a/internal/ledger/state/change.go
+++ b/internal/ledger/state/change.go
@@ -41,6 +41,8 @@
 		return s.withdraw(c.Withdraw)
 	case *v1.ChangeRequest_Mark:
 		return s.drain(c.Mark)
+	case *v1.ChangeRequest_Zone:
+		return s.zone(&record.ZoneMark{Zone: c.Zone.GetZone(), Drain: c.Zone.GetDrain()})
 	}
 	return refused(code.Malformed, "no change named")
 }
@@ -210,7 +212,7 @@
 	}
 	b.Drain = m.GetDrain()
 	s.putServer(b)
-	s.watch().Server(b)
+	s.watch().Server(s.zoned(b))
 	return Result{}
 }
 
@@ -232,7 +234,7 @@
 // EachServer calls fn for every backend server, in no fixed order.
 func (s *State) EachServer(fn func(Server)) {
 	for _, b := range s.servers {
-		fn(b)
+		fn(s.zoned(b))
 	}
 }
 
@@ -247,7 +249,7 @@
 func (s *State) Servers() []Server {
 	var out []Server
 	for _, id := range sorted(s.servers) {
-		out = append(out, s.servers[id])
+		out = append(out, s.zoned(s.servers[id]))
 	}
 	return out
 }
--- a/internal/ledger/state/server.go
+++ b/internal/ledger/state/server.go
@@ -39,7 +39,7 @@
 	// A drain by an operator outlives the server's restart; one that the
 	// server asked for when leaving ends with its return.
 	s.putServer(b)
-	s.watch().Server(s.servers[b.ID])
+	s.watch().Server(s.zoned(s.servers[b.ID]))
 	return Result{Incarnation: b.Incarnation}
 }
 
@@ -62,7 +62,7 @@
 	}
 	b.Server = b.WithState(stateNamed(next), s.at)
 	s.putServer(b)
-	s.watch().Server(b)
+	s.watch().Server(s.zoned(b))
 	return Result{}
 }
 
@@ -94,7 +94,7 @@
 	}
 	b.Server = b.WithState(gone, s.at)
 	s.putServer(b)
-	s.watch().Server(b)
+	s.watch().Server(s.zoned(b))
 	for _, id := range s.placedOn(b.ID) {
 		t := s.tasks[id]
 		if !t.Phase.Holds() || t.Server != b.ID {
--- a/internal/ledger/state/state.go
+++ b/internal/ledger/state/state.go
@@ -74,6 +74,9 @@
 	Held capacity.Size
 	// Drain tells that an operator or the server itself asked for no new work.
 	Drain bool
+	// Zoned tells that its availability zone is drained. It follows from the zone's
+	// mark and is no part of the server's record.
+	Zoned bool
 }
 
 // Answer is what an operator's change was told.
@@ -163,6 +166,9 @@
 
 // flow hands a command to the part of the ledger that holds flows.
 func (s *State) flow(c *record.Flow) Result {
+	if m := c.GetZone(); m != nil {
+		return s.zone(m)
+	}
 	if err := s.flows.Apply(s.at, c); err != nil {
 		return refused(err.Code, err.Detail)
 	}
@@ -219,7 +225,7 @@
 // Server returns a backend server by its id.
 func (s *State) Server(id string) (Server, bool) {
 	b, ok := s.servers[id]
-	return b, ok
+	return s.zoned(b), ok
 }
 
 // Held returns the declared size of everything of a team that is not proved stopped.
--- a/internal/policy/steps/option.go
+++ b/internal/policy/steps/option.go
@@ -26,13 +26,14 @@
 }
 
 // Steps in the order of options: a server on which a task of the step failed comes
-// after all others, one that is not near the data after all that are, one whose
+// after all others, one that is slow after its start after all that are not, one that is not near the data after all that are, one whose
 // leases do not suit after those whose leases do, and a slow one after the faster.
 const (
 	slowClasses = 1 << 20
 	leaseStep   = 2 * slowClasses
 	farStep     = 2 * leaseStep
-	shunnedStep = 2 * farStep
+	coldStep    = 2 * farStep
+	shunnedStep = 2 * coldStep
 )
 
 // last works out where a server comes for an item.
@@ -44,6 +45,9 @@
 	if it.Urgent != r.Brief {
 		n += leaseStep
 	}
+	if r.Cold {
+		n += coldStep
+	}
 	if it.Shunned[r.ID] {
 		n += shunnedStep
 	}
--- a/internal/policy/steps/steps.go
+++ b/internal/policy/steps/steps.go
@@ -48,6 +48,8 @@
 	*flows.Server
 	// Speed is how fast it works beside the others; 1 is the usual.
 	Speed float64
+	// Cold tells that it is still slow after its start.
+	Cold bool
 	// Brief tells that urgent work is gathered there, where leases stay short.
 	Brief bool
 }
@@ -306,8 +308,12 @@
 	if r.Pool != it.Pool {
 		return false
 	}
-	label := it.Spec.GetLabel()
-	return label == "" || slices.Contains(r.Labels, label)
+	return Labelled(it.Spec.GetLabel(), r.Server.Server)
+}
+
+// Labelled tells whether a server has the label that a step asks for, if any.
+func Labelled(label string, b *flows.Server) bool {
+	return label == "" || slices.Contains(b.Labels, label)
 }
 
 // fits returns how many tasks of a size fit into a room.
