explain without an id: what became of all flows, by cause, customer and second

Each flow counts once, by the first cause that fits; a chart shows the flows of each second and those not in time. flow-accepted tells the objective.

--- /dev/null
+++ b/internal/cli/explain/cause.go
@@ -0,0 +1,161 @@
+package explain
+
+import (
+	"strings"
+	"time"
+)
+
+// Cause is what made a flow late or kept it from its end, by the first that fits.
+type Cause string
+
+// The causes.
+const (
+	// InTime is no cause: the flow ended within its objective.
+	InTime Cause = "in time"
+	// Refused flows were never accepted.
+	Refused Cause = "refused"
+	// Failed flows have a task that failed as often as it may.
+	Failed Cause = "failed for good"
+	// Cancelled flows were cancelled by their caller.
+	Cancelled Cause = "cancelled"
+	// LeaderChanged flows waited while the lead changed.
+	LeaderChanged Cause = "change of the leader"
+	// RunLost flows had a run that ended with its server, or never started.
+	RunLost Cause = "run lost"
+	// StoodStill flows had a run that was moved since it stood still or crawled.
+	StoodStill Cause = "run stood still"
+	// TaskFailed flows had a run that failed and was made again.
+	TaskFailed Cause = "task failed"
+	// NoPermit flows waited for the adviser.
+	NoPermit Cause = "no permit yet"
+	// NoRoom flows waited for room, or for their customer's limit.
+	NoRoom Cause = "no room"
+	// SlowRun flows were placed in time and ran for longer than was declared.
+	SlowRun Cause = "slow run"
+	// Open flows have no end in the logs, and no other cause.
+	Open Cause = "not ended"
+)
+
+// waitPart is the part of its objective that a wait has to take to count as the cause.
+const waitPart = 0.15
+
+// journey is what the logs tell of one flow.
+type journey struct {
+	queue, customer string
+	// accepted, answered, placed and ended are when it was accepted, when the
+	// adviser first answered about it, when its first task was placed and when its
+	// last one ended; zero for never.
+	accepted, answered, placed, ended time.Time
+	// last is when the logs last speak of it.
+	last time.Time
+	// aim is its objective; 0 where the logs do not tell.
+	aim   time.Duration
+	state string
+	// lost, failed and moved count its runs that did not end well.
+	lost, failed, moved int
+	// refusal is the code of the last refusal.
+	refusal int
+}
+
+// take takes one line about the flow.
+func (j *journey) take(l line) {
+	j.last = l.At
+	switch l.Name {
+	case "flow-accepted":
+		if j.accepted.IsZero() {
+			j.accepted = l.At
+		}
+		j.queue, j.customer = text(l, "queue"), text(l, "customer")
+		j.aim, _ = time.ParseDuration(text(l, "aim"))
+	case "call-answered":
+		if n, ok := l.Facts["code"].(float64); ok && n != 0 && strings.Contains(text(l, "verb"), "SUBMIT") {
+			j.refusal = int(n)
+		}
+	case "advice-taken":
+		first(&j.answered, l.At)
+	case "runs-placed":
+		first(&j.placed, l.At)
+	case "run-moved":
+		j.moved++
+	case "run-ended":
+		j.end(l)
+	case "flow-cancelled":
+		j.state = "CANCELLED"
+	}
+}
+
+func (j *journey) end(l line) {
+	switch strings.TrimPrefix(text(l, "how"), "RUN_END_") {
+	case "FAILED":
+		j.failed++
+	case "LOST", "LAPSED":
+		j.lost++
+	}
+	if state := strings.TrimPrefix(text(l, "state"), "FLOW_STATE_"); j.ended.IsZero() && (state == "DONE" || state == "FAILED") {
+		j.ended, j.state = l.At, state
+	}
+}
+
+// took returns how long the flow took, or has taken when the logs end.
+func (j *journey) took(end time.Time) time.Duration {
+	if !j.ended.IsZero() {
+		end = j.ended
+	}
+	return end.Sub(j.accepted)
+}
+
+// cause tells why the flow was late or not served; changes are when the lead changed.
+func (j *journey) cause(changes []time.Time, end time.Time) Cause {
+	switch {
+	case j.accepted.IsZero():
+		return Refused
+	case j.state == "CANCELLED":
+		return Cancelled
+	case j.state == "FAILED":
+		return Failed
+	case j.state == "DONE" && (j.aim == 0 || j.took(end) <= j.aim):
+		return InTime
+	}
+	long := time.Duration(waitPart * float64(j.aim))
+	switch {
+	case j.across(changes, end):
+		return LeaderChanged
+	case j.lost > 0:
+		return RunLost
+	case j.moved > 0:
+		return StoodStill
+	case j.failed > 0:
+		return TaskFailed
+	case !j.answered.IsZero() && j.answered.Sub(j.accepted) > long:
+		return NoPermit
+	case j.placed.IsZero() || j.placed.Sub(j.accepted) > long:
+		return NoRoom
+	case j.ended.IsZero():
+		return Open
+	}
+	return SlowRun
+}
+
+// across tells whether the lead changed while the flow was under way.
+func (j *journey) across(changes []time.Time, end time.Time) bool {
+	if !j.ended.IsZero() {
+		end = j.ended
+	}
+	for _, at := range changes {
+		if at.After(j.accepted) && at.Before(end) {
+			return true
+		}
+	}
+	return false
+}
+
+func first(at *time.Time, now time.Time) {
+	if at.IsZero() {
+		*at = now
+	}
+}
+
+func text(l line, key string) string {
+	s, _ := l.Facts[key].(string)
+	return s
+}
--- a/internal/cli/explain/explain.go
+++ b/internal/cli/explain/explain.go
@@ -31,8 +31,8 @@
 // New returns the verb.
 func New() verb.Verb {
 	return verb.Verb{
-		Name: "explain", Short: "tell the life of a request from logs",
-		Long:   "Reads the logs named (- for standard input) and prints, in the order of time, every line about the flow ID and what befell the control group meanwhile, with the gaps between them. Lines that are not of gypsumreel are counted and passed over.",
+		Name: "explain", Short: "tell the life of a request, or what became of all, from logs",
+		Long:   "Without an ID: counts what became of all flows of the logs, by cause, customer and second. With one: reads the logs named (- for standard input) and prints, in the order of time, every line about the flow ID and what befell the control group meanwhile, with the gaps between them. Lines that are not of gypsumreel are counted and passed over.",
 		Runner: &command{},
 	}
 }
@@ -66,15 +66,18 @@
 
 // Run prints the life of the one id named.
 func (c *command) Run(ctx context.Context, env verb.Env, args []string) error {
-	if len(args) != 1 || args[0] == "" {
-		return verb.Misuse("Run `gypsumreel explain ID --logs FILE`.", "explain takes one id, got %d", len(args))
+	if len(args) > 1 || len(args) == 1 && args[0] == "" {
+		return verb.Misuse("Run `gypsumreel explain ID --logs FILE`, or without an ID for all of them.", "explain takes one id, got %d", len(args))
 	}
-	r := &reader{id: args[0], err: env.Err}
-	for _, name := range c.Logs {
-		if err := r.file(ctx, env, name); err != nil {
-			return err
-		}
+	if len(args) == 0 {
+		return c.all(ctx, env)
 	}
+	r := &reader{id: args[0]}
+	s := source{err: env.Err, take: r.take}
+	if err := s.files(ctx, env, c.Logs); err != nil {
+		return err
+	}
+	r.foreign += s.foreign
 	l := r.life()
 	if len(l.Lines) == 0 {
 		return verb.Misuse("Check the id, and that the logs cover its time.", "no line about %s; %d lines are not of gypsumreel", args[0], r.foreign)
@@ -82,19 +85,50 @@
 	return c.Print(env.Out, l, l.grid())
 }
 
+// all prints what became of all flows.
+func (c *command) all(ctx context.Context, env verb.Env) error {
+	n := &census{flows: map[string]*journey{}}
+	s := source{err: env.Err, take: n.take}
+	if err := s.files(ctx, env, c.Logs); err != nil {
+		return err
+	}
+	n.foreign += s.foreign
+	if len(n.flows) == 0 {
+		return verb.Misuse("Check that the logs are those of control replicas and entries.", "no line about a flow; %d lines are not of gypsumreel", n.foreign)
+	}
+	sum := n.summary()
+	return c.Print(env.Out, sum, sum.grid())
+}
+
 // reader collects the lines about one id.
 type reader struct {
 	id      string
-	err     io.Writer
 	own     []line
 	group   []line
 	foreign int
 	left    int
+}
+
+// source reads logs line by line.
+type source struct {
+	err  io.Writer
+	take func(b []byte)
+	// foreign counts the lines that are too long to be of ours.
+	foreign int
 	read    int64
 	told    int64
 }
 
-func (r *reader) file(ctx context.Context, env verb.Env, name string) error {
+func (r *source) files(ctx context.Context, env verb.Env, names []string) error {
+	for _, name := range names {
+		if err := r.file(ctx, env, name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *source) file(ctx context.Context, env verb.Env, name string) error {
 	in := env.In
 	if name != "-" {
 		f, err := os.Open(name)
@@ -124,10 +158,10 @@
 	return ctx.Err()
 }
 
-func (r *reader) progress(name string, n int) {
+func (r *source) progress(name string, n int) {
 	if r.read += int64(n); r.read-r.told >= progressEvery {
 		r.told = r.read
-		fmt.Fprintf(r.err, "%s: %d MiB read, %d lines found\n", name, r.read>>20, len(r.own))
+		fmt.Fprintf(r.err, "%s: %d MiB read\n", name, r.read>>20)
 	}
 }
 
--- /dev/null
+++ b/internal/cli/explain/summary_test.go
@@ -0,0 +1,103 @@
+package explain_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// at returns a line of a log: an event at a time in milliseconds after 15:20.
+func at(ms int, name, facts string) string {
+	return fmt.Sprintf(`{"time":"2026-02-27T15:20:%02d.%03dZ","level":"INFO","msg":"m","event":1,"name":%q,%s}`+"\n", ms/1000, ms%1000, name, facts)
+}
+
+// whole is a log with one flow for each cause.
+func whole() string {
+	b := &strings.Builder{}
+	accept := func(ms int, id string) {
+		b.WriteString(at(ms, "flow-accepted", fmt.Sprintf(`"flow":%q,"queue":"q","customer":"c","aim":"1s"`, id)))
+	}
+	end := func(ms int, id, how, state string) {
+		b.WriteString(at(ms, "run-ended", fmt.Sprintf(`"flow":%q,"how":"RUN_END_%s","state":"FLOW_STATE_%s"`, id, how, state)))
+	}
+	tell := func(ms int, name, id string) { b.WriteString(at(ms, name, fmt.Sprintf(`"flow":%q`, id))) }
+	for _, id := range []string{"good", "lost", "failing", "hopeless", "moved", "unpermitted", "roomless", "slow", "cancelled"} {
+		accept(1000, id)
+		if id != "unpermitted" {
+			tell(1010, "advice-taken", id)
+		}
+		if id != "unpermitted" && id != "roomless" {
+			tell(1020, "runs-placed", id)
+		}
+	}
+	end(1900, "good", "DONE", "DONE")
+	end(1500, "lost", "LOST", "RUNNING")
+	end(2500, "lost", "DONE", "DONE")
+	end(1500, "failing", "FAILED", "RUNNING")
+	end(2500, "failing", "DONE", "DONE")
+	end(1500, "hopeless", "FAILED", "FAILED")
+	tell(1700, "run-moved", "moved")
+	end(2600, "moved", "DONE", "DONE")
+	tell(1800, "advice-taken", "unpermitted")
+	end(2700, "unpermitted", "DONE", "DONE")
+	tell(1800, "runs-placed", "roomless")
+	end(2700, "roomless", "DONE", "DONE")
+	end(2800, "slow", "DONE", "DONE")
+	tell(1100, "flow-cancelled", "cancelled")
+	accept(5000, "across")
+	b.WriteString(at(5500, "leader-elected", `"term":2`))
+	end(7000, "across", "DONE", "DONE")
+	b.WriteString(at(5600, "call-answered", `"flow":"turned-away","verb":"FLOW_VERB_SUBMIT","code":701`))
+	return b.String()
+}
+
+// Someone on call asks why so much was late: each flow counts once, by its cause.
+func TestCausesOverAWholeLog(t *testing.T) {
+	name := filepath.Join(t.TempDir(), "all.log")
+	if err := os.WriteFile(name, []byte(whole()+"not ours\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	exit, out, text := run(t, "", "--json", "--logs", name)
+	var got struct {
+		Flows   int
+		Foreign int
+		Rows    []struct {
+			Cause string
+			Flows int
+		}
+		Refusals []string
+		Seconds  []struct{ Flows, Missed, Changes int }
+	}
+	if err := json.Unmarshal([]byte(out), &got); err != nil || exit != 0 {
+		t.Fatal(exit, err, out, text)
+	}
+	causes := map[string]int{}
+	for _, r := range got.Rows {
+		causes[r.Cause] += r.Flows
+	}
+	want := map[string]int{
+		"in time": 1, "run lost": 1, "task failed": 1, "failed for good": 1, "run stood still": 1, "no permit yet": 1,
+		"no room": 1, "slow run": 1, "cancelled": 1, "change of the leader": 1, "refused": 1,
+	}
+	if diff := cmp.Diff(want, causes); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff([]string{"1 with code 701"}, got.Refusals); diff != "" || got.Flows != 11 || got.Foreign != 1 {
+		t.Error(diff, got.Flows, got.Foreign)
+	}
+	if len(got.Seconds) != 2 || got.Seconds[0].Flows != 8 || got.Seconds[0].Missed != 7 || got.Seconds[1].Changes != 1 {
+		t.Errorf("%+v", got.Seconds)
+	}
+}
+
+// The logs named hold nothing about flows: that is said, and no empty table shown.
+func TestSummaryOfForeignLogs(t *testing.T) {
+	if exit, out, _ := run(t, "nothing\n", "--logs", "-"); exit == 0 || out != "" {
+		t.Error(exit, out)
+	}
+}
--- a/internal/control/dispatch/ask.go
+++ b/internal/control/dispatch/ask.go
@@ -11,6 +11,7 @@
 	"gypsumreel/internal/base/event"
 	"gypsumreel/internal/domain/flow"
 	"gypsumreel/internal/ledger/flows"
+	"gypsumreel/internal/policy/steps"
 )
 
 // comeBack is when a caller may return to a cell that is full: about the time
@@ -161,7 +162,7 @@
 	d.Host.After(func() {
 		d.meter.accepted.Inc()
 		d.meter.commit.Update((d.Now() - begin).Seconds())
-		event.Log(d.Log, event.FlowAccepted, "flow", id, "queue", q.GetName(), "customer", owner, "version", ledger.Config().GetVersion(), "steps", len(a.GetSpec().GetSteps()), "term", d.lead.term)
+		event.Log(d.Log, event.FlowAccepted, "flow", id, "queue", q.GetName(), "customer", owner, "version", ledger.Config().GetVersion(), "steps", len(a.GetSpec().GetSteps()), "aim", steps.Objective(a.GetSpec(), q).String(), "term", d.lead.term)
 		reply(&inner.FlowAnswer{State: v1.FlowState_FLOW_STATE_QUEUED})
 	})
 }
--- a/internal/policy/steps/outlook.go
+++ b/internal/policy/steps/outlook.go
@@ -33,15 +33,23 @@
 // TimesOf returns the times of a step of a flow in that queue.
 func TimesOf(s *flows.Step, q *v1.Queue) Times {
 	whole, left := chain(s.Flow.Spec, nil), chain(s.Flow.Spec, s.Flow.Turns[s.Turn])
-	objective := func(whole float64) time.Duration {
-		return time.Duration((q.GetFactor()*whole + float64(q.GetTarget())) * float64(time.Millisecond))
-	}
 	return Times{
-		Objective: objective(float64(whole)), Hope: objective(hopeFactor * float64(whole)),
+		Objective: objective(q, float64(whole)), Hope: objective(q, hopeFactor*float64(whole)),
 		Left: time.Duration(left) * time.Millisecond,
 	}
 }
 
+// Objective returns how long a flow of a queue may take.
+func Objective(spec *v1.FlowSpec, q *v1.Queue) time.Duration {
+	return objective(q, float64(chain(spec, nil)))
+}
+
+// objective returns how long a flow may take whose longest chain is so many
+// milliseconds.
+func objective(q *v1.Queue, whole float64) time.Duration {
+	return time.Duration((q.GetFactor()*whole + float64(q.GetTarget())) * float64(time.Millisecond))
+}
+
 // chain returns the declared run time in milliseconds of a flow's longest chain
 // of steps; of what is left of it when a turn is given.
 func chain(spec *v1.FlowSpec, turn *flows.Turn) uint64 {
