Measure what a heartbeat waits for

Histograms of the timer's lateness, of the wait of other replicas' messages, of a round until a quorum has answered and of the gap between the leader's messages, and an event for a round that takes half of the election timeout.

--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -33,6 +33,7 @@
 	PeerRefused       = def(214, "peer-refused", Warn, "peer refused", "Compare cell, name and certificate of the peer with the settings.")
 	PeerSilent        = def(215, "peer-silent", Warn, "control replica not heard from", "Check its process and network. Replace it if it stays away.")
 	PeerBack          = def(216, "peer-back", Info, "control replica heard from again", "None.")
+	RoundLate         = def(218, "round-late", Warn, "a heartbeat round took long; the lead is in danger", "Look at the processor of the leader's instance, and at the network between the control replicas.")
 	StaleIdentity     = def(217, "stale-identity", Error, "this replica was removed or lost its disk and must not vote", "Give the replica a new name and add it with `gypsumreel member add`.")
 )
 
--- a/internal/cli/explain/cause.go
+++ b/internal/cli/explain/cause.go
@@ -14,6 +14,8 @@
 	InTime Cause = "in time"
 	// Refused flows were never accepted.
 	Refused Cause = "refused"
+	// Unknown flows have no acceptance in the logs.
+	Unknown Cause = "not known"
 	// Failed flows have a task that failed as often as it may.
 	Failed Cause = "failed for good"
 	// Cancelled flows were cancelled by their caller.
@@ -107,8 +109,10 @@
 // cause tells why the flow was late or not served; changes are when the lead changed.
 func (j *journey) cause(changes []time.Time, end time.Time) Cause {
 	switch {
-	case j.accepted.IsZero():
+	case j.accepted.IsZero() && j.ended.IsZero() && j.refusal != 0:
 		return Refused
+	case j.accepted.IsZero():
+		return Unknown
 	case j.state == "CANCELLED":
 		return Cancelled
 	case j.state == "FAILED":
--- a/internal/cli/explain/summary.go
+++ b/internal/cli/explain/summary.go
@@ -138,7 +138,7 @@
 			rows[k] = r
 		}
 		r.Flows++
-		if !j.ended.IsZero() {
+		if !j.ended.IsZero() && !j.accepted.IsZero() {
 			r.Ended++
 			late[k] = append(late[k], (j.took(c.end) - j.aim).Seconds())
 		}
--- a/internal/control/node/node.go
+++ b/internal/control/node/node.go
@@ -240,7 +240,7 @@
 	a := &assembly{handshake: n.handshake(self)}
 	a.group = &group.Group{
 		Journal: newDisk(d.journal, n.meters, n.Log), Snapshots: newArchive(&d.snapshots, n.meters, n.Log),
-		Saved: d.saved, Now: n.now, Free: n.Room, Log: n.Log,
+		Saved: d.saved, Now: n.now, Free: n.Room, Meters: n.meters, Log: n.Log,
 	}
 	n.group.Store(a.group)
 	a.service = &entry.Server{Cell: n.Cell, Leader: n.Control, Now: n.now, Dumper: n.State, MaxDump: n.MaxDump, Log: n.Log}
--- a/internal/replica/group/group.go
+++ b/internal/replica/group/group.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
@@ -86,11 +87,13 @@
 	Tick time.Duration
 	// Free is the room on the disk that the group wants left, in bytes.
 	Free uint64
-	Log  logr.Logger
+	// Meters receives the metrics; nil for none.
+	Meters *metrics.Set
+	Log    logr.Logger
 
 	once      sync.Once
 	proposals chan Proposal
-	inbox     chan quorum.Message
+	inbox     chan arrival
 	asks      chan ask
 	confirms  chan struct{}
 	synced    chan outcome
@@ -100,11 +103,18 @@
 	full      chan bool
 	done      chan struct{}
 	notes     *outbox
+	meter     *meters
 
 	core      *quorum.Core
 	transfers []chan<- error
 }
 
+// arrival is a message of another replica, and when it came.
+type arrival struct {
+	quorum.Message
+	at time.Duration
+}
+
 // ask is a rare request to the loop.
 type ask interface{ ask() }
 
@@ -123,7 +133,7 @@
 func (g *Group) init() {
 	g.once.Do(func() {
 		g.proposals = make(chan Proposal, maxProposals)
-		g.inbox = make(chan quorum.Message, maxInbox)
+		g.inbox = make(chan arrival, maxInbox)
 		g.asks = make(chan ask)
 		g.confirms = make(chan struct{}, 1)
 		g.synced = make(chan outcome, 4)
@@ -133,6 +143,7 @@
 		g.full = make(chan bool, 1)
 		g.done = make(chan struct{})
 		g.notes = newOutbox()
+		g.meter = newMeters(g.Meters)
 	})
 }
 
@@ -179,7 +190,7 @@
 		return
 	}
 	select {
-	case g.inbox <- m:
+	case g.inbox <- arrival{m, g.Now()}:
 	default:
 	}
 }
--- a/internal/replica/group/run.go
+++ b/internal/replica/group/run.go
@@ -45,11 +45,13 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
+		case due := <-ticker.C:
+			g.meter.tick.Update(time.Since(due).Seconds())
 			g.step(quorum.Tick{})
 			g.transfer()
 		case m := <-g.inbox:
-			g.step(quorum.Receive{Message: m})
+			g.meter.received(m, g.Now())
+			g.step(quorum.Receive{Message: m.Message})
 		case p := <-g.acceptable():
 			g.propose(p)
 		case o := <-g.synced:
@@ -207,6 +209,7 @@
 	case quorum.Committed:
 		return Commit{Index: r.Index}
 	case quorum.RoundConfirmed:
+		g.confirmed(r.Start)
 		return Confirmed{Term: r.Term, Start: r.Start}
 	case quorum.Restored:
 		return Restore{Index: r.Index, State: r.State}
