Heartbeats don't wait behind the control thread; timeouts follow what is seen

Cause: on one processor a message of the group takes five or six goroutines, and each waits until the control thread's turn is over.

A process of its own for the group was not built: this does it without one.

Timeouts: from the longest silence of late, between time.election and the new time.patience, doubled while one leader follows the other, beyond the bound only in such a storm.

--- a/internal/base/settings/check.go
+++ b/internal/base/settings/check.go
@@ -67,7 +67,10 @@
 	if s.Time.Election < ElectionBeats*s.Time.Heartbeat {
 		r.report(r.at("time.election", root), fmt.Sprintf("%s; allowed: at least %d times time.heartbeat, %s", s.Time.Election, ElectionBeats, s.Time.Heartbeat))
 	}
-	if s.Time.Lease < 2*s.Time.Election {
-		r.report(r.at("time.lease", root), fmt.Sprintf("%s; allowed: at least twice time.election, %s", s.Time.Lease, s.Time.Election))
+	if s.Time.Patience < s.Time.Election {
+		r.report(r.at("time.patience", root), fmt.Sprintf("%s; allowed: at least time.election, %s", s.Time.Patience, s.Time.Election))
+	}
+	if s.Time.Lease < 2*s.Time.Patience {
+		r.report(r.at("time.lease", root), fmt.Sprintf("%s; allowed: at least twice time.patience, %s", s.Time.Lease, s.Time.Patience))
 	}
 }
--- a/internal/base/settings/keys.go
+++ b/internal/base/settings/keys.go
@@ -130,9 +130,11 @@
 	text("tls.inside.key", "", allowedPath, "", isPath, "Private key in PEM; required unless plain.", func(s *Settings) *string { return &s.TLS.Inside.Key }),
 	text("tls.inside.authority", "", allowedPath, "", isPath, "Authorities in PEM that sign the cell's certificates; required unless plain.", func(s *Settings) *string { return &s.TLS.Inside.Authority }),
 
-	only(Control, span("time.lease", DefaultLease, time.Second, 5*time.Minute, "How long a backend server may run work without hearing from the cell; all control replicas need the same. At least twice time.election.", func(s *Settings) *time.Duration { return &s.Time.Lease })),
+	only(Control, span("time.lease", DefaultLease, time.Second, 5*time.Minute, "How long a backend server may run work without hearing from the cell; all control replicas need the same. At least twice time.patience.", func(s *Settings) *time.Duration { return &s.Time.Lease })),
 	only(Control, span("time.heartbeat", DefaultHeartbeat, 5*time.Millisecond, 5*time.Second, "Interval between the leader's heartbeats.", func(s *Settings) *time.Duration { return &s.Time.Heartbeat })),
 	only(Control, span("time.election", DefaultElection, 20*time.Millisecond, time.Minute, "Least silence of the leader that starts an election; at least four heartbeats.", func(s *Settings) *time.Duration { return &s.Time.Election })),
+	only(Control, filled(span("time.patience", 0, 20*time.Millisecond, time.Minute, "Longest that time.election grows to while the leader's heartbeats come late or one leader follows the other.", func(s *Settings) *time.Duration { return &s.Time.Patience }),
+		"time.election", func(s *Settings) { s.Time.Patience = s.Time.Election })),
 	only(Control, span("time.retention", DefaultRetention, time.Minute, 30*24*time.Hour, "How long an outcome is kept that nobody acknowledged.", func(s *Settings) *time.Duration { return &s.Time.Retention })),
 	only(Control, span("time.poll", DefaultPoll, 50*time.Millisecond, 30*time.Second, "Longest long poll; short, so that a silent connection shows.", func(s *Settings) *time.Duration { return &s.Time.Poll })),
 	only(Entry, span("time.call", DefaultCall, 50*time.Millisecond, time.Minute, "Deadline of an entry's call to a control replica, beyond the poll it may hold; after it the connection is left behind.", func(s *Settings) *time.Duration { return &s.Time.Call })),
--- a/internal/base/settings/kind.go
+++ b/internal/base/settings/kind.go
@@ -111,6 +111,12 @@
 	}
 }
 
+// filled gives a key another default, which follows from the keys before it.
+func filled(k Key, def string, fill func(s *Settings)) Key {
+	k.Default, k.fill = def, fill
+	return k
+}
+
 func count(path, unit string, def, low, high int64, help string, at func(*Settings) *int64) Key {
 	allowed := fmt.Sprintf("whole number of %s from %d to %d", unit, low, high)
 	return Key{
--- a/internal/base/settings/settings.go
+++ b/internal/base/settings/settings.go
@@ -94,8 +94,10 @@
 	Lease time.Duration
 	// Heartbeat is the interval between a leader's heartbeats.
 	Heartbeat time.Duration
-	// Election is the least silence of a leader that starts an election.
+	// Election is the least silence of a leader that starts an election, Patience the
+	// longest that it grows to.
 	Election time.Duration
+	Patience time.Duration
 	// Retention is how long an outcome is kept that nobody acknowledged.
 	Retention time.Duration
 	// Poll is the longest long poll.
--- a/internal/cli/control/control.go
+++ b/internal/cli/control/control.go
@@ -74,7 +74,7 @@
 	}
 	n := &node.Node{
 		Cell: s.Cell, Name: s.Name, Data: s.Data, Listener: l, Platform: probes,
-		Heartbeat: s.Time.Heartbeat, Election: s.Time.Election, Control: leader.New(),
+		Heartbeat: s.Time.Heartbeat, Election: s.Time.Election, Patience: s.Time.Patience, Control: leader.New(),
 		MaxDump: int(s.Limits.Dump), Room: bounds.Room(s.Limits.Disk), Clock: clock.Boot,
 	}
 	bounds.Memory(s.Limits.Memory)
--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"maps"
+	"runtime"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -64,6 +65,9 @@
 	// waitParts is the number of waits in a lease: a lost answer must not let
 	// the lease run out.
 	waitParts = 4
+	// restEvery is how many servers are looked at before the other goroutines of the
+	// process have their turn.
+	restEvery = 64
 	// zoneEvery is how often drained zones are looked at.
 	zoneEvery = 100 * time.Millisecond
 	// sweepEvery is how often what is over is forgotten.
@@ -163,6 +167,8 @@
 	sessions map[string]*session
 	// sorted are the sessions by id: a plan goes over all of them.
 	sorted []*session
+	// round is the room for going over all of them.
+	round []*session
 	// intake are the servers that were not asked yet what they hold.
 	intake intake.Queue[*session]
 	// relayed counts the sessions whose calls go through a helper.
@@ -322,7 +328,12 @@
 		return
 	}
 	d.takeIn()
-	for _, s := range d.lead.sessions {
+	// Looking at one may end its session.
+	d.lead.round = append(d.lead.round[:0], d.lead.sorted...)
+	for i, s := range d.lead.round {
+		if i%restEvery == 0 {
+			runtime.Gosched()
+		}
 		d.watch(s, now)
 		d.inspect(s, now)
 	}
--- a/internal/control/dispatch/plan.go
+++ b/internal/control/dispatch/plan.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"runtime"
 	"time"
 
 	"gypsumreel/internal/api/record"
@@ -22,7 +23,7 @@
 		return
 	}
 	begin := d.Now()
-	v := steps.View{Items: d.lead.view.Items[:0], Servers: d.lead.view.Servers[:0], Room: d.room, Known: d.known, Share: d.granted}
+	v := steps.View{Items: d.lead.view.Items[:0], Servers: d.lead.view.Servers[:0], Room: d.room, Known: d.known, Share: d.granted, Rest: runtime.Gosched}
 	v.Frees = func(server string) []steps.Release { return d.frees(server, now) }
 	clock := d.Host.Clock()
 	for _, s := range ledger.Ready() {
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"runtime"
 	"sync/atomic"
 	"time"
 
@@ -261,9 +262,16 @@
 	}
 }
 
+// rest lets the other goroutines of the process go first. On one processor whatever
+// waits, the group's heartbeats among it, waits for as long as this thread goes on;
+// a message takes several such waits, and a leader that decided for long at a time
+// would lose its lead to its own load.
+func rest() { runtime.Gosched() }
+
 // drain takes more batches that wait already, so that they share one commit.
 func (l *Leader) drain() {
 	for range turn {
+		rest()
 		select {
 		case fn := <-l.inbox:
 			fn()
--- a/internal/control/node/node.go
+++ b/internal/control/node/node.go
@@ -74,6 +74,7 @@
 	Control   *leader.Leader
 	Heartbeat time.Duration
 	Election  time.Duration
+	Patience  time.Duration
 	Handover  time.Duration
 	// Clock is the clock that the parts share: that of package clock in a daemon,
 	// since it counts suspensions. Nil for the language's steady clock, which
@@ -329,7 +330,7 @@
 func (n *Node) configure(self quorum.Member, g *group.Group) {
 	cfg := &g.Config
 	cfg.ID, cfg.Address = self.ID, self.Address
-	cfg.Heartbeat, cfg.Election = n.Heartbeat, n.Election
+	cfg.Heartbeat, cfg.Election, cfg.Patience = n.Heartbeat, n.Election, n.Patience
 	var seed [8]byte
 	_, _ = rand.Read(seed[:])
 	cfg.Seed = binary.LittleEndian.Uint64(seed[:])
--- a/internal/policy/steps/steps.go
+++ b/internal/policy/steps/steps.go
@@ -86,6 +86,8 @@
 	// Frees tells what a server will have free again, and when; nil while
 	// nothing is known.
 	Frees func(server string) []Release
+	// Rest is called now and then while a plan is made; nil for never.
+	Rest func()
 }
 
 // Release is room that a server has again when a run should have ended.
@@ -142,6 +144,8 @@
 	// last of it is free, and a large pool has more of them waiting.
 	leastWaiting = 4
 	waitingPart  = 100
+	// restEvery is how many items are placed between two rests.
+	restEvery = 4
 	// soon is how long before its room is free a gang asks for its permits: about
 	// as long as the longest question takes.
 	soon = time.Second
@@ -248,7 +252,10 @@
 	}
 	items := slices.Clone(v.Items)
 	slices.SortStableFunc(items, Compare)
-	for _, it := range items {
+	for i, it := range items {
+		if v.Rest != nil && i%restEvery == 0 {
+			v.Rest()
+		}
 		if it.Spec.GetGang() {
 			p.gang(it)
 		} else {
--- a/internal/policy/steps/steps_test.go
+++ b/internal/policy/steps/steps_test.go
@@ -514,3 +514,18 @@
 		}
 	})
 }
+
+// A plan over a long backlog keeps its thread for long, and what waits beside it with it.
+func TestLongPlanRests(t *testing.T) {
+	var items []steps.Item
+	for i := range 100 {
+		items = append(items, item(fmt.Sprint("f", i), tasks(1, 1)))
+	}
+	v := view(nil, items...)
+	rests := 0
+	v.Rest = func() { rests++ }
+	steps.Make(v)
+	if rests < 20 {
+		t.Errorf("%d rests in a plan over %d steps", rests, len(items))
+	}
+}
--- a/internal/replica/quorum/config.go
+++ b/internal/replica/quorum/config.go
@@ -30,7 +30,11 @@
 	// Address is where the others reach this replica.
 	Address   string
 	Heartbeat time.Duration
-	Election  time.Duration
+	// Election is the shortest election timeout, Patience the longest that it grows
+	// to while the leader's messages come late or one leader follows the other;
+	// Election when it is 0.
+	Election time.Duration
+	Patience time.Duration
 	// Seed is the only source of randomness.
 	Seed uint64
 	// Bootstrap is the first membership of a new group. It is used only with an
@@ -46,6 +50,7 @@
 func (cfg Config) withDefaults() Config {
 	cfg.Heartbeat = orDefault(cfg.Heartbeat, DefaultHeartbeat)
 	cfg.Election = orDefault(cfg.Election, DefaultElection)
+	cfg.Patience = max(cfg.Patience, cfg.Election)
 	cfg.Message = orDefault(cfg.Message, DefaultMessage)
 	cfg.Inflight = orDefault(cfg.Inflight, DefaultInflight)
 	cfg.Window = orDefault(cfg.Window, DefaultWindow)
--- a/internal/replica/quorum/core.go
+++ b/internal/replica/quorum/core.go
@@ -43,6 +43,7 @@
 	stranger Member
 	// heard is when the leader was last heard; it counts while leader is set.
 	heard    time.Duration
+	patience patience
 	deadline time.Duration
 	votes    map[string]bool
 
@@ -338,13 +339,18 @@
 }
 
 // resetDeadline draws a new election timeout.
-func (c *Core) resetDeadline() { c.deadline = c.now + c.between(c.cfg.Election) }
+func (c *Core) resetDeadline() { c.deadline = c.now + c.between(c.timeout()) }
+
+// timeout is how long a silent leader is waited for.
+func (c *Core) timeout() time.Duration {
+	return c.patience.timeout(c.cfg.Election, c.cfg.Patience, c.now)
+}
 
 // retryDeadline draws the time to the next try of an election that was not won:
 // shorter than a timeout, as no leader can be missed meanwhile.
-func (c *Core) retryDeadline() { c.deadline = c.now + c.between(c.cfg.Election/retryPart) }
+func (c *Core) retryDeadline() { c.deadline = c.now + c.between(c.cfg.Patience/retryPart) }
 
-// retryPart is the part of an election timeout after which a candidate tries
+// retryPart is the part of the longest election timeout after which a candidate tries
 // again; it leaves time for a round trip between regions and two syncs.
 const retryPart = 4
 
--- a/internal/replica/quorum/election.go
+++ b/internal/replica/quorum/election.go
@@ -12,7 +12,7 @@
 	if c.role == leader {
 		return true
 	}
-	return c.leader != "" && c.now-c.heard < c.cfg.Election
+	return c.leader != "" && c.now-c.heard < c.timeout()
 }
 
 // upToDate tells whether a candidate's log holds all that this one may have
@@ -45,6 +45,9 @@
 // that forgot after a crash that it was a candidate could be elected twice in
 // one term by the same votes.
 func (c *Core) elect(force bool) {
+	if !force {
+		c.patience.turned(c.now)
+	}
 	c.turn(c.hard.Term+1, candidate, "")
 	c.hard.Vote = c.cfg.ID
 	c.retryDeadline()
@@ -129,6 +132,9 @@
 	case m.Kind == Vote && (!c.mayVote() || !m.Force && c.inLease()):
 		return false
 	}
+	if !m.Force {
+		c.patience.turned(c.now)
+	}
 	c.turn(m.Term, follower, "")
 	return true
 }
@@ -201,6 +207,8 @@
 func (c *Core) follow(m Message) {
 	if c.role != follower || c.leader != m.From {
 		c.turn(c.hard.Term, follower, m.From)
+	} else {
+		c.patience.silent(c.now-c.heard, c.now)
 	}
 	// A leader has everything that is committed.
 	c.verified = max(c.verified, c.commit)
--- a/internal/replica/quorum/lead.go
+++ b/internal/replica/quorum/lead.go
@@ -46,14 +46,14 @@
 	return len(v) == 1 && v[0] == c.cfg.ID
 }
 
-// expire ends a leadership that no quorum confirmed for an election timeout. An
+// expire ends a leadership that no quorum confirmed for the longest election timeout. An
 // isolated leader, or one that was paused, would otherwise answer from a state
 // that another leader has left behind.
 func (c *Core) expire() {
 	if c.role != leader || c.alone() {
 		return
 	}
-	if c.now-c.lead.confirmed.start > c.cfg.Election {
+	if c.now-c.lead.confirmed.start > max(c.timeout(), c.cfg.Patience) {
 		c.turn(c.hard.Term, follower, "")
 	}
 }
@@ -220,9 +220,9 @@
 	return p.state == replicating && c.fresh(p) && p.match >= c.lead.confirmed.commit
 }
 
-// fresh tells whether the replica was heard within an election timeout.
+// fresh tells whether the replica was heard within the longest election timeout.
 func (c *Core) fresh(p *progress) bool {
-	return p.round > 0 && c.now-p.heard <= c.cfg.Election
+	return p.round > 0 && c.now-p.heard <= c.cfg.Patience
 }
 
 // transfer starts to hand over to the voter that is furthest. No proposals are
@@ -242,7 +242,7 @@
 		}
 	}
 	c.lead.transferee, c.lead.heirSent = best, false
-	c.lead.heirDeadline = c.now + c.cfg.Election
+	c.lead.heirDeadline = c.now + c.cfg.Patience
 }
 
 // handOver lets the transferee start an election as soon as it has the whole log.
--- a/internal/replica/quorum/progress.go
+++ b/internal/replica/quorum/progress.go
@@ -140,7 +140,7 @@
 // sendProbe sends nothing to a replica that is silent: entries would pile up in
 // front of one that is away for an hour. Its answer to a heartbeat comes first.
 func (c *Core) sendProbe(id string, p *progress) {
-	silent := c.now-max(p.heard, c.lead.elected) > c.cfg.Election
+	silent := c.now-max(p.heard, c.lead.elected) > c.cfg.Patience
 	if p.waiting || silent {
 		return
 	}
--- a/internal/replica/quorum/snapshot.go
+++ b/internal/replica/quorum/snapshot.go
@@ -84,7 +84,7 @@
 
 // sendChunk sends the part of the snapshot that the replica asks for next.
 func (c *Core) sendChunk(id string, p *progress) {
-	silent := c.now-max(p.heard, c.lead.elected) > c.cfg.Election
+	silent := c.now-max(p.heard, c.lead.elected) > c.cfg.Patience
 	if p.waiting || silent {
 		return
 	}
