A new leader announces itself, and settles what never started at its first list

Orders to servers are made again after 80 ms at the least (250 ms before); a hold still waits 250 ms, since a server that fails one gets no work.

--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -52,11 +52,13 @@
 	// callTimeout bounds a call to a backend server beyond what it may wait
 	// there: more than the slowest healthy answer, and short beside a lease.
 	callTimeout = time.Second
-	// leastTimeout is the shortest such bound; answerFactor is how many times as
-	// long as usual an answer may take before the call is made again. Every call
-	// may be made twice, so a bound that is too short costs a call, and one that
-	// is too long a second of waiting for an answer that was lost.
-	leastTimeout = 250 * time.Millisecond
+	// orderTimeout and holdTimeout are the shortest such bounds; answerFactor is how
+	// many times as long as usual an answer may take before the call is made again.
+	// Every call may be made twice, so a bound that is too short costs a call, and one
+	// that is too long makes somebody wait for an answer that was lost. A server whose
+	// hold fails gets no new work, which costs more.
+	orderTimeout = 80 * time.Millisecond
+	holdTimeout  = 250 * time.Millisecond
 	answerFactor = 10
 	// answerWeight is the weight of the latest answer in what is usual.
 	answerWeight = 0.1
@@ -111,6 +113,8 @@
 	// Advise lets the process at that address ask the adviser; this process
 	// itself when the address is empty.
 	Advise(ctx context.Context, address string, r *inner.AdviseRequest) *inner.AdviseReply
+	// Announce tells the process at that address who leads; nil when it does not answer.
+	Announce(ctx context.Context, address string, a *inner.Announcement) *inner.Greeting
 	// Relay lets it call a backend server.
 	Relay(ctx context.Context, address string, c *inner.ServerCall) *inner.ServerAnswer
 }
@@ -261,6 +265,7 @@
 		// that it was deposed: not later than the proof of its lead could last.
 		s.over = d.Now() + proofAge + d.Hold + leaseMargin
 	}
+	d.announce()
 	d.takeIn()
 	for id, f := range ledger.Flows() {
 		if f.Spec.GetTimes() > 0 && !f.Final() {
--- a/internal/control/dispatch/harness_test.go
+++ b/internal/control/dispatch/harness_test.go
@@ -27,6 +27,9 @@
 // commitTime is how long a commit takes in these tests.
 const commitTime = 5 * time.Millisecond
 
+// members is the group of these tests.
+var members = group.Members{Self: "a/1", Members: []quorum.Member{{ID: "a/1", Address: "a"}}}
+
 // host is a control thread with a ledger and no replicas: what is decided is
 // committed a little later.
 type host struct {
@@ -102,7 +105,7 @@
 func (h *host) Flows() *flows.Ledger              { return h.ledger }
 func (h *host) Clock() time.Duration              { return time.Duration(time.Now().UnixNano()) }
 func (h *host) Full() bool                        { return false }
-func (h *host) Members() group.Members            { return group.Members{Self: "a/1"} }
+func (h *host) Members() group.Members            { return members }
 func (h *host) Alter(quorum.Member, bool)         {}
 func (h *host) KnowsZone(zone string) bool        { return zone == "x" || zone == "y" }
 func (h *host) Synced(string) bool                { return true }
@@ -169,7 +172,9 @@
 	// last reached each.
 	cut    atomic.Bool
 	relays map[string]string
-	advise func(r *inner.AdviseRequest) *inner.AdviseReply
+	// announced are the processes that were told of a leader.
+	announced []string
+	advise    func(r *inner.AdviseRequest) *inner.AdviseReply
 	// cost is called for each call of the leader, reached tells when it last called
 	// each worker itself, direct is the dispatcher's Direct.
 	cost    atomic.Pointer[func()]
@@ -205,6 +210,13 @@
 	return w.advise(r)
 }
 
+func (w *world) Announce(_ context.Context, address string, _ *inner.Announcement) *inner.Greeting {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.announced = append(w.announced, address)
+	return &inner.Greeting{Address: address}
+}
+
 func (w *world) Relay(ctx context.Context, address string, c *inner.ServerCall) *inner.ServerAnswer {
 	w.mu.Lock()
 	w.relays[c.GetServer()] = address
--- a/internal/control/dispatch/session.go
+++ b/internal/control/dispatch/session.go
@@ -117,8 +117,8 @@
 
 // timeout returns how long an answer is waited for: less than the longest time
 // while answers usually come soon, and twice as long with each try.
-func (d *Dispatcher) timeout(tries int) time.Duration {
-	usual := max(answerFactor*d.lead.answers, leastTimeout)
+func (d *Dispatcher) timeout(least time.Duration, tries int) time.Duration {
+	usual := max(answerFactor*d.lead.answers, least)
 	return min(usual<<min(tries, 4), callTimeout)
 }
 
@@ -140,7 +140,11 @@
 	} else if c.GetStart() != nil {
 		c.Until = s.promise(s.over - leaseMargin) // what was granted before, no more
 	}
-	timeout := wait + d.timeout(tries)
+	least := orderTimeout
+	if c.GetHold() != nil {
+		least = holdTimeout
+	}
+	timeout := wait + d.timeout(least, tries)
 	c.Budget = uint64(timeout / time.Millisecond)
 	term, ctx, relay := d.lead.term, d.lead.ctx, s.relay
 	d.lead.calls.Go(func() {
--- a/internal/control/dispatch/takeover_test.go
+++ b/internal/control/dispatch/takeover_test.go
@@ -2,10 +2,16 @@
 
 import (
 	"fmt"
+	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"gypsumreel/internal/api/inner"
+	"gypsumreel/internal/domain/flow"
+	"gypsumreel/internal/fake/worker"
 	"gypsumreel/internal/replica/quorum"
 )
 
@@ -113,3 +119,56 @@
 		}
 	})
 }
+
+// A replica that followed takes over. Without the processes that greeted it until then,
+// it would have nobody to ask the adviser, and their callers would wait for the next
+// greeting.
+func TestNewLeaderAnnouncesItself(t *testing.T) {
+	play(t, 1, func(t *testing.T, w *world) {
+		w.do(func() { w.leads = false; w.d.Deposed() })
+		for _, address := range []string{"entry1", "entry2"} {
+			w.d.Heard(&inner.Greeting{Address: address})
+		}
+		w.do(func() {
+			w.term++
+			w.leads = true
+			w.d.Elected(w.term, w.now())
+		})
+		time.Sleep(10 * time.Millisecond)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		slices.Sort(w.announced)
+		if diff := cmp.Diff([]string{"entry1", "entry2"}, w.announced); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+// The last leader's start is still on its way when the next one has read that the server
+// does not run it. Carried out then, the task would run in two places.
+func TestStartOfTheLastLeaderComesAfterTheList(t *testing.T) {
+	play(t, 2, func(t *testing.T, w *world) {
+		w.work = func(flow.RunID) (time.Duration, inner.RunEnd) { return 5 * time.Second, inner.RunEnd_RUN_END_DONE }
+		var late atomic.Int32
+		w.change(func(_ string, one *worker.Worker) {
+			one.Work = w.work
+			one.Fault = func(c *inner.ServerCall) worker.Fault {
+				if c.GetStart() != nil && late.Add(1) <= 2 {
+					return worker.Fault{Late: 300 * time.Millisecond}
+				}
+				return worker.Fault{}
+			}
+		})
+		w.submit("a", step(2, 3000))
+		time.Sleep(20 * time.Millisecond)
+		w.elect()
+		begin := time.Now()
+		for len(w.began()) < 2 && time.Since(begin) < 3*time.Second {
+			time.Sleep(5 * time.Millisecond)
+		}
+		if took := time.Since(begin); took > 150*time.Millisecond {
+			t.Errorf("the tasks that never started began %v after the election", took)
+		}
+		w.await("a", done, 15*time.Second)
+	})
+}
--- a/internal/control/flows/flows.go
+++ b/internal/control/flows/flows.go
@@ -58,6 +58,7 @@
 		return nil, err
 	}
 	if st := s.Leader.Status(); !st.Leads {
+		s.Dispatcher.Heard(g)
 		return &inner.Welcome{Leader: st.Address, Term: st.Term}, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
--- /dev/null
+++ b/internal/control/flows/flows_test.go
@@ -0,0 +1,35 @@
+package flows_test
+
+import (
+	"testing"
+	"time"
+
+	"gypsumreel/internal/api/inner"
+	"gypsumreel/internal/control/dispatch"
+	"gypsumreel/internal/control/flows"
+	"gypsumreel/internal/control/leader"
+)
+
+// thread is a control thread that runs what is posted at once.
+type thread struct {
+	dispatch.Host
+	posts int
+}
+
+func (t *thread) Post(fn func()) bool {
+	t.posts++
+	fn()
+	return true
+}
+
+// A follower that forgets who greets it has no helpers when it is elected.
+func TestFollowerKeepsWhoGreetsIt(t *testing.T) {
+	host := &thread{}
+	d := dispatch.New()
+	d.Host, d.Now = host, func() time.Duration { return time.Hour }
+	s := &flows.Server{Leader: leader.New(), Dispatcher: d}
+	w, err := s.Greet(t.Context(), &inner.Greeting{Address: "entry"})
+	if err != nil || w.GetLeads() || host.posts != 1 {
+		t.Errorf("%v, %v, %d greetings kept", w, err, host.posts)
+	}
+}
--- a/internal/edge/helper/helper.go
+++ b/internal/edge/helper/helper.go
@@ -27,11 +27,18 @@
 	Call(ctx context.Context, c *inner.ServerCall) *inner.ServerAnswer
 }
 
+// Follower is told of a new leader, and says who it is itself.
+type Follower interface {
+	Announced(address string, w *inner.Welcome) *inner.Greeting
+}
+
 // Server makes calls for the leader. The exported fields are set before use.
 type Server struct {
 	Cell     string
 	Adviser  Adviser
 	Backends Backends
+	// Follower is told of new leaders; nil for nobody is.
+	Follower Follower
 }
 
 var _ inner.Helper = (*Server)(nil)
@@ -59,6 +66,17 @@
 	return s.Backends.Call(ctx, c), nil
 }
 
+// Announce takes the word of a new leader.
+func (s *Server) Announce(_ context.Context, a *inner.Announcement) (*inner.Greeting, error) {
+	if err := s.check(a.GetCell()); err != nil {
+		return nil, err
+	}
+	if s.Follower == nil {
+		return &inner.Greeting{}, nil
+	}
+	return s.Follower.Announced(a.GetAddress(), a.GetWelcome()), nil
+}
+
 func (s *Server) check(cell string) error {
 	if cell != s.Cell {
 		return twirp.NewError(twirp.PermissionDenied, "this is cell "+s.Cell)
@@ -85,6 +103,15 @@
 	return rep
 }
 
+// Announce tells the process at that address who leads; nil when it does not answer.
+func (p *Pool) Announce(ctx context.Context, address string, a *inner.Announcement) *inner.Greeting {
+	g, err := inner.NewHelperProtobufClient("http://"+address, p.Client).Announce(ctx, a)
+	if err != nil {
+		return nil
+	}
+	return g
+}
+
 // Relay lets the process at that address call a backend server. What goes wrong
 // on the way to it may have happened after the call left.
 func (p *Pool) Relay(ctx context.Context, address string, c *inner.ServerCall) *inner.ServerAnswer {
--- a/internal/edge/leader/leader.go
+++ b/internal/edge/leader/leader.go
@@ -210,15 +210,28 @@
 	defer l.end(address)
 	ctx, cancel := context.WithTimeout(ctx, greetTimeout)
 	defer cancel()
-	g := proto.CloneOf(l.Greeting)
-	g.Clock = time.Now().UnixNano()
-	w, err := inner.NewFlowsProtobufClient("http://"+address, l.Client).Greet(ctx, g)
+	w, err := inner.NewFlowsProtobufClient("http://"+address, l.Client).Greet(ctx, l.self())
 	if err != nil {
 		return nil, true
 	}
 	return w, true
 }
 
+// self returns what this process says of itself now.
+func (l *Link) self() *inner.Greeting {
+	g := proto.CloneOf(l.Greeting)
+	g.Clock = time.Now().UnixNano()
+	return g
+}
+
+// Announced takes the word of a leader that has just begun, which comes long before
+// the next greeting would find it.
+func (l *Link) Announced(address string, w *inner.Welcome) *inner.Greeting {
+	l.init()
+	l.found(address, w)
+	return l.self()
+}
+
 // begin notes a greeting to an address; false when one is under way.
 func (l *Link) begin(address string) bool {
 	l.mu.Lock()
--- a/internal/edge/leader/leader_test.go
+++ b/internal/edge/leader/leader_test.go
@@ -268,3 +268,29 @@
 		}
 	})
 }
+
+// The leader stands still, and the next one says so itself: nobody waits for the next
+// greeting to find it.
+func TestAnnouncedLeaderIsAskedAtOnce(t *testing.T) {
+	old, next := newReplica(t), newReplica(t)
+	old.set(func() { old.leads, old.term = true, 1 })
+	l := newLink(t, old, next)
+	within(t, l, 1, 3*time.Second)
+	frozen := make(chan struct{})
+	defer close(frozen)
+	old.set(func() { old.frozen = frozen })
+	next.set(func() { next.leads, next.term = true, 2 })
+	answered := make(chan *inner.FlowAnswer)
+	go func() { answered <- l.Ask(t.Context(), &inner.FlowAsk{}) }()
+	time.Sleep(20 * time.Millisecond)
+	if g := l.Announced(next.address(), &inner.Welcome{Term: 2, Leads: true, Version: 1}); g.GetAddress() == "" || g.GetClock() == 0 {
+		t.Error(g)
+	}
+	begin := time.Now()
+	if rep := <-answered; rep.GetTerm() != 2 || time.Since(begin) > 200*time.Millisecond {
+		t.Errorf("%v after %v", rep, time.Since(begin))
+	}
+	if l.Announced(old.address(), &inner.Welcome{Term: 1, Leads: true}); l.Ask(t.Context(), &inner.FlowAsk{}).GetTerm() != 2 {
+		t.Error("the word of an earlier term was taken")
+	}
+}
--- a/internal/replica/quorum/core.go
+++ b/internal/replica/quorum/core.go
@@ -346,13 +346,23 @@
 	return c.patience.timeout(c.cfg.Election, c.cfg.Patience, c.now)
 }
 
-// retryDeadline draws the time to the next try of an election that was not won:
-// shorter than a timeout, as no leader can be missed meanwhile.
-func (c *Core) retryDeadline() { c.deadline = c.now + c.between(c.cfg.Patience/retryPart) }
+// retryDeadline draws the time to the next question before an election: shorter than a
+// timeout, as no leader can be missed meanwhile, and the question disturbs nobody.
+func (c *Core) retryDeadline() { c.deadline = c.now + c.between(c.cfg.Election/askPart) }
 
-// retryPart is the part of the longest election timeout after which a candidate tries
-// again; it leaves time for a round trip between regions and two syncs.
-const retryPart = 4
+// voteDeadline draws the time to the next try of an election that was not won.
+func (c *Core) voteDeadline() {
+	c.deadline = c.now + c.between(max(c.cfg.Election/askPart, c.cfg.Patience/votePart))
+}
+
+const (
+	// askPart is the part of the shortest election timeout after which a replica asks
+	// again whether it could win: a few round trips.
+	askPart = 4
+	// votePart is the part of the longest one after which a candidate tries again; it
+	// leaves time for a round trip between regions and two syncs.
+	votePart = 8
+)
 
 // between draws a time of d to twice that.
 func (c *Core) between(d time.Duration) time.Duration {
--- a/internal/replica/quorum/election.go
+++ b/internal/replica/quorum/election.go
@@ -50,7 +50,7 @@
 	}
 	c.turn(c.hard.Term+1, candidate, "")
 	c.hard.Vote = c.cfg.ID
-	c.retryDeadline()
+	c.voteDeadline()
 	c.votes = map[string]bool{}
 	c.hold(Message{Kind: VoteReply, To: c.cfg.ID, Term: c.hard.Term})
 	c.ask(Message{Kind: Vote, Term: c.hard.Term, Force: force}, c.hold)
