A question names as many servers as cost what the question itself does

Other work finds nobody to ask; reconciliations fall from 800 running tasks to 29 while room is free.

--- a/internal/policy/steps/question.go
+++ b/internal/policy/steps/question.go
@@ -17,11 +17,15 @@
 const questionParts = 20
 
 // Width returns how many servers a question names about a step whose tasks run so
-// long, where no more are needed.
+// long, where no more are needed: as many as a short part of that time allows for,
+// and at least so many that they cost as much as the question itself does. What the
+// adviser says of a server holds for the whole step, and a helper that asks about
+// one server at a time is as busy as one that asks about seventy.
 func Width(a *v1.Advice, takes time.Duration) int {
-	ms := float64(takes/questionParts) / float64(time.Millisecond)
-	if a.GetEach() <= 0 || ms <= a.GetBase() {
+	if a.GetEach() <= 0 {
 		return LeastAsked
 	}
-	return min(max(int((ms-a.GetBase())/a.GetEach()), LeastAsked), MostAsked)
+	ms := float64(takes/questionParts) / float64(time.Millisecond)
+	within, worth := (ms-a.GetBase())/a.GetEach(), a.GetBase()/a.GetEach()
+	return min(max(int(max(within, worth)), LeastAsked), MostAsked)
 }
--- a/internal/policy/steps/steps_test.go
+++ b/internal/policy/steps/steps_test.go
@@ -529,3 +529,50 @@
 		t.Errorf("%d rests in a plan over %d steps", rests, len(items))
 	}
 }
+
+// The adviser takes half a second for a question, however few servers it names. Asked
+// about one server at a time, all helpers are busy with one kind of work, and the others
+// find nobody to ask.
+func TestQuestionsAreFilledUp(t *testing.T) {
+	const free, full = 1, 120
+	var servers []steps.Server
+	for i := range free + full {
+		s := server(fmt.Sprintf("s%03d", i), 1000)
+		if i >= free {
+			s.Used = s.Capacity
+		}
+		servers = append(servers, s)
+	}
+	dear := &v1.Advice{Base: 480, Each: 6.9}
+	it := item("a", tasks(8, 1000))
+	it.Permits, it.Asked, it.Usual = true, true, steps.Width(dear, 6*time.Second)
+	v := view(servers, it)
+	v.Known = known(servers, func(flow.StepID, string) steps.Permission { return steps.Unasked })
+	wants := steps.Make(v).Wants
+	if len(wants) != 1 || len(wants[0].Servers) < 60 {
+		t.Fatalf("%d questions, the first about %d servers", len(wants), len(wants[0].Servers))
+	}
+	if wants[0].Servers[0] != "s000" {
+		t.Errorf("the server with room comes behind %s", wants[0].Servers[0])
+	}
+}
+
+func TestWidthOfQuestions(t *testing.T) {
+	for _, c := range []struct {
+		base, each float64
+		takes      time.Duration
+		want       int
+	}{
+		{480, 6.9, 6 * time.Second, 69},                   // each server costs little beside the question
+		{10, 1, 200 * time.Millisecond, steps.LeastAsked}, // each server costs much
+		{10, 0.5, 2 * time.Second, 100},                   // there is time for more
+		{0, 0, time.Second, steps.LeastAsked},             // nothing is known of the cost
+		{900, 1, time.Second, steps.MostAsked},            // the adviser takes no more
+		{100, 1.4, 2700 * time.Millisecond, 71},           // between the two
+		{5, 0.5, 200 * time.Millisecond, steps.LeastAsked},
+	} {
+		if got := steps.Width(&v1.Advice{Base: c.base, Each: c.each}, c.takes); got != c.want {
+			t.Errorf("%v + %v each, runs of %v: %d servers, want %d", c.base, c.each, c.takes, got, c.want)
+		}
+	}
+}
--- a/internal/policy/steps/want.go
+++ b/internal/policy/steps/want.go
@@ -93,12 +93,18 @@
 		share = p.view.Share(it)
 	}
 	need, found := enough*float64(it.Queued), 0.0
+	width := max(it.Usual, LeastAsked)
 	w := Want{Item: it}
+	var later []string
 	for r := range p.roomy(it) {
-		if len(w.Servers) >= MostWanted || found >= need && len(w.Servers) >= max(it.Usual, LeastAsked) {
+		if len(w.Servers) >= MostWanted || found >= need && len(w.Servers) >= width {
 			break
 		}
-		if p.permission(it, r) != Unasked || !suits(it, r) || it.Asked && fits(size, r.left(it)) == 0 {
+		if p.permission(it, r) != Unasked || !suits(it, r) {
+			continue
+		}
+		if it.Asked && fits(size, r.left(it)) == 0 {
+			later = append(later, r.ID)
 			continue
 		}
 		found += share * float64(min(fits(size, r.free), int64(it.Queued)))
@@ -107,6 +113,8 @@
 	if len(w.Servers) == 0 {
 		return false
 	}
+	// Servers that have no room yet fill the question up.
+	w.Servers = append(w.Servers, later[:min(len(later), max(width-len(w.Servers), 0))]...)
 	p.plan.Wants = append(p.plan.Wants, w)
 	return true
 }
