Seven large files by what they do

dispatch, steps, flows, the entry's way to the leader, the control thread, the node and the consensus core: moves only, no line changed.

--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"maps"
 	"runtime"
 	"time"
 
@@ -23,7 +22,6 @@
 	"gypsumreel/internal/ledger/flows"
 	"gypsumreel/internal/policy/brief"
 	"gypsumreel/internal/policy/crew"
-	"gypsumreel/internal/policy/intake"
 	"gypsumreel/internal/policy/steps"
 	"gypsumreel/internal/replica/group"
 	"gypsumreel/internal/replica/quorum"
@@ -160,77 +158,6 @@
 	joiners map[string]*joiner
 }
 
-// lead is what is kept only while this replica leads.
-type lead struct {
-	term    uint64
-	elected time.Duration
-	ctx     context.Context
-	cancel  context.CancelFunc
-	calls   *calls
-
-	sessions map[string]*session
-	// sorted are the sessions by id: a plan goes over all of them.
-	sorted []*session
-	// round is the room for going over all of them.
-	round []*session
-	// intake are the servers that were not asked yet what they hold.
-	intake intake.Queue[*session]
-	// relayed counts the sessions whose calls go through a helper.
-	relayed int
-	advice  map[flow.StepID]*advice
-	// wants are the questions of the latest plan that found no helper, the most
-	// pressing first.
-	wants []steps.Want
-	// shares is the part of the servers asked about that may run a step, by queue.
-	shares map[string]float64
-	timed  map[string]bool
-	// urgent is what urgent work starts, by pool.
-	urgent map[string]*demand
-	// briefs are the servers on which urgent work is gathered, by pool.
-	briefs map[string]*brief.Choice
-	// ranks tells which places are urgent by the configuration ranked.
-	ranked  *flow.Config
-	ranks   map[rank]bool
-	buckets map[string]*bucket
-	surplus map[string]bool
-	speeds  map[string]*speed
-	// usual is how long runs take beside what was declared, on the whole.
-	usual float64
-	times map[flow.StepID]steps.Times
-	// shunned are the servers on which a task of a step failed.
-	shunned map[flow.StepID]map[string]bool
-	// asked are the requests that wait for a commit or a proof; each is told
-	// when this replica is deposed before.
-	asked  map[uint64]func()
-	serial uint64
-
-	// emptied are the servers that are to run empty for an upkeep, ordered is
-	// until when the last order about a machine is waited for.
-	emptied map[string]bool
-	// drained are the drained zones as the latest look found them.
-	drained map[string]time.Duration
-	ordered map[string]time.Duration
-	waved   time.Duration
-	zoned   time.Duration
-
-	// stops are the runs whose stop is asked again until it is answered.
-	stops map[*run]*session
-	// answers is how long answers to orders usually take.
-	answers time.Duration
-
-	// planned is when the last plan was made, plans counts them.
-	planned time.Duration
-	plans   int
-	pacer   steps.Pacer
-	planner steps.Planner
-	view    steps.View
-	dirty   bool
-	// off tells that this machine's time of day is off.
-	off    bool
-	swept  time.Duration
-	roster time.Duration
-}
-
 // New returns a dispatcher with the defaults.
 func New() *Dispatcher {
 	return &Dispatcher{
@@ -305,27 +232,6 @@
 	}
 }
 
-// TimeOfDay returns the time of day, since 1970, that the processes agree on, and
-// whether enough of them are heard. It is called on the control thread.
-func (d *Dispatcher) TimeOfDay(now time.Duration) (time.Duration, bool) { return d.agreed.At(now) }
-
-// clockSkew is how far a machine's time of day may be off before that is told: far
-// more than what keeps clocks in step lets happen.
-const clockSkew = 500 * time.Millisecond
-
-// compareClocks adds this machine's time of day to the others', and tells once when
-// it is off from theirs.
-func (d *Dispatcher) compareClocks(now time.Duration) {
-	own := time.Duration(time.Now().UnixNano())
-	d.agreed.Hear("", own, now)
-	agreed, ok := d.agreed.At(now)
-	off := ok && (own-agreed).Abs() > clockSkew
-	if off && !d.lead.off {
-		event.Log(d.Log, event.TimeDiffers, "own", own.String(), "agreed", agreed.String())
-	}
-	d.lead.off = off
-}
-
 // Tick does what is due.
 func (d *Dispatcher) Tick(now time.Duration) {
 	d.compareClocks(now)
@@ -364,49 +270,6 @@
 	})
 }
 
-// sweep forgets flows that ended long ago and servers that are over.
-func (d *Dispatcher) sweep(now time.Duration) {
-	const most = 500
-	ledger := d.Host.Flows()
-	before := d.Host.Clock() - d.Retention
-	f := &record.FlowForget{}
-	for id, one := range ledger.Flows() {
-		if one.Final() && one.Ended < before && one.Held == 0 && len(f.Flows) < most {
-			f.Flows = append(f.Flows, id)
-		}
-	}
-	for id, b := range ledger.Servers() {
-		if b.Over && len(b.Held) == 0 && d.lead.sessions[id] == nil {
-			f.Servers = append(f.Servers, id)
-		}
-	}
-	if len(f.Flows)+len(f.Servers) > 0 {
-		d.decide(&record.Flow{What: &record.Flow_Forget{Forget: f}})
-	}
-	for id := range d.lead.advice {
-		if s, ok := ledger.Step(id); !ok || s.Flow.Final() || s.Done == len(s.Tasks) {
-			delete(d.lead.advice, id)
-		}
-	}
-	maps.DeleteFunc(d.lead.times, func(id flow.StepID, _ steps.Times) bool {
-		s, ok := ledger.Step(id)
-		return !ok || s.Done == len(s.Tasks)
-	})
-	maps.DeleteFunc(d.lead.shunned, func(id flow.StepID, _ map[string]bool) bool {
-		s, ok := ledger.Step(id)
-		return !ok || s.Done == len(s.Tasks)
-	})
-	for id := range d.lead.surplus {
-		if f, ok := ledger.Flow(id); !ok || f.Final() {
-			delete(d.lead.surplus, id)
-		}
-	}
-	d.average()
-	d.gather()
-	d.forgetHelpers(now)
-	d.meter.look(d)
-}
-
 // decide is Decide for what may be refused without harm: the refusal is logged,
 // since it shows that the picture here and the ledger differ.
 func (d *Dispatcher) decide(f *record.Flow) bool {
@@ -417,20 +280,3 @@
 	d.lead.dirty = true
 	return true
 }
-
-// beginTurns begins the turns of flows that run at times and are due.
-func (d *Dispatcher) beginTurns() {
-	ledger := d.Host.Flows()
-	for id := range d.lead.timed {
-		f, ok := ledger.Flow(id)
-		if !ok || f.Final() || f.Next >= f.Spec.GetTimes() {
-			delete(d.lead.timed, id)
-			continue
-		}
-		due := time.Duration(f.Spec.GetFirst()+int64(f.Next)*int64(f.Spec.GetEvery())) * time.Millisecond
-		if due <= d.Host.Clock() {
-			event.Log(d.Log, event.TurnBegun, "flow", id, "turn", f.Next, "late", (d.Host.Clock() - due).String())
-			d.decide(&record.Flow{What: &record.Flow_Due{Due: &record.FlowDue{Id: id}}})
-		}
-	}
-}
--- /dev/null
+++ b/internal/control/node/assemble.go
@@ -0,0 +1,106 @@
+package node
+
+import (
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/binary"
+	"net"
+	"net/http"
+
+	"gypsumreel/internal/base/event"
+	"gypsumreel/internal/control/entry"
+	"gypsumreel/internal/policy/cell"
+	"gypsumreel/internal/policy/plan"
+	"gypsumreel/internal/replica/bootstrap"
+	"gypsumreel/internal/replica/group"
+	"gypsumreel/internal/replica/peer"
+	"gypsumreel/internal/replica/quorum"
+)
+
+// assembly is the parts of a running daemon.
+type assembly struct {
+	group     *group.Group
+	service   *entry.Server
+	handshake *bootstrap.Handshake
+	transport Transport
+	server    *http.Server
+}
+
+// assemble makes the parts of the daemon; none of them runs yet.
+func (n *Node) assemble(self quorum.Member, d disks) *assembly {
+	a := &assembly{handshake: n.handshake(self)}
+	a.group = &group.Group{
+		Journal: newDisk(d.journal, n.meters, n.Log), Snapshots: newArchive(&d.snapshots, n.meters, n.Log),
+		Saved: d.saved, Now: n.now, Free: n.Room, Meters: n.meters, Log: n.Log,
+	}
+	n.group.Store(a.group)
+	a.service = &entry.Server{Cell: n.Cell, Leader: n.Control, Now: n.now, Dumper: n.State, MaxDump: n.MaxDump, Log: n.Log}
+	n.service.Store(a.service)
+	n.Control.Entries = a.service.Entries
+	n.Control.Deposed, n.Control.Revised = a.service.CloseAll, a.service.WakeAll
+	// Before anything can come in: what arrives is checked against the identity.
+	n.configure(self, a.group)
+	a.transport = n.transport(self.ID, a.group.Receive)
+	a.group.Peer = a.transport
+	mux := http.NewServeMux()
+	mux.Handle("/twirp/gypsumreel.inner.Control/", a.service.Handler())
+	mux.Handle("/twirp/gypsumreel.inner.Bootstrap/", n.replicas(a.handshake.Handler()))
+	mux.Handle("/", n.replicas(a.transport.Handler()))
+	if n.Routes != nil {
+		n.Routes(mux)
+	}
+	a.server = n.server(mux, n.Server)
+	return a
+}
+
+func (n *Node) transport(id string, receive func(from string, data []byte)) Transport {
+	if n.Transport != nil {
+		return n.Transport(id, receive)
+	}
+	return &peer.Pool{Cell: n.Cell, Self: id, TLS: n.Peers, Deliver: receive, Event: n.event}
+}
+
+// event logs what an operator may want to know of the way to the others.
+func (n *Node) event(e peer.Event) {
+	switch e.Kind {
+	case peer.Refused:
+		n.limit.Log(n.Log, event.PeerRefused, "peer", e.Peer, "error", e.Err.Error())
+	case peer.Failed:
+		event.Log(n.Log, event.PeerSilent, "peer", e.Peer, "error", e.Err.Error())
+	case peer.TooLarge:
+		n.Log.Info("message to a replica is too large", "replica", e.Peer, "error", e.Err.Error())
+	case peer.Recovered:
+		event.Log(n.Log, event.PeerBack, "peer", e.Peer)
+	}
+}
+
+func (n *Node) configure(self quorum.Member, g *group.Group) {
+	cfg := &g.Config
+	cfg.ID, cfg.Address = self.ID, self.Address
+	cfg.Heartbeat, cfg.Election, cfg.Patience = n.Heartbeat, n.Election, n.Patience
+	var seed [8]byte
+	_, _ = rand.Read(seed[:])
+	cfg.Seed = binary.LittleEndian.Uint64(seed[:])
+	l := n.Control
+	l.Group, l.Now, l.Root, l.Log, l.Meters = g, n.now, n.Root, n.Log, n.meters
+	l.Yield = func() { go n.yield(g) }
+	l.Matches = func() map[string]uint64 { return matches(g.Dump()) }
+	if l.Planner == nil {
+		l.Planner = func() plan.Planner { return cell.New(cell.Config{}) }
+	}
+}
+
+func (n *Node) server(h http.Handler, cfg *tls.Config) *http.Server {
+	both := new(http.Protocols)
+	both.SetHTTP1(true)
+	both.SetHTTP2(true)
+	both.SetUnencryptedHTTP2(true)
+	return &http.Server{Handler: h, Protocols: both, ReadHeaderTimeout: headerTimeout, TLSConfig: cfg, ErrorLog: event.HTTPLog(n.Log)}
+}
+
+func listen(s *http.Server, l net.Listener) error {
+	if s.TLSConfig == nil {
+		return s.Serve(l)
+	}
+	return s.ServeTLS(l, "", "")
+}
