A leader whose answers come late waits for them

Orders are made again after 80 ms at the least; only answers that came counted for what is usual, so a leader whose answers all take longer would have asked for each three times and given its runs up. What did not come in time counts with the time that was waited.

--- a/internal/control/dispatch/dispatch_test.go
+++ b/internal/control/dispatch/dispatch_test.go
@@ -722,3 +722,34 @@
 		}
 	})
 }
+
+// All answers take long, as those of a busy leader do. Asked for again and again, the
+// starts would make it busier still.
+func TestSlowAnswersAreWaitedFor(t *testing.T) {
+	play(t, 2, func(t *testing.T, w *world) {
+		cost := func() { time.Sleep(500 * time.Millisecond) }
+		w.cost.Store(&cost)
+		var starts atomic.Int32
+		w.change(func(_ string, one *worker.Worker) {
+			one.Fault = func(c *inner.ServerCall) worker.Fault {
+				if c.GetStart() != nil {
+					starts.Add(1)
+				}
+				return worker.Fault{}
+			}
+		})
+		const flows, learned = 30, 15
+		for i := range flows {
+			if i == learned {
+				starts.Store(0)
+			}
+			w.submit(fmt.Sprint("f", i), step(1, 500))
+			w.await(fmt.Sprint("f", i), done, time.Minute)
+		}
+		if n := starts.Load(); n > flows-learned {
+			t.Errorf("%d starts for %d tasks", n, flows-learned)
+		}
+		w.cost.Store(nil)
+		time.Sleep(3 * time.Second)
+	})
+}
--- a/internal/control/dispatch/harness_test.go
+++ b/internal/control/dispatch/harness_test.go
@@ -193,7 +193,11 @@
 		<-ctx.Done()
 		return &inner.ServerAnswer{Verdict: inner.Verdict_VERDICT_SILENT}
 	}
-	return w.reach(ctx, c)
+	a := w.reach(ctx, c)
+	if ctx.Err() != nil {
+		return &inner.ServerAnswer{Verdict: inner.Verdict_VERDICT_SILENT}
+	}
+	return a
 }
 
 func (w *world) reach(ctx context.Context, c *inner.ServerCall) *inner.ServerAnswer {
--- a/internal/control/dispatch/order.go
+++ b/internal/control/dispatch/order.go
@@ -109,7 +109,10 @@
 	renew := r.tries == 1
 	d.call(s, &inner.ServerCall{What: &inner.ServerCall_Start{Start: c}}, 0, r.tries-1, renew, func(a *inner.ServerAnswer, sent, came time.Duration) {
 		r.busy--
-		if a.GetVerdict() == inner.Verdict_VERDICT_DONE {
+		switch a.GetVerdict() {
+		case inner.Verdict_VERDICT_DONE, inner.Verdict_VERDICT_SILENT:
+			// One that did not come in time would have taken longer yet. Left out, a
+			// leader whose answers all come late would never wait for them.
 			d.answered(came - sent)
 		}
 		d.meter.call("start", a.GetVerdict(), came-sent)
