--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -176,7 +176,7 @@
 	d.lead = &lead{
 		term: term, elected: elected, ctx: ctx, cancel: cancel, calls: newCalls(ctx), dirty: true,
 		// Until it is known how soon answers come, they are waited for.
-		answers: holdTimeout / answerFactor,
+		answers:  holdTimeout / answerFactor,
 		sessions: map[string]*session{}, stops: map[*run]*session{},
 		advice: map[flow.StepID]*advice{}, shares: map[string]float64{},
 		urgent: map[string]*demand{}, briefs: map[string]*brief.Choice{}, timed: map[string]bool{},
