The control thread stands back for as long as it worked, not for all who wait

It stood back after each request for hundreds of goroutines that were ready, and its decisions came to nothing.

--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"runtime"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -96,6 +95,8 @@
 	Alter(m quorum.Member, remove bool)
 	// Synced tells whether a member has everything committed on its disk.
 	Synced(id string) bool
+	// Rest lets the other goroutines of the process have their turn.
+	Rest()
 	// Post runs fn on the control thread.
 	Post(fn func()) bool
 }
@@ -245,7 +246,7 @@
 	d.lead.round = append(d.lead.round[:0], d.lead.sorted...)
 	for i, s := range d.lead.round {
 		if i%restEvery == 0 {
-			runtime.Gosched()
+			d.Host.Rest()
 		}
 		d.watch(s, now)
 		d.inspect(s, now)
--- a/internal/control/dispatch/harness_test.go
+++ b/internal/control/dispatch/harness_test.go
@@ -108,6 +108,7 @@
 func (h *host) Members() group.Members            { return members }
 func (h *host) Alter(quorum.Member, bool)         {}
 func (h *host) KnowsZone(zone string) bool        { return zone == "x" || zone == "y" }
+func (h *host) Rest()                             {}
 func (h *host) Synced(string) bool                { return true }
 
 func (h *host) Post(fn func()) bool {
--- a/internal/control/dispatch/plan.go
+++ b/internal/control/dispatch/plan.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"runtime"
 	"time"
 
 	"gypsumreel/internal/api/record"
@@ -23,7 +22,7 @@
 		return
 	}
 	begin := d.Now()
-	v := steps.View{Items: d.lead.view.Items[:0], Servers: d.lead.view.Servers[:0], Room: d.room, Known: d.known, Share: d.granted, Rest: runtime.Gosched}
+	v := steps.View{Items: d.lead.view.Items[:0], Servers: d.lead.view.Servers[:0], Room: d.room, Known: d.known, Share: d.granted, Rest: d.Host.Rest}
 	v.Frees = func(server string) []steps.Release { return d.frees(server, now) }
 	clock := d.Host.Clock()
 	for _, s := range ledger.Ready() {
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"runtime"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +16,7 @@
 	"gypsumreel/internal/api/inner"
 	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/base/event"
+	"gypsumreel/internal/base/turn"
 	"gypsumreel/internal/control/mailbox"
 	"gypsumreel/internal/domain/lease"
 	"gypsumreel/internal/ledger/state"
@@ -47,8 +47,8 @@
 
 	// inboxLength bounds the batches that wait for the control thread.
 	inboxLength = 1024
-	// turn bounds the batches handled before decisions are made and proposed.
-	turn = 64
+	// batches bounds those handled before decisions are made and proposed.
+	batches = 64
 	// tick is how often timers are looked at.
 	tick = 20 * time.Millisecond
 	// lookEvery is how often all sessions are looked at for silence.
@@ -150,6 +150,7 @@
 	status atomic.Pointer[Status]
 
 	// Owned by the control thread.
+	turn    turn.Turn
 	st      *state.State
 	applied uint64
 	saved   uint64
@@ -259,16 +260,15 @@
 	}
 }
 
-// rest lets the other goroutines of the process go first. On one processor whatever
-// waits, the group's heartbeats among it, waits for as long as this thread goes on;
-// a message takes several such waits, and a leader that decided for long at a time
-// would lose its lead to its own load.
-func rest() { runtime.Gosched() }
+// Rest lets the other goroutines of the process have their turn: a message of the
+// group takes several of them, and a leader that decided for long at a time would lose
+// its lead to its own load. It is called on the control thread.
+func (l *Leader) Rest() { l.turn.Rest() }
 
 // drain takes more batches that wait already, so that they share one commit.
 func (l *Leader) drain() {
-	for range turn {
-		rest()
+	for range batches {
+		l.Rest()
 		select {
 		case fn := <-l.inbox:
 			fn()
--- a/internal/control/leader/part.go
+++ b/internal/control/leader/part.go
@@ -95,19 +95,14 @@
 	}
 }
 
-// restEvery is how many effects are run between two rests: each takes a fraction of
-// a millisecond.
-const restEvery = 4
-
 // perform runs the effects whose cause is committed.
 func (l *Leader) perform() {
 	ld := l.lead
 	n := 0
 	for n < len(ld.effects) && ld.effects[n].index <= ld.committed {
 		ld.effects[n].run()
-		if n++; n%restEvery == 0 {
-			rest()
-		}
+		n++
+		l.Rest()
 	}
 	if n > 0 {
 		clear(ld.effects[:n])
--- a/internal/control/leader/rest_test.go
+++ b/internal/control/leader/rest_test.go
@@ -21,6 +21,13 @@
 func (quiet) Compact(uint64, []byte)      {}
 func (quiet) Reload()                     {}
 
+// work keeps the processor busy for so long.
+func work(d time.Duration) {
+	for begin := time.Now(); time.Since(begin) < d; {
+		continue
+	}
+}
+
 // A leader on one processor has a long row of requests before it. A heartbeat that
 // waited for all of them would come too late, and the leader be deposed for its load.
 func TestOthersHaveTheirTurnBetweenRequests(t *testing.T) {
@@ -36,7 +43,7 @@
 	go func() { _ = l.Run(ctx) }()
 	time.Sleep(50 * time.Millisecond)
 	for range requests {
-		ask(func() {})
+		ask(func() { work(100 * time.Microsecond) })
 	}
 	time.Sleep(50 * time.Millisecond)
 	var turns, ended atomic.Int64
