--- a/internal/control/dispatch/dispatch_test.go
+++ b/internal/control/dispatch/dispatch_test.go
@@ -723,11 +723,16 @@
 	})
 }
 
-// All answers take long, as those of a busy leader do. Asked for again and again, the
+// Answers came soon, and all take long now, as those of a busy leader do. Asked for again and again, the
 // starts would make it busier still.
 func TestSlowAnswersAreWaitedFor(t *testing.T) {
 	play(t, 2, func(t *testing.T, w *world) {
-		cost := func() { time.Sleep(500 * time.Millisecond) }
+		const quick = 60
+		for i := range quick {
+			w.submit(fmt.Sprint("q", i), step(1, 500))
+			w.await(fmt.Sprint("q", i), done, 10*time.Second)
+		}
+		cost := func() { time.Sleep(400 * time.Millisecond) }
 		w.cost.Store(&cost)
 		var starts atomic.Int32
 		w.change(func(_ string, one *worker.Worker) {
