What the last leader placed and a list does not show is stopped first again

Taking the first list for proof rests on servers that check the term of a start when they carry it out; one that is carried out late did run. The stop, which a server remembers, rules it out.

--- a/internal/control/dispatch/lists.go
+++ b/internal/control/dispatch/lists.go
@@ -40,9 +40,8 @@
 		}
 		if r.maybe && r.tries == 0 && !r.stopping {
 			// Placed by the leader before this one, and not there. Its start may
-			// still be on its way, or never left: the server has seen this leader's
-			// term with the call for the list, and does nothing for an earlier one.
-			e.Ends = append(e.Ends, &record.FlowEnd{Run: r.Message(), How: inner.RunEnd_RUN_END_LOST})
+			// still arrive, or never left; a stop rules it out for good.
+			d.unwant(s, r)
 			continue
 		}
 		// Not listed although its start or its stop was answered before the
--- a/internal/control/dispatch/session.go
+++ b/internal/control/dispatch/session.go
@@ -223,7 +223,8 @@
 // pressing tells whether something is to be learned soon from the next list.
 func (s *session) pressing() bool {
 	for _, r := range s.runs {
-		if r.settled > 0 && !r.there {
+		stopped := r.stopping && r.maybe && r.tries == 0 // placed by the last leader
+		if (r.settled > 0 || stopped) && !r.there {
 			return true
 		}
 	}
--- a/spec/call.pml
+++ b/spec/call.pml
@@ -2,8 +2,7 @@
  * One task and two backend servers that the leader calls. A start may be
  * delivered late or never; a server may lose its lease, or crash and begin
  * another life that knows nothing of the one before; the leader may be replaced
- * by one that knows what was placed and nothing of what was sent or answered. Each
- * call carries the leader's term; a server does nothing for a lower one than it saw.
+ * by one that knows what was placed and nothing of what was sent or answered.
  *
  * Promise: the task never runs on both servers at the same time. Each MUTATE_
  * name takes one guard away; spec/check shows that the promise then breaks.
@@ -11,7 +10,6 @@
 
 #define SERVERS 2
 #define RUNS 3
-#define TERMS 2
 
 /* A task is placed again without proof that its lease is over. */
 #ifdef MUTATE_NO_WAIT_FOR_LEASE
@@ -24,14 +22,7 @@
 #ifdef MUTATE_TRUST_ANY_LIST
 #define settled(s) true
 #else
-#define settled(s) (answered || inherited)
-#endif
-
-/* A server carries out the start of a leader that was replaced. */
-#ifdef MUTATE_NO_FENCE
-#define inTerm(s) true
-#else
-#define inTerm(s) (sent[s] >= fence[s])
+#define settled(s) answered
 #endif
 
 /* A life is closed while a start may still reach the next one, or has. */
@@ -67,7 +58,6 @@
 byte running[SERVERS];
 byte highest[SERVERS];
 bool alive[SERVERS] = true;
-byte fence[SERVERS];
 byte epoch[SERVERS];
 bool lapsed[SERVERS];
 /* A crash is seen: nobody listens. */
@@ -79,16 +69,12 @@
 byte flying[SERVERS];
 byte granted[SERVERS];
 bool open[SERVERS];
-byte sent[SERVERS];
 
 /* The leader: where the task is placed (0 nowhere), its latest number, whether a
  * stop of it was answered. */
 byte at;
 byte number;
 bool answered;
-byte term = 1;
-/* The leader before this one placed it. */
-bool inherited;
 /* A start may have reached another life than it was sent to. */
 bool ghost;
 
@@ -101,22 +87,19 @@
        if :: s = 0 :: s = 1 fi;
        if
        :: alive[s] && flying[s] == 0 ->
-            number++; at = s + 1; answered = false; inherited = false; ghost = false; lapsed[s] = false; gone[s] = false;
-            flying[s] = number; granted[s] = epoch[s]; open[s] = true; sent[s] = term
+            number++; at = s + 1; answered = false; ghost = false; lapsed[s] = false; gone[s] = false;
+            flying[s] = number; granted[s] = epoch[s]; open[s] = true
        :: else
        fi }
   /* A stop that is answered: the server remembers it, and stops what it has. */
   :: atomic { at > 0 && !answered && alive[at - 1] -> remember(at - 1, number); answered = true }
-  /* A list made after that shows what works, and so does one of a later term than
-   * the start's: the server has seen that term then. */
-  :: atomic { at > 0 && settled(at - 1) && alive[at - 1] && !gone[at - 1] && running[at - 1] != number ->
-       fence[at - 1] = term; at = 0 }
+  /* A list made after that shows what works. */
+  :: atomic { at > 0 && settled(at - 1) && alive[at - 1] && !gone[at - 1] && running[at - 1] != number -> at = 0 }
   :: atomic { at > 0 && over(at - 1) -> at = 0 }
   /* The process is gone: what may reach the next life is stopped there first. */
   :: atomic { at > 0 && gone[at - 1] && closable(at - 1) && stopped(at - 1) -> at = 0 }
   /* Another leader knows the placement alone. */
   :: atomic { at > 0 && answered -> answered = false }
-  :: atomic { at > 0 && term < TERMS -> term++; answered = false; inherited = true }
   od
 }
 
@@ -125,7 +108,7 @@
   do
   :: atomic { flying[s] > 0 && alive[s] ->
        if
-       :: flying[s] > highest[s] && inTime(s) && inTerm(s) -> running[s] = flying[s]; once()
+       :: flying[s] > highest[s] && inTime(s) -> running[s] = flying[s]; once()
        :: else
        fi;
        flying[s] = 0 }
@@ -143,6 +126,6 @@
        :: else -> flying[s] = 0
        fi }
   /* The next life knows no stop, and its clock takes any lease for a later one. */
-  :: atomic { !alive[s] -> alive[s] = true; highest[s] = 0; fence[s] = 0; granted[s] = epoch[s] }
+  :: atomic { !alive[s] -> alive[s] = true; highest[s] = 0; granted[s] = epoch[s] }
   od
 }
