--- a/internal/replica/quorum/core.go
+++ b/internal/replica/quorum/core.go
@@ -44,7 +44,7 @@
 	heard    time.Duration
 	patience patience
 	// begun tells that the clock is known. Until a replica has seen how long the
-	// silences of its leaders are, it waits for the longest.
+	// silences of its leaders are, it waits for half of the longest.
 	begun    bool
 	deadline time.Duration
 	votes    map[string]bool
@@ -163,7 +163,7 @@
 func (c *Core) Step(now time.Duration, ev Event) Effects {
 	if !c.begun {
 		c.begun = true
-		c.patience.silent(c.cfg.Patience/gapFactor, now)
+		c.patience.silent(c.cfg.Patience/startPart, now)
 	}
 	c.now = max(c.now, now)
 	c.expire()
--- a/internal/replica/quorum/patience.go
+++ b/internal/replica/quorum/patience.go
@@ -10,6 +10,9 @@
 	// gapFactor is how many times as long as its longest silence of late a leader
 	// may be silent.
 	gapFactor = 2
+	// startPart is the part of the longest timeout that counts as the longest silence
+	// at a start.
+	startPart = 4
 	// gapMemory is the time in which a long silence loses two thirds of its weight.
 	gapMemory = 10 * time.Second
 	// calm is how long a leader has to last so that the next change of the lead
@@ -18,6 +21,9 @@
 	// stormFactor is how many times the upper bound may be passed in a storm of
 	// elections: a takeover may bring more work than the bound allows for.
 	stormFactor = 4
+	// stormChanges is how many changes that follow one another are no storm yet: some
+	// replicas fail one after the other.
+	stormChanges = 3
 	// mostChanges bounds what is counted of changes that follow one another.
 	mostChanges = 16
 )
@@ -64,9 +70,10 @@
 	if most <= least {
 		return least
 	}
-	t := min(max(least, gapFactor*p.faded(now)), most)
-	if now-p.changed < calm {
-		t <<= p.changes
+	t := max(least, gapFactor*p.faded(now))
+	if now-p.changed >= calm {
+		return min(t, most)
 	}
-	return min(t, stormFactor*most)
+	t = min(t<<min(p.changes, stormChanges), most)
+	return min(t<<max(p.changes-stormChanges, 0), stormFactor*most)
 }
