--- a/internal/ledger/flows/flows_test.go
+++ b/internal/ledger/flows/flows_test.go
@@ -74,8 +74,11 @@
 	return "y"
 }
 
+// zoned is a machine whose zones are drained and taken back as well.
+type zoned struct{ *machine }
+
 // Zone drains a zone or takes it back.
-func (m *machine) Zone(t *rapid.T) {
+func (m zoned) Zone(t *rapid.T) {
 	zone, drain := rapid.SampledFrom([]string{"x", "y"}).Draw(t, "zone"), rapid.Bool().Draw(t, "drain")
 	m.apply(t, &record.Flow{What: &record.Flow_Zone{Zone: &record.ZoneMark{Zone: zone, Drain: drain}}})
 	m.drained[zone] = drain
@@ -215,6 +218,12 @@
 	}
 }
 
+func TestDrainedZonesUnderRandomCommands(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		t.Repeat(rapid.StateMachineActions(zoned{newMachine(t)}))
+	})
+}
+
 func TestLedgerUnderRandomCommands(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newMachine(t)
