The storm of elections is tested with the load that made one

scripts/mutate missed storm-goes-on: the wait had been lowered from 0.6 s to 0.45 s for another test, and with that a storm ends without the doubling.

--- a/internal/replica/quorum/patience_test.go
+++ b/internal/replica/quorum/patience_test.go
@@ -7,23 +7,24 @@
 	"gypsumreel/internal/replica/quorum"
 )
 
-// Work that a takeover brings, and the longest that a message waits beside it at a
+// Work that a takeover brings, and the longest that a message waits beside it, then and at a start, at a
 // replica with one processor.
 const (
 	takeoverWork = 1500 * time.Millisecond
-	longestTurn  = 450 * time.Millisecond
+	longestTurn  = 600 * time.Millisecond
+	startTurn    = 450 * time.Millisecond
 )
 
 // burden lets each new leader work off what a takeover brings: greetings, and the
 // lists of all backend servers. Messages from and to it wait meanwhile.
-func burden(s *sim) {
+func burden(s *sim, longest time.Duration) {
 	until := map[string]time.Duration{}
 	known := 0
 	s.wait = func(n *node) time.Duration {
 		for ; known < len(s.elections); known++ {
 			until[s.leaders[s.elections[known].Term]] = s.now + takeoverWork
 		}
-		return max(0, min(until[n.id]-s.now, longestTurn))
+		return max(0, min(until[n.id]-s.now, longest))
 	}
 }
 
@@ -33,7 +34,7 @@
 	s := newSim(0, seed)
 	s.config = cfg
 	s.found(5)
-	burden(s)
+	burden(s, longestTurn)
 	s.run(3 * time.Second)
 	if l := s.leader(); l != nil {
 		l.paused = true
@@ -117,7 +118,7 @@
 	for seed := range uint64(20) {
 		s := newSim(0, seed)
 		s.config = quorum.Config{Heartbeat: 50 * time.Millisecond, Election: 200 * time.Millisecond, Patience: time.Second}
-		burden(s)
+		burden(s, startTurn)
 		s.found(5)
 		s.run(10 * time.Second)
 		if n := len(s.elections); n > most {
