--- a/internal/control/dispatch/sharing.go
+++ b/internal/control/dispatch/sharing.go
@@ -72,7 +72,7 @@
 		}
 		switch {
 		case step.Spec.GetLasting():
-			if d.away(step) >= int(step.Spec.GetAbsent()) {
+			if !d.spares(step) {
 				continue
 			}
 		case !step.Spec.GetSaves() || r.percent <= 0 || d.rest(step, r, now) <= left:
@@ -91,6 +91,9 @@
 	return time.Duration(float64(r.looked-r.placed)*(100-r.percent)/r.percent) - (now - r.looked)
 }
 
+// spares tells whether a flow can miss one more task of a lasting step.
+func (d *Dispatcher) spares(step *flows.Step) bool { return d.away(step) < int(step.Spec.GetAbsent()) }
+
 // away counts the tasks of a lasting step that are not at work.
 func (d *Dispatcher) away(step *flows.Step) int {
 	n := 0
--- a/internal/control/dispatch/wave.go
+++ b/internal/control/dispatch/wave.go
@@ -155,7 +155,7 @@
 		if !ok || r.stopping || !r.there {
 			continue
 		}
-		if step.Spec.GetSaves() || step.Spec.GetLasting() && d.away(step) < int(step.Spec.GetAbsent()) {
+		if step.Spec.GetSaves() || step.Spec.GetLasting() && d.spares(step) {
 			d.unwant(s, r)
 		}
 	}
--- a/internal/control/dispatch/zone.go
+++ b/internal/control/dispatch/zone.go
@@ -68,7 +68,7 @@
 func (d *Dispatcher) moveLasting(s *session) {
 	for _, r := range s.runs {
 		step, ok := d.Host.Flows().Step(r.StepID)
-		if !ok || r.stopping || !r.there || !step.Spec.GetLasting() || d.away(step) >= int(step.Spec.GetAbsent()) || !d.roomFor(step) {
+		if !ok || r.stopping || !r.there || !step.Spec.GetLasting() || !d.spares(step) || !d.roomFor(step) {
 			continue
 		}
 		event.Log(d.Log, event.RunMoved, "flow", r.Flow, "run", r.String(), "server", s.id, "cause", "zone")
