--- a/internal/base/settings/kind.go
+++ b/internal/base/settings/kind.go
@@ -188,36 +188,33 @@
 	return p
 }
 
-func readDigests(r *reader, s *Settings, v value) {
+// texts reads a list of up to most texts of one kind; allowed says what the list may
+// be, and one what each text may be.
+func (r *reader) texts(v value, most int, allowed, one string, is func(string) bool) (out []string) {
 	items, ok := v.list()
-	if !ok || len(items) > MaxDigests {
-		r.refuse(v, allowedDigests)
-		return
+	if !ok || len(items) > most {
+		r.refuse(v, allowed)
+		return nil
 	}
 	for _, item := range items {
 		t, ok := item.text()
-		if !ok || !isDigest(t) {
-			r.refuse(item, allowedDigest)
+		if !ok || !is(t) {
+			r.refuse(item, one)
 			continue
 		}
+		out = append(out, t)
+	}
+	return out
+}
+
+func readDigests(r *reader, s *Settings, v value) {
+	for _, t := range r.texts(v, MaxDigests, allowedDigests, allowedDigest, isDigest) {
 		s.Enrolment = append(s.Enrolment, strings.ToLower(t))
 	}
 }
 
 func readZones(r *reader, s *Settings, v value) {
-	items, ok := v.list()
-	if !ok || len(items) > MaxZones {
-		r.refuse(v, allowedNames)
-		return
-	}
-	for _, item := range items {
-		t, ok := item.text()
-		if !ok || !isName(t) {
-			r.refuse(item, allowedName)
-			continue
-		}
-		s.Zones = append(s.Zones, t)
-	}
+	s.Zones = r.texts(v, MaxZones, allowedNames, allowedName, isName)
 }
 
 // readPlatform keeps an object as it stands in the file, without comments.
