--- a/internal/cli/explain/explain.go
+++ b/internal/cli/explain/explain.go
@@ -77,7 +77,7 @@
 	if err := s.files(ctx, env, c.Logs); err != nil {
 		return err
 	}
-	r.foreign += s.foreign
+	r.foreign = s.foreign
 	l := r.life()
 	if len(l.Lines) == 0 {
 		return verb.Misuse("Check the id, and that the logs cover its time.", "no line about %s; %d lines are not of gypsumreel", args[0], r.foreign)
@@ -92,7 +92,7 @@
 	if err := s.files(ctx, env, c.Logs); err != nil {
 		return err
 	}
-	n.foreign += s.foreign
+	n.foreign = s.foreign
 	if len(n.flows) == 0 {
 		return verb.Misuse("Check that the logs are those of control replicas and entries.", "no line about a flow; %d lines are not of gypsumreel", n.foreign)
 	}
@@ -111,9 +111,11 @@
 
 // source reads logs line by line.
 type source struct {
-	err  io.Writer
-	take func(b []byte)
-	// foreign counts the lines that are too long to be of ours.
+	err io.Writer
+	// take takes a line: the object, and what stands before it; false when it is none
+	// of gypsumreel's.
+	take func(before, object []byte) bool
+	// foreign counts the lines that are not of gypsumreel.
 	foreign int
 	read    int64
 	told    int64
@@ -146,7 +148,7 @@
 			_, err = s.ReadSlice('\n')
 			b = nil
 		}
-		r.take(b)
+		r.split(b)
 		r.progress(name, len(b))
 		if err == io.EOF {
 			return nil
@@ -158,6 +160,18 @@
 	return ctx.Err()
 }
 
+// split hands a line on in its two parts.
+func (r *source) split(b []byte) {
+	b = bytes.TrimSpace(b)
+	if len(b) == 0 {
+		return
+	}
+	start := bytes.IndexByte(b, '{')
+	if start < 0 || !r.take(b[:start], b[start:]) {
+		r.foreign++
+	}
+}
+
 func (r *source) progress(name string, n int) {
 	if r.read += int64(n); r.read-r.told >= progressEvery {
 		r.told = r.read
@@ -167,26 +181,16 @@
 
 // take keeps a line that is about the id, or about who led meanwhile. What
 // stands before the object, such as a process's name, says where it is from.
-func (r *reader) take(b []byte) {
-	b = bytes.TrimSpace(b)
-	if len(b) == 0 {
-		return
-	}
-	start := bytes.IndexByte(b, '{')
-	if start < 0 {
-		r.foreign++
-		return
-	}
-	about := bytes.Contains(b, []byte(r.id))
-	if !about && !bytes.Contains(b, []byte(`"leader-`)) && !bytes.Contains(b, []byte(`"quorum-lost"`)) {
-		return
+func (r *reader) take(before, object []byte) bool {
+	about := bytes.Contains(before, []byte(r.id)) || bytes.Contains(object, []byte(r.id))
+	if !about && !bytes.Contains(object, []byte(`"leader-`)) && !bytes.Contains(object, []byte(`"quorum-lost"`)) {
+		return true
 	}
-	l, ok := parse(b[start:])
+	l, ok := parse(object)
 	if !ok {
-		r.foreign++
-		return
+		return false
 	}
-	if fields := strings.Fields(string(b[:start])); len(fields) > 0 {
+	if fields := strings.Fields(string(before)); len(fields) > 0 {
 		l.Where = fields[len(fields)-1]
 	}
 	switch {
@@ -197,6 +201,7 @@
 	default:
 		r.group = append(r.group, l)
 	}
+	return true
 }
 
 // parse reads one line; false when it is none of ours.
--- a/internal/cli/explain/summary.go
+++ b/internal/cli/explain/summary.go
@@ -75,45 +75,38 @@
 }
 
 // take takes one line of a log.
-func (c *census) take(b []byte) {
-	start := bytes.IndexByte(b, '{')
-	if start < 0 {
-		if len(bytes.TrimSpace(b)) > 0 {
-			c.foreign++
-		}
-		return
-	}
-	if !slices.ContainsFunc(names, func(n []byte) bool { return bytes.Contains(b, n) }) {
-		return
+func (c *census) take(_, object []byte) bool {
+	if !slices.ContainsFunc(names, func(n []byte) bool { return bytes.Contains(object, n) }) {
+		return true
 	}
-	l, ok := parse(b[start:])
+	l, ok := parse(object)
 	if !ok {
-		c.foreign++
-		return
+		return false
 	}
 	if l.At.After(c.end) {
 		c.end = l.At
 	}
 	if l.Name == "leader-elected" {
 		c.changes = append(c.changes, l.At)
-		return
+		return true
 	}
 	id := text(l, "flow")
 	j := c.flows[id]
 	switch {
 	case id == "":
-		return
+		return true
 	case j == nil && len(c.flows) >= maxFlows:
 		c.left++
-		return
+		return true
 	case j == nil:
 		if l.Name == "call-answered" && !strings.Contains(text(l, "verb"), "SUBMIT") {
-			return
+			return true
 		}
 		j = &journey{}
 		c.flows[id] = j
 	}
 	j.take(l)
+	return true
 }
 
 // summary counts what was collected.
