Verbs that show a part of the state ask for it through one function

Eight verbs, zone list the last of them, opened a client, bounded and explained one read alike. Where a verb goes on with its client it stays as it was.

--- a/internal/cli/drain/drain.go
+++ b/internal/cli/drain/drain.go
@@ -65,15 +65,10 @@
 }
 
 func (c *command) list(ctx context.Context, env verb.Env) error {
-	client, ctx, cancel, err := c.Operator(ctx)
+	r, err := c.Show(ctx, v1.Part_PART_SERVERS)
 	if err != nil {
 		return err
 	}
-	defer cancel()
-	r, err := client.Show(ctx, v1.Part_PART_SERVERS)
-	if err != nil {
-		return remote.Explain(err)
-	}
 	out, g := []line{}, verb.Grid{Head: []string{"SERVER", "STATE", "ZONE", "RACK", "TASKS", "CPU", "MEMORY", "SLOTS"}}
 	for _, s := range r.GetServers() {
 		h, all := s.GetHeld(), s.GetCapacity()
--- a/internal/cli/key/key.go
+++ b/internal/cli/key/key.go
@@ -108,15 +108,10 @@
 
 // Run lists keys.
 func (c *list) Run(ctx context.Context, env verb.Env, _ []string) error {
-	client, ctx, cancel, err := c.Flags.Operator(ctx)
+	r, err := c.Flags.Show(ctx, v1.Part_PART_KEYS)
 	if err != nil {
 		return err
 	}
-	defer cancel()
-	r, err := client.Show(ctx, v1.Part_PART_KEYS)
-	if err != nil {
-		return remote.Explain(err)
-	}
 	out, g := []line{}, verb.Grid{Head: []string{"ID", "TEAM", "STATE"}}
 	for _, k := range r.GetKeys() {
 		if c.Team != "" && k.GetTeam() != c.Team {
--- a/internal/cli/load/load.go
+++ b/internal/cli/load/load.go
@@ -207,15 +207,10 @@
 	if c.Control != "" {
 		f.Address = c.Control
 	}
-	client, ctx, cancel, err := f.Operator(ctx)
+	r, err := f.Show(ctx, v1.Part_PART_TABLE)
 	if err != nil {
 		return 0, err
 	}
-	defer cancel()
-	r, err := client.Show(ctx, v1.Part_PART_TABLE)
-	if err != nil {
-		return 0, remote.Explain(err)
-	}
 	return r.GetRevision(), nil
 }
 
--- a/internal/cli/member/member.go
+++ b/internal/cli/member/member.go
@@ -44,15 +44,10 @@
 
 // Run lists.
 func (c *list) Run(ctx context.Context, env verb.Env, _ []string) error {
-	client, ctx, cancel, err := c.Operator(ctx)
+	r, err := c.Show(ctx, v1.Part_PART_MEMBERS)
 	if err != nil {
 		return err
 	}
-	defer cancel()
-	r, err := client.Show(ctx, v1.Part_PART_MEMBERS)
-	if err != nil {
-		return remote.Explain(err)
-	}
 	out, g := []line{}, verb.Grid{Head: []string{"NAME", "ROLE", "ADDRESS", "STATE", "REVISION", "LEADER"}}
 	for _, m := range r.GetMembers() {
 		out = append(out, line{m.GetName(), m.GetRole(), m.GetAddress(), m.GetState(), m.GetRevision(), m.GetLeader()})
--- a/internal/cli/remote/remote.go
+++ b/internal/cli/remote/remote.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/base/code"
 	"gypsumreel/internal/cli/verb"
 	"gypsumreel/internal/client/caller"
@@ -52,6 +53,20 @@
 	return &operator.Client{Link: l}, ctx, cancel, nil
 }
 
+// Show reads all lines of a part of the state.
+func (f Flags) Show(ctx context.Context, part v1.Part) (*v1.ShowReply, error) {
+	client, ctx, cancel, err := f.Operator(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer cancel()
+	r, err := client.Show(ctx, part)
+	if err != nil {
+		return nil, Explain(err)
+	}
+	return r, nil
+}
+
 // Link checks the flags and returns the way to the entries.
 func (f Flags) Link() (*link.Link, error) {
 	if f.Timeout <= 0 {
--- a/internal/cli/status/status.go
+++ b/internal/cli/status/status.go
@@ -63,15 +63,10 @@
 	if len(args) > 0 {
 		return verb.Misuse("Leave the ids or --all out.", "ids belong to one team, --all to none")
 	}
-	client, ctx, cancel, err := c.Operator(ctx)
+	r, err := c.Show(ctx, v1.Part_PART_JOBS)
 	if err != nil {
 		return err
 	}
-	defer cancel()
-	r, err := client.Show(ctx, v1.Part_PART_JOBS)
-	if err != nil {
-		return remote.Explain(err)
-	}
 	jobs := r.GetJobs()
 	jobs = jobs[:min(len(jobs), int(c.Limit))]
 	return c.Print(env.Out, Lines(jobs), Grid(jobs))
--- a/internal/cli/table/table.go
+++ b/internal/cli/table/table.go
@@ -226,15 +226,10 @@
 	if len(args) > 1 {
 		return verb.Misuse("Run `gypsumreel table export FILE`.", "export takes one file, got %d", len(args))
 	}
-	client, ctx, cancel, err := c.Operator(ctx)
+	r, err := c.Show(ctx, v1.Part_PART_TABLE)
 	if err != nil {
 		return err
 	}
-	defer cancel()
-	r, err := client.Show(ctx, v1.Part_PART_TABLE)
-	if err != nil {
-		return remote.Explain(err)
-	}
 	var b strings.Builder
 	if err := sheet.Write(&b, r.GetRevision(), r.GetRows()); err != nil {
 		return err
--- a/internal/cli/team/team.go
+++ b/internal/cli/team/team.go
@@ -66,15 +66,10 @@
 
 // Run lists teams.
 func (c *list) Run(ctx context.Context, env verb.Env, _ []string) error {
-	client, ctx, cancel, err := c.Operator(ctx)
+	r, err := c.Show(ctx, v1.Part_PART_TABLE)
 	if err != nil {
 		return err
 	}
-	defer cancel()
-	r, err := client.Show(ctx, v1.Part_PART_TABLE)
-	if err != nil {
-		return remote.Explain(err)
-	}
 	names, g := []string{}, verb.Grid{}
 	for _, row := range r.GetRows() {
 		names = append(names, row.GetTeam())
--- a/internal/cli/zone/zone.go
+++ b/internal/cli/zone/zone.go
@@ -43,15 +43,10 @@
 
 // Run lists.
 func (c *list) Run(ctx context.Context, env verb.Env, _ []string) error {
-	client, ctx, cancel, err := c.Operator(ctx)
+	r, err := c.Show(ctx, v1.Part_PART_ZONES)
 	if err != nil {
 		return err
 	}
-	defer cancel()
-	r, err := client.Show(ctx, v1.Part_PART_ZONES)
-	if err != nil {
-		return remote.Explain(err)
-	}
 	out, g := []line{}, verb.Grid{Head: []string{"ZONE", "STATE", "SINCE", "SERVERS", "TASKS"}}
 	for _, z := range r.GetZones() {
 		since := time.Duration(z.GetSince()) * time.Millisecond
