attempt-lost tells how old the run was and what ran beside it

The log of a lost run did not tell whether it had just begun or worked for long, nor whether it was alone, which tells the task at fault from its neighbours. Now: age (from its placement to the first failed hold) and beside. No decision changes.

--- a/internal/control/dispatch/life.go
+++ b/internal/control/dispatch/life.go
@@ -60,11 +60,12 @@
 // clear records that nothing that a life held runs any more.
 func (d *Dispatcher) clear(s *session, over bool) {
 	c := &record.FlowClear{Id: s.id, Born: s.born, Over: over}
+	beside := len(s.runs) - 1
 	for _, r := range s.runs {
 		if r.saved != "" {
 			c.Saved = append(c.Saved, &record.FlowSaved{Run: r.Message(), Checkpoint: r.saved})
 		}
-		event.Log(d.Log, event.AttemptLost, "flow", r.Flow, "run", r.String(), "server", s.id, "checkpoint", r.saved, "over", over)
+		event.Log(d.Log, event.AttemptLost, "flow", r.Flow, "run", r.String(), "server", s.id, "checkpoint", r.saved, "over", over, "age", d.age(s, r).String(), "beside", beside)
 		d.meter.end(inner.RunEnd_RUN_END_LOST)
 	}
 	if d.decide(&record.Flow{What: &record.Flow_Clear{Clear: c}}) {
@@ -72,3 +73,13 @@
 		s.known = false
 	}
 }
+
+// age returns how long a run had been placed when its server fell silent, or until
+// now where it did not.
+func (d *Dispatcher) age(s *session, r *run) time.Duration {
+	age := d.Host.Clock() - r.held.Since
+	if s.silent {
+		age -= d.Now() - s.broke
+	}
+	return max(age, 0)
+}
--- a/internal/control/dispatch/session.go
+++ b/internal/control/dispatch/session.go
@@ -59,8 +59,9 @@
 	// the latest whose record is committed.
 	taken  uint64
 	cursor uint64
-	// silent tells that the latest hold failed.
+	// silent tells that the latest hold failed, broke when the first one in a row did.
 	silent bool
+	broke  time.Duration
 	fails  int
 	absent int
 	// next is when the next hold is due.
@@ -286,7 +287,8 @@
 // failed notes a failed hold and when the next one is due.
 func (d *Dispatcher) failed(s *session, a *inner.ServerAnswer) {
 	if !s.silent {
-		event.Log(d.Log, event.ServerSuspect, "server", s.id, "born", s.born, "verdict", a.GetVerdict().String(), "detail", a.GetDetail(), "held", len(s.runs), "lease", (s.over - d.Now()).String())
+		s.broke = d.Now()
+		event.Log(d.Log, event.ServerSuspect, "server", s.id, "born", s.born, "verdict", a.GetVerdict().String(), "detail", a.GetDetail(), "held", len(s.runs), "lease", (s.over - s.broke).String())
 	}
 	s.silent = true
 	s.fails++
