Failing tests: a task that crashes its servers is placed again without end

The stand-in of a server now breaks the connection of a call that waits there when its process dies, as a real one does; it held the answer back before.

--- a/internal/control/dispatch/harness_test.go
+++ b/internal/control/dispatch/harness_test.go
@@ -160,8 +160,14 @@
 	twice []string
 	// capacity is that of each worker.
 	capacity capacity.Size
+	// crashes tells whether a run takes its worker down as it begins; nil for none.
+	// crashed counts the workers that went down, by the task that did it.
+	crashes func(flow.RunID) bool
+	crashed map[flow.TaskID]int
 	// work is what runs do on a new life.
 	work func(flow.RunID) (time.Duration, inner.RunEnd)
+	// lives are the workers that are on their way back.
+	lives sync.WaitGroup
 	// down are the workers under upkeep, mostDown the most at once, and
 	// interrupted counts the runs that an upkeep ended.
 	down        map[string]bool
@@ -287,7 +293,7 @@
 func newWorld(t *testing.T, n int) *world {
 	w := &world{
 		host:    &host{t: t, begin: time.Now(), posts: make(chan func(), 1024), done: make(chan struct{}), ledger: flows.New()},
-		workers: map[string]*worker.Worker{}, begun: map[flow.RunID]int{}, down: map[string]bool{}, relays: map[string]string{}, reached: map[string]time.Duration{}, orders: map[uint64]time.Duration{},
+		workers: map[string]*worker.Worker{}, crashed: map[flow.TaskID]int{}, begun: map[flow.RunID]int{}, down: map[string]bool{}, relays: map[string]string{}, reached: map[string]time.Duration{}, orders: map[uint64]time.Duration{},
 		work:     func(flow.RunID) (time.Duration, inner.RunEnd) { return time.Second, inner.RunEnd_RUN_END_DONE },
 		capacity: capacity.Size{CPU: 4000, Memory: 4000},
 	}
@@ -385,6 +391,27 @@
 func (w *world) started(id string, r flow.RunID) {
 	// The worker is locked while it tells, so the others are asked beside it.
 	go w.compare(id, r)
+	if w.crashes != nil && w.crashes(r) {
+		time.AfterFunc(10*time.Millisecond, func() { w.crash(id, &r.TaskID) })
+	}
+}
+
+// crash takes a worker down, which is back under another name after three seconds.
+func (w *world) crash(id string, by *flow.TaskID) {
+	w.mu.Lock()
+	one := w.workers[id]
+	if by != nil {
+		w.crashed[*by]++
+	}
+	w.mu.Unlock()
+	one.Crash()
+	w.lives.Go(func() {
+		select {
+		case <-w.done:
+		case <-time.After(3 * time.Second):
+			w.add("r"+id, one.Born+1)
+		}
+	})
 }
 
 func (w *world) compare(id string, r flow.RunID) {
@@ -482,6 +509,7 @@
 func (w *world) end() {
 	w.do(func() { w.leads = false; w.d.Deposed() })
 	close(w.done)
+	w.lives.Wait()
 	w.check()
 }
 
--- a/internal/fake/worker/worker.go
+++ b/internal/fake/worker/worker.go
@@ -167,7 +167,12 @@
 			return a
 		case <-time.After(look):
 		}
-		if a = w.carryOut(c); len(a.Ended) > 0 {
+		a = w.carryOut(c)
+		switch {
+		case a.Verdict == inner.Verdict_VERDICT_ABSENT:
+			// Its process died, and the connection broke.
+			return &inner.ServerAnswer{Verdict: inner.Verdict_VERDICT_SILENT}
+		case len(a.Ended) > 0:
 			return a
 		}
 	}
