A task under which servers crash again and again is given up

Cause: a run that was lost with its server counted for nothing. Only ends that a server lists as failed used up attempts, and a server that crashed lists nothing. Now the ledger counts the servers in a row that crashed under a task, and those that it may have crashed itself: of the runs there that had been ordered to start within 250 ms, the ones suspected most before (policy/blame). Three of these, or four of any kind, give the flow up as failed. A server that left, was down for its upkeep, or whose lease ran out has not crashed; a run that worked for a minute clears its task. A suspected task begins on a server where nothing else begins meanwhile, on at most an eighth of a pool. Two crashes would be allowed; a trial with two gave up sound work beside servers that crash by themselves (TestSoundWorkOutlivesServersThatCrash), so it is three.

--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -149,6 +149,8 @@
 	TimeDiffers     = def(825, "time-differs", Warn, "this machine's time of day is off from that of most processes", "Check the machine's clock; the ledger's time does not follow it.")
 	ZoneMarked      = def(826, "zone-marked", Info, "availability zone drained or taken back", "None. `drain` tells which; `gypsumreel zone list` shows what still runs there.")
 	ZoneRefused     = def(827, "zone-refused", Warn, "order about an unknown availability zone refused", "Compare the name with `gypsumreel zone list`.")
+	RunBlamed       = def(828, "run-blamed", Warn, "a server crashed just after a run had begun there; its task is tried apart", "None. `crashes` counts the servers in a row that crashed under the task.")
+	FlowGivenUp     = def(829, "flow-given-up", Error, "a flow failed: servers crashed under a task of it again and again", "Tell the customer; see 828 of that flow for what it took down.")
 	LinesLost       = def(816, "lines-lost", Warn, "log lines were left out: the reader is too slow", "Read the logs faster, or log less.")
 )
 
--- a/internal/control/dispatch/crash_test.go
+++ b/internal/control/dispatch/crash_test.go
@@ -79,13 +79,14 @@
 func TestSoundWorkOutlivesServersThatCrash(t *testing.T) {
 	play(t, 12, func(t *testing.T, w *world) {
 		w.change(func(_ string, one *worker.Worker) {
-			one.Work = func(flow.RunID) (time.Duration, inner.RunEnd) { return 800 * time.Millisecond, inner.RunEnd_RUN_END_DONE }
+			one.Work = func(flow.RunID) (time.Duration, inner.RunEnd) {
+				return 800 * time.Millisecond, inner.RunEnd_RUN_END_DONE
+			}
 		})
-		stop := make(chan struct{})
 		w.lives.Go(func() {
 			for i := 0; ; i++ {
 				select {
-				case <-stop:
+				case <-w.done:
 					return
 				case <-time.After(400 * time.Millisecond):
 				}
@@ -99,7 +100,6 @@
 		for i := range 40 {
 			w.await(fmt.Sprint("b", i), done, 20*time.Second)
 		}
-		close(stop)
 	})
 }
 
--- a/internal/control/dispatch/life.go
+++ b/internal/control/dispatch/life.go
@@ -60,26 +60,34 @@
 // clear records that nothing that a life held runs any more.
 func (d *Dispatcher) clear(s *session, over bool) {
 	c := &record.FlowClear{Id: s.id, Born: s.born, Over: over}
-	beside := len(s.runs) - 1
+	how := inner.RunEnd_RUN_END_LOST
+	if over && d.crashed(s) {
+		how, c.Blamed = inner.RunEnd_RUN_END_CRASHED, d.blamed(s)
+	}
+	before, beside := d.wanted(s), len(s.runs)-1
 	for _, r := range s.runs {
 		if r.saved != "" {
 			c.Saved = append(c.Saved, &record.FlowSaved{Run: r.Message(), Checkpoint: r.saved})
 		}
-		event.Log(d.Log, event.AttemptLost, "flow", r.Flow, "run", r.String(), "server", s.id, "checkpoint", r.saved, "over", over, "age", d.age(s, r).String(), "beside", beside)
-		d.meter.end(inner.RunEnd_RUN_END_LOST)
+		event.Log(d.Log, event.AttemptLost, "flow", r.Flow, "run", r.String(), "server", s.id, "how", how.String(), "checkpoint", r.saved, "over", over, "age", d.age(s, r).String(), "beside", beside)
+		d.meter.end(how)
 	}
 	if d.decide(&record.Flow{What: &record.Flow_Clear{Clear: c}}) {
+		d.givenUp(s, before)
 		s.runs = map[flow.TaskID]*run{}
 		s.known = false
 	}
 }
 
-// age returns how long a run had been placed when its server fell silent, or until
-// now where it did not.
+// age returns how long before its server fell silent, or before now where it did not, a
+// run was ordered to start; one that another leader placed, how long it was placed.
 func (d *Dispatcher) age(s *session, r *run) time.Duration {
-	age := d.Host.Clock() - r.held.Since
+	now := d.Now()
 	if s.silent {
-		age -= d.Now() - s.broke
+		now = s.broke
+	}
+	if r.sent > 0 {
+		return max(now-r.sent, 0)
 	}
-	return max(age, 0)
+	return max(d.Host.Clock()-r.held.Since-(d.Now()-now), 0)
 }
--- a/internal/control/dispatch/order.go
+++ b/internal/control/dispatch/order.go
@@ -34,6 +34,8 @@
 	held *flows.Held
 	// placed is when it was decided, on our clock; 0 when another leader did.
 	placed time.Duration
+	// sent is when its start first left; 0 for never, by this leader.
+	sent   time.Duration
 	permit string
 	// urgent tells that somebody waits for it and that it is over soon.
 	urgent bool
@@ -103,6 +105,10 @@
 	}
 	r.busy++
 	r.tries++
+	if r.sent == 0 {
+		r.sent = d.Now()
+		d.tries(s, r, r.sent)
+	}
 	c := &inner.StartRun{Run: r.Message(), Input: f.Spec.GetInput(), Checkpoint: step.Tasks[r.Index].Checkpoint, Permit: r.permit}
 	// A server that does not answer may hear all the same: trying again must not
 	// lengthen the lease of what cannot be placed elsewhere before it is over.
--- a/internal/ledger/flows/flows.go
+++ b/internal/ledger/flows/flows.go
@@ -9,7 +9,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"gypsumreel/internal/api/inner"
 	"gypsumreel/internal/api/record"
 	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/base/code"
@@ -95,6 +94,10 @@
 	Number uint32
 	// Fails counts the runs that ended as failed.
 	Fails uint32
+	// Crashes counts the servers in a row that crashed under it, Blamed those of them
+	// that it may have crashed itself.
+	Crashes uint32
+	Blamed  uint32
 	// Checkpoint is where the next run goes on; empty for the beginning.
 	Checkpoint string
 	// Server and Born are where the latest run was placed.
@@ -299,6 +302,3 @@
 
 // lasts tells whether a step's tasks run until their flow is cancelled.
 func (s *Step) lasts() bool { return s.Spec.GetLasting() }
-
-// counts tells whether a way of ending uses up an attempt.
-func counts(how inner.RunEnd) bool { return how == inner.RunEnd_RUN_END_FAILED }
--- a/internal/ledger/flows/flows_test.go
+++ b/internal/ledger/flows/flows_test.go
@@ -153,6 +153,17 @@
 	m.apply(t, &record.Flow{What: &record.Flow_Clear{Clear: &record.FlowClear{Id: b.ID, Born: b.Born}}})
 }
 
+// Crash ends a life of a server under all that it held, some of which may be at fault.
+func (m *machine) Crash(t *rapid.T) {
+	b, _ := m.l.Server(rapid.SampledFrom(m.servers).Draw(t, "server"))
+	c := &record.FlowClear{Id: b.ID, Born: b.Born, Over: true}
+	for _, h := range b.Held {
+		c.Blamed = append(c.Blamed, h.Message())
+	}
+	m.apply(t, &record.Flow{What: &record.Flow_Clear{Clear: c}})
+	m.born(t, b.ID, b.Born+1)
+}
+
 // Restore goes on from a snapshot.
 func (m *machine) Restore(t *rapid.T) {
 	l, err := flows.Restore(m.l.Record())
--- a/internal/ledger/flows/run.go
+++ b/internal/ledger/flows/run.go
@@ -31,7 +31,7 @@
 		b.Cursor, b.Used, b.Held = old.Cursor, old.Used, old.Held
 	} else if known {
 		// The life before this one is over, and with it all that it held.
-		l.lose(at, old, nil)
+		l.over(at, old, nil, nil)
 	}
 	l.servers[b.ID] = b
 	l.mixText(b.ID)
@@ -51,20 +51,34 @@
 	}
 	b.Over = b.Over || c.GetOver()
 	l.mixText(b.ID)
-	l.lose(at, b, c.GetSaved())
+	if c.GetOver() {
+		l.over(at, b, c.GetSaved(), c.GetBlamed())
+		return nil
+	}
+	l.lose(at, b, inner.RunEnd_RUN_END_LOST, c.GetSaved())
 	return nil
 }
 
+// over ends a life of a server and everything that it held.
+func (l *Ledger) over(at time.Duration, b *Server, saved []*record.FlowSaved, blamed []*inner.Run) {
+	if l.Planned(b) {
+		l.lose(at, b, inner.RunEnd_RUN_END_LOST, saved)
+		return
+	}
+	l.crash(at, b, blamed)
+	l.lose(at, b, inner.RunEnd_RUN_END_CRASHED, saved)
+}
+
 // lose ends everything that a server held, in the order of the runs' names, so
 // that every replica takes the same path.
-func (l *Ledger) lose(at time.Duration, b *Server, saved []*record.FlowSaved) {
+func (l *Ledger) lose(at time.Duration, b *Server, how inner.RunEnd, saved []*record.FlowSaved) {
 	kept := map[flow.RunID]string{}
 	for _, s := range saved {
 		kept[flow.RunOf(s.GetRun())] = s.GetCheckpoint()
 	}
 	for _, id := range sortedTasks(b.Held) {
 		h := b.Held[id]
-		l.end(at, b, h.RunID, inner.RunEnd_RUN_END_LOST, kept[h.RunID])
+		l.end(at, b, h.RunID, how, kept[h.RunID])
 	}
 }
 
@@ -272,10 +286,13 @@
 	}
 }
 
-// failed counts a failed run, once for a whole gang, and tells whether it was
+// failed counts a run that its task may be at fault for, and tells whether it was
 // one too many. Lasting tasks may fail without end.
 func (l *Ledger) failed(s *Step, id flow.RunID, how inner.RunEnd) bool {
-	if !counts(how) || s.lasts() {
+	switch {
+	case how == inner.RunEnd_RUN_END_CRASHED:
+		return s.Tasks[id.Index].crashing()
+	case how != inner.RunEnd_RUN_END_FAILED || s.lasts():
 		return false
 	}
 	q, ok := l.QueueOf(s.Flow)
@@ -285,7 +302,7 @@
 	}
 	if s.Spec.GetGang() {
 		if s.Counted == id.Number {
-			return false
+			return false // once for a whole gang
 		}
 		s.Counted = id.Number
 		s.Fails++
--- a/internal/ledger/flows/snapshot.go
+++ b/internal/ledger/flows/snapshot.go
@@ -57,6 +57,7 @@
 	for _, t := range s.Tasks {
 		r.Tasks = append(r.Tasks, &record.TaskRecord{
 			Phase: uint32(t.Phase), Number: t.Number, Fails: t.Fails, Checkpoint: t.Checkpoint, Server: t.Server, Born: t.Born,
+			Crashes: t.Crashes, Blamed: t.Blamed,
 		})
 	}
 	return r
@@ -139,7 +140,7 @@
 	for i, tm := range m.GetTasks() {
 		s.Tasks[i] = Task{
 			Phase: Phase(tm.GetPhase()), Number: tm.GetNumber(), Fails: tm.GetFails(), Checkpoint: tm.GetCheckpoint(),
-			Server: tm.GetServer(), Born: tm.GetBorn(),
+			Server: tm.GetServer(), Born: tm.GetBorn(), Crashes: tm.GetCrashes(), Blamed: tm.GetBlamed(),
 		}
 		s.count(s.Tasks[i].Phase, 1)
 	}
--- a/internal/policy/steps/gang.go
+++ b/internal/policy/steps/gang.go
@@ -41,6 +41,7 @@
 		p.want(it, append(stale, good...), options)
 		return
 	}
+	p.keepGang(it, chosen)
 	p.plan.Placements = append(p.plan.Placements, Placement{it, places})
 }
 
--- a/internal/policy/steps/steps.go
+++ b/internal/policy/steps/steps.go
@@ -66,6 +66,8 @@
 	heads map[string]Headroom
 	spare map[string]int64
 	ever  map[string]int64
+	// trials is for how many more suspected tasks a server of each pool may be kept.
+	trials map[string]int
 }
 
 // room is what is left on a server in the course of a plan.
@@ -82,6 +84,8 @@
 	// asked for.
 	frees []Release
 	freed bool
+	// trial tells that it is left to a task that may crash it.
+	trial bool
 	// kept is what is kept free for gangs that wait, and until when they wait.
 	kept  capacity.Size
 	until time.Duration
@@ -122,12 +126,12 @@
 	p := &planner{
 		Planner: m, view: v, used: map[string]capacity.Size{},
 		waiting: map[string]int{}, sizes: map[string]int{}, ahead: map[string]int{}, most: map[string]int64{},
-		heads: map[string]Headroom{}, spare: map[string]int64{}, ever: map[string]int64{},
+		heads: map[string]Headroom{}, spare: map[string]int64{}, ever: map[string]int64{}, trials: map[string]int{},
 	}
 	for i, s := range v.Servers {
 		free := s.Free()
 		r := &m.rooms[i]
-		*r = room{Server: s, free: free, began: free.CPU}
+		*r = room{Server: s, free: free, began: free.CPU, trial: s.Trial}
 		p.servers = append(p.servers, r)
 		p.byID[s.ID] = r
 	}
@@ -166,6 +170,7 @@
 	}
 	for pool, rooms := range pools {
 		p.sizes[pool] = len(rooms)
+		p.trials[pool] = trialsOf(rooms)
 		for _, r := range rooms {
 			p.most[pool] = max(p.most[pool], r.free.CPU)
 		}
@@ -244,6 +249,26 @@
 	p.used[it.Flow.Customer] = p.used[it.Flow.Customer].Add(size)
 }
 
+// filling is what was found for a step whose tasks start one by one.
+type filling struct {
+	item   Item
+	places []Place
+	// stale are the servers whose permits have to be asked for first.
+	stale []string
+}
+
+// put starts tasks on a server, or keeps the room until its permit is there.
+func (p *planner) put(f *filling, o option, tasks []uint32) {
+	p.take(f.item, o.room, int64(len(tasks)))
+	if o.permission != Granted {
+		f.stale = append(f.stale, o.ID)
+		return
+	}
+	for _, i := range tasks {
+		f.places = append(f.places, Place{flow.TaskID{StepID: f.item.StepID, Index: i}, o.ID})
+	}
+}
+
 // singles places the tasks of a step one by one.
 func (p *planner) singles(it Item) {
 	left := min(int64(it.Queued), p.allowed(it))
@@ -252,34 +277,25 @@
 	}
 	p.next()
 	options := p.options(it)
-	var places []Place
-	var stale []string
-	next := queuedTasks(it.Step)
+	f := &filling{item: it}
+	sound, suspected := p.waits(it, int(left))
 	for _, o := range options {
-		if left == 0 {
+		if len(sound) == 0 {
 			break
 		}
-		n := p.within(it, o.room, min(o.count, left))
-		if n == 0 {
-			continue
-		}
-		p.take(it, o.room, n)
-		left -= n
-		if o.permission != Granted {
-			stale = append(stale, o.ID)
-			continue
-		}
-		for range n {
-			places = append(places, Place{flow.TaskID{StepID: it.StepID, Index: next()}, o.ID})
+		if n := p.within(it, o.room, min(o.count, int64(len(sound)))); n > 0 {
+			p.put(f, o, sound[:n])
+			sound = sound[n:]
 		}
 	}
-	if len(places) > 0 {
-		p.plan.Placements = append(p.plan.Placements, Placement{it, places})
+	suspected = p.tryApart(f, options, suspected)
+	if len(f.places) > 0 {
+		p.plan.Placements = append(p.plan.Placements, Placement{it, f.places})
 	}
 	switch {
-	case len(stale) > 0:
-		p.want(it, stale, options)
-	case left > 0:
+	case len(f.stale) > 0:
+		p.want(it, f.stale, options)
+	case len(sound)+len(suspected) > 0:
 		if !p.ask(it) {
 			p.foresee(it)
 		}
--- /dev/null
+++ b/internal/policy/steps/trial_test.go
@@ -0,0 +1,96 @@
+package steps_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gypsumreel/internal/domain/capacity"
+	"gypsumreel/internal/policy/steps"
+)
+
+// suspect marks the first tasks of an item as ones that may have crashed a server.
+func suspect(it steps.Item, n int) steps.Item {
+	for i := range n {
+		it.Tasks[i].Blamed = 1
+	}
+	return it
+}
+
+// Work that may crash its server begins beside other work, takes that down with it, and
+// nobody can tell which of them it was.
+func TestSuspectedTasksBeginApart(t *testing.T) {
+	var servers []steps.Server
+	for i := range 32 {
+		servers = append(servers, server(fmt.Sprintf("s%02d", i), 4000))
+	}
+	servers[0].Used = capacity.Size{CPU: 1000}
+	plan := steps.Make(view(servers, suspect(item("a", tasks(4, 1000)), 2), item("b", tasks(100, 1000))))
+	began, suspected := map[string]int{}, map[string]bool{}
+	for _, one := range plan.Placements {
+		for _, p := range one.Places {
+			began[p.Server]++
+			if p.Flow == "a" && p.Index < 2 {
+				suspected[p.Server] = true
+			}
+		}
+	}
+	if len(suspected) != 2 {
+		t.Fatalf("two suspected tasks began on %v", suspected)
+	}
+	for s := range suspected {
+		if began[s] != 1 || s == "s00" {
+			t.Errorf("%d tasks began on %s, which a suspected one was to have for itself", began[s], s)
+		}
+	}
+}
+
+// Something begins on a server while it is seen there whether a task crashes it.
+func TestNothingBeginsBesideATrial(t *testing.T) {
+	a, b := server("a", 4000), server("b", 4000)
+	a.Trial = true
+	check(t, map[string]int{"x on b": 4}, steps.Make(view([]steps.Server{a, b}, item("x", tasks(8, 1000)))))
+	check(t, map[string]int{"x on b": 4}, steps.Make(view([]steps.Server{a, b}, item("x", gang(4, 1000)))))
+}
+
+// After the loss of a rack all that ran there is suspected, and the servers that are
+// left are kept for it while nothing else begins.
+func TestTrialsLeaveMostServers(t *testing.T) {
+	var servers []steps.Server
+	for i := range 16 {
+		servers = append(servers, server(fmt.Sprintf("s%02d", i), 4000))
+	}
+	plan := steps.Make(view(servers, suspect(item("a", tasks(40, 1000)), 40), item("b", tasks(12, 1000))))
+	n := 0
+	for _, one := range plan.Placements {
+		n += len(one.Places)
+	}
+	if least := 52; n < least {
+		t.Errorf("%d tasks began, there is room for %d beside two trials", n, least)
+	}
+}
+
+// A gang with a suspected member begins beside other work that begins.
+func TestSuspectedGangBeginsApart(t *testing.T) {
+	var servers []steps.Server
+	for i := range 16 {
+		servers = append(servers, server(fmt.Sprintf("s%02d", i), 4000))
+	}
+	plan := steps.Make(view(servers, suspect(item("a", gang(6, 1000)), 1), item("b", tasks(40, 1000))))
+	of := map[string]map[string]bool{}
+	for _, one := range plan.Placements {
+		for _, p := range one.Places {
+			if of[p.Server] == nil {
+				of[p.Server] = map[string]bool{}
+			}
+			of[p.Server][p.Flow] = true
+		}
+	}
+	for s, flows := range of {
+		if flows["a"] && len(flows) > 1 {
+			t.Errorf("work began on %s beside the gang", s)
+		}
+	}
+	if len(plan.Placements) != 2 {
+		t.Errorf("%d placements, want 2", len(plan.Placements))
+	}
+}
