explain names flows that were given up, and counts runs lost with their servers

On call saw only 'failed for good' for a flow whose task crashed its servers, and 'slow run' where a run was lost with its server: attempt-lost was not read. Test: the log of one flow for each cause has one more.

--- a/internal/cli/explain/cause.go
+++ b/internal/cli/explain/cause.go
@@ -22,6 +22,8 @@
 	Cancelled Cause = "cancelled"
 	// LeaderChanged flows waited while the lead changed.
 	LeaderChanged Cause = "change of the leader"
+	// Crashing flows were given up: servers crashed under a task again and again.
+	Crashing Cause = "crashed its servers"
 	// RunLost flows had a run that ended with its server, or never started.
 	RunLost Cause = "run lost"
 	// StoodStill flows had a run that was moved since it stood still or crawled.
@@ -55,6 +57,8 @@
 	state string
 	// lost, failed and moved count its runs that did not end well.
 	lost, failed, moved int
+	// gaveUp tells that servers crashed under it too often.
+	gaveUp bool
 	// refusal is the code of the last refusal.
 	refusal int
 }
@@ -81,6 +85,12 @@
 		j.moved++
 	case "run-ended":
 		j.end(l)
+	case "attempt-lost":
+		j.lost++
+	case "flow-given-up":
+		j.gaveUp = true
+		first(&j.ended, l.At)
+		j.state = "FAILED"
 	case "flow-cancelled":
 		j.state = "CANCELLED"
 	}
@@ -115,6 +125,8 @@
 		return Unknown
 	case j.state == "CANCELLED":
 		return Cancelled
+	case j.gaveUp:
+		return Crashing
 	case j.state == "FAILED":
 		return Failed
 	case j.state == "DONE" && (j.aim == 0 || j.took(end) <= j.aim):
--- a/internal/cli/explain/summary.go
+++ b/internal/cli/explain/summary.go
@@ -72,6 +72,7 @@
 var names = [][]byte{
 	[]byte(`"flow-accepted"`), []byte(`"call-answered"`), []byte(`"advice-taken"`), []byte(`"runs-placed"`),
 	[]byte(`"run-moved"`), []byte(`"run-ended"`), []byte(`"flow-cancelled"`), []byte(`"leader-elected"`),
+	[]byte(`"attempt-lost"`), []byte(`"flow-given-up"`),
 }
 
 // take takes one line of a log.
--- a/internal/cli/explain/summary_test.go
+++ b/internal/cli/explain/summary_test.go
@@ -26,7 +26,7 @@
 		b.WriteString(at(ms, "run-ended", fmt.Sprintf(`"flow":%q,"how":"RUN_END_%s","state":"FLOW_STATE_%s"`, id, how, state)))
 	}
 	tell := func(ms int, name, id string) { b.WriteString(at(ms, name, fmt.Sprintf(`"flow":%q`, id))) }
-	for _, id := range []string{"good", "lost", "failing", "hopeless", "moved", "unpermitted", "roomless", "slow", "cancelled"} {
+	for _, id := range []string{"good", "lost", "failing", "hopeless", "moved", "unpermitted", "roomless", "slow", "cancelled", "crashing"} {
 		accept(1000, id)
 		if id != "unpermitted" {
 			tell(1010, "advice-taken", id)
@@ -49,6 +49,8 @@
 	end(2700, "roomless", "DONE", "DONE")
 	end(2800, "slow", "DONE", "DONE")
 	tell(1100, "flow-cancelled", "cancelled")
+	tell(1500, "attempt-lost", "crashing")
+	tell(1600, "flow-given-up", "crashing")
 	accept(5000, "across")
 	b.WriteString(at(5500, "leader-elected", `"term":2`))
 	end(7000, "across", "DONE", "DONE")
@@ -82,15 +84,15 @@
 	}
 	want := map[string]int{
 		"in time": 1, "run lost": 1, "task failed": 1, "failed for good": 1, "run stood still": 1, "no permit yet": 1,
-		"no room": 1, "slow run": 1, "cancelled": 1, "change of the leader": 1, "refused": 1,
+		"no room": 1, "slow run": 1, "cancelled": 1, "change of the leader": 1, "refused": 1, "crashed its servers": 1,
 	}
 	if diff := cmp.Diff(want, causes); diff != "" {
 		t.Error(diff)
 	}
-	if diff := cmp.Diff([]string{"1 with code 701"}, got.Refusals); diff != "" || got.Flows != 11 || got.Foreign != 1 {
+	if diff := cmp.Diff([]string{"1 with code 701"}, got.Refusals); diff != "" || got.Flows != 12 || got.Foreign != 1 {
 		t.Error(diff, got.Flows, got.Foreign)
 	}
-	if len(got.Seconds) != 2 || got.Seconds[0].Flows != 8 || got.Seconds[0].Missed != 7 || got.Seconds[1].Changes != 1 {
+	if len(got.Seconds) != 2 || got.Seconds[0].Flows != 9 || got.Seconds[0].Missed != 8 || got.Seconds[1].Changes != 1 {
 		t.Errorf("%+v", got.Seconds)
 	}
 }
