A report that comes late does not undo a later one at the next leader

The order of reports was kept by each leader for itself; at the next one a report that was held up on its way let the server grow back to what it no longer holds, until its next one. Evidence: TestLateReportDoesNotGrowAServer, 3 tasks on a server that holds one before, 1 now. The number of the report that last changed anything is in the ledger, which refuses an older one within the same life. That new work follows what a server says, down and up, held already: TestRoomFollowsWhatAServerSays. The random test of the ledger resizes servers; as what runs there may then be more than the server holds, its check moves from all moments to each start: no start is taken on a server that has more than it holds then.

--- a/internal/control/dispatch/server.go
+++ b/internal/control/dispatch/server.go
@@ -47,7 +47,7 @@
 	case known && r.GetBorn() < old.Born:
 		reply(nil) // a late report of a life before
 		return
-	case known && r.GetBorn() == old.Born && old.Over:
+	case known && r.GetBorn() == old.Born && (old.Over || r.Call < old.Call):
 		reply(nil)
 		return
 	case s != nil && s.born < r.GetBorn():
@@ -70,6 +70,7 @@
 	if known && old.Born == r.GetBorn() && old.Leaving {
 		r.Leaving = true
 	}
+	r.FlowServer.Call = r.Call
 	if !d.decide(&record.Flow{What: &record.Flow_Server{Server: r.FlowServer}}) {
 		reply(code.New(code.Stale, "%s", r.GetId()))
 		return
@@ -122,6 +123,6 @@
 func message(b *flows.Server) *record.FlowServer {
 	return &record.FlowServer{
 		Id: b.ID, Born: b.Born, Address: b.Address, Zone: b.Zone, Pool: b.Pool, Machine: b.Machine,
-		Capacity: sizeMessage(b.Capacity), Labels: b.Labels, Leaving: b.Leaving, Cursor: b.Cursor,
+		Capacity: sizeMessage(b.Capacity), Labels: b.Labels, Leaving: b.Leaving, Cursor: b.Cursor, Call: b.Call,
 	}
 }
--- a/internal/ledger/flows/flows.go
+++ b/internal/ledger/flows/flows.go
@@ -120,6 +120,8 @@
 	Leaving bool
 	// Warm is when it stops being slow after its start, on the ledger's clock.
 	Warm time.Duration
+	// Call is the number of the latest report that changed anything.
+	Call uint64
 	// Over tells that this life has ended.
 	Over bool
 	// Cursor is the number up to which this life's ends are recorded.
--- a/internal/ledger/flows/run.go
+++ b/internal/ledger/flows/run.go
@@ -21,12 +21,15 @@
 	}
 	b := &Server{
 		ID: m.GetId(), Born: m.GetBorn(), Address: m.GetAddress(), Zone: m.GetZone(), Pool: m.GetPool(), Machine: m.GetMachine(),
-		Capacity: sizeOf(m.GetCapacity()), Labels: m.GetLabels(), Leaving: m.GetLeaving(), Warm: at + time.Duration(m.GetCold())*time.Millisecond, Held: map[flow.TaskID]*Held{},
+		Capacity: sizeOf(m.GetCapacity()), Labels: m.GetLabels(), Leaving: m.GetLeaving(), Call: m.GetCall(), Warm: at + time.Duration(m.GetCold())*time.Millisecond, Held: map[flow.TaskID]*Held{},
 	}
 	if known && m.GetBorn() == old.Born {
 		if old.Over {
 			return code.New(code.Stale, "that life of %s is over", m.GetId())
 		}
+		if m.GetCall() < old.Call {
+			return code.New(code.Stale, "%s has reported since", m.GetId())
+		}
 		b.Leaving = b.Leaving || old.Leaving
 		b.Cursor, b.Used, b.Held = old.Cursor, old.Used, old.Held
 	} else if known {
--- a/internal/ledger/flows/snapshot.go
+++ b/internal/ledger/flows/snapshot.go
@@ -67,7 +67,7 @@
 	r := &record.ServerRecord{Server: &record.FlowServer{
 		Id: b.ID, Born: b.Born, Address: b.Address, Zone: b.Zone, Pool: b.Pool, Machine: b.Machine,
 		Capacity: &v1.Size{Cpu: b.Capacity.CPU, Memory: b.Capacity.Memory, Accel: b.Capacity.Accel, Slots: b.Capacity.Slots},
-		Labels:   b.Labels, Leaving: b.Leaving, Cursor: b.Cursor,
+		Labels:   b.Labels, Leaving: b.Leaving, Cursor: b.Cursor, Call: b.Call,
 	}, Over: b.Over, Warm: int64(b.Warm)}
 	for _, id := range sortedTasks(b.Held) {
 		h := b.Held[id]
@@ -168,7 +168,7 @@
 	b := &Server{
 		ID: s.GetId(), Born: s.GetBorn(), Address: s.GetAddress(), Zone: s.GetZone(), Pool: s.GetPool(), Machine: s.GetMachine(),
 		Capacity: sizeOf(s.GetCapacity()), Labels: s.GetLabels(), Leaving: s.GetLeaving(), Cursor: s.GetCursor(),
-		Over: m.GetOver(), Warm: time.Duration(m.GetWarm()), Held: map[flow.TaskID]*Held{},
+		Call: s.GetCall(), Over: m.GetOver(), Warm: time.Duration(m.GetWarm()), Held: map[flow.TaskID]*Held{},
 	}
 	l.servers[b.ID] = b
 	for _, h := range m.GetHeld() {
