A start is not sent to a server that has shrunk below what is placed there

Evidence: TestStartIsNotRepeatedOnAServerThatShrank: a second start left and two tasks ran on a server that held one; now the start is taken back, or stopped where it may have arrived, and the task is placed elsewhere.

--- a/internal/control/dispatch/capacity_test.go
+++ b/internal/control/dispatch/capacity_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 	"gypsumreel/internal/api/record"
 	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/control/dispatch"
+	"gypsumreel/internal/fake/worker"
 )
 
 // holds lets a server say how much it holds, by the report of that number.
@@ -79,3 +81,41 @@
 		}
 	})
 }
+
+// A start is on its way while its server becomes smaller. Sent again, it would take the
+// server beyond what it holds.
+func TestStartIsNotRepeatedOnAServerThatShrank(t *testing.T) {
+	play(t, 1, func(t *testing.T, w *world) {
+		var starts atomic.Int32
+		w.lasting()
+		w.holds("s1", 4000, 2)
+		w.submit("a", lastingStep(1, 1000))
+		time.Sleep(500 * time.Millisecond)
+		w.change(func(_ string, one *worker.Worker) {
+			one.Fault = func(c *inner.ServerCall) worker.Fault {
+				if c.GetStart() == nil || c.GetStart().GetRun().GetFlow() != "b" {
+					return worker.Fault{}
+				}
+				if starts.Add(1) == 1 {
+					return worker.Fault{Verdict: inner.Verdict_VERDICT_SILENT}
+				}
+				return worker.Fault{}
+			}
+		})
+		w.submit("b", lastingStep(1, 3000))
+		for starts.Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		w.holds("s1", 2000, 3)
+		time.Sleep(2 * time.Second)
+		if n := w.running(); n != 1 || starts.Load() != 1 {
+			t.Errorf("%d tasks run on a server that holds one of them, a start was sent %d times", n, starts.Load())
+		}
+		w.holds("s1", 4000, 4)
+		w.await("b", running, 5*time.Second)
+		time.Sleep(2 * time.Second)
+		if n := w.running(); n != 2 {
+			t.Errorf("%d tasks run on a server that has grown again, want both", n)
+		}
+	})
+}
--- a/internal/control/dispatch/order.go
+++ b/internal/control/dispatch/order.go
@@ -99,7 +99,7 @@
 		d.disband(r) // its life is over, and its end recorded once that is settled
 		return
 	}
-	if b, ok := d.Host.Flows().Server(s.id); s.silent || ok && d.Host.Flows().Drained(b.Zone) {
+	if b, ok := d.Host.Flows().Server(s.id); s.silent || ok && (d.Host.Flows().Drained(b.Zone) || !b.Used.Fits(b.Capacity)) {
 		d.withdraw(s, r)
 		return
 	}
