A job whose tasks lose server after server just as they begin is given up

Evidence: TestJobThatCrashesItsServersIsGivenUp, never given up in eight losses before, after the third now; a job that had worked for an hour each time is not. Now a job's budget counts, for each of its tasks, the servers in a row that fell silent within five seconds of its placement there; three give it up, with that reason.

--- a/internal/policy/cell/books.go
+++ b/internal/policy/cell/books.go
@@ -30,6 +30,8 @@
 	spot    fit.Spot[*server]
 	// rooms are the pieces of the urgent reserve on the server.
 	rooms int
+	// silent is when it was last found silent.
+	silent time.Duration
 	// restored is when bringing it back was last decided.
 	restored time.Duration
 }
--- a/internal/policy/cell/cell.go
+++ b/internal/policy/cell/cell.go
@@ -229,6 +229,9 @@
 	if s.State != backend.Quarantined && old.State == backend.Quarantined || s.Incarnation != old.Incarnation {
 		p.guard.Leave(srv.num)
 	}
+	if missing(s) && !missing(old) {
+		srv.silent = s.Since
+	}
 	if s.State == backend.Quarantined {
 		p.confine(srv, s.Since)
 	}
@@ -240,6 +243,11 @@
 	}
 }
 
+// missing tells whether a server is not heard of.
+func missing(s backend.Server) bool {
+	return s.State == backend.Suspect || s.State == backend.Gone
+}
+
 // Hold tells that a task was placed; it counts until Release.
 func (p *Planner) Hold(h plan.Held) {
 	if known := p.held[h.ID]; known != nil {
--- a/internal/policy/cell/fault_test.go
+++ b/internal/policy/cell/fault_test.go
@@ -277,6 +277,52 @@
 	}
 }
 
+// losses plays how servers are lost under a job of so many tasks, again and again, each
+// so long after the tasks were placed there, and tells after which loss it is given up;
+// 0 for never.
+func losses(tasks uint32, age time.Duration) int {
+	p := cell.New(cell.Config{})
+	p.SetTable(table.Restore(1, []team.Row{team.New("a")}))
+	list := servers(40)
+	for _, s := range list {
+		p.SetServer(s)
+	}
+	spec := &job.Spec{Team: "a", Kind: job.Batch, Name: "one", Count: tasks, Size: one}
+	now := time.Minute
+	for n := 1; n <= 8; n++ {
+		for i := range tasks {
+			p.Hold(plan.Held{ID: task.ID{Job: 1, Index: i}, Job: spec, Server: list[n*4+int(i)%4].ID, Since: now})
+		}
+		silent := now + age
+		now = silent + 15*time.Second
+		for _, s := range list[n*4 : n*4+4] {
+			p.SetServer(s.WithState(backend.Suspect, silent))
+			p.SetServer(s.WithState(backend.Gone, now))
+		}
+		for i := range tasks {
+			p.Release(task.ID{Job: 1, Index: i}, plan.End{At: now, Ran: true, Lost: true})
+		}
+		for i := range tasks {
+			p.Queue(plan.Queued{ID: task.ID{Job: 1, Index: i}, Job: spec, Attempts: uint32(n)})
+		}
+		for _, d := range p.Decide(now, 100) {
+			if d.Verb == plan.Park {
+				return n
+			}
+		}
+	}
+	return 0
+}
+
+// A job crashes every server that starts a task of it: it is placed again for ever, and
+// takes down the whole cell. One that worked for long on servers that were lost, or lost
+// several at once, is sound.
+func TestJobThatCrashesItsServersIsGivenUp(t *testing.T) {
+	want(t, "given up: one task", 3, losses(1, time.Second))
+	want(t, "given up: many tasks, whose servers are lost together", 3, losses(12, time.Second))
+	want(t, "given up: after an hour each", 0, losses(1, time.Hour))
+}
+
 // Every server starts to fail everything: a bad image, or a fault of the network.
 // Quarantine of all of them would end the service of the cell; the cap holds.
 func TestQuarantineIsCapped(t *testing.T) {
--- a/internal/policy/cell/watch.go
+++ b/internal/policy/cell/watch.go
@@ -93,15 +93,20 @@
 	p.broken = p.broken[:0]
 }
 
-// learn takes note of how an attempt ended. What was stopped on purpose or went
-// away with its server says nothing about job or server.
+// learn takes note of how an attempt ended. What was stopped on purpose says nothing about
+// job or server, and what went away with its server only where it had just begun.
 func (p *Planner) learn(h *holding, how plan.End) {
 	if h.curbed && !how.Lost {
 		h.work.budget.Exceed()
 	}
-	if how.Lost || !how.Ran || h.Stopping {
+	switch {
+	case how.Lost:
+		h.work.budget.Lose(h.ID.Index, h.srv.silent-h.Since)
+		return
+	case !how.Ran || h.Stopping:
 		return
 	}
+	h.work.budget.Outlive(h.ID.Index)
 	name := health.NameOf(h.Job)
 	if !how.Failed {
 		p.estimates.Learn(h.Job, how.At-h.Since)
--- a/internal/policy/health/budget.go
+++ b/internal/policy/health/budget.go
@@ -17,6 +17,12 @@
 	// MostStops is the number of times that a job's tasks are stopped for using
 	// more than it declared before it is given up.
 	MostStops = 3
+	// MostCrashes is the number of servers in a row that may be lost just after a task
+	// was placed there before its job is given up: the task may have crashed them.
+	MostCrashes = 3
+	// JustBegun is how long after its placement a run may still crash its server by its
+	// beginning: it takes a few seconds until a server counts as silent.
+	JustBegun = 5 * time.Second
 	// FirstBackoff is the wait after the first failure; it doubles with each.
 	FirstBackoff = 500 * time.Millisecond
 	// LongestBackoff bounds the wait.
@@ -28,8 +34,28 @@
 	servers  []int32
 	failures int
 	stops    int
+	// crashes counts the servers in a row that were lost just after a task was placed
+	// there, by the task's index; crashed tells that it was so once too often.
+	crashes map[uint32]int
+	crashed bool
 }
 
+// Lose counts the loss of a server under a task that had been placed there so long before.
+func (b *Budget) Lose(index uint32, age time.Duration) {
+	if age > JustBegun {
+		b.Outlive(index)
+		return
+	}
+	if b.crashes == nil {
+		b.crashes = map[uint32]int{}
+	}
+	b.crashes[index]++
+	b.crashed = b.crashed || b.crashes[index] >= MostCrashes
+}
+
+// Outlive notes that a task's server stood while the task ran.
+func (b *Budget) Outlive(index uint32) { delete(b.crashes, index) }
+
 // Fail counts a failure on a server.
 func (b *Budget) Fail(server int32) {
 	b.failures++
@@ -43,7 +69,7 @@
 
 // Spent tells whether the job is to be given up.
 func (b *Budget) Spent() bool {
-	return len(b.servers) >= MostServers || b.failures >= MostFailures || b.stops >= MostStops
+	return len(b.servers) >= MostServers || b.failures >= MostFailures || b.stops >= MostStops || b.crashed
 }
 
 // Reason says for people what the budget was spent on.
@@ -51,6 +77,9 @@
 	if b.stops >= MostStops {
 		return "used more than it declared"
 	}
+	if b.crashed {
+		return "servers crashed under it"
+	}
 	return "failed on several servers"
 }
 
