A task that was suspected twice waits for a trial of its own

A job whose tasks were sound was shown as failed: three times in a row a task was placed beside the one at fault, as both had lost the same server and waited at the same moment, and a small cell keeps one server at a time for trials. Placing it beside others stays for those suspected once, so that the loss of a rack holds up nothing.

--- a/internal/policy/steps/trial.go
+++ b/internal/policy/steps/trial.go
@@ -26,14 +26,17 @@
 func suspected(t flows.Task) bool { return t.Blamed > 0 }
 
 // waits returns so many waiting tasks of a step: those that start wherever there is
-// room, and those that are to be tried apart from all others.
+// room, and those that are to be tried apart from all others. One that is suspected once
+// is not held up for that; one that is suspected again waits for its trial, since the
+// next crash decides.
 func (p *planner) waits(it Item, most int) (sound, apart []uint32) {
 	next := queuedTasks(it.Step)
 	for range it.Queued {
 		i := next()
-		if suspected(it.Tasks[i]) && len(apart) < p.trials[it.Pool] {
+		switch t := it.Tasks[i]; {
+		case suspected(t) && len(apart) < p.trials[it.Pool]:
 			apart = append(apart, i)
-		} else {
+		case t.Blamed < flows.MostBlamed-1:
 			sound = append(sound, i)
 		}
 	}
--- a/internal/policy/steps/trial_test.go
+++ b/internal/policy/steps/trial_test.go
@@ -94,3 +94,19 @@
 		t.Errorf("%d placements, want 2", len(plan.Placements))
 	}
 }
+
+// Work that is to be given up with the next crash begins beside other suspected work,
+// and is given up for what that does.
+func TestTheLastTrialIsWaitedFor(t *testing.T) {
+	servers := []steps.Server{server("a", 4000), server("b", 4000)}
+	servers[0].Trial = true
+	x, y := suspect(item("x", tasks(2, 1000)), 2), item("y", tasks(2, 1000))
+	x.Tasks[1].Blamed = 2
+	check(t, map[string]int{"x on b": 1, "y on b": 2}, steps.Make(view(servers, x, y)))
+	servers[0].Trial = false
+	x.Tasks[0].Blamed = 2
+	plan := steps.Make(view(servers, x, y))
+	if got := placed(plan); got["x on a"]+got["x on b"] != 1 || got["x on a"] == 1 && got["y on a"] > 0 || got["x on b"] == 1 && got["y on b"] > 0 {
+		t.Errorf("two tasks that may not crash a server again began, or one beside another: %v", got)
+	}
+}
