--- a/internal/control/dispatch/crash.go
+++ b/internal/control/dispatch/crash.go
@@ -63,10 +63,10 @@
 	}
 }
 
-// tries keeps a server for a suspected task that begins there, until it is seen whether
+// onProbation keeps a server for a suspected task that begins there, until it is seen whether
 // it crashes it.
-func (d *Dispatcher) tries(s *session, r *run, now time.Duration) {
+func (d *Dispatcher) onProbation(s *session, r *run, now time.Duration) {
 	if t, ok := d.task(r); ok && t.Blamed > 0 {
-		s.trial = max(s.trial, now+blame.Trial)
+		s.probation = max(s.probation, now+blame.Probation)
 	}
 }
--- a/internal/control/dispatch/order.go
+++ b/internal/control/dispatch/order.go
@@ -107,7 +107,7 @@
 	r.tries++
 	if r.sent == 0 {
 		r.sent = d.Now()
-		d.tries(s, r, r.sent)
+		d.onProbation(s, r, r.sent)
 	}
 	c := &inner.StartRun{Run: r.Message(), Input: f.Spec.GetInput(), Checkpoint: step.Tasks[r.Index].Checkpoint, Permit: r.permit}
 	// A server that does not answer may hear all the same: trying again must not
--- a/internal/control/dispatch/plan.go
+++ b/internal/control/dispatch/plan.go
@@ -36,7 +36,7 @@
 	for _, s := range d.lead.sorted {
 		b, ok := ledger.Server(s.id)
 		if ok && ledger.Takes(b) && b.Born == s.born && s.usable(now) && !d.lead.emptied[s.id] {
-			v.Servers = append(v.Servers, steps.Server{Server: b, Speed: d.speed(s), Cold: clock < b.Warm, Trial: now < s.trial, Brief: d.lead.briefs[b.Pool].Has(s.id)})
+			v.Servers = append(v.Servers, steps.Server{Server: b, Speed: d.speed(s), Cold: clock < b.Warm, Probation: now < s.probation, Brief: d.lead.briefs[b.Pool].Has(s.id)})
 		}
 	}
 	v.Headroom = func(pool string) steps.Headroom { return d.headroom(pool, total(v.Servers, pool), now) }
@@ -174,6 +174,6 @@
 	}
 	s := d.lead.sessions[b.ID]
 	s.runs[id.TaskID] = r
-	d.tries(s, r, now)
+	d.onProbation(s, r, now)
 	return r
 }
--- a/internal/control/dispatch/session.go
+++ b/internal/control/dispatch/session.go
@@ -66,8 +66,8 @@
 	absent int
 	// next is when the next hold is due.
 	next time.Duration
-	// trial is until when nothing else is placed there than what may crash it.
-	trial time.Duration
+	// probation is until when nothing else is placed there than what may crash it.
+	probation time.Duration
 	// avoid is until when nothing new is placed there, and why it last failed.
 	avoid  time.Duration
 	unwell int
--- a/internal/policy/steps/option.go
+++ b/internal/policy/steps/option.go
@@ -70,7 +70,7 @@
 	}
 	for _, r := range p.listed(it) {
 		perm := p.permission(it, r)
-		if perm == Denied || r.trial || !suits(it, r) {
+		if perm == Denied || r.probation || !suits(it, r) {
 			continue
 		}
 		n := fits(size, r.left(it))
--- a/internal/policy/steps/trial.go
+++ b/internal/policy/steps/probation.go
@@ -7,15 +7,15 @@
 	"gypsumreel/internal/ledger/flows"
 )
 
-// trialParts bounds the servers of a pool that are kept for suspected tasks at once, to
+// probationParts bounds the servers of a pool that are kept for suspected tasks at once, to
 // one part of so many: after the loss of a rack much is suspected without fault.
-const trialParts = 8
+const probationParts = 8
 
-// trialsOf returns for how many more suspected tasks a server of a pool may be kept.
-func trialsOf(rooms []*room) int {
-	most := max(1, len(rooms)/trialParts)
+// probationsOf returns for how many more suspected tasks a server of a pool may be kept.
+func probationsOf(rooms []*room) int {
+	most := max(1, len(rooms)/probationParts)
 	for _, r := range rooms {
-		if r.trial {
+		if r.probation {
 			most--
 		}
 	}
@@ -27,14 +27,14 @@
 
 // waits returns so many waiting tasks of a step: those that start wherever there is
 // room, and those that are to be tried apart from all others. One that is suspected once
-// is not held up for that; one that is suspected again waits for its trial, since the
+// is not held up for that; one that is suspected again waits for a server of its own, since the
 // next crash decides.
 func (p *planner) waits(it Item, most int) (sound, apart []uint32) {
 	next := queuedTasks(it.Step)
 	for range it.Queued {
 		i := next()
 		switch t := it.Tasks[i]; {
-		case suspected(t) && len(apart) < p.trials[it.Pool]:
+		case suspected(t) && len(apart) < p.probations[it.Pool]:
 			apart = append(apart, i)
 		case t.Blamed < flows.MostBlamed-1:
 			sound = append(sound, i)
@@ -73,8 +73,8 @@
 
 // keep leaves a server to what is tried there.
 func (p *planner) keep(r *room) {
-	r.trial = true
-	p.trials[r.Pool]--
+	r.probation = true
+	p.probations[r.Pool]--
 }
 
 // keepGang leaves the servers of a gang to it while one of its members is suspected.
@@ -83,7 +83,7 @@
 		return
 	}
 	for _, c := range chosen {
-		if p.trials[it.Pool] > 0 {
+		if p.probations[it.Pool] > 0 {
 			p.keep(c.room)
 		}
 	}
--- a/internal/policy/steps/trial_test.go
+++ b/internal/policy/steps/probation_test.go
@@ -45,16 +45,16 @@
 }
 
 // Something begins on a server while it is seen there whether a task crashes it.
-func TestNothingBeginsBesideATrial(t *testing.T) {
+func TestNothingBeginsBesideAProbation(t *testing.T) {
 	a, b := server("a", 4000), server("b", 4000)
-	a.Trial = true
+	a.Probation = true
 	check(t, map[string]int{"x on b": 4}, steps.Make(view([]steps.Server{a, b}, item("x", tasks(8, 1000)))))
 	check(t, map[string]int{"x on b": 4}, steps.Make(view([]steps.Server{a, b}, item("x", gang(4, 1000)))))
 }
 
 // After the loss of a rack all that ran there is suspected, and the servers that are
 // left are kept for it while nothing else begins.
-func TestTrialsLeaveMostServers(t *testing.T) {
+func TestProbationLeavesMostServers(t *testing.T) {
 	var servers []steps.Server
 	for i := range 16 {
 		servers = append(servers, server(fmt.Sprintf("s%02d", i), 4000))
@@ -65,7 +65,7 @@
 		n += len(one.Places)
 	}
 	if least := 52; n < least {
-		t.Errorf("%d tasks began, there is room for %d beside two trials", n, least)
+		t.Errorf("%d tasks began, there is room for %d beside two such servers", n, least)
 	}
 }
 
@@ -97,13 +97,13 @@
 
 // Work that is to be given up with the next crash begins beside other suspected work,
 // and is given up for what that does.
-func TestTheLastTrialIsWaitedFor(t *testing.T) {
+func TestTheLastProbationIsWaitedFor(t *testing.T) {
 	servers := []steps.Server{server("a", 4000), server("b", 4000)}
-	servers[0].Trial = true
+	servers[0].Probation = true
 	x, y := suspect(item("x", tasks(2, 1000)), 2), item("y", tasks(2, 1000))
 	x.Tasks[1].Blamed = 2
 	check(t, map[string]int{"x on b": 1, "y on b": 2}, steps.Make(view(servers, x, y)))
-	servers[0].Trial = false
+	servers[0].Probation = false
 	x.Tasks[0].Blamed = 2
 	plan := steps.Make(view(servers, x, y))
 	if got := placed(plan); got["x on a"]+got["x on b"] != 1 || got["x on a"] == 1 && got["y on a"] > 0 || got["x on b"] == 1 && got["y on b"] > 0 {
--- a/internal/policy/steps/steps.go
+++ b/internal/policy/steps/steps.go
@@ -66,8 +66,8 @@
 	heads map[string]Headroom
 	spare map[string]int64
 	ever  map[string]int64
-	// trials is for how many more suspected tasks a server of each pool may be kept.
-	trials map[string]int
+	// probations is for how many more suspected tasks a server of each pool may be kept.
+	probations map[string]int
 }
 
 // room is what is left on a server in the course of a plan.
@@ -84,8 +84,8 @@
 	// asked for.
 	frees []Release
 	freed bool
-	// trial tells that it is left to a task that may crash it.
-	trial bool
+	// probation tells that it is left to a task that may crash it.
+	probation bool
 	// kept is what is kept free for gangs that wait, and until when they wait.
 	kept  capacity.Size
 	until time.Duration
@@ -126,12 +126,12 @@
 	p := &planner{
 		Planner: m, view: v, used: map[string]capacity.Size{},
 		waiting: map[string]int{}, sizes: map[string]int{}, ahead: map[string]int{}, most: map[string]int64{},
-		heads: map[string]Headroom{}, spare: map[string]int64{}, ever: map[string]int64{}, trials: map[string]int{},
+		heads: map[string]Headroom{}, spare: map[string]int64{}, ever: map[string]int64{}, probations: map[string]int{},
 	}
 	for i, s := range v.Servers {
 		free := s.Free()
 		r := &m.rooms[i]
-		*r = room{Server: s, free: free, began: free.CPU, trial: s.Trial}
+		*r = room{Server: s, free: free, began: free.CPU, probation: s.Probation}
 		p.servers = append(p.servers, r)
 		p.byID[s.ID] = r
 	}
@@ -170,7 +170,7 @@
 	}
 	for pool, rooms := range pools {
 		p.sizes[pool] = len(rooms)
-		p.trials[pool] = trialsOf(rooms)
+		p.probations[pool] = probationsOf(rooms)
 		for _, r := range rooms {
 			p.most[pool] = max(p.most[pool], r.free.CPU)
 		}
--- a/internal/policy/steps/view.go
+++ b/internal/policy/steps/view.go
@@ -46,9 +46,9 @@
 	Speed float64
 	// Cold tells that it is still slow after its start.
 	Cold bool
-	// Trial tells that a task has just begun there that may crash it: nothing else is
+	// Probation tells that a task has just begun there that may crash it: nothing else is
 	// placed there meanwhile.
-	Trial bool
+	Probation bool
 	// Brief tells that urgent work is gathered there, where leases stay short.
 	Brief bool
 }
