The moment a server fell silent is when its answer failed, not when that was looked at

Where the control thread is busy, a failed hold waits for its turn; counted as the run's age, that wait made a run that had just begun look older than a quarter of a second, and nobody was blamed for the crash. The time is now that of the call.

--- a/internal/control/dispatch/session.go
+++ b/internal/control/dispatch/session.go
@@ -240,13 +240,13 @@
 	case inner.Verdict_VERDICT_DONE:
 	case inner.Verdict_VERDICT_ABSENT, inner.Verdict_VERDICT_STRANGER:
 		s.absent++
-		d.failed(s, a)
+		d.failed(s, a, came)
 		if s.absent >= absentCalls {
 			d.ending(s, a.GetVerdict().String())
 		}
 		return
 	default:
-		d.failed(s, a)
+		d.failed(s, a, came)
 		return
 	}
 	if a.GetBorn() != 0 && a.GetBorn() != s.born {
@@ -287,9 +287,9 @@
 }
 
 // failed notes a failed hold and when the next one is due.
-func (d *Dispatcher) failed(s *session, a *inner.ServerAnswer) {
+func (d *Dispatcher) failed(s *session, a *inner.ServerAnswer, came time.Duration) {
 	if !s.silent {
-		s.broke = d.Now()
+		s.broke = came
 		event.Log(d.Log, event.ServerSuspect, "server", s.id, "born", s.born, "verdict", a.GetVerdict().String(), "detail", a.GetDetail(), "held", len(s.runs), "lease", (s.over - s.broke).String())
 	}
 	s.silent = true
