A suspected task is tried on a server that has stood for a while

On sites whose servers go down and up by turns the emptiest server is the one that has just come back: it drew suspected tasks, crashed again by itself, and they were given up for it. A server whose life began within ten seconds now comes last for them. Evidence: TestProbationIsOnAServerThatStood, on the fresh server before; one mutation, caught.

--- a/internal/control/dispatch/crash.go
+++ b/internal/control/dispatch/crash.go
@@ -70,3 +70,12 @@
 		s.probation = max(s.probation, now+blame.Probation)
 	}
 }
+
+// freshTime is how long after its start a server counts as fresh: one that goes down and
+// up by turns does so within seconds.
+const freshTime = 10 * time.Second
+
+// fresh tells whether a server's life began moments ago, by the time of day.
+func fresh(b *flows.Server, clock time.Duration) bool {
+	return clock-time.Duration(b.Born)*time.Millisecond < freshTime
+}
--- a/internal/control/dispatch/plan.go
+++ b/internal/control/dispatch/plan.go
@@ -36,7 +36,7 @@
 	for _, s := range d.lead.sorted {
 		b, ok := ledger.Server(s.id)
 		if ok && ledger.Takes(b) && b.Born == s.born && s.usable(now) && !d.lead.emptied[s.id] {
-			v.Servers = append(v.Servers, steps.Server{Server: b, Speed: d.speed(s), Cold: clock < b.Warm, Probation: now < s.probation, Brief: d.lead.briefs[b.Pool].Has(s.id)})
+			v.Servers = append(v.Servers, steps.Server{Server: b, Speed: d.speed(s), Cold: clock < b.Warm, Fresh: fresh(b, clock), Probation: now < s.probation, Brief: d.lead.briefs[b.Pool].Has(s.id)})
 		}
 	}
 	v.Headroom = func(pool string) steps.Headroom { return d.headroom(pool, total(v.Servers, pool), now) }
--- a/internal/policy/steps/probation.go
+++ b/internal/policy/steps/probation.go
@@ -45,15 +45,15 @@
 }
 
 // tryApart starts suspected tasks, each on a server of its own where nothing else
-// begins meanwhile, and returns those that found none. A server with much room has
-// little to lose.
+// begins meanwhile, and returns those that found none. A server that has stood for a
+// while tells more by its crash, and one with much room has less to lose.
 func (p *planner) tryApart(f *filling, options []option, tasks []uint32) []uint32 {
 	if len(tasks) == 0 {
 		return nil
 	}
 	roomy := slices.DeleteFunc(slices.Clone(options), func(o option) bool { return o.free.CPU != o.began })
 	slices.SortFunc(roomy, func(a, b option) int {
-		return cmp.Or(a.last-b.last, cmp.Compare(b.free.CPU, a.free.CPU), a.at-b.at)
+		return cmp.Or(compareBool(a.Fresh, b.Fresh), a.last-b.last, cmp.Compare(b.free.CPU, a.free.CPU), a.at-b.at)
 	})
 	for _, o := range roomy {
 		if len(tasks) == 0 {
--- a/internal/policy/steps/probation_test.go
+++ b/internal/policy/steps/probation_test.go
@@ -110,3 +110,11 @@
 		t.Errorf("two tasks that may not crash a server again began, or one beside another: %v", got)
 	}
 }
+
+// A suspected task goes to the emptiest server, which is one that has just come back and
+// is about to crash again by itself, and is given up for that.
+func TestProbationIsOnAServerThatStood(t *testing.T) {
+	a, b := server("a", 4000), server("b", 4000)
+	a.Fresh, b.Used = true, capacity.Size{CPU: 2000}
+	check(t, map[string]int{"x on b": 1}, steps.Make(view([]steps.Server{a, b}, suspect(item("x", tasks(1, 1000)), 1))))
+}
--- a/internal/policy/steps/view.go
+++ b/internal/policy/steps/view.go
@@ -46,6 +46,8 @@
 	Speed float64
 	// Cold tells that it is still slow after its start.
 	Cold bool
+	// Fresh tells that its life began moments ago: it may crash again by itself.
+	Fresh bool
 	// Probation tells that a task has just begun there that may crash it: nothing else is
 	// placed there meanwhile.
 	Probation bool
