--- a/internal/control/dispatch/crash_test.go
+++ b/internal/control/dispatch/crash_test.go
@@ -77,7 +77,7 @@
 // Servers crash by themselves, over and over, and work on them that is sound is
 // given up with them.
 func TestSoundWorkOutlivesServersThatCrash(t *testing.T) {
-	play(t, 12, func(t *testing.T, w *world) {
+	play(t, 12, func(_ *testing.T, w *world) {
 		w.change(func(_ string, one *worker.Worker) {
 			one.Work = func(flow.RunID) (time.Duration, inner.RunEnd) {
 				return 800 * time.Millisecond, inner.RunEnd_RUN_END_DONE
