--- a/internal/ledger/flows/flows_test.go
+++ b/internal/ledger/flows/flows_test.go
@@ -29,6 +29,8 @@
 	servers []string
 	// drained are the zones that are drained by the order of commands.
 	drained map[string]bool
+	// resized are the servers that have said that they hold more or less by now.
+	resized map[string]bool
 	// done are the tasks that ended well.
 	done map[flow.TaskID]bool
 }
@@ -42,7 +44,7 @@
 }
 
 func newMachine(t *rapid.T) *machine {
-	m := &machine{l: flows.New(), done: map[flow.TaskID]bool{}, drained: map[string]bool{}}
+	m := &machine{l: flows.New(), done: map[flow.TaskID]bool{}, drained: map[string]bool{}, resized: map[string]bool{}}
 	m.apply(t, &record.Flow{What: &record.Flow_Document{Document: document()}})
 	for i := range 3 {
 		id := fmt.Sprintf("s%d", i)
@@ -84,6 +86,28 @@
 	m.drained[zone] = drain
 }
 
+// unsteady is a machine whose servers crash, shrink and grow as well.
+type unsteady struct{ *machine }
+
+// Crash ends a life of a server under all that it held, some of which may be at fault.
+func (m unsteady) Crash(t *rapid.T) {
+	b, _ := m.l.Server(rapid.SampledFrom(m.servers).Draw(t, "server"))
+	c := &record.FlowClear{Id: b.ID, Born: b.Born, Over: true}
+	for _, h := range b.Held {
+		c.Blamed = append(c.Blamed, h.Message())
+	}
+	m.apply(t, &record.Flow{What: &record.Flow_Clear{Clear: c}})
+	m.born(t, b.ID, b.Born+1)
+}
+
+// Resize lets a server hold more or less from now on.
+func (m unsteady) Resize(t *rapid.T) {
+	b, _ := m.l.Server(rapid.SampledFrom(m.servers).Draw(t, "server"))
+	m.resized[b.ID] = true
+	cpu := rapid.Int64Range(0, 5).Draw(t, "cpu")
+	m.apply(t, &record.Flow{What: &record.Flow_Server{Server: &record.FlowServer{Id: b.ID, Born: b.Born, Zone: b.Zone, Pool: b.Pool, Capacity: &v1.Size{Cpu: cpu, Memory: 100}}}})
+}
+
 // Accept takes in a flow of one or two steps.
 func (m *machine) Accept(t *rapid.T) {
 	m.flows++
@@ -157,24 +181,6 @@
 	m.apply(t, &record.Flow{What: &record.Flow_Clear{Clear: &record.FlowClear{Id: b.ID, Born: b.Born}}})
 }
 
-// Crash ends a life of a server under all that it held, some of which may be at fault.
-func (m *machine) Crash(t *rapid.T) {
-	b, _ := m.l.Server(rapid.SampledFrom(m.servers).Draw(t, "server"))
-	c := &record.FlowClear{Id: b.ID, Born: b.Born, Over: true}
-	for _, h := range b.Held {
-		c.Blamed = append(c.Blamed, h.Message())
-	}
-	m.apply(t, &record.Flow{What: &record.Flow_Clear{Clear: c}})
-	m.born(t, b.ID, b.Born+1)
-}
-
-// Resize lets a server hold more or less from now on.
-func (m *machine) Resize(t *rapid.T) {
-	b, _ := m.l.Server(rapid.SampledFrom(m.servers).Draw(t, "server"))
-	cpu := rapid.Int64Range(0, 5).Draw(t, "cpu")
-	m.apply(t, &record.Flow{What: &record.Flow_Server{Server: &record.FlowServer{Id: b.ID, Born: b.Born, Zone: b.Zone, Pool: b.Pool, Capacity: &v1.Size{Cpu: cpu, Memory: 100}}}})
-}
-
 // Restore goes on from a snapshot.
 func (m *machine) Restore(t *rapid.T) {
 	l, err := flows.Restore(m.l.Record())
@@ -204,8 +210,8 @@
 			}
 			where[id] = b.ID
 		}
-		if held != b.Used {
-			t.Fatalf("%s holds %v, counted are %v", b.ID, held, b.Used)
+		if held != b.Used || !held.Fits(b.Capacity) && !m.resized[b.ID] {
+			t.Fatalf("%s holds %v, counted are %v of %v", b.ID, held, b.Used, b.Capacity)
 		}
 		used = used.Add(held)
 	}
@@ -246,6 +252,12 @@
 	})
 }
 
+func TestUnsteadyServersUnderRandomCommands(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		t.Repeat(rapid.StateMachineActions(unsteady{newMachine(t)}))
+	})
+}
+
 func TestLedgerUnderRandomCommands(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newMachine(t)
