Floor: a queue that is late as a whole keeps its floor among late work

Cause: the floor was for work that can still end in time. After an outage all that waits is late. Then no item of the lowest queue was marked, and within the late group priority decides: the urgent backlog took each free core until it was empty.

Why this works: MarkBelowFloor now marks late, surplus and worthless items too, after those that can end in time. The groups of the order stay, so that nothing late goes before work that can be in time (TestFloorIsNotSpentOnLateWork, unchanged).

Test: TestFloorHoldsAmongLateWork failed before: batch 0, quick 20, wanted 4 and 16.

--- a/internal/policy/steps/contended.go
+++ b/internal/policy/steps/contended.go
@@ -40,16 +40,17 @@
 
 // MarkBelowFloor marks the items that get what their queue lacks to its floor. shortfalls holds
 // the CPU that each queue lacks, in thousandths of a core, and is reduced by what the marked
-// items need. Only items that can end in time are marked, and no more than the queue lacks:
-// otherwise a backlog of one queue would take all free room at once. An item that is not at risk
-// needs no floor.
+// items need. No more items are marked than the queue lacks: otherwise a backlog of one queue
+// would take all free room at once. Items that can end in time are marked first. What is left is
+// for those that only get what others leave; among them the queue keeps its floor too. An item
+// that is not at risk needs no floor.
 func MarkBelowFloor(items []Item, shortfalls map[string]int64) {
 	if len(shortfalls) == 0 {
 		return
 	}
 	order := make([]int, 0, len(items))
 	for i, item := range items {
-		if shortfalls[item.Flow.QueueName] > 0 && item.AtRisk && !item.Deferrable() {
+		if shortfalls[item.Flow.QueueName] > 0 && item.AtRisk {
 			order = append(order, i)
 		}
 	}
--- a/internal/policy/steps/contended_test.go
+++ b/internal/policy/steps/contended_test.go
@@ -117,6 +117,28 @@
 	}
 }
 
+// Guards against a queue that starts nothing while all work is late, as after an outage: late work
+// of higher priority would take all room.
+func TestFloorHoldsAmongLateWork(t *testing.T) {
+	var items []steps.Item
+	for i := range 50 {
+		for _, late := range []steps.Item{
+			queueItem(fmt.Sprintf("quick %02d", i), "quick", "c", 0, tasks(1, 1000)),
+			queueItem(fmt.Sprintf("batch %02d", i), "batch", "c", 2, tasks(2, 1000)),
+		} {
+			late.Overdue, late.AtRisk, late.Slack = true, true, -time.Second
+			items = append(items, late)
+		}
+	}
+	got := map[string]int{}
+	for _, placement := range contendedPlan(view([]steps.Server{server("a", 20_000)}, items...), map[string]int64{"batch": 3000}).Placements {
+		got[placement.Item.Flow.QueueName] += len(placement.Assignments)
+	}
+	if diff := cmp.Diff(map[string]int{"batch": 4, "quick": 16}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // Gangs that start with their last slack wait for room together and all end late. One that has
 // spent its slack must not keep the room of one that has not.
 func TestGangsOfAQuarterOfTheCellInABurst(t *testing.T) {
