Crashes do not count against runs that may never have begun

What callers saw: a sound job shown as failed (LOST). Four servers had crashed in a row "under" its task, which was on one of them.

Cause: a crash counted for each run that the ledger held on the server, also when its start had not been sent, not been answered, or was known only from the ledger of an earlier leader.

Evidence: attempt-lost now tells in `start` what the leader knew. Hypotheses thrown out: no placed and unsent run was among them.

Why this works: runs that were there (listed, or their start answered) count as before, and so do blamed ones. The others end as lost, as a start that was refused does, unless the task is suspected already or no other run on the server is in doubt. So a task that takes its servers down at the start is counted by each leader that sees one of its crashes.

Test: TestStartsThatNeverArriveAreNoCrashes failed before ("flow a is FLOW_STATE_FAILED").

--- a/internal/control/dispatch/closing.go
+++ b/internal/control/dispatch/closing.go
@@ -62,17 +62,17 @@
 // more.
 func (d *Dispatcher) recordLostRuns(s *session, closed bool) {
 	command := &record.FlowClear{Id: s.id, Born: s.incarnation, Over: closed}
-	end := inner.RunEnd_RUN_END_LOST
+	end, otherRuns := inner.RunEnd_RUN_END_LOST, len(s.runs)-1
 	if closed && d.endedUnexpectedly(s) {
 		end, command.Blamed = inner.RunEnd_RUN_END_CRASHED, d.blamedRuns(s)
+		d.recordSparedRuns(s, d.sparedRuns(s, command.Blamed))
 	}
-	wantedBefore, otherRuns := d.wantedRuns(s), len(s.runs)-1
+	wantedBefore := d.wantedRuns(s)
 	for _, r := range s.runs {
 		if r.checkpoint != "" {
 			command.Saved = append(command.Saved, &record.FlowSaved{Run: r.Message(), Checkpoint: r.checkpoint})
 		}
-		event.Log(d.Log, event.AttemptLost, "flow", r.Flow, "run", r.String(), "server", s.id, "how", end.String(), "checkpoint", r.checkpoint, "over", closed, "age", d.runAge(s, r).String(), "beside", otherRuns)
-		d.flowMetrics.countRunEnd(end)
+		d.logLostRun(s, r, end, closed, otherRuns)
 	}
 	if d.applyOrLog(&record.Flow{What: &record.Flow_Clear{Clear: command}}) {
 		d.logFailedFlows(s, wantedBefore)
@@ -81,6 +81,32 @@
 	}
 }
 
+// recordSparedRuns records the ends of runs on a crashed server as lost, so that the crash does not
+// count against their tasks.
+func (d *Dispatcher) recordSparedRuns(s *session, spared []*run) {
+	if len(spared) == 0 {
+		return
+	}
+	ends, otherRuns := &record.FlowEnds{Server: s.id, Born: s.incarnation}, len(s.runs)-1
+	for _, r := range spared {
+		ends.Ends = append(ends.Ends, &record.FlowEnd{Run: r.Message(), How: inner.RunEnd_RUN_END_LOST, Checkpoint: r.checkpoint})
+	}
+	if !d.applyOrLog(&record.Flow{What: &record.Flow_Ends{Ends: ends}}) {
+		return
+	}
+	for _, r := range spared {
+		d.logLostRun(s, r, inner.RunEnd_RUN_END_LOST, true, otherRuns)
+		delete(s.runs, r.TaskID)
+	}
+}
+
+// logLostRun logs and counts a run that was lost with its server, beside the given number of
+// other runs.
+func (d *Dispatcher) logLostRun(s *session, r *run, end inner.RunEnd, closed bool, otherRuns int) {
+	event.Log(d.Log, event.AttemptLost, "flow", r.Flow, "run", r.String(), "server", s.id, "how", end.String(), "checkpoint", r.checkpoint, "over", closed, "age", d.runAge(s, r).String(), "beside", otherRuns, "start", r.startEvidence())
+	d.flowMetrics.countRunEnd(end)
+}
+
 // runAge returns how long a run had been started when its server became unresponsive, or
 // until now if the server responds. For a run that another leader placed, the time since
 // its placement is used.
@@ -94,3 +120,16 @@
 	}
 	return max(d.Host.LedgerTime()-r.allocation.PlacedAt-(d.Now()-now), 0)
 }
+
+// startEvidence tells what this leader knows of the start of a run, for the log.
+func (r *run) startEvidence() string {
+	switch {
+	case r.reportedByServer:
+		return "confirmed"
+	case r.startSentAt > 0:
+		return "unanswered"
+	case r.neverSent():
+		return "not sent"
+	}
+	return "by another leader"
+}
--- a/internal/control/dispatch/crash.go
+++ b/internal/control/dispatch/crash.go
@@ -7,6 +7,7 @@
 	"gypsumreel/internal/api/inner"
 	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/base/event"
+	"gypsumreel/internal/domain/flow"
 	"gypsumreel/internal/ledger/flows"
 	"gypsumreel/internal/policy/blame"
 )
@@ -28,7 +29,7 @@
 
 // blamedRuns returns the runs that may have caused the crash of a server.
 func (d *Dispatcher) blamedRuns(s *session) []*inner.Run {
-	candidates := slices.DeleteFunc(d.wantedRuns(s), func(r *run) bool { return r.placedAt > 0 && r.startSentAt == 0 })
+	candidates := slices.DeleteFunc(d.wantedRuns(s), (*run).neverSent)
 	blameRuns := make([]blame.Run, 0, len(candidates))
 	for _, r := range candidates {
 		t, _ := d.currentTask(r)
@@ -43,6 +44,33 @@
 	return blamed
 }
 
+// sparedRuns returns the runs on a crashed server against which the crash is no evidence. A run
+// that the server has reported was there, and a blamed one may have caused the crash. Of the
+// others it is not known whether their start arrived: the order was not sent, not answered, or
+// sent by another leader. A crash counts against such a run only if its task is already suspected
+// or if no other run on the server is in doubt. Without that, a task that crashes each server
+// before its start is answered would be started for ever.
+func (d *Dispatcher) sparedRuns(s *session, blamed []*inner.Run) (spared []*run) {
+	var unreported []*run
+	for _, r := range s.runs {
+		if !r.reportedByServer {
+			unreported = append(unreported, r)
+		}
+	}
+	for _, r := range unreported {
+		t, _ := d.currentTask(r)
+		isBlamed := slices.ContainsFunc(blamed, func(m *inner.Run) bool { return flow.RunIDFromMessage(m) == r.RunID })
+		mayHaveCaused := !r.neverSent() && (t.BlamedCrashes > 0 || len(unreported) == 1)
+		if !isBlamed && !mayHaveCaused {
+			spared = append(spared, r)
+		}
+	}
+	return spared
+}
+
+// neverSent reports whether this leader placed the run and has not sent its start.
+func (r *run) neverSent() bool { return r.placedAt > 0 && r.startSentAt == 0 }
+
 // wantedRuns returns the runs on a server whose tasks are still active in the ledger.
 func (d *Dispatcher) wantedRuns(s *session) (wanted []*run) {
 	for _, r := range s.runs {
--- a/internal/control/dispatch/crash_test.go
+++ b/internal/control/dispatch/crash_test.go
@@ -9,6 +9,7 @@
 	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/domain/flow"
 	"gypsumreel/internal/fake/worker"
+	"gypsumreel/internal/ledger/flows"
 )
 
 // maxCrashesPerTask is the number of servers that one task may crash: three, and two more
@@ -103,6 +104,57 @@
 	})
 }
 
+// Guards against failing healthy flows because servers crashed to which their starts were sent and
+// on which they never began. Each time the leader is lost before it knows of the crash, so the next
+// one finds several runs of which it only knows that they were placed.
+func TestStartsThatNeverArriveAreNoCrashes(t *testing.T) {
+	const crashCount = flows.MaxConsecutiveCrashes + 1
+	runWithCluster(t, 2*crashCount, func(t *testing.T, w *testCluster) {
+		orderedOn := w.loseStarts()
+		w.submit("a", newStep(1, 500))
+		w.submit("b", newStep(1, 500))
+		for range crashCount {
+			var server string
+			select {
+			case server = <-orderedOn:
+			case <-time.After(20 * time.Second):
+				t.Fatalf("no start is sent any more, flow a is %v", w.flowState("a"))
+			}
+			w.runAndWait(w.replaceDispatcher)
+			w.changeWorkers(func(id string, backend *worker.Worker) {
+				if id == server {
+					time.AfterFunc(0, backend.Crash)
+				}
+			})
+			time.Sleep(500 * time.Millisecond) // no replica leads
+			for len(orderedOn) > 0 {
+				<-orderedOn
+			}
+			w.greetFromHolders()
+			w.runAndWait(w.elect)
+		}
+		w.changeWorkers(func(_ string, backend *worker.Worker) { backend.Fault = nil })
+		w.awaitState("a", stateDone, 20*time.Second)
+		w.awaitState("b", stateDone, 20*time.Second)
+	})
+}
+
+// loseStarts makes all start orders get lost. It returns a channel with the servers to which they
+// were sent.
+func (w *testCluster) loseStarts() chan string {
+	orderedOn := make(chan string, 1000)
+	w.changeWorkers(func(id string, backend *worker.Worker) {
+		backend.Fault = func(c *inner.ServerCall) worker.Fault {
+			if c.GetStart() == nil {
+				return worker.Fault{}
+			}
+			orderedOn <- id
+			return worker.Fault{Verdict: inner.Verdict_VERDICT_SILENT}
+		}
+	})
+	return orderedOn
+}
+
 // crashNextServer crashes one of four servers in round-robin order.
 func (w *testCluster) crashNextServer(turn int) {
 	w.mu.Lock()
