--- a/internal/control/dispatch/crash_test.go
+++ b/internal/control/dispatch/crash_test.go
@@ -120,18 +120,14 @@
 			case <-time.After(20 * time.Second):
 				t.Fatalf("no start is sent any more, flow a is %v", w.flowState("a"))
 			}
-			w.runAndWait(w.replaceDispatcher)
-			w.changeWorkers(func(id string, backend *worker.Worker) {
-				if id == server {
-					time.AfterFunc(0, backend.Crash)
-				}
-			})
-			time.Sleep(500 * time.Millisecond) // no replica leads
+			w.mu.Lock()
+			backend := w.workers[server]
+			w.mu.Unlock()
+			time.AfterFunc(time.Millisecond, backend.Crash)
+			w.changeLeaderAfter(500 * time.Millisecond)
 			for len(orderedOn) > 0 {
 				<-orderedOn
 			}
-			w.greetFromHolders()
-			w.runAndWait(w.elect)
 		}
 		w.changeWorkers(func(_ string, backend *worker.Worker) { backend.Fault = nil })
 		w.awaitState("a", stateDone, 20*time.Second)
@@ -139,6 +135,34 @@
 	})
 }
 
+// Guards against a task without a bound that crashes each server before the leader that sent its
+// start knows of it: no leader sees a crash of its own.
+func TestCrashUnseenByItsLeaderCounts(t *testing.T) {
+	runWithCluster(t, 16, func(t *testing.T, w *testCluster) {
+		w.crashServersRunning("a")
+		w.submit("a", newStep(1, 1000))
+		for seen := 0; seen < maxCrashesPerTask && w.flowState("a") != stateFailed; time.Sleep(5 * time.Millisecond) {
+			w.mu.Lock()
+			crashed := w.crashCounts[flow.TaskID{StepID: flow.StepID{Flow: "a"}}]
+			w.mu.Unlock()
+			if crashed > seen {
+				seen = crashed
+				w.changeLeaderAfter(500 * time.Millisecond)
+			}
+		}
+		w.awaitState("a", stateFailed, 10*time.Second)
+		w.checkCrashCounts(t)
+	})
+}
+
+// changeLeaderAfter deposes the leader and elects the next one after the given time.
+func (w *testCluster) changeLeaderAfter(pause time.Duration) {
+	w.runAndWait(w.replaceDispatcher)
+	time.Sleep(pause)
+	w.greetFromHolders()
+	w.runAndWait(w.elect)
+}
+
 // loseStarts makes all start orders get lost. It returns a channel with the servers to which they
 // were sent.
 func (w *testCluster) loseStarts() chan string {
