Last attempts need a proof that is later than the failed run

What callers saw: a flow failed for good although no task was at fault (TestFailingServersFailNoFlowForGood): both attempts ran on servers that fail everything.

Cause: a server counted as proven by a run that had been placed before the servers began to fail. Where several begin together, all of them have such proofs, and one that has ended nothing since looks as good as any.

Terms and what the leader remembers made no difference.

Why this works: servers that fail their runs do so after similar times, so a run that goes on for longer shows that its server does not.

--- a/internal/control/dispatch/attempt.go
+++ b/internal/control/dispatch/attempt.go
@@ -47,11 +47,25 @@
 		return
 	}
 	item.ProofPeriod = attempts.ProofPeriod(item.ExpectedRuntime)
+	d.addLatestFailure(item)
 	if s.FailedServers > 0 {
 		d.awaitProven(item)
 	}
 }
 
+// addLatestFailure adds when the latest failed run of a queued task was placed, and how long a
+// later run has to go on to prove its server.
+func (d *Dispatcher) addLatestFailure(item *steps.Item) {
+	lasted := time.Duration(0)
+	for _, t := range item.Tasks {
+		if t.Phase == flows.Queued && t.FailedAt >= item.FailedAt {
+			item.FailedAt, lasted = t.FailedAt, max(lasted, t.FailedAfter)
+		}
+	}
+	item.OutlastTime = attempts.OutlastTime(lasted, item.ExpectedRuntime)
+	item.AwaitsLaterProof = attempts.AwaitsLaterProof(d.Host.LedgerTime()-item.FailedAt, lasted, item.ExpectedRuntime)
+}
+
 // isLastAttempt reports whether one more failed run of a queued task fails the flow.
 func isLastAttempt(s *flows.Step, maxAttempts uint32) bool {
 	if s.Spec.GetGang() || maxAttempts <= 1 || s.FailedServers == 0 {
--- a/internal/ledger/flows/attempt_test.go
+++ b/internal/ledger/flows/attempt_test.go
@@ -126,7 +126,12 @@
 	f.restore()
 	f.run("a", 0, "t", runFailed)
 	f.run("a", 0, "t", runFailed)
+	latest := f.now - time.Second // the run was placed one command earlier
+	f.restore()
 	step, _ := f.ledger.Step(flow.StepID{Flow: "a"})
+	if step.Tasks[0].FailedAt != latest || step.Tasks[0].FailedAfter != time.Second {
+		t.Errorf("the latest failed run was placed at %v and lasted %v, want %v and %v", step.Tasks[0].FailedAt, step.Tasks[0].FailedAfter, latest, time.Second)
+	}
 	if diff := cmp.Diff([]string{"s", "t"}, step.Tasks[0].FailedServers); diff != "" {
 		t.Error(diff)
 	}
--- a/internal/ledger/flows/flows.go
+++ b/internal/ledger/flows/flows.go
@@ -100,9 +100,12 @@
 	// LatestRun is the number of the latest run. It is 0 before the first run.
 	LatestRun uint32
 	// FailedRuns counts the runs that ended as failed. FailedServers holds the servers of the
-	// latest of them, each once.
+	// latest of them, each once. FailedAt is the time, on the ledger's clock, at which the latest
+	// of them was placed, and FailedAfter the time from then to its end.
 	FailedRuns    uint32
 	FailedServers []string
+	FailedAt      time.Duration
+	FailedAfter   time.Duration
 	// ConsecutiveCrashes counts the consecutive server crashes under the task.
 	// BlamedCrashes counts those that the task may have caused.
 	ConsecutiveCrashes uint32
--- a/internal/ledger/flows/run.go
+++ b/internal/ledger/flows/run.go
@@ -202,9 +202,9 @@
 // recordEnd records the end of one run. It frees the capacity of the run and updates
 // its task. If the run is not the latest of its task, only the capacity is freed.
 func (l *Ledger) recordEnd(now time.Duration, b *Server, id flow.RunID, runEnd inner.RunEnd, checkpoint string) {
-	held := false
-	if h := b.HeldRuns[id.TaskID]; h != nil && h.Number == id.Number {
-		held = true
+	h := b.HeldRuns[id.TaskID]
+	held := h != nil && h.Number == id.Number
+	if held {
 		l.removeHeldRun(b, h)
 		b.countEnd(h, runEnd)
 	}
@@ -226,6 +226,7 @@
 	case t.Phase == Placed && held:
 		if runEnd == inner.RunEnd_RUN_END_FAILED {
 			s.addFailedServer(t, b.ID, l.MaxAttempts(s.Flow))
+			t.FailedAt, t.FailedAfter = h.PlacedAt, now-h.PlacedAt
 		}
 		l.requeueOrFail(now, s, id, runEnd)
 	}
--- a/internal/ledger/flows/snapshot.go
+++ b/internal/ledger/flows/snapshot.go
@@ -59,7 +59,7 @@
 	for _, t := range s.Tasks {
 		r.Tasks = append(r.Tasks, &record.TaskRecord{
 			Phase: uint32(t.Phase), Number: t.LatestRun, Fails: t.FailedRuns, Checkpoint: t.Checkpoint, Server: t.Server, Born: t.ServerStartedAtMs,
-			Crashes: t.ConsecutiveCrashes, Blamed: t.BlamedCrashes, Failed: t.FailedServers,
+			Crashes: t.ConsecutiveCrashes, Blamed: t.BlamedCrashes, Failed: t.FailedServers, Tried: int64(t.FailedAt), Took: int64(t.FailedAfter),
 		})
 	}
 	return r
@@ -145,7 +145,7 @@
 		s.Tasks[i] = Task{
 			Phase: Phase(taskRecord.GetPhase()), LatestRun: taskRecord.GetNumber(), FailedRuns: taskRecord.GetFails(), Checkpoint: taskRecord.GetCheckpoint(),
 			Server: taskRecord.GetServer(), ServerStartedAtMs: taskRecord.GetBorn(), ConsecutiveCrashes: taskRecord.GetCrashes(), BlamedCrashes: taskRecord.GetBlamed(),
-			FailedServers: taskRecord.GetFailed(),
+			FailedServers: taskRecord.GetFailed(), FailedAt: time.Duration(taskRecord.GetTried()), FailedAfter: time.Duration(taskRecord.GetTook()),
 		}
 		s.FailedServers += len(s.Tasks[i].FailedServers)
 		s.adjustPhaseCount(s.Tasks[i].Phase, 1)
--- a/internal/policy/attempts/attempts.go
+++ b/internal/policy/attempts/attempts.go
@@ -14,6 +14,9 @@
 	// seconds, so an older start says little.
 	minProofPeriod = 2 * time.Second
 	MaxProofPeriod = 10 * time.Second
+	// outlastShare is the part of a run time by which a run has to outlast a failed one to prove
+	// its server.
+	outlastShare = 0.2
 	// minWait and maxWait are the bounds of the longest wait for a proven server. Within a run
 	// time most servers in use end a run.
 	minWait = time.Second
@@ -30,6 +33,18 @@
 	return min(max(proofRuntimes*runtime, minProofPeriod), MaxProofPeriod)
 }
 
+// OutlastTime returns for how long a run has to go on to prove its server to a task whose failed
+// run lasted for the given time. Servers that fail their runs do so after similar times.
+func OutlastTime(lasted, runtime time.Duration) time.Duration {
+	return lasted + time.Duration(outlastShare*float64(runtime))
+}
+
+// AwaitsLaterProof reports whether runs that were placed after a failed run may still prove their
+// servers. sincePlaced is the time since the failed run was placed.
+func AwaitsLaterProof(sincePlaced, lasted, runtime time.Duration) bool {
+	return sincePlaced < OutlastTime(lasted, 2*runtime)
+}
+
 // Evidence is what the ends of runs tell about a server.
 type Evidence struct {
 	// Failures is the number of failures of different flows since the latest success.
--- a/internal/policy/attempts/attempts_test.go
+++ b/internal/policy/attempts/attempts_test.go
@@ -49,6 +49,19 @@
 	}
 }
 
+// Servers that fail all their runs do so after similar times. A run proves its server when it has
+// clearly outlasted the failed one, and nobody waits for it much longer.
+func TestRunProvesItsServerWhenItOutlastsTheFailedOne(t *testing.T) {
+	const lasted = 300 * time.Millisecond
+	outlast := attempts.OutlastTime(lasted, runtime)
+	if outlast <= lasted || outlast >= runtime {
+		t.Errorf("a run proves its server after %v, want between %v and %v", outlast, lasted, runtime)
+	}
+	if !attempts.AwaitsLaterProof(outlast, lasted, runtime) || attempts.AwaitsLaterProof(runtime, lasted, runtime) {
+		t.Errorf("want a wait that ends between %v and %v after the failed run was placed", outlast, runtime)
+	}
+}
+
 // A caller waits for the step: it waits for a proven server only as long as that does not make
 // it late and a run may still prove one.
 func TestWaitForAProvenServerIsBounded(t *testing.T) {
--- a/internal/policy/steps/attempt.go
+++ b/internal/policy/steps/attempt.go
@@ -37,15 +37,45 @@
 	return last, others
 }
 
+// worstAwaited returns the worst class of servers that may start a task at its last attempt now.
+func (item Item) worstAwaited() int {
+	switch {
+	case !item.AwaitsProven:
+		return probingServer
+	case item.AwaitsLaterProof:
+		return provenServer
+	}
+	return earlierProvenServer
+}
+
 // Proves reports whether the server has proved itself to the tasks of an item at their last
-// attempt.
+// attempt: by a recent run that was not placed before the latest failed run of these tasks.
 func (item Item) Proves(s Server) bool {
+	return item.provesEarlier(s) && (s.ProvenAt >= item.FailedAt || item.isOutlasted(s))
+}
+
+// isOutlasted reports whether a run in progress on a proven server was not placed before the
+// latest failed run of the item and has gone on for longer than that run did.
+func (item Item) isOutlasted(s Server) bool {
+	now := s.ProvenAt + s.SinceSuccess
+	for _, held := range s.HeldRuns {
+		if held.PlacedAt >= item.FailedAt && now-held.PlacedAt >= item.OutlastTime {
+			return true
+		}
+	}
+	return false
+}
+
+// provesEarlier reports whether the server was proven by a recent run, which may have been placed
+// before the latest failed run of the item.
+func (item Item) provesEarlier(s Server) bool {
 	return s.Proven && s.SinceSuccess <= item.ProofPeriod && !item.FailedOn[s.ID]
 }
 
 // Classes of servers for a last attempt, best first.
 const (
 	provenServer = iota
+	earlierProvenServer
 	unprovenServer
 	failedServer
 	probingServer
@@ -59,6 +89,8 @@
 		return probingServer
 	case item.Proves(r.Server):
 		return provenServer
+	case item.provesEarlier(r.Server):
+		return earlierProvenServer
 	case item.FailedOn[r.ID] || r.ConsecutiveFailures > 0:
 		return failedServer
 	}
@@ -93,10 +125,7 @@
 // proven servers are returned while the item waits for one. A task at its last attempt does not
 // probe a server as long as others have or will have room for n tasks.
 func (p *planner) forLastAttempt(item Item, candidates []candidate, n int) []candidate {
-	worst := probingServer
-	if item.AwaitsProven {
-		worst = provenServer
-	}
+	worst := item.worstAwaited()
 	out := slices.DeleteFunc(slices.Clone(candidates), func(c candidate) bool { return classForLastAttempt(item, c.serverState) > worst })
 	hasProbing := slices.ContainsFunc(out, func(c candidate) bool { return c.Probing })
 	if hasProbing && p.othersSuffice(item, n) {
@@ -150,9 +179,11 @@
 		return p.chooseServers(item, candidates)
 	}
 	ranked := p.forLastAttempt(item, candidates, item.QueuedTasks)
-	proven := slices.DeleteFunc(slices.Clone(ranked), func(c candidate) bool { return !item.Proves(c.Server) })
-	if chosen, ok := p.chooseServers(item, proven); ok || item.AwaitsProven {
-		return chosen, ok
+	for _, worst := range []int{provenServer, earlierProvenServer} {
+		upToClass := slices.DeleteFunc(slices.Clone(ranked), func(c candidate) bool { return classForLastAttempt(item, c.serverState) > worst })
+		if chosen, ok := p.chooseServers(item, upToClass); ok || worst == item.worstAwaited() {
+			return chosen, ok
+		}
 	}
 	return p.chooseServers(item, ranked)
 }
--- a/internal/policy/steps/attempt_test.go
+++ b/internal/policy/steps/attempt_test.go
@@ -7,6 +7,8 @@
 
 	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/domain/capacity"
+	"gypsumreel/internal/domain/flow"
+	"gypsumreel/internal/ledger/flows"
 	"gypsumreel/internal/policy/steps"
 )
 
@@ -74,6 +76,30 @@
 	}
 }
 
+// Guards against a last attempt on a server that fails its runs as well and whose proof is older
+// than the failed run.
+func TestProofHasToBeLaterThanTheFailedRun(t *testing.T) {
+	const now = 12 * time.Second
+	provenAt := func(id string, cpu int64, at time.Duration) steps.Server {
+		s := provenServer(id, cpu)
+		s.ProvenAt, s.SinceSuccess = at, now-at
+		return s
+	}
+	for name, spec := range map[string]*v1.FlowStep{"single": tasks(1, 1000), "gang": gang(1, 1000)} {
+		t.Run(name, func(t *testing.T) {
+			earlier, later, unknown := provenAt("a", 2000, 9*time.Second), provenAt("b", 4000, 11*time.Second), server("c", 1000)
+			x := awaitingProven(lastAttempt(item("x", spec), 1))
+			x.FailedAt, x.OutlastTime, x.ProofPeriod, x.AwaitsLaterProof = 10*time.Second, time.Second, 5*time.Second, true
+			checkPlaced(t, map[string]int{"x on b": 1}, steps.Make(view([]steps.Server{earlier, later, unknown}, x)))
+			checkPlaced(t, map[string]int{}, steps.Make(view([]steps.Server{earlier, unknown}, x)))
+			earlier.HeldRuns = map[flow.TaskID]*flows.HeldRun{{}: {PlacedAt: x.FailedAt, Size: capacity.Size{CPU: 1000}}}
+			checkPlaced(t, map[string]int{"x on a": 1}, steps.Make(view([]steps.Server{earlier, unknown}, x)))
+			earlier.HeldRuns, x.AwaitsLaterProof = nil, false
+			checkPlaced(t, map[string]int{"x on a": 1}, steps.Make(view([]steps.Server{earlier, unknown}, x)))
+		})
+	}
+}
+
 // Some tasks of a step failed and others did not. Only those at their last attempt need the
 // proven server, and they come first there.
 func TestLastAttemptsComeFirstOnProvenServers(t *testing.T) {
--- a/internal/policy/steps/view.go
+++ b/internal/policy/steps/view.go
@@ -58,6 +58,13 @@
 	// is the time for which a successful run proves a server to the step.
 	AwaitsProven bool
 	ProofPeriod  time.Duration
+	// FailedAt is the time, on the ledger's clock, at which the latest failed run of a queued task
+	// was placed. A run placed before it proves little: the servers that fail may have begun to
+	// since. A run that was placed later and goes on for OutlastTime proves its server as well as
+	// one that ended. AwaitsLaterProof is true while such runs are expected.
+	FailedAt         time.Duration
+	OutlastTime      time.Duration
+	AwaitsLaterProof bool
 	// FailedRacks holds the racks in which a task of the step failed.
 	FailedRacks map[string]bool
 	// FailedOn holds the servers on which a task of the step failed. They are used last.
