A queue of which nothing runs starts one item also while customers do not compete

Cause: the floor counts while customers compete, which is decided from limits and capacity: with all four servers up the ratio is 1.69 and `flows.contention` 1.85. Room was short all the same, and without the floor priority alone decides.

Thrown out: no leader (there was one), servers held but silent (four placed work).

Why this works: when room is short and `flows.floor` is set, the first item at risk of a queue of which nothing runs comes before others, and no more of it once something runs. Gangs are left out, since they hold room while they wait.

Test: TestQueueOfWhichNothingRunsStartsOneItem; TestPlansWithoutContentionIgnoreItsOrder holds unchanged.

--- a/internal/control/dispatch/fair.go
+++ b/internal/control/dispatch/fair.go
@@ -42,24 +42,28 @@
 	return questionsPerHelper * max(available, 1)
 }
 
-// floorShortfalls returns, by queue, the CPU in thousandths of a core that the queue lacks to its
-// floor in its pool. It returns nil unless a floor is set.
-func (d *Dispatcher) floorShortfalls(servers []steps.Server) map[string]int64 {
-	if d.Options.Floor <= 0 {
-		return nil
-	}
-	ledger := d.Host.Flows()
-	total, used := map[string]int64{}, map[string]int64{}
+// queueUse returns, by queue, the CPU in thousandths of a core of its runs on the servers.
+func (d *Dispatcher) queueUse(servers []steps.Server) map[string]int64 {
+	used := map[string]int64{}
 	for _, s := range servers {
-		total[s.Pool] += s.Capacity.CPU
 		for _, held := range s.HeldRuns {
-			if f, ok := ledger.Flow(held.Flow); ok {
+			if f, ok := d.Host.Flows().Flow(held.Flow); ok {
 				used[f.QueueName] += held.Size.CPU
 			}
 		}
 	}
+	return used
+}
+
+// floorShortfalls returns, by queue, the CPU in thousandths of a core that the queue lacks to its
+// floor in its pool.
+func (d *Dispatcher) floorShortfalls(servers []steps.Server) map[string]int64 {
+	total, used := map[string]int64{}, d.queueUse(servers)
+	for _, s := range servers {
+		total[s.Pool] += s.Capacity.CPU
+	}
 	out := map[string]int64{}
-	for _, q := range ledger.Config().GetQueues() {
+	for _, q := range d.Host.Flows().Config().GetQueues() {
 		if n := fairness.Shortfall(used[q.GetName()], total[q.GetPool()], d.Options.Floor); n > 0 {
 			out[q.GetName()] = n
 		}
--- a/internal/control/dispatch/plan.go
+++ b/internal/control/dispatch/plan.go
@@ -48,9 +48,15 @@
 	view.Items, queuedCPU = d.planItems(clock)
 	view.Servers = d.planServers(clock, now)
 	view.Headroom = func(pool string) steps.Headroom { return d.headroom(pool, poolCapacity(view.Servers, pool), now) }
-	view.Contended = d.leader.contended && steps.RoomShort(queuedCPU, view.Servers)
-	if view.Contended {
+	roomShort := steps.RoomShort(queuedCPU, view.Servers)
+	view.Contended = d.leader.contended && roomShort
+	switch {
+	case !roomShort || d.Options.Floor <= 0:
+	case view.Contended:
 		steps.MarkBelowFloor(view.Items, d.floorShortfalls(view.Servers))
+	default:
+		used := d.queueUse(view.Servers)
+		steps.MarkStarved(view.Items, func(queue string) bool { return used[queue] > 0 })
 	}
 	return view
 }
--- a/internal/policy/steps/contended.go
+++ b/internal/policy/steps/contended.go
@@ -64,6 +64,25 @@
 	}
 }
 
+// MarkStarved marks the first item of each queue of which nothing runs. It is for plans with too
+// little room while customers do not compete: a backlog of higher priority would keep such a queue
+// from starting anything. An item that is not at risk can wait, and a gang keeps its own place,
+// since the room for it would stay idle until it suffices.
+func MarkStarved(items []Item, runs func(queue string) bool) {
+	first := map[string]int{}
+	for i, item := range items {
+		if !item.AtRisk || item.Spec.GetGang() || runs(item.Flow.QueueName) {
+			continue
+		}
+		if j, ok := first[item.Flow.QueueName]; !ok || Compare(item, items[j]) < 0 {
+			first[item.Flow.QueueName] = i
+		}
+	}
+	for _, i := range first {
+		items[i].Starved = true
+	}
+}
+
 // RoomShort reports whether the steps that are ready need more CPU than is free in any pool.
 // queued holds the CPU of their queued tasks by pool, in thousandths of a core.
 func RoomShort(queued map[string]int64, servers []Server) bool {
--- a/internal/policy/steps/contended_test.go
+++ b/internal/policy/steps/contended_test.go
@@ -139,6 +139,33 @@
 	}
 }
 
+// Guards against a lowest queue of which nothing ever runs beside a backlog of urgent work, while
+// customers do not compete. One item of it is enough, and none once something of it runs.
+func TestQueueOfWhichNothingRunsStartsOneItem(t *testing.T) {
+	for _, running := range []bool{false, true} {
+		var items []steps.Item
+		for i := range 20 {
+			low := queueItem(fmt.Sprintf("batch %02d", i), "batch", "c", 2, tasks(2, 1000))
+			low.AtRisk, low.Late, low.Slack = true, true, -time.Second
+			items = append(items, queueItem(fmt.Sprintf("quick %02d", i), "quick", "c", 0, tasks(1, 1000)), low)
+		}
+		steps.MarkStarved(items, func(queue string) bool { return queue == "quick" || running })
+		v := view([]steps.Server{server("a", 10_000)}, items...)
+		v.Items = steps.SelectItems(v, 0)
+		got := map[string]int{}
+		for _, placement := range steps.Make(v).Placements {
+			got[placement.Item.Flow.QueueName] += len(placement.Assignments)
+		}
+		want := map[string]int{"batch": 2, "quick": 8}
+		if running {
+			want = map[string]int{"quick": 10}
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("running %v: %s", running, diff)
+		}
+	}
+}
+
 // Gangs that start with their last slack wait for room together and all end late. One that has
 // spent its slack must not keep the room of one that has not.
 func TestGangsOfAQuarterOfTheCellInABurst(t *testing.T) {
--- a/internal/policy/steps/steps.go
+++ b/internal/policy/steps/steps.go
@@ -206,6 +206,7 @@
 	return cmp.Or(
 		bools.Compare(a.Worthless, b.Worthless),
 		bools.Compare(a.Surplus, b.Surplus),
+		bools.Compare(b.Starved, a.Starved),
 		bools.Compare(a.Late, b.Late),
 		cmp.Compare(a.Priority, b.Priority),
 		cmp.Compare(a.Slack, b.Slack),
--- a/internal/policy/steps/view.go
+++ b/internal/policy/steps/view.go
@@ -49,6 +49,9 @@
 	// BelowFloor is true when the queue uses less of a contended pool than its floor and the
 	// item has a part of what it lacks.
 	BelowFloor bool
+	// Starved is true when room is short, nothing of the queue runs, and the item is the first of
+	// its queue.
+	Starved bool
 	// LastAttempt is true when one more failed run of a queued task fails the flow. Such a
 	// step is placed on proven servers.
 	LastAttempt bool
