Suspect tasks start only where nothing else has just started

Cause: a suspect begins on a server of its own so that the next crash tells whose it was. What started there in the plan before, a few milliseconds earlier, was not looked at. Such a server crashed by a task nobody suspected yet, and of all that had just started the one suspected most takes the blame.

It had been on one server when it crashed.

So that a suspect does not wait for ever in a busy pool, the server that is quiet next is kept for it.

--- a/internal/control/dispatch/crash.go
+++ b/internal/control/dispatch/crash.go
@@ -91,9 +91,10 @@
 	}
 }
 
-// startProbation reserves a server for a task that is suspected of crashing servers, until
-// its probation ends.
-func (d *Dispatcher) startProbation(s *session, r *run, now time.Duration) {
+// recordStart records the time of a start. If the task is suspected of crashing servers, its
+// server is reserved for it until its probation ends.
+func (d *Dispatcher) recordStart(s *session, r *run, now time.Duration) {
+	s.lastStartAt = now
 	if t, ok := d.currentTask(r); ok && t.BlamedCrashes > 0 {
 		s.probationUntil = max(s.probationUntil, now+blame.ProbationPeriod)
 	}
--- a/internal/control/dispatch/order.go
+++ b/internal/control/dispatch/order.go
@@ -120,7 +120,7 @@
 	r.startAttempts++
 	if r.startSentAt == 0 {
 		r.startSentAt = d.Now()
-		d.startProbation(s, r, r.startSentAt)
+		d.recordStart(s, r, r.startSentAt)
 	}
 	start := &inner.StartRun{Run: r.Message(), Input: f.Spec.GetInput(), Checkpoint: step.Tasks[r.Index].Checkpoint, Permit: r.permit}
 	// An unresponsive server may still receive calls. A retry must not extend the lease,
--- a/internal/control/dispatch/plan.go
+++ b/internal/control/dispatch/plan.go
@@ -9,6 +9,7 @@
 	"gypsumreel/internal/domain/capacity"
 	"gypsumreel/internal/domain/flow"
 	"gypsumreel/internal/ledger/flows"
+	"gypsumreel/internal/policy/blame"
 	"gypsumreel/internal/policy/pace"
 	"gypsumreel/internal/policy/steps"
 )
@@ -93,7 +94,7 @@
 	for _, s := range d.leader.sortedSessions {
 		b, ok := d.Host.Flows().Server(s.id)
 		if ok && d.acceptsTasks(s, b, now) {
-			server := steps.Server{Server: b, Speed: d.serverSpeedFor(s, b), InSlowStart: clock < b.SlowStartEndsAt, RecentlyStarted: isRecentlyStarted(b, clock), OnProbation: now < s.probationUntil, ShortLease: d.leader.urgentServers[b.Pool].Contains(s.id)}
+			server := steps.Server{Server: b, Speed: d.serverSpeedFor(s, b), InSlowStart: clock < b.SlowStartEndsAt, RecentlyStarted: isRecentlyStarted(b, clock), OnProbation: now < s.probationUntil, QuietIn: max(s.lastStartAt+blame.ProbationPeriod-now, 0), ShortLease: d.leader.urgentServers[b.Pool].Contains(s.id)}
 			if d.addEvidence(&server, s, clock) {
 				servers = append(servers, server)
 			}
@@ -251,6 +252,6 @@
 		r.serverSpeed = d.serverSpeedFor(s, b)
 	}
 	s.runs[id.TaskID] = r
-	d.startProbation(s, r, now)
+	d.recordStart(s, r, now)
 	return r
 }
--- a/internal/control/dispatch/session.go
+++ b/internal/control/dispatch/session.go
@@ -78,6 +78,8 @@
 	// probationUntil is the time until which only the task under probation is placed on the
 	// server.
 	probationUntil time.Duration
+	// lastStartAt is the latest time at which a run may have been started on the server.
+	lastStartAt time.Duration
 	// avoidUntil is the time until which no new tasks are placed on the server.
 	// refusalsInARow counts its consecutive refusals.
 	avoidUntil     time.Duration
--- a/internal/control/dispatch/sessions.go
+++ b/internal/control/dispatch/sessions.go
@@ -21,6 +21,9 @@
 		step, ok := d.Host.Flows().Step(allocation.StepID)
 		s.runs[id] = &run{RunID: allocation.RunID, allocation: allocation, startUnconfirmed: true, urgent: ok && d.isUrgentStep(step)}
 	}
+	if len(b.HeldRuns) > 0 {
+		s.lastStartAt = d.Now()
+	}
 	s.speed = d.leader.serverSpeeds[s.id]
 	d.leader.sessions[b.ID] = s
 	index, _ := slices.BinarySearchFunc(d.leader.sortedSessions, s.id, compareSessionID)
--- a/internal/policy/steps/probation.go
+++ b/internal/policy/steps/probation.go
@@ -47,8 +47,9 @@
 	return normal, suspects[:min(len(suspects), limit-len(normal))]
 }
 
-// placeSuspects starts each suspect task on a server on which no other task starts meanwhile.
-// It returns the tasks for which there was no such server. It prefers servers that have not
+// placeSuspects starts each suspect task on a server on which no other task starts meanwhile or
+// has just started. It returns the tasks for which there was no such server; the next one to
+// become quiet is kept for the first of them. It prefers servers that have not
 // started recently, since their crash is better evidence against the task, and servers with
 // more free CPU, since fewer other tasks are lost in a crash.
 func (p *planner) placeSuspects(placement *stepPlacement, candidates []candidate, tasks []uint32) []uint32 {
@@ -59,6 +60,7 @@
 	slices.SortFunc(unused, func(a, b candidate) int {
 		return cmp.Or(bools.Compare(a.RecentlyStarted, b.RecentlyStarted), a.penalty-b.penalty, cmp.Compare(b.free.CPU, a.free.CPU), a.index-b.index)
 	})
+	var quietNext *serverState
 	for _, c := range unused {
 		if len(tasks) == 0 {
 			break
@@ -66,12 +68,21 @@
 		if p.limitByHeadroom(placement.item, c.serverState, 1) == 0 {
 			continue
 		}
+		if c.QuietIn > 0 {
+			if quietNext == nil || c.QuietIn < quietNext.QuietIn {
+				quietNext = c.serverState
+			}
+			continue
+		}
 		p.placeTasks(placement, c, tasks[:1])
 		tasks = tasks[1:]
 		if c.permission == Granted {
 			p.holdForSuspect(c.serverState)
 		}
 	}
+	if len(tasks) > 0 && quietNext != nil {
+		p.holdForSuspect(quietNext)
+	}
 	return tasks
 }
 
--- a/internal/policy/steps/probation_test.go
+++ b/internal/policy/steps/probation_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"gypsumreel/internal/domain/capacity"
 	"gypsumreel/internal/policy/steps"
@@ -111,6 +112,17 @@
 	}
 }
 
+// Guards against a suspect that is blamed for another task, which started on its server just before
+// it. The server that is quiet next is kept, so that a suspect does not wait for ever in a busy pool.
+func TestSuspectTasksAvoidServersOnWhichOthersHaveJustStarted(t *testing.T) {
+	a, b := server("a", 4000), server("b", 2000)
+	a.QuietIn = 200 * time.Millisecond
+	x, y := suspect(item("x", tasks(1, 1000)), 1), item("y", tasks(6, 1000))
+	checkPlaced(t, map[string]int{"x on b": 1, "y on a": 4}, steps.Make(view([]steps.Server{a, b}, x, y)))
+	b.QuietIn = 100 * time.Millisecond
+	checkPlaced(t, map[string]int{"y on a": 4}, steps.Make(view([]steps.Server{a, b}, x, y)))
+}
+
 // The server with the most room has just restarted and may crash again without a fault of its
 // tasks. A suspect task that starts there would be blamed for that.
 func TestSuspectTasksAvoidRecentlyStartedServers(t *testing.T) {
--- a/internal/policy/steps/view.go
+++ b/internal/policy/steps/view.go
@@ -91,6 +91,9 @@
 	// OnProbation is true while a task that is suspected of crashing servers starts there.
 	// Nothing else is placed on the server during that time.
 	OnProbation bool
+	// QuietIn is the time until no run on the server may still crash it by its start; 0 if none
+	// may now. A suspect task that started meanwhile would be blamed for the other.
+	QuietIn time.Duration
 	// Proven is true when a run recently ended successfully on the server and none has failed
 	// there since. SinceSuccess is the time since the start of that run.
 	Proven       bool
