Election timeouts adapt by default, also in the demo's cell

What callers saw: in the demo beside load, accepted jobs without an outcome and a withdrawn key that nobody refused for 15 s (TestTheDemoHolds/beside-load).

Cause: the demo's cell left out the upper bound of the election timeout, and settings without `time.patience` took `time.election` for it. The timeout was fixed at 500 ms. Replicas that get half of a core are silent for longer, each leader is deposed, and each election costs processor time that the work needs.

Why this works: the estimator follows the silences and doubles in a storm. After the loss of a leader on a calm machine the timeout is the shortest one, as before.

--- a/internal/base/settings/keys.go
+++ b/internal/base/settings/keys.go
@@ -40,6 +40,9 @@
 	// MinElectionHeartbeats is the minimum ratio of the election timeout to the heartbeat
 	// interval.
 	MinElectionHeartbeats = 4
+	// PatienceFactor is the default ratio of the longest election timeout to the shortest. With
+	// a fixed timeout, replicas that get too little processor time depose each other for ever.
+	PatienceFactor = 4
 )
 
 // The default addresses to listen on.
@@ -140,7 +143,9 @@
 	forRole(RoleControl, durationKey("time.heartbeat", DefaultHeartbeatInterval, 5*time.Millisecond, 5*time.Second, "Interval between the leader's heartbeats.", func(s *Settings) *time.Duration { return &s.Time.HeartbeatInterval })),
 	forRole(RoleControl, durationKey("time.election", DefaultElectionTimeout, 20*time.Millisecond, time.Minute, "Shortest time without a heartbeat of the leader that starts an election; at least four heartbeats.", func(s *Settings) *time.Duration { return &s.Time.ElectionTimeout })),
 	forRole(RoleControl, withDefault(durationKey("time.patience", 0, 20*time.Millisecond, time.Minute, "Maximum that the election timeout grows to while heartbeats of the leader are late or leaders change in quick succession.", func(s *Settings) *time.Duration { return &s.Time.MaxElectionTimeout }),
-		"time.election", func(s *Settings) { s.Time.MaxElectionTimeout = s.Time.ElectionTimeout })),
+		"four times time.election, at most half of time.lease", func(s *Settings) {
+			s.Time.MaxElectionTimeout = max(s.Time.ElectionTimeout, min(PatienceFactor*s.Time.ElectionTimeout, s.Time.LeaseDuration/2))
+		})),
 	forRole(RoleControl, durationKey("time.retention", DefaultOutcomeRetention, time.Minute, 30*24*time.Hour, "How long an outcome is kept without an acknowledgement.", func(s *Settings) *time.Duration { return &s.Time.OutcomeRetention })),
 	forRole(RoleControl, durationKey("time.poll", DefaultMaxPoll, 50*time.Millisecond, 30*time.Second, "Maximum duration of a long poll. A short one detects unresponsive connections sooner.", func(s *Settings) *time.Duration { return &s.Time.MaxPoll })),
 	forRole(RoleEntry, durationKey("time.call", DefaultCallTimeout, 50*time.Millisecond, time.Minute, "Timeout of an entry's call to a control replica, in addition to the duration of a long poll. When it expires, the entry abandons the connection.", func(s *Settings) *time.Duration { return &s.Time.CallTimeout })),
--- a/internal/base/settings/settings_test.go
+++ b/internal/base/settings/settings_test.go
@@ -46,6 +46,22 @@
 	}
 }
 
+// Guards against a fixed election timeout by default: replicas that get too little processor time
+// would depose each other for ever.
+func TestElectionTimeoutAdaptsByDefault(t *testing.T) {
+	for times, want := range map[string]time.Duration{
+		`{}`: 4 * time.Second, `{"election": "500ms"}`: 2 * time.Second, `{"lease": "4s"}`: 2 * time.Second, `{"patience": "1s"}`: time.Second,
+	} {
+		s, err := settings.Parse("f", []byte(`{"role": "control", "time": `+times+`, `+tlsDisabled+`}`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if s.Time.MaxElectionTimeout != want {
+			t.Errorf("%s: the election timeout is at most %v, want %v", times, s.Time.MaxElectionTimeout, want)
+		}
+	}
+}
+
 // Guards against reporting only the first of several faults, which would cost the
 // operator one failed start per fault, and against wrong positions.
 func TestEveryFaultIsReportedWithItsPosition(t *testing.T) {
--- a/internal/demo/cell/cell.go
+++ b/internal/demo/cell/cell.go
@@ -15,6 +15,7 @@
 	"github.com/go-logr/logr"
 
 	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/base/settings"
 	"gypsumreel/internal/control/leader"
 	"gypsumreel/internal/control/node"
 	"gypsumreel/internal/domain/key"
@@ -171,6 +172,7 @@
 		Listener: p.connections, Address: c.Network.Address(name), Replicas: c.members(),
 		RootKey: &v1.KeyGrant{Id: operatorKeyID, Operator: true, Digest: digest[:]},
 		Dial:    c.Network.Dialer(name), Abort: p.abort, Log: c.Log.WithValues("process", name), Control: leader.New(),
+		MaxElectionTimeout: settings.PatienceFactor * quorum.DefaultElectionTimeout,
 	}
 	if c.NewTransport != nil {
 		n.NewTransport = func(id string, receive func(from string, data []byte)) node.Transport {
