A look for starved queues ends at the first run that it finds

Plans of large pools went over all held runs while room was short and customers did not compete. Now the search ends at the first run of the queue, and is made once a queue. No change of what is decided: TestQueueOfWhichNothingRunsStartsOneItem.

--- a/internal/control/dispatch/fair.go
+++ b/internal/control/dispatch/fair.go
@@ -42,28 +42,33 @@
 	return questionsPerHelper * max(available, 1)
 }
 
-// queueUse returns, by queue, the CPU in thousandths of a core of its runs on the servers.
-func (d *Dispatcher) queueUse(servers []steps.Server) map[string]int64 {
-	used := map[string]int64{}
+// holdsRunOf reports whether the servers hold a run of a queue.
+func (d *Dispatcher) holdsRunOf(queue string, servers []steps.Server) bool {
 	for _, s := range servers {
 		for _, held := range s.HeldRuns {
-			if f, ok := d.Host.Flows().Flow(held.Flow); ok {
-				used[f.QueueName] += held.Size.CPU
+			if f, ok := d.Host.Flows().Flow(held.Flow); ok && f.QueueName == queue {
+				return true
 			}
 		}
 	}
-	return used
+	return false
 }
 
 // floorShortfalls returns, by queue, the CPU in thousandths of a core that the queue lacks to its
 // floor in its pool.
 func (d *Dispatcher) floorShortfalls(servers []steps.Server) map[string]int64 {
-	total, used := map[string]int64{}, d.queueUse(servers)
+	ledger := d.Host.Flows()
+	total, used := map[string]int64{}, map[string]int64{}
 	for _, s := range servers {
 		total[s.Pool] += s.Capacity.CPU
+		for _, held := range s.HeldRuns {
+			if f, ok := ledger.Flow(held.Flow); ok {
+				used[f.QueueName] += held.Size.CPU
+			}
+		}
 	}
 	out := map[string]int64{}
-	for _, q := range d.Host.Flows().Config().GetQueues() {
+	for _, q := range ledger.Config().GetQueues() {
 		if n := fairness.Shortfall(used[q.GetName()], total[q.GetPool()], d.Options.Floor); n > 0 {
 			out[q.GetName()] = n
 		}
--- a/internal/control/dispatch/plan.go
+++ b/internal/control/dispatch/plan.go
@@ -56,8 +56,7 @@
 	case view.Contended:
 		steps.MarkBelowFloor(view.Items, d.floorShortfalls(view.Servers))
 	default:
-		used := d.queueUse(view.Servers)
-		steps.MarkStarved(view.Items, func(queue string) bool { return used[queue] > 0 })
+		steps.MarkStarved(view.Items, func(queue string) bool { return d.holdsRunOf(queue, view.Servers) })
 	}
 	return view
 }
--- a/internal/policy/steps/attempt.go
+++ b/internal/policy/steps/attempt.go
@@ -57,7 +57,7 @@
 // isOutlasted reports whether a run in progress on a proven server was not placed before the
 // latest failed run of the item and has gone on for longer than that run did.
 func (item Item) isOutlasted(s Server) bool {
-	now := s.ProvenAt + s.SinceSuccess
+	now := s.ProvenAt + s.SinceSuccess // on the ledger's clock
 	for _, held := range s.HeldRuns {
 		if held.PlacedAt >= item.FailedAt && now-held.PlacedAt >= item.OutlastTime {
 			return true
--- a/internal/policy/steps/contended.go
+++ b/internal/policy/steps/contended.go
@@ -71,15 +71,15 @@
 func MarkStarved(items []Item, runs func(queue string) bool) {
 	first := map[string]int{}
 	for i, item := range items {
-		if !item.AtRisk || item.Spec.GetGang() || runs(item.Flow.QueueName) {
+		if !item.AtRisk || item.Spec.GetGang() {
 			continue
 		}
 		if j, ok := first[item.Flow.QueueName]; !ok || Compare(item, items[j]) < 0 {
 			first[item.Flow.QueueName] = i
 		}
 	}
-	for _, i := range first {
-		items[i].Starved = true
+	for queue, i := range first {
+		items[i].Starved = !runs(queue)
 	}
 }
 
