--- a/internal/control/dispatch/closing.go
+++ b/internal/control/dispatch/closing.go
@@ -103,7 +103,8 @@
 // logLostRun logs and counts a run that was lost with its server, beside the given number of
 // other runs.
 func (d *Dispatcher) logLostRun(s *session, r *run, end inner.RunEnd, closed bool, otherRuns int) {
-	event.Log(d.Log, event.AttemptLost, "flow", r.Flow, "run", r.String(), "server", s.id, "how", end.String(), "checkpoint", r.checkpoint, "over", closed, "age", d.runAge(s, r).String(), "beside", otherRuns, "start", r.startEvidence())
+	event.Log(d.Log, event.AttemptLost, "flow", r.Flow, "run", r.String(), "server", s.id, "how", end.String(),
+		"checkpoint", r.checkpoint, "over", closed, "age", d.runAge(s, r).String(), "beside", otherRuns, "start", r.startEvidence())
 	d.flowMetrics.countRunEnd(end)
 }
 
--- a/internal/control/dispatch/plan.go
+++ b/internal/control/dispatch/plan.go
@@ -92,11 +92,17 @@
 	servers := d.leader.planView.Servers[:0]
 	for _, s := range d.leader.sortedSessions {
 		b, ok := d.Host.Flows().Server(s.id)
-		if ok && d.acceptsTasks(s, b, now) {
-			server := steps.Server{Server: b, Speed: d.serverSpeedFor(s, b), InSlowStart: clock < b.SlowStartEndsAt, RecentlyStarted: isRecentlyStarted(b, clock), OnProbation: now < s.probationUntil, QuietIn: max(s.lastStartAt+blame.ProbationPeriod-now, 0), ShortLease: d.leader.urgentServers[b.Pool].Contains(s.id)}
-			if d.addEvidence(&server, s, clock) {
-				servers = append(servers, server)
-			}
+		if !ok || !d.acceptsTasks(s, b, now) {
+			continue
+		}
+		server := steps.Server{
+			Server: b, Speed: d.serverSpeedFor(s, b), InSlowStart: clock < b.SlowStartEndsAt,
+			RecentlyStarted: isRecentlyStarted(b, clock), OnProbation: now < s.probationUntil,
+			QuietIn:    max(s.lastStartAt+blame.ProbationPeriod-now, 0),
+			ShortLease: d.leader.urgentServers[b.Pool].Contains(s.id),
+		}
+		if d.addEvidence(&server, s, clock) {
+			servers = append(servers, server)
 		}
 	}
 	return servers
