Progress of the control thread: log events, metrics, and a state dump that needs no answer

Callers saw a leader that answered nobody and kept the lead. Nothing told whether its control thread was in a turn that does not end, waited for something, or made decisions that were never committed: the state dump asks the control thread and gives up after a second, and no log line or metric concerns the present turn.

No change of behaviour.

--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -99,6 +100,9 @@
 	ChangeMember(m quorum.Member, remove bool)
 	// IsSynced reports whether a member has stored all committed log entries.
 	IsSynced(id string) bool
+	// SetSubject records what the control thread works on, for its progress; nil if that is not
+	// known.
+	SetSubject(subject fmt.Stringer)
 	// YieldProcessor lets other goroutines of the process run.
 	YieldProcessor()
 	// Post queues fn to run on the control thread. It returns false if the thread has
--- a/internal/control/dispatch/plan.go
+++ b/internal/control/dispatch/plan.go
@@ -28,7 +28,9 @@
 	d.leader.planCount++
 	d.leader.planView = view // the next plan reuses the slices
 	view.Items = steps.SelectItems(view, d.leader.planCount)
+	view.BeginItem = func(id flow.StepID) { d.Host.SetSubject(id) }
 	result := d.leader.planner.Make(view)
+	d.Host.SetSubject(nil)
 	for _, placement := range result.Placements {
 		d.recordDemand(placement, now)
 		d.commitPlacement(placement, now)
--- a/internal/control/leader/extension.go
+++ b/internal/control/leader/extension.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"fmt"
 	"time"
 
 	"gypsumreel/internal/api/record"
@@ -85,6 +86,9 @@
 	return l.MatchIndexes != nil && l.leadership != nil && l.MatchIndexes()[id]+maxSyncLag >= l.leadership.commitIndex
 }
 
+// SetSubject records what the control thread works on, for its progress; nil if that is not known.
+func (l *Leader) SetSubject(subject fmt.Stringer) { l.Turns.SetSubject(subject) }
+
 // Post runs fn on the control thread. It blocks while the inbox is full, so it must
 // not be called on the control thread itself. It returns false when the control
 // thread has ended.
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -19,6 +19,7 @@
 	"gypsumreel/internal/base/event"
 	"gypsumreel/internal/base/yield"
 	"gypsumreel/internal/control/mailbox"
+	"gypsumreel/internal/control/turn"
 	"gypsumreel/internal/domain/lease"
 	"gypsumreel/internal/ledger/state"
 	"gypsumreel/internal/policy/plan"
@@ -189,6 +190,9 @@
 	Metrics *metrics.Set
 	Log     logr.Logger
 
+	// Turns records the progress of the control thread.
+	Turns turn.Meter
+
 	inbox  chan func()
 	done   chan struct{}
 	status atomic.Pointer[Status]
@@ -285,6 +289,7 @@
 func (l *Leader) Run(ctx context.Context) error {
 	defer close(l.done)
 	l.controlMetrics = newControlMetrics(l.Metrics)
+	l.registerProgressGauges()
 	l.logLimiter.Now = l.WallClock
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -297,16 +302,20 @@
 			if !ok {
 				return errors.New("the replication group has stopped")
 			}
+			l.Turns.Begin(turn.Notification, l.Now())
 			if err := l.handleNotification(n); err != nil {
 				return err
 			}
 		case fn := <-l.inbox:
+			l.Turns.Begin(turn.Function, l.Now())
 			fn()
 			l.runQueuedFunctions()
 		case <-ticker.C:
+			l.Turns.Begin(turn.Timers, l.Now())
 			l.runTimers()
 		}
 		l.finishTurn()
+		l.controlMetrics.turnSeconds.Update(l.Turns.End(l.Now()).Seconds())
 	}
 }
 
@@ -314,7 +323,10 @@
 // the group passes through several goroutines. A leader that computes for a long
 // time without yielding would delay its heartbeats and lose the leadership because
 // of its own load. YieldProcessor is called on the control thread.
-func (l *Leader) YieldProcessor() { l.processorYield.YieldIfDue() }
+func (l *Leader) YieldProcessor() {
+	l.Turns.Advance()
+	l.processorYield.YieldIfDue()
+}
 
 // runQueuedFunctions runs further functions that are already queued, so that their commands
 // share one commit.
@@ -334,16 +346,25 @@
 // decisions, proposes commands, and sends the replies whose commands are committed.
 func (l *Leader) finishTurn() {
 	if l.leadership != nil {
+		l.Turns.Enter(turn.Effects)
 		l.runCommittedEffects()
+		l.Turns.Enter(turn.Decisions)
 		l.applyDecisions()
+		l.Turns.Enter(turn.Syncs)
 		l.answerSyncs()
+		l.Turns.Enter(turn.Reads)
 		l.runConfirmedReads()
 		if l.Extension != nil {
+			l.Turns.Enter(turn.Plan)
 			l.Extension.BeforePropose()
 		}
+		l.Turns.Enter(turn.Proposal)
 		l.proposePending()
+		l.Turns.Enter(turn.Replies)
 		l.deliverCommittedReplies()
 	}
+	l.Turns.SetOldestProposal(l.oldestProposal())
+	l.Turns.Enter(turn.Snapshot)
 	l.publishStatus()
 	l.advanceSnapshot()
 }
--- a/internal/control/leader/leadership.go
+++ b/internal/control/leader/leadership.go
@@ -57,6 +57,9 @@
 	// inFlightProposals are the proposals whose commit latency is still to be
 	// measured.
 	inFlightProposals []inFlightProposal
+	// proposalRefusedAt is when the group first had no room for the pending commands; 0 if it
+	// has room.
+	proposalRefusedAt time.Duration
 	// tableIndex is a log index at or after the command that made the current table
 	// revision.
 	tableIndex  uint64
@@ -258,8 +261,12 @@
 		return
 	}
 	first := lead.lastIndex + 1 - uint64(len(lead.pendingCommands))
-	if l.Group.Propose(group.Proposal{Term: lead.term, FirstIndex: first, Commands: lead.pendingCommands}) {
-		lead.pendingCommands = nil
+	if !l.Group.Propose(group.Proposal{Term: lead.term, FirstIndex: first, Commands: lead.pendingCommands}) {
+		if lead.proposalRefusedAt == 0 {
+			lead.proposalRefusedAt = l.Now()
+		}
+	} else {
+		lead.pendingCommands, lead.proposalRefusedAt = nil, 0
 		lead.inFlightProposals = append(lead.inFlightProposals, inFlightProposal{lead.lastIndex, l.Now()})
 	}
 }
--- a/internal/control/leader/metrics.go
+++ b/internal/control/leader/metrics.go
@@ -18,6 +18,7 @@
 	refusedJobs   *metrics.Counter
 	acceptedJobs  *metrics.Counter
 	commitSeconds *metrics.PrometheusHistogram
+	turnSeconds   *metrics.PrometheusHistogram
 
 	waitingJobs, runningTasks, heldReplies, readyServers atomic.Int64
 }
@@ -32,6 +33,7 @@
 		placements: counter("placements_total"), decisions: counter("decisions_total"), preemptions: counter("preemptions_total"),
 		lostAttempts: counter("attempts_lost_total"), refusedJobs: counter("refused_total"), acceptedJobs: counter("accepted_total"),
 		commitSeconds: set.GetOrCreatePrometheusHistogram(basemeter.Name("control", "commit_seconds")),
+		turnSeconds:   set.GetOrCreatePrometheusHistogram(basemeter.Name("control", "turn_seconds")),
 	}
 	for metric, n := range map[string]*atomic.Int64{
 		"waiting_jobs": &m.waitingJobs, "running_tasks": &m.runningTasks, "held_replies": &m.heldReplies, "servers_ready": &m.readyServers,
@@ -60,6 +62,28 @@
 	m.readyServers.Store(int64(l.leadership.reported.readyServers))
 }
 
+// registerProgressGauges registers the ages of the present turn and of the oldest proposal. They
+// are read without the control thread, since they matter most while it stands.
+func (l *Leader) registerProgressGauges() {
+	if l.Metrics == nil {
+		return
+	}
+	l.Metrics.GetOrCreateGauge(basemeter.Name("control", "turn_age_seconds"), func() float64 { return l.Turns.Progress(l.Now()).TurnAge.Seconds() })
+	l.Metrics.GetOrCreateGauge(basemeter.Name("control", "proposal_age_seconds"), func() float64 { return l.Turns.Progress(l.Now()).ProposalAge.Seconds() })
+}
+
+// oldestProposal returns when the oldest proposal without a commit was made; 0 if there is none.
+func (l *Leader) oldestProposal() time.Duration {
+	switch lead := l.leadership; {
+	case lead == nil:
+		return 0
+	case len(lead.inFlightProposals) > 0:
+		return lead.inFlightProposals[0].proposedAt
+	default:
+		return lead.proposalRefusedAt
+	}
+}
+
 // inFlightProposal records when the commands up to a log index were handed to the
 // group.
 type inFlightProposal struct {
--- a/internal/control/node/monitor.go
+++ b/internal/control/node/monitor.go
@@ -11,6 +11,7 @@
 
 	"gypsumreel/internal/base/event"
 	"gypsumreel/internal/base/secure"
+	"gypsumreel/internal/control/turn"
 	"gypsumreel/internal/replica/journal"
 	"gypsumreel/internal/replica/quorum"
 	"gypsumreel/internal/replica/snapshot"
@@ -74,6 +75,14 @@
 	}
 }
 
+// controlThread is the function of the control thread in a stack.
+const controlThread = "gypsumreel/internal/control/leader.(*Leader).Run"
+
+// watchTurns logs turns of the control thread that do not end.
+func (n *Node) watchTurns(ctx context.Context) error {
+	return (&turn.Watch{Meter: &n.Control.Turns, Thread: controlThread, Now: n.now, Log: n.Log}).Run(ctx)
+}
+
 // logCorruption logs err as the given event if it reports a corrupt journal or
 // snapshot. It returns err unchanged.
 func (n *Node) logCorruption(id event.Definition, err error) error {
--- a/internal/control/node/node.go
+++ b/internal/control/node/node.go
@@ -269,6 +269,7 @@
 	run("group", func() error { return parts.group.Run(runCtx) })
 	run("control", func() error { return n.Control.Run(runCtx) })
 	run("watch", func() error { return n.monitor(runCtx) })
+	run("turns", func() error { return n.watchTurns(runCtx) })
 	select {
 	case err := <-failures:
 		return err
--- a/internal/control/node/state.go
+++ b/internal/control/node/state.go
@@ -11,6 +11,7 @@
 	"gypsumreel/internal/base/meter"
 	"gypsumreel/internal/control/entry"
 	"gypsumreel/internal/control/leader"
+	"gypsumreel/internal/control/turn"
 	"gypsumreel/internal/edge/platform"
 	"gypsumreel/internal/replica/group"
 )
@@ -25,6 +26,9 @@
 	Ready  string
 	Status leader.Status
 	Group  group.Dump
+	// Turn is the progress of the control thread, and Stack its stack if it did not answer.
+	Turn  turn.Progress
+	Stack string
 	// Control is the state of the control thread.
 	Control leader.View
 	// Fault is the reason why Control is missing; empty if it is present.
@@ -51,9 +55,9 @@
 	defer cancel()
 	view, err := n.Control.Inspect(ctx)
 	if err != nil {
-		d.Fault = err.Error()
+		d.Fault, d.Stack = err.Error(), turn.Stack(controlThread)
 	}
-	d.Control = view
+	d.Control, d.Turn = view, n.Control.Turns.Progress(n.now())
 	return d
 }
 
--- /dev/null
+++ b/internal/control/turn/watch.go
@@ -0,0 +1,94 @@
+package turn
+
+import (
+	"bytes"
+	"context"
+	"runtime/pprof"
+	"strings"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"gypsumreel/internal/base/event"
+)
+
+const (
+	// watchInterval is the interval between two looks at the progress.
+	watchInterval = 100 * time.Millisecond
+	// lateAfter is the age of a turn or of a proposal above which it is logged. Callers of a
+	// status wait for about as long.
+	lateAfter = time.Second
+)
+
+// Watch logs turns that do not end and proposals that are not committed. The fields must be set
+// before Run.
+type Watch struct {
+	Meter *Meter
+	// Thread is the function that the control thread runs, as named in its stack.
+	Thread string
+	Now    func() time.Duration
+	Log    logr.Logger
+
+	// loggedTurn is the number of the turn that was logged last. proposalLogged is true while the
+	// oldest proposal has been logged.
+	loggedTurn     uint64
+	proposalLogged bool
+}
+
+// Run watches until ctx ends.
+func (w *Watch) Run(ctx context.Context) error {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			w.check()
+		}
+	}
+}
+
+// check logs the present turn and the oldest proposal once if they are late.
+func (w *Watch) check() {
+	p := w.Meter.Progress(w.Now())
+	if p.TurnAge > lateAfter && p.Number != w.loggedTurn {
+		w.loggedTurn = p.Number
+		event.Log(w.Log, event.TurnLate, "step", p.Step.String(), "subject", p.Subject, "age", p.TurnAge.String(), "turn", p.Number, "proposal", p.ProposalAge.String(), "stack", Stack(w.Thread))
+	}
+	late := p.ProposalAge > lateAfter
+	if late && !w.proposalLogged {
+		event.Log(w.Log, event.CommitLate, "age", p.ProposalAge.String(), "step", p.Step.String(), "turn", p.Number)
+	}
+	w.proposalLogged = late
+}
+
+// Stack returns the stack of a goroutine that runs the function thread, innermost call first; empty
+// if there is none. It works while that goroutine computes or waits.
+func Stack(thread string) string {
+	var profile bytes.Buffer
+	if err := pprof.Lookup("goroutine").WriteTo(&profile, 1); err != nil {
+		return ""
+	}
+	for block := range strings.SplitSeq(profile.String(), "\n\n") {
+		if strings.Contains(block, thread+"+") {
+			return callsOf(block)
+		}
+	}
+	return ""
+}
+
+// callsOf returns the calls of one stack of a goroutine profile, as function and line.
+func callsOf(block string) string {
+	var calls []string
+	for line := range strings.Lines(block) {
+		fields := strings.Fields(line)
+		if len(fields) < 4 || fields[0] != "#" {
+			continue // no call
+		}
+		function, _, _ := strings.Cut(fields[2], "+")
+		_, file, _ := strings.Cut(fields[3], "/internal/")
+		calls = append(calls, function+" "+file)
+	}
+	return strings.Join(calls, "; ")
+}
--- a/internal/policy/steps/steps.go
+++ b/internal/policy/steps/steps.go
@@ -136,6 +136,9 @@
 		if v.Yield != nil && i%itemsPerYield == 0 {
 			v.Yield()
 		}
+		if v.BeginItem != nil {
+			v.BeginItem(item.StepID)
+		}
 		if item.Spec.GetGang() {
 			p.placeGang(item)
 		} else {
--- a/internal/policy/steps/view.go
+++ b/internal/policy/steps/view.go
@@ -145,6 +145,8 @@
 	// Releases returns the room that a server is expected to release, and when. It is nil while
 	// nothing is known.
 	Releases func(server string) []Release
+	// BeginItem is called before each item is placed. It may be nil.
+	BeginItem func(id flow.StepID)
 	// Yield is called at intervals during planning so that other work can run. It may be nil.
 	Yield func()
 }
