Plans end also where a server holds more than its capacity

Cause, as reproduced: yieldByFreeRoom hands out servers in batches, those with the most free CPU first, as long as they have at least what the next server outside of the batch has; outside of the last batch it took -1 for that. A server whose reported capacity is below what runs on it has less, is never handed out and never leaves the batch, and the loop goes round for ever. It takes a queue with an adviser, since only questions iterate that way. The next leader has the same servers in its ledger and stands with its first plan. That a server shrank in the record is not shown.

Now the bound outside of the last batch is below any free CPU: each round either takes a server out of the groups or hands out the whole batch, so it ends by its form.

--- a/internal/control/dispatch/capacity_test.go
+++ b/internal/control/dispatch/capacity_test.go
@@ -120,3 +120,41 @@
 		}
 	})
 }
+
+// maxTestTime is far beyond the real time of a test of a few servers, also on a busy machine.
+const maxTestTime = 20 * time.Second
+
+// Guards against a leader that answers nobody: after the capacity of a full server was reduced,
+// the next plan with a question to the adviser did not end.
+func TestLeaderAnswersAfterAFullServerHasShrunk(t *testing.T) {
+	// A control thread that computes for ever stops the virtual time of the cluster.
+	defer time.AfterFunc(maxTestTime, func() { panic("the control thread stands") }).Stop()
+	runWithCluster(t, 2, func(t *testing.T, w *testCluster) {
+		w.makeRunsLasting()
+		w.adviserAnswer = func(r *inner.AdviseRequest) *inner.AdviseReply {
+			reply := &inner.AdviseReply{Valid: 20000}
+			for _, s := range r.GetServers() {
+				reply.Permits = append(reply.Permits, &inner.Permit{Server: s, Ticket: "ticket"})
+			}
+			return reply
+		}
+		w.advice = &v1.Advice{Base: 5, Each: 0.1, Valid: 20000}
+		w.putRate(2, 0)
+		w.submit("full", newLastingStep(6, 1000))
+		w.awaitState("full", stateRunning, 2*time.Second)
+		w.reportCapacity("s1", 2000, 2)
+		w.reportCapacity("s2", 3000, 2)
+		for _, id := range []string{"a", "b"} {
+			w.submit(id, newLastingStep(1, 1000))
+			asked := time.Now()
+			w.flowState(id)
+			if waited := time.Since(asked); waited > time.Second {
+				t.Errorf("the state of flow %s was answered after %v", id, waited)
+			}
+		}
+		time.Sleep(time.Second)
+		w.askFlow(inner.FlowVerb_FLOW_VERB_CANCEL, "full")
+		w.awaitState("a", stateRunning, 2*time.Second)
+		w.awaitState("b", stateRunning, 2*time.Second)
+	})
+}
--- a/internal/policy/steps/order.go
+++ b/internal/policy/steps/order.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"iter"
+	"math"
 	"slices"
 )
 
@@ -55,11 +56,12 @@
 
 // yieldByFreeRoom iterates over the servers of some groups, those with the most free CPU first.
 // Free CPU only shrinks during a plan, so a server of the batch can be yielded as soon as it
-// has at least the initial CPU of the next server outside the batch.
+// has at least the initial CPU of the next server outside the batch. Once none is outside, the
+// whole batch is yielded: servers with less than no free CPU too.
 func (p *planner) yieldByFreeRoom(yield func(*serverState) bool, groups ...[]*serverState) bool {
 	var batch []*serverState
 	for {
-		nextInitialCPU := int64(-1)
+		nextInitialCPU := int64(math.MinInt64)
 		for i, s := range groups {
 			n := min(len(s), sortBatchSize)
 			batch = append(batch, s[:n]...)
