A replica can abstain from leading, without its control thread

A leader whose control thread stood kept the lead for a minute, since heartbeats leave from the group's own goroutine; nothing could take the lead from it while the process lived.

quorum.Abstain makes a leader hand over to the live voter with the most complete log, or step down when that takes longer than an election timeout, and keeps a replica from standing for election. It still votes and acknowledges, so a quorum does not shrink by it. Group.Abstain does not block and needs no notification to be taken. Nothing calls it yet.

Before, quorum had no such event; without the transfer, the step down or the check of candidates the new tests fail.

--- a/internal/replica/group/group.go
+++ b/internal/replica/group/group.go
@@ -107,6 +107,8 @@
 	inbox           chan receivedMessage
 	requests        chan request
 	confirmRequests chan struct{}
+	// abstentions carries whether this replica abstains from leading.
+	abstentions chan bool
 	// diskResults carries the results of the two disk goroutines to the event loop.
 	diskResults   chan diskResult
 	journalWrites chan quorum.JournalWrite
@@ -151,6 +153,7 @@
 		g.inbox = make(chan receivedMessage, inboxLength)
 		g.requests = make(chan request)
 		g.confirmRequests = make(chan struct{}, 1)
+		g.abstentions = make(chan bool, 1)
 		g.diskResults = make(chan diskResult, 4)
 		g.journalWrites = make(chan quorum.JournalWrite, 1)
 		g.journalCompactions = make(chan uint64, 1)
@@ -197,6 +200,18 @@
 	}
 }
 
+// Abstain begins or ends the abstention of this replica from leading: it hands the leadership over
+// and is not elected. Abstain does not block and does not wait for the control thread. Only one
+// goroutine may call it.
+func (g *Group) Abstain(on bool) {
+	g.initialize()
+	select {
+	case <-g.abstentions:
+	default:
+	}
+	g.abstentions <- on
+}
+
 // Receive handles a message from another replica. The caller must have
 // authenticated from as the sender. If the inbox is full, the message is dropped
 // like a message that the network loses.
--- a/internal/replica/group/group_test.go
+++ b/internal/replica/group/group_test.go
@@ -154,6 +154,45 @@
 	})
 }
 
+// Guards against a leader that keeps the lead because it waits for its control thread, which takes
+// no notifications.
+func TestLeaderWhoseControlThreadStandsHandsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		var replicas []*replica
+		for _, m := range threeMembers() {
+			replicas = append(replicas, startReplica(t, n, m.ID, newMemoryStore(), threeMembers()...))
+		}
+		leader := waitForLeader(t, replicas...)
+		leader.propose(numberedCommands("x", 10)...)
+		time.Sleep(300 * time.Millisecond)
+		end := make(chan struct{})
+		leader.stand <- end
+		var others []*replica
+		for _, r := range replicas {
+			if r != leader {
+				others = append(others, r)
+			}
+		}
+		leader.group.Abstain(false)
+		leader.group.Abstain(true)
+		time.Sleep(100 * time.Millisecond)
+		synctest.Wait()
+		next := waitForLeader(t, others...)
+		next.propose(numberedCommands("y", 10)...)
+		time.Sleep(time.Minute)
+		close(end)
+		time.Sleep(time.Second)
+		want := append(numberedCommands("x", 10), numberedCommands("y", 10)...)
+		for _, r := range replicas {
+			got, leads := r.currentState()
+			if d := cmp.Diff(want, got); d != "" || leads != (r == next) {
+				t.Error(r.group.Config.ID, leads, d)
+			}
+		}
+	})
+}
+
 // Guards against a group that repeats a failed fsync. Linux reports the error once,
 // and the next fsync succeeds although the pages are lost. The group would then
 // acknowledge entries that are not on the disk, so it must stop instead.
--- a/internal/replica/group/harness_test.go
+++ b/internal/replica/group/harness_test.go
@@ -150,6 +150,9 @@
 	runErr chan error
 	cancel context.CancelFunc
 
+	// stand makes the control thread stand until the received channel is closed.
+	stand chan (<-chan struct{})
+
 	mu                  sync.Mutex
 	leading             *group.Leading
 	nextIndex           uint64
@@ -170,7 +173,7 @@
 // startReplica starts a replica that continues from the contents of the store.
 func startReplica(t *testing.T, n *network, id string, store *memoryStore, bootstrap ...quorum.Member) *replica {
 	t.Helper()
-	r := &replica{store: store, runErr: make(chan error, 1), proposedCommands: map[uint64]string{}}
+	r := &replica{store: store, runErr: make(chan error, 1), stand: make(chan (<-chan struct{})), proposedCommands: map[uint64]string{}}
 	r.group = &group.Group{
 		Config:    quorum.Config{ID: id, Address: id, Seed: uint64(len(id) + int(id[0])), InitialMembers: bootstrap},
 		Recovered: store.recovered(),
@@ -194,6 +197,8 @@
 		select {
 		case <-r.group.Done():
 			return
+		case end := <-r.stand:
+			<-end
 		case n := <-r.group.Notifications():
 			r.handleNotification(n)
 		}
--- a/internal/replica/group/run.go
+++ b/internal/replica/group/run.go
@@ -64,6 +64,8 @@
 			g.step(result.event)
 		case <-g.confirmRequests:
 			g.step(quorum.ConfirmLeadership{})
+		case on := <-g.abstentions:
+			g.step(quorum.Abstain{On: on})
 		case full := <-g.diskFull:
 			g.notifications.put(JournalDiskFull{Full: full})
 		case r := <-g.requests:
--- /dev/null
+++ b/internal/replica/quorum/abstain_test.go
@@ -0,0 +1,78 @@
+package quorum_test
+
+import (
+	"testing"
+	"time"
+
+	"gypsumreel/internal/replica/quorum"
+)
+
+// Guards against a leader that answers nobody and keeps the lead: it has to hand over at once, and
+// must not be elected again while it abstains.
+func TestAbstainingLeaderHandsOver(t *testing.T) {
+	s := newSimulation(5, 1)
+	s.runFor(2 * time.Second)
+	former := s.leader()
+	s.propose(former, 10)
+	s.abstain(former, true)
+	s.runFor(quorum.DefaultElectionTimeout / 2)
+	if n := s.leader(); n == nil || n == former {
+		t.Fatalf("no other replica leads after half an election timeout")
+	}
+	for range 5 {
+		leader := s.leader()
+		s.crash(leader, 0)
+		s.runFor(5 * time.Second)
+		if n := s.leader(); n == nil || n == former {
+			t.Fatalf("the abstaining replica or none leads after the loss of a leader")
+		}
+		s.start(leader)
+		s.runFor(2 * time.Second)
+	}
+}
+
+// Guards against a leader that can't hand over and therefore keeps the lead.
+func TestAbstainingLeaderStepsDownIfNobodyTakesOver(t *testing.T) {
+	c := newCommittedLeader(t)
+	c.Step(2*time.Second, quorum.Propose{Term: 4, FirstIndex: 4, Commands: [][]byte{[]byte("x")}})
+	c.Step(2*time.Second, quorum.Abstain{On: true}) // the other voter lacks an entry
+	if _, leads := c.TermAndLeading(); !leads {
+		t.Fatal("the leader stepped down before the other voter had a chance to catch up")
+	}
+	at := 2*time.Second + quorum.DefaultElectionTimeout
+	c.Step(at, replyInTerm4(quorum.HeartbeatReply, "b/0", 0, 2))
+	c.Step(at, quorum.Tick{})
+	if _, leads := c.TermAndLeading(); leads {
+		t.Error("the leader still leads although nobody took over")
+	}
+}
+
+// Guards against the loss of the last leader: nobody could take over from the only voter.
+func TestOnlyVoterDoesNotAbstain(t *testing.T) {
+	s := newSimulation(1, 1)
+	s.runFor(2 * time.Second)
+	termBefore, _ := s.leader().core.TermAndLeading()
+	s.abstain(s.leader(), true)
+	s.runFor(2 * time.Second)
+	if term, leads := s.replicas[0].core.TermAndLeading(); !leads || term != termBefore {
+		t.Error("the only voter gave up the lead")
+	}
+}
+
+// Guards against a group that stays without a leader after all replicas have abstained.
+func TestLeaderIsElectedAfterAllHaveAbstained(t *testing.T) {
+	s := newSimulation(3, 1)
+	s.runFor(2 * time.Second)
+	for _, n := range s.replicas {
+		s.abstain(n, true)
+	}
+	s.runFor(5 * time.Second)
+	if s.leader() != nil {
+		t.Error("a replica leads although all abstain")
+	}
+	s.abstain(s.replicas[1], false)
+	s.runFor(5 * time.Second)
+	if s.leader() != s.replicas[1] {
+		t.Error("the only replica that does not abstain does not lead")
+	}
+}
--- a/internal/replica/quorum/core.go
+++ b/internal/replica/quorum/core.go
@@ -50,6 +50,8 @@
 	// MaxElectionTimeout.
 	started          bool
 	electionDeadline time.Duration
+	// abstaining is true while this replica must not lead.
+	abstaining bool
 	votes            map[string]bool
 
 	commitIndex uint64
@@ -195,6 +197,8 @@
 		c.requestRound()
 	case TransferLeadership:
 		c.startTransfer()
+	case Abstain:
+		c.setAbstaining(ev.On)
 	case ReloadState:
 		c.reloadState()
 	}
--- a/internal/replica/quorum/election.go
+++ b/internal/replica/quorum/election.go
@@ -25,12 +25,37 @@
 	return m.Index >= c.log.lastIndex()
 }
 
+// maySeekElection reports whether this replica may become the leader.
+func (c *Core) maySeekElection() bool {
+	return c.currentMembership().isVoter(c.cfg.ID) && (!c.abstaining || c.isOnlyVoter())
+}
+
+// setAbstaining begins or ends the abstention of this replica from leading.
+func (c *Core) setAbstaining(on bool) {
+	c.abstaining = on
+	switch {
+	case !on:
+	case c.role == roleLeader:
+		c.startTransfer()
+		c.stepDownIfNoHeir()
+	case c.role != roleFollower:
+		c.changeRole(c.hardState.Term, roleFollower, "")
+	}
+}
+
+// stepDownIfNoHeir makes an abstaining leader a follower unless a transfer is in progress.
+func (c *Core) stepDownIfNoHeir() {
+	if c.abstaining && c.leaderState.transferee == "" && !c.isOnlyVoter() {
+		c.changeRole(c.hardState.Term, roleFollower, "")
+	}
+}
+
 // startPreVote asks the other voters whether they would vote for this replica. The term
 // stays unchanged, so that the question does not depose a leader.
 func (c *Core) startPreVote() {
 	c.setPreVoteDeadline()
 	c.leaderID = ""
-	if !c.currentMembership().isVoter(c.cfg.ID) {
+	if !c.maySeekElection() {
 		return
 	}
 	c.role = rolePreCandidate
--- a/internal/replica/quorum/event.go
+++ b/internal/replica/quorum/event.go
@@ -52,6 +52,11 @@
 // complete log.
 type TransferLeadership struct{}
 
+// Abstain begins or ends the abstention of this replica from leading. A leader hands over, or steps
+// down if that takes too long; a follower does not stand for election. It still votes and
+// acknowledges entries. The only voter does not abstain, since nobody could take over.
+type Abstain struct{ On bool }
+
 // ReloadState requests that the newest snapshot and all committed entries after it be
 // reported again.
 type ReloadState struct{}
@@ -66,4 +71,5 @@
 func (Compact) isEvent()            {}
 func (ConfirmLeadership) isEvent()  {}
 func (TransferLeadership) isEvent() {}
+func (Abstain) isEvent()            {}
 func (ReloadState) isEvent()        {}
--- a/internal/replica/quorum/invariant_test.go
+++ b/internal/replica/quorum/invariant_test.go
@@ -176,6 +176,7 @@
 		if n.core == nil {
 			s.start(n)
 		}
+		s.abstain(n, false)
 	}
 	for range 40 {
 		s.runFor(250 * time.Millisecond)
--- a/internal/replica/quorum/leader.go
+++ b/internal/replica/quorum/leader.go
@@ -60,8 +60,9 @@
 func (c *Core) tickLeader() {
 	if c.leaderState.transferee != "" && c.now >= c.leaderState.transferDeadline {
 		c.leaderState.transferee = ""
+		c.stepDownIfNoHeir()
 	}
-	if c.now >= c.leaderState.nextRoundAt {
+	if c.role == roleLeader && c.now >= c.leaderState.nextRoundAt {
 		c.resendUnanswered()
 		c.startRound()
 	}
@@ -259,7 +260,7 @@
 
 // handleTimeoutNow starts an election at the request of the leader.
 func (c *Core) handleTimeoutNow(m Message) {
-	if c.role == roleLeader || m.From != c.leaderID || !c.currentMembership().isVoter(c.cfg.ID) {
+	if c.role == roleLeader || m.From != c.leaderID || !c.maySeekElection() {
 		return
 	}
 	c.startElection(true)
--- a/internal/replica/quorum/rapid_test.go
+++ b/internal/replica/quorum/rapid_test.go
@@ -28,12 +28,34 @@
 // message loss, duplicates, reordering, one-way partitions, pauses, crashes with a torn journal
 // tail, lost disks and membership changes. No invariant of the simulation may be violated. After
 // the faults, new commands must be committed and all replicas must agree.
-func TestFaultsInAnyOrder(t *testing.T) {
+func TestFaultsInAnyOrder(t *testing.T) { checkFaultsInAnyOrder(t, randomActions) }
+
+// TestFaultsAndAbstentionsInAnyOrder is like TestFaultsInAnyOrder, with replicas that abstain from
+// leading, several at a time.
+func TestFaultsAndAbstentionsInAnyOrder(t *testing.T) {
+	checkFaultsInAnyOrder(t, func(s *simulation) map[string]func(*rapid.T) {
+		actions := randomActions(s)
+		actions["abstain"] = func(t *rapid.T) {
+			s.abstain(s.replicas[rapid.IntRange(0, len(s.replicas)-1).Draw(t, "node")], rapid.Bool().Draw(t, "on"))
+		}
+		actions["leader abstains"] = func(*rapid.T) { s.abstain(s.leader(), true) }
+		return actions
+	})
+}
+
+// abstain begins or ends the abstention of a running replica.
+func (s *simulation) abstain(n *simReplica, on bool) {
+	if n != nil && n.core != nil && !n.paused {
+		s.step(n, quorum.Abstain{On: on})
+	}
+}
+
+func checkFaultsInAnyOrder(t *testing.T, actions func(*simulation) map[string]func(*rapid.T)) {
 	for _, groupSize := range []int{3, 5} {
 		rapid.Check(t, func(t *rapid.T) {
 			s := newSimulation(groupSize, uint64(rapid.IntRange(0, 1<<20).Draw(t, "seed")))
 			s.runFor(2 * time.Second)
-			t.Repeat(randomActions(s))
+			t.Repeat(actions(s))
 			if s.failure == "" {
 				s.endFaultsAndCheck()
 			}
