Daemons never wait for the reader of their log

A process that does not end its turn keeps the lead, whatever it waits for. Found while looking for the same class elsewhere: gypsumreel control and entry wrote their log lines straight to standard error. Once its reader stops and the pipe is full, the control thread stands in a log line while heartbeats go on; a daemon whose reader has stopped before it begins does not even start.

--- a/internal/base/event/writer.go
+++ b/internal/base/event/writer.go
@@ -21,6 +21,8 @@
 	// reservedLines is the part of the queue that lines with level INFO may not use,
 	// so that they do not displace warnings and errors, such as refused requests.
 	reservedLines = queueLines / 4
+	// flushTimeout limits the wait for the reader when the process ends.
+	flushTimeout = time.Second
 	// lossReportInterval is the minimum time between two reports of dropped lines.
 	lossReportInterval = time.Second
 )
@@ -76,6 +78,20 @@
 // Done is closed when Run has returned.
 func (w *AsyncWriter) Done() <-chan struct{} { w.init(); return w.done }
 
+// Start calls Run in the background. flush ends it once the lines left in the queue are written, or
+// after flushTimeout if the reader has stopped.
+func (w *AsyncWriter) Start() (flush func()) {
+	stop := make(chan struct{})
+	go w.Run(stop)
+	return func() {
+		close(stop)
+		select {
+		case <-w.Done():
+		case <-time.After(flushTimeout):
+		}
+	}
+}
+
 // Run writes the queued lines until stop is closed, and then the lines left in the
 // queue.
 func (w *AsyncWriter) Run(stop <-chan struct{}) {
--- a/internal/cli/control/control.go
+++ b/internal/cli/control/control.go
@@ -43,12 +43,14 @@
 	if err != nil {
 		return err
 	}
+	log, flush := verb.StartDaemonLog(env, s.LogLevel)
+	defer flush()
 	n, err := newNode(s)
 	if err != nil {
-		event.LogError(event.New(env.Err, s.LogLevel), event.ListenFailed, err)
+		event.LogError(log, event.ListenFailed, err)
 		return err
 	}
-	n.InitCell, n.Log, n.Abort = c.Init, event.New(env.Err, s.LogLevel), verb.SecondSignal(ctx)
+	n.InitCell, n.Log, n.Abort = c.Init, log, verb.SecondSignal(ctx)
 	daemonTLS, err := verb.NewDaemonTLS(ctx, s.TLS, s.ControlReplicas, s.Time.ReloadInterval, n.Log)
 	if err != nil {
 		return err
--- a/internal/cli/entry/entry.go
+++ b/internal/cli/entry/entry.go
@@ -39,12 +39,14 @@
 	if err != nil {
 		return err
 	}
+	log, flush := verb.StartDaemonLog(env, s.LogLevel)
+	defer flush()
 	e, err := newEntry(s)
 	if err != nil {
-		event.LogError(event.New(env.Err, s.LogLevel), event.ListenFailed, err)
+		event.LogError(log, event.ListenFailed, err)
 		return err
 	}
-	e.Log, e.Abort = event.New(env.Err, s.LogLevel), verb.SecondSignal(ctx)
+	e.Log, e.Abort = log, verb.SecondSignal(ctx)
 	daemonTLS, err := verb.NewDaemonTLS(ctx, s.TLS, s.ControlReplicas, s.Time.ReloadInterval, e.Log)
 	if err != nil {
 		return err
--- a/internal/cli/verb/daemon.go
+++ b/internal/cli/verb/daemon.go
@@ -24,6 +24,13 @@
 	return s, nil
 }
 
+// StartDaemonLog returns the log of a daemon, which never waits for its reader. flush writes the
+// lines that are left and must be called before the daemon returns.
+func StartDaemonLog(env Env, level string) (log logr.Logger, flush func()) {
+	out := &event.AsyncWriter{Out: env.Err}
+	return event.New(out, level), out.Start()
+}
+
 // DaemonTLS holds the TLS configurations of a daemon: Inside for connections within the
 // cell, Outside for connections from callers, backend servers and operators.
 type DaemonTLS struct {
