Tasks that need no CPU count as started on their server in a plan

A step whose tasks fill a server's CPU reserves none. A server counted as unused in a plan as long as its free CPU was that of the start, so it stayed unused after the start of such tasks: a suspect task was planned beside them, beyond the room (the ledger refuses the whole placement, in plan after plan, and the step never starts), and a server that fails its runs got a probe from each step at a time.

Both new tests failed before (two tasks on a server with memory for one; two probes on one server). Now the plan marks a server as used when it takes room there.

--- a/internal/policy/steps/attempt.go
+++ b/internal/policy/steps/attempt.go
@@ -194,7 +194,7 @@
 	switch {
 	case !r.Probing:
 		return n
-	case r.free.CPU != r.initialCPU:
+	case r.used:
 		return 0 // the plan has placed the probe
 	}
 	return min(n, 1)
--- a/internal/policy/steps/probation.go
+++ b/internal/policy/steps/probation.go
@@ -56,7 +56,7 @@
 	if len(tasks) == 0 {
 		return nil
 	}
-	unused := slices.DeleteFunc(slices.Clone(candidates), func(c candidate) bool { return c.free.CPU != c.initialCPU })
+	unused := slices.DeleteFunc(slices.Clone(candidates), func(c candidate) bool { return c.used })
 	slices.SortFunc(unused, func(a, b candidate) int {
 		return cmp.Or(bools.Compare(a.RecentlyStarted, b.RecentlyStarted), a.penalty-b.penalty, cmp.Compare(b.free.CPU, a.free.CPU), a.index-b.index)
 	})
--- a/internal/policy/steps/probation_test.go
+++ b/internal/policy/steps/probation_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/domain/capacity"
 	"gypsumreel/internal/policy/steps"
 )
@@ -130,3 +131,24 @@
 	a.RecentlyStarted, b.Used = true, capacity.Size{CPU: 2000}
 	checkPlaced(t, map[string]int{"x on b": 1}, steps.Make(view([]steps.Server{a, b}, suspect(item("x", tasks(1, 1000)), 1))))
 }
+
+// filling returns a step whose tasks take what CPU is left and so reserve none.
+func filling(count uint32) *v1.FlowStep {
+	s := tasks(count, 0)
+	s.Fills, s.Size.Memory = true, 600
+	return s
+}
+
+// Guards against a step that never starts: its suspect task was planned beside one of its other
+// tasks, beyond the memory of the server, and the ledger refused both.
+func TestSuspectTaskWithoutCPUStartsOnASeparateServer(t *testing.T) {
+	checkPlaced(t, map[string]int{"x on a": 1}, steps.Make(view([]steps.Server{server("a", 4000)}, suspect(item("x", filling(2)), 1))))
+}
+
+// Guards against several probes at a time on a server that fails its runs: tasks that need no
+// CPU did not count as one.
+func TestFailingServerTakesOneProbeWithoutCPUAtATime(t *testing.T) {
+	x, y := item("x", filling(1)), item("y", filling(1))
+	x.Spec.Size.Memory, y.Spec.Size.Memory = 10, 10
+	checkPlaced(t, map[string]int{"x on a": 1}, steps.Make(view([]steps.Server{probingServer("a", 4000)}, x, y)))
+}
--- a/internal/policy/steps/steps.go
+++ b/internal/policy/steps/steps.go
@@ -90,6 +90,9 @@
 	// initialCPU is the CPU that was free when the plan began.
 	initialCPU int64
 	free       capacity.Size
+	// used is true when the plan has placed tasks on the server. Free CPU does not tell it: some
+	// tasks need none.
+	used bool
 	itemPermission
 	// releases is the room that the server is expected to release, earliest first. It is valid
 	// if releasesLoaded is true.
@@ -263,7 +266,7 @@
 func (p *planner) allocate(item Item, r *serverState, n int64) {
 	size := flow.TaskSize(item.Spec).Times(n)
 	p.spareHeadroom[item.Pool] -= p.headroomCost(item, r, n)
-	r.free = r.free.Sub(size)
+	r.free, r.used = r.free.Sub(size), true
 	p.customerUsage[item.Flow.Customer] = p.customerUsage[item.Flow.Customer].Add(size)
 }
 
