--- a/internal/policy/steps/end_test.go
+++ b/internal/policy/steps/end_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"gypsumreel/internal/domain/capacity"
 	"gypsumreel/internal/domain/flow"
 	"gypsumreel/internal/policy/steps"
@@ -14,7 +16,7 @@
 const maxPlanTime = 10 * time.Second
 
 // makeInTime makes a plan and fails the test if the plan does not end within maxPlanTime.
-func makeInTime(t *testing.T, v steps.View) steps.Plan {
+func makeInTime(t rapid.TB, v steps.View) steps.Plan {
 	t.Helper()
 	made := make(chan steps.Plan, 1)
 	go func() { made <- steps.Make(v) }()
--- a/internal/policy/steps/steps.go
+++ b/internal/policy/steps/steps.go
@@ -237,9 +237,10 @@
 	return label == "" || slices.Contains(b.Labels, label)
 }
 
-// fittingTasks returns how many tasks of a size fit into the free room.
+// fittingTasks returns how many tasks of a size fit into the free room: none if any resource is
+// below zero, also one that the tasks do not need.
 func fittingTasks(size, free capacity.Size) int64 {
-	if !size.Fits(capacity.Size{CPU: free.CPU, Memory: free.Memory, Accel: free.Accel, Slots: size.Slots}) {
+	if !size.Fits(free) {
 		return 0
 	}
 	n := int64(1 << 30)
@@ -252,6 +253,9 @@
 	if size.Accel > 0 {
 		n = min(n, free.Accel/size.Accel)
 	}
+	if size.Slots > 0 {
+		n = min(n, free.Slots/size.Slots)
+	}
 	return n
 }
 
