The report of the load counts no free CPU below zero

A server that holds more than its reduced capacity has less than no free CPU.

The other sums over a pool were read for the same: capacities and limits are never below zero, and RoomShort, the forecast, the headroom of a plan and the free totals of policy/cell leave such servers out.

--- a/internal/control/dispatch/load_test.go
+++ b/internal/control/dispatch/load_test.go
@@ -128,6 +128,22 @@
 	})
 }
 
+// Guards against a report with less free CPU than there is, because a server holds more than its
+// reduced capacity.
+func TestLoadCountsNoFreeCPUBelowZero(t *testing.T) {
+	runWithCluster(t, 2, func(t *testing.T, w *testCluster) {
+		w.makeRunsLasting()
+		w.submit("a", newLastingStep(4, 1000))
+		time.Sleep(time.Second)
+		for id := range w.busyWorkers() {
+			w.reportCapacity(id, 1000, 2)
+		}
+		if l := w.load().GetLoad(); l.GetCpu() != 5000 || l.GetFreeCpu() != 4000 {
+			t.Errorf("%d of %d CPU is free, want all of the idle server", l.GetFreeCpu(), l.GetCpu())
+		}
+	})
+}
+
 // Guards against counts that a new leader takes over in part, and against work that it does not
 // know of.
 func TestNewLeaderCountsSubmissionsAnew(t *testing.T) {
--- a/internal/control/dispatch/loadreport.go
+++ b/internal/control/dispatch/loadreport.go
@@ -168,7 +168,7 @@
 	}
 	if r.acceptsTasks(s, b, r.now) {
 		r.cell.Usable++
-		r.cell.FreeCpu += b.FreeCapacity().CPU
+		r.cell.FreeCpu += max(b.FreeCapacity().CPU, 0)
 		r.poolCPU[b.Pool] += b.Capacity.CPU
 	}
 }
