--- a/internal/policy/steps/steps.go
+++ b/internal/policy/steps/steps.go
@@ -90,6 +90,9 @@
 	// initialCPU is the CPU that was free when the plan began.
 	initialCPU int64
 	free       capacity.Size
+	// used is true when the plan has placed tasks on the server. Free CPU does not tell it: some
+	// tasks need none.
+	used bool
 	itemPermission
 	// releases is the room that the server is expected to release, earliest first. It is valid
 	// if releasesLoaded is true.
@@ -234,9 +237,10 @@
 	return label == "" || slices.Contains(b.Labels, label)
 }
 
-// fittingTasks returns how many tasks of a size fit into the free room.
+// fittingTasks returns how many tasks of a size fit into the free room: none if any resource is
+// below zero, also one that the tasks do not need.
 func fittingTasks(size, free capacity.Size) int64 {
-	if !size.Fits(capacity.Size{CPU: free.CPU, Memory: free.Memory, Accel: free.Accel, Slots: size.Slots}) {
+	if !size.Fits(free) {
 		return 0
 	}
 	n := int64(1 << 30)
@@ -249,6 +253,9 @@
 	if size.Accel > 0 {
 		n = min(n, free.Accel/size.Accel)
 	}
+	if size.Slots > 0 {
+		n = min(n, free.Slots/size.Slots)
+	}
 	return n
 }
 
@@ -263,7 +270,7 @@
 func (p *planner) allocate(item Item, r *serverState, n int64) {
 	size := flow.TaskSize(item.Spec).Times(n)
 	p.spareHeadroom[item.Pool] -= p.headroomCost(item, r, n)
-	r.free = r.free.Sub(size)
+	r.free, r.used = r.free.Sub(size), true
 	p.customerUsage[item.Flow.Customer] = p.customerUsage[item.Flow.Customer].Add(size)
 }
 
