--- a/internal/replica/quorum/core.go
+++ b/internal/replica/quorum/core.go
@@ -52,7 +52,7 @@
 	electionDeadline time.Duration
 	// abstaining is true while this replica must not lead.
 	abstaining bool
-	votes            map[string]bool
+	votes      map[string]bool
 
 	commitIndex uint64
 	// reportedIndex is the index of the last committed entry reported to the control thread.
