A leader that makes no progress gives up the lead

Callers of a leader whose control thread stood had no answer for a minute, since heartbeats leave from the group's own goroutine: nobody else was elected, and whoever asked the leader waited until its deadline.

The watch of the control thread now judges its progress (policy/progress) and, when no part of a turn ends or nothing is committed for two seconds, gives up the lead without the control thread. Leader.GiveUpLead sets a fence for the term: Status names no leader at once, mailboxes are closed, and whenever the control thread goes on, it runs no effect, read, plan, proposal or reply of the term, and the extension is deposed before anything that was queued runs. Group.Abstain hands the lead over. The only voter keeps the lead. Many sane parts now count: servers and jobs of a new leader, entries of a follower, timers.

--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -36,6 +36,8 @@
 	RoundLate         = define(218, "round-late", Warn, "a heartbeat round took too long; the leader may lose its leadership", "Check the processor of the leader's instance and the network between the control replicas.")
 	TurnLate          = define(219, "turn-late", Warn, "the control thread has been in one turn for too long", "See `step`, `subject` and `stack`. Once under load: check the processor. Otherwise keep the log and a dump and report the error.")
 	CommitLate        = define(220, "commit-late", Warn, "a decision of the leader has not been committed for too long", "Check the disks of the control replicas and the network between them.")
+	LeadGivenUp       = define(221, "lead-given-up", Error, "the replica gave up the lead because its control thread made no progress", "Another replica leads. See `cause`, `step`, `subject` and `stack`. Keep the log and a dump and report the error.")
+	ControlBack       = define(222, "control-back", Info, "the control thread goes on; the replica may lead again", "None.")
 	StaleIdentity     = define(217, "stale-identity", Error, "this replica was removed or lost its data and must not vote", "Give the replica a new name and add it with `gypsumreel member add`.")
 )
 
--- a/internal/control/leader/extension.go
+++ b/internal/control/leader/extension.go
@@ -56,7 +56,8 @@
 	l.leadership.pendingReads = append(l.leadership.pendingReads, pendingRead{receivedAt: receivedAt, run: fn})
 }
 
-// Leads reports whether this replica leads and a quorum has recently confirmed it.
+// Leads reports whether this replica leads, has not given up the lead, and a quorum has recently
+// confirmed it.
 func (l *Leader) Leads() bool { return l.leadership != nil && l.isConfirmedLeader() }
 
 // Flows returns the flows of the working ledger.
@@ -105,7 +106,7 @@
 func (l *Leader) runCommittedEffects() {
 	lead := l.leadership
 	n := 0
-	for n < len(lead.pendingEffects) && lead.pendingEffects[n].index <= lead.commitIndex {
+	for n < len(lead.pendingEffects) && lead.pendingEffects[n].index <= lead.commitIndex && l.serving() {
 		lead.pendingEffects[n].run()
 		n++
 		l.YieldProcessor()
--- /dev/null
+++ b/internal/control/leader/giveup.go
@@ -0,0 +1,89 @@
+package leader
+
+import (
+	"slices"
+
+	"gypsumreel/internal/control/turn"
+	"gypsumreel/internal/replica/group"
+	"gypsumreel/internal/replica/quorum"
+)
+
+// GiveUpLead ends what this replica does as the leader of the present term, also while the control
+// thread stands: Status reports no leader at once, and the control thread sends and proposes nothing
+// more in the term. It returns false if the replica does not lead, has given up the lead before, or
+// is the only voter, in whose place nobody could lead. GiveUpLead is safe for concurrent use.
+func (l *Leader) GiveUpLead() bool {
+	s := l.status.Load()
+	if !s.Leads || l.onlyVoter.Load() || l.givenUpTerm.Swap(s.Term) == s.Term {
+		return false
+	}
+	if l.OnDeposed != nil {
+		l.OnDeposed()
+	}
+	return true
+}
+
+// HasGivenUp reports whether the replica has given up the lead and not yet learned from the group
+// that it no longer leads. It is safe for concurrent use.
+func (l *Leader) HasGivenUp() bool {
+	s := l.status.Load()
+	return s.Leads && l.hasGivenUp(s.Term)
+}
+
+func (l *Leader) hasGivenUp(term uint64) bool {
+	return term > 0 && l.givenUpTerm.Load() == term && !l.onlyVoter.Load()
+}
+
+// withdraw drops what the extension keeps of a term in which the lead was given up, so that it sends
+// nothing more. The ledger stays until the group reports who leads. It returns false if the replica
+// leads.
+func (l *Leader) withdraw() bool {
+	lead := l.leadership
+	if !l.hasGivenUp(lead.term) {
+		return false
+	}
+	if !lead.withdrawn {
+		lead.withdrawn = true
+		if l.Extension != nil {
+			l.Extension.OnDeposed()
+		}
+	}
+	return true
+}
+
+// serving reports whether this replica leads and has not given up the lead.
+func (l *Leader) serving() bool { return l.leadership != nil && !l.withdraw() }
+
+// finishLeaderTurn runs the parts of a turn in which a leader decides, proposes and replies. Each part
+// may take long, and the lead may be given up meanwhile.
+func (l *Leader) finishLeaderTurn() {
+	for _, part := range []struct {
+		step turn.Step
+		run  func()
+	}{
+		{turn.Effects, l.runCommittedEffects},
+		{turn.Decisions, l.applyDecisions},
+		{turn.Syncs, l.answerSyncs},
+		{turn.Reads, l.runConfirmedReads},
+		{turn.Plan, l.runExtension},
+		{turn.Proposal, l.proposePending},
+		{turn.Replies, l.deliverCommittedReplies},
+	} {
+		if !l.serving() {
+			return
+		}
+		l.Turns.Enter(part.step)
+		part.run()
+	}
+}
+
+func (l *Leader) runExtension() {
+	if l.Extension != nil {
+		l.Extension.BeforePropose()
+	}
+}
+
+// isOnlyVoter reports whether the group has no other voter than this replica.
+func isOnlyVoter(n group.MembershipChanged) bool {
+	return !slices.ContainsFunc(n.Members, func(m quorum.Member) bool { return m.ID != n.Self && !m.Learner })
+}
--- a/internal/control/leader/inspect.go
+++ b/internal/control/leader/inspect.go
@@ -171,7 +171,7 @@
 
 // leaderlessFor returns for how long no leader has been known.
 func (l *Leader) leaderlessFor(now time.Duration) time.Duration {
-	status := l.status.Load()
+	status := l.Status()
 	if status.Leads || status.Leader != "" || l.leaderlessSince == 0 {
 		l.leaderlessSince = now
 	}
--- a/internal/control/leader/item.go
+++ b/internal/control/leader/item.go
@@ -19,7 +19,7 @@
 // does not lead are dropped: the entry's Pull is redirected, and the entry sends
 // the items to the leader.
 func (l *Leader) handleBatch(b Batch) {
-	if l.leadership == nil {
+	if !l.serving() {
 		return
 	}
 	for _, item := range b.Items {
@@ -65,10 +65,13 @@
 }
 
 // isConfirmedLeader reports whether a quorum has recently confirmed that this
-// replica leads. A partitioned leader must stop answering within
+// replica leads, and it has not given up the lead. A partitioned leader must stop answering within
 // MaxConfirmationAge, because it does not learn of keys that another leader
 // withdraws.
 func (l *Leader) isConfirmedLeader() bool {
+	if l.hasGivenUp(l.leadership.term) {
+		return false
+	}
 	return l.leadership.leadershipConfirmed && l.Now()-l.leadership.confirmedAt <= l.MaxConfirmationAge
 }
 
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -196,6 +196,10 @@
 	inbox  chan func()
 	done   chan struct{}
 	status atomic.Pointer[Status]
+	// givenUpTerm is the latest term in which this replica gave up the lead, and onlyVoter is true
+	// while it is the only voter.
+	givenUpTerm atomic.Uint64
+	onlyVoter   atomic.Bool
 
 	// The fields below are used by the control thread only.
 	processorYield   yield.Yielder
@@ -240,8 +244,15 @@
 	return l
 }
 
-// Status returns the latest published status. It is safe for concurrent use.
-func (l *Leader) Status() Status { return *l.status.Load() }
+// Status returns the latest published status. A replica that has given up the lead does not lead, and
+// does not know who does until the group reports it. Status is safe for concurrent use.
+func (l *Leader) Status() Status {
+	s := *l.status.Load()
+	if s.Leads && l.hasGivenUp(s.Term) {
+		s.Leads, s.Leader, s.Address = false, "", ""
+	}
+	return s
+}
 
 // Done returns a channel that is closed when Run has returned.
 func (l *Leader) Done() <-chan struct{} { return l.done }
@@ -308,7 +319,7 @@
 			}
 		case fn := <-l.inbox:
 			l.Turns.Begin(turn.Function, l.Now())
-			fn()
+			l.runFunction(fn)
 			l.runQueuedFunctions()
 		case <-ticker.C:
 			l.Turns.Begin(turn.Timers, l.Now())
@@ -328,6 +339,13 @@
 	l.processorYield.YieldIfDue()
 }
 
+// runFunction runs a queued function. It was queued in the term, so the extension must know first
+// whether the lead was given up.
+func (l *Leader) runFunction(fn func()) {
+	l.serving()
+	fn()
+}
+
 // runQueuedFunctions runs further functions that are already queued, so that their commands
 // share one commit.
 func (l *Leader) runQueuedFunctions() {
@@ -335,7 +353,7 @@
 		l.YieldProcessor()
 		select {
 		case fn := <-l.inbox:
-			fn()
+			l.runFunction(fn)
 		default:
 			return
 		}
@@ -345,24 +363,7 @@
 // finishTurn ends a turn, which is one iteration of the loop in Run. A leader makes
 // decisions, proposes commands, and sends the replies whose commands are committed.
 func (l *Leader) finishTurn() {
-	if l.leadership != nil {
-		l.Turns.Enter(turn.Effects)
-		l.runCommittedEffects()
-		l.Turns.Enter(turn.Decisions)
-		l.applyDecisions()
-		l.Turns.Enter(turn.Syncs)
-		l.answerSyncs()
-		l.Turns.Enter(turn.Reads)
-		l.runConfirmedReads()
-		if l.Extension != nil {
-			l.Turns.Enter(turn.Plan)
-			l.Extension.BeforePropose()
-		}
-		l.Turns.Enter(turn.Proposal)
-		l.proposePending()
-		l.Turns.Enter(turn.Replies)
-		l.deliverCommittedReplies()
-	}
+	l.finishLeaderTurn()
 	l.Turns.SetOldestProposal(l.oldestProposal())
 	l.Turns.Enter(turn.Snapshot)
 	l.publishStatus()
--- a/internal/control/leader/leadership.go
+++ b/internal/control/leader/leadership.go
@@ -54,6 +54,8 @@
 	silenceCheckedAt time.Duration
 	promotionTriedAt time.Duration
 	planNeeded       bool
+	// withdrawn is true once the extension was told that the lead was given up.
+	withdrawn bool
 	// inFlightProposals are the proposals whose commit latency is still to be
 	// measured.
 	inFlightProposals []inFlightProposal
@@ -153,6 +155,7 @@
 	p := l.leadership.planner
 	p.SetTable(l.ledger.Table())
 	for _, b := range l.ledger.Servers() {
+		l.YieldProcessor()
 		ledgerWatcher{l}.ServerChanged(b)
 		if b.Server.State != backend.Gone {
 			l.sessionFor(b).lastSyncAt = l.Now()
@@ -162,6 +165,7 @@
 		if j.Final() {
 			continue
 		}
+		l.YieldProcessor()
 		l.ledger.EachTask(j, func(t *state.Task) {
 			switch {
 			case t.Phase.HoldsCapacity():
@@ -179,14 +183,14 @@
 func (l *Leader) becomeFollower(n group.Following) {
 	if lead := l.leadership; lead != nil {
 		event.Log(l.Log, event.LeaderLost, "term", lead.term, "next", n.Leader)
-		if n.Leader == "" && n.Term == lead.term {
+		if n.Leader == "" && n.Term == lead.term && !l.hasGivenUp(lead.term) {
 			// The term is the same and there is no other leader, so this replica
 			// stepped down because it lost its quorum.
 			event.Log(l.Log, event.QuorumLost, "term", lead.term)
 		}
 		l.leadership = nil
 		l.ledger.Observer = nil
-		if l.Extension != nil {
+		if l.Extension != nil && !lead.withdrawn {
 			l.Extension.OnDeposed()
 		}
 		if l.appliedIndex > lead.commitIndex {
@@ -257,7 +261,7 @@
 // group has no room for them.
 func (l *Leader) proposePending() {
 	lead := l.leadership
-	if len(lead.pendingCommands) == 0 || l.delayProposal() {
+	if len(lead.pendingCommands) == 0 || l.hasGivenUp(lead.term) || l.delayProposal() {
 		return
 	}
 	first := lead.lastIndex + 1 - uint64(len(lead.pendingCommands))
@@ -314,7 +318,7 @@
 func (l *Leader) deliverCommittedReplies() {
 	lead := l.leadership
 	n := 0
-	for n < len(lead.heldReplies) && lead.heldReplies[n].index <= lead.commitIndex {
+	for n < len(lead.heldReplies) && lead.heldReplies[n].index <= lead.commitIndex && l.serving() {
 		h := lead.heldReplies[n]
 		h.target.Mailbox.Put(h.reply)
 		n++
@@ -335,7 +339,7 @@
 func (l *Leader) runConfirmedReads() {
 	lead := l.leadership
 	n := 0
-	for n < len(lead.pendingReads) && lead.leadershipConfirmed && lead.pendingReads[n].receivedAt <= lead.confirmedAt {
+	for n < len(lead.pendingReads) && lead.leadershipConfirmed && lead.pendingReads[n].receivedAt <= lead.confirmedAt && l.serving() {
 		lead.pendingReads[n].run()
 		n++
 	}
@@ -359,13 +363,14 @@
 		l.gaugesSetAt = now
 		l.setGauges()
 	}
-	if lead == nil {
+	for l.serving() && len(lead.timers) > 0 && lead.timers[0].fireAt <= now {
+		heap.Pop(&lead.timers).(timer).run()
+		l.YieldProcessor()
+	}
+	if !l.serving() {
 		l.checkLeaderless(now)
 		return
 	}
-	for len(lead.timers) > 0 && lead.timers[0].fireAt <= now {
-		heap.Pop(&lead.timers).(timer).run()
-	}
 	lead.planNeeded = true
 	if l.Extension != nil {
 		l.Extension.Tick(now)
--- a/internal/control/leader/member.go
+++ b/internal/control/leader/member.go
@@ -70,6 +70,9 @@
 // to the group's last index.
 func (l *Leader) proposeMembership(m quorum.Member, remove bool) {
 	lead := l.leadership
+	if l.hasGivenUp(lead.term) {
+		return
+	}
 	lead.lastProposedAt = 0 // send all pending commands now, since the change takes the next index
 	l.proposePending()
 	if len(lead.pendingCommands) > 0 {
--- a/internal/control/leader/notification.go
+++ b/internal/control/leader/notification.go
@@ -35,6 +35,7 @@
 	case group.MembershipChanged:
 		l.logMembership(n)
 		l.membership = n
+		l.onlyVoter.Store(isOnlyVoter(n))
 	case group.JournalDiskFull:
 		l.logDiskFull(n.Full)
 		l.diskFull = n.Full
@@ -51,6 +52,7 @@
 		if e.Index <= l.appliedIndex {
 			continue
 		}
+		l.YieldProcessor()
 		if e.Index != l.appliedIndex+1 {
 			return errors.Newf("log entry out of order: got index %d after %d", e.Index, l.appliedIndex)
 		}
--- a/internal/control/node/monitor.go
+++ b/internal/control/node/monitor.go
@@ -11,7 +11,9 @@
 
 	"gypsumreel/internal/base/event"
 	"gypsumreel/internal/base/secure"
+	"gypsumreel/internal/control/leader"
 	"gypsumreel/internal/control/turn"
+	"gypsumreel/internal/replica/group"
 	"gypsumreel/internal/replica/journal"
 	"gypsumreel/internal/replica/quorum"
 	"gypsumreel/internal/replica/snapshot"
@@ -78,9 +80,20 @@
 // controlThread is the function of the control thread in a stack.
 const controlThread = "gypsumreel/internal/control/leader.(*Leader).Run"
 
-// watchTurns logs turns of the control thread that do not end.
+// watchedReplica is the replica as the watch of the control thread sees it. Nothing of it waits for
+// the control thread.
+type watchedReplica struct {
+	*leader.Leader
+	*group.Group
+}
+
+// IsLeading reports whether the replica leads and has not given up the lead.
+func (r watchedReplica) IsLeading() bool { return r.Leader.Status().Leads }
+
+// watchTurns watches the control thread and gives up the lead if it stands.
 func (n *Node) watchTurns(ctx context.Context) error {
-	return (&turn.Watch{Meter: &n.Control.Turns, Thread: controlThread, Now: n.now, Log: n.Log}).Run(ctx)
+	replica := watchedReplica{n.Control, n.group.Load()}
+	return (&turn.Watch{Meter: &n.Control.Turns, Thread: controlThread, Replica: replica, Now: n.now, Log: n.Log}).Run(ctx)
 }
 
 // logCorruption logs err as the given event if it reports a corrupt journal or
--- a/internal/control/turn/watch.go
+++ b/internal/control/turn/watch.go
@@ -10,20 +10,19 @@
 	"github.com/go-logr/logr"
 
 	"gypsumreel/internal/base/event"
+	"gypsumreel/internal/policy/progress"
 )
 
-const (
-	// watchInterval is the interval between two looks at the progress.
-	watchInterval = 100 * time.Millisecond
-	// lateAfter is the age of a turn or of a proposal above which it is logged. Callers of a
-	// status wait for about as long.
-	lateAfter = time.Second
-)
+// lateAfter is the age of a turn or of a proposal above which it is logged. Callers of a status wait
+// for about as long.
+const lateAfter = time.Second
 
-// Watch logs turns that do not end and proposals that are not committed. The fields must be set
-// before Run.
+// Watch logs turns that do not end and proposals that are not committed, and then gives up the lead.
+// The fields must be set before Run.
 type Watch struct {
 	Meter *Meter
+	// Replica is the replica of the control thread; if it is nil, the watch only logs.
+	Replica Replica
 	// Thread is the function that the control thread runs, as named in its stack.
 	Thread string
 	Now    func() time.Duration
@@ -33,25 +32,31 @@
 	// oldest proposal has been logged.
 	loggedTurn     uint64
 	proposalLogged bool
+	judge          progress.Judge
+	// abstaining is true from when the replica was told to abstain from leading until it may lead
+	// again.
+	abstaining bool
 }
 
 // Run watches until ctx ends.
 func (w *Watch) Run(ctx context.Context) error {
-	ticker := time.NewTicker(watchInterval)
+	ticker := time.NewTicker(progress.Interval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			w.check()
+			now := w.Now()
+			p := w.Meter.Progress(now)
+			w.logLate(p)
+			w.checkLead(p, now)
 		}
 	}
 }
 
-// check logs the present turn and the oldest proposal once if they are late.
-func (w *Watch) check() {
-	p := w.Meter.Progress(w.Now())
+// logLate logs the present turn and the oldest proposal once if they are late.
+func (w *Watch) logLate(p Progress) {
 	if p.TurnAge > lateAfter && p.Number != w.loggedTurn {
 		w.loggedTurn = p.Number
 		event.Log(w.Log, event.TurnLate, "step", p.Step.String(), "subject", p.Subject, "age", p.TurnAge.String(), "turn", p.Number, "proposal", p.ProposalAge.String(), "stack", Stack(w.Thread))
