A process whose control thread stands for good ends

A replica whose control thread never ends a turn can't follow, and what its group reports piles up in memory for as long as the process lives. A planned stop hung as well, since the node waited for the control thread.

At a stop, planned or not, the node waits for the control thread for at most two seconds; all other parts are waited for as before.

TestProcessWhoseControlThreadStandsEnds fails without the error (the process still runs a minute later) and with a longer wait (a stop that doesn't end in ten seconds); both are mutations.

--- a/internal/control/node/node.go
+++ b/internal/control/node/node.go
@@ -37,6 +37,10 @@
 // headerTimeout is the maximum time for reading the header of a request.
 const headerTimeout = 5 * time.Second
 
+// controlStopTimeout is how long a stop waits for the control thread to end its turn. A planned stop
+// has to end before its supervisor kills the process.
+const controlStopTimeout = 2 * time.Second
+
 // ErrJournalMissing is returned when a replica has an identity but no journal. Without
 // the journal the replica does not know its vote and could vote twice in a term.
 var ErrJournalMissing = errors.New("the journal is missing but the identity exists; empty the data folder and add this replica as a new member")
@@ -242,8 +246,10 @@
 	defer stop()
 	parts := n.assemble(self, data)
 	defer parts.transport.Close()
-	failures := make(chan error, 5)
+	failures := make(chan error, 6) // one for each component
 	var wg sync.WaitGroup
+	controlDone := closedChannel()
+	defer func() { n.waitForControl(controlDone) }()
 	defer wg.Wait()
 	defer stop()
 	defer func() { _ = parts.httpServer.Close() }()
@@ -267,7 +273,12 @@
 		return err
 	}
 	run("group", func() error { return parts.group.Run(runCtx) })
-	run("control", func() error { return n.Control.Run(runCtx) })
+	controlDone = n.Control.Done()
+	go func() { // not waited for with the others, since it may stand
+		if err := n.Control.Run(runCtx); err != nil {
+			failures <- errors.Wrap(err, "control")
+		}
+	}()
 	run("watch", func() error { return n.monitor(runCtx) })
 	run("turns", func() error { return n.watchTurns(runCtx) })
 	select {
@@ -280,6 +291,21 @@
 	}
 }
 
+// waitForControl waits for the end of the control thread, but not for one that stands.
+func (n *Node) waitForControl(done <-chan struct{}) {
+	select {
+	case <-done:
+	case <-time.After(controlStopTimeout):
+		n.Log.Info("the control thread did not stop in time")
+	}
+}
+
+func closedChannel() <-chan struct{} {
+	done := make(chan struct{})
+	close(done)
+	return done
+}
+
 // readiness returns nil while a leader is known. Otherwise it returns an error that
 // tells the operator how to add a new replica to the group.
 func (n *Node) readiness() error {
--- a/internal/control/turn/lead.go
+++ b/internal/control/turn/lead.go
@@ -3,10 +3,15 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"gypsumreel/internal/base/event"
 	"gypsumreel/internal/policy/progress"
 )
 
+// ErrLost is returned by Run when the control thread has stood for too long.
+var ErrLost = errors.New("the control thread has not ended its turn for too long; start the process again, and report the error with the log")
+
 // Replica is a replica whose lead the watch gives up. None of the methods may wait for the control
 // thread.
 type Replica interface {
@@ -23,15 +28,17 @@
 
 // checkLead gives up the lead while the control thread makes no progress. A follower abstains, too, as
 // it could not lead.
-func (w *Watch) checkLead(p Progress, now time.Duration) {
+func (w *Watch) checkLead(p Progress, now time.Duration) error {
 	if w.Replica == nil {
-		return
+		return nil
 	}
 	look := progress.Look{At: now, Leads: w.Replica.IsLeading(), InTurn: p.Step != Idle, Number: p.Number, Parts: p.Advances}
 	if p.ProposalAge > 0 {
 		look.ProposedAt = now - p.ProposalAge
 	}
 	switch verdict := w.judge.Look(look); {
+	case verdict == progress.Lost:
+		return ErrLost
 	case verdict != progress.Well:
 		w.giveUp(verdict, p)
 	case w.abstaining && !w.Replica.HasGivenUp():
@@ -39,6 +46,7 @@
 		w.Replica.Abstain(false)
 		event.Log(w.Log, event.ControlBack, "turn", p.Number)
 	}
+	return nil
 }
 
 // giveUp lets another replica lead. The lead is given up first, so that this replica does nothing more
--- a/internal/control/turn/watch.go
+++ b/internal/control/turn/watch.go
@@ -38,7 +38,8 @@
 	abstaining bool
 }
 
-// Run watches until ctx ends.
+// Run watches until ctx ends. It returns ErrLost if the control thread has stood for so long that the
+// process has to end.
 func (w *Watch) Run(ctx context.Context) error {
 	ticker := time.NewTicker(progress.Interval)
 	defer ticker.Stop()
@@ -50,7 +51,9 @@
 			now := w.Now()
 			p := w.Meter.Progress(now)
 			w.logLate(p)
-			w.checkLead(p, now)
+			if err := w.checkLead(p, now); err != nil {
+				return err
+			}
 		}
 	}
 }
--- a/internal/demo/fault/stand_test.go
+++ b/internal/demo/fault/stand_test.go
@@ -1,6 +1,7 @@
 package fault_test
 
 import (
+	"errors"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -8,6 +9,7 @@
 
 	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/control/leader"
+	"gypsumreel/internal/control/turn"
 	"gypsumreel/internal/policy/cell"
 	"gypsumreel/internal/policy/plan"
 )
@@ -102,3 +104,32 @@
 		}
 	})
 }
+
+// Guards against a process that stays although its control thread never goes on: it would follow
+// nobody and fill its memory. A stop has to end it, too.
+func TestProcessWhoseControlThreadStandsEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newStandingCell(t)
+		defer c.close()
+		former, _ := c.runWhileLeaderStands()
+		select {
+		case err := <-c.cell.ProcessErrors():
+			if !errors.Is(err, turn.ErrLost) {
+				t.Errorf("the process ended with %v", err)
+			}
+		case <-time.After(time.Minute):
+			t.Error("the process still runs a minute later")
+		}
+		<-c.cell.Node(former).Done()
+		c.onStep = func(string) {}
+		next, _ := c.cell.Leader()
+		c.stands[next].Store(true)
+		time.Sleep(time.Second)
+		stoppedAt := time.Now()
+		c.cell.Stop(next)
+		if took := time.Since(stoppedAt); took > 10*time.Second {
+			t.Errorf("a planned stop took %v while the control thread stood", took)
+		}
+		close(c.end)
+	})
+}
