Each session and flow of a takeover counts as progress

A leader that ends no part of a turn for two seconds gives up the lead. OnElected opens thousands of sessions and passes over all flows in one part, so a new leader that is short of processor time could be taken for one that stands, and the next one would have the same ledger.

TestTakeoverOfALargeLedgerYields failed before: 2000 flows, 0 yields.

--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -218,6 +218,7 @@
 		if b.Ended {
 			continue
 		}
+		d.Host.YieldProcessor()
 		s := d.openSession(b)
 		// The previous leader may have renewed leases until its last proof of leadership
 		// expired. That proof expires at most maxLeadershipProofAge from now.
@@ -227,6 +228,7 @@
 	d.startHolders()
 	d.sendFirstHolds()
 	for id, f := range ledger.Flows() {
+		d.Host.YieldProcessor()
 		if f.Spec.GetTimes() > 0 && !f.Final() {
 			d.leader.recurringFlows[id] = true
 		}
--- a/internal/control/dispatch/takeover_test.go
+++ b/internal/control/dispatch/takeover_test.go
@@ -191,3 +191,22 @@
 		}
 	})
 }
+
+// Guards against a series of elections over a large ledger: a new leader of which no part of the
+// takeover ends is taken for one that makes no progress.
+func TestTakeoverOfALargeLedgerYields(t *testing.T) {
+	const flows = 2000
+	runWithDirectCalls(t, 0, func(t *testing.T, w *testCluster) {
+		w.putManyCustomers(10)
+		w.acceptFlows(flows, 10)
+		w.runAndWait(func() {
+			w.dispatcher.OnDeposed()
+			before := w.yieldCount
+			w.term++
+			w.dispatcher.OnElected(w.term, w.now())
+			if n := w.yieldCount - before; n < flows {
+				t.Errorf("the takeover of %d flows yielded %d times", flows, n)
+			}
+		})
+	})
+}
