Calls end while the control thread stands, and what was not begun does not run

Callers of a control replica heard nothing while the leader's control thread stood: every call that needs the thread waited in Leader.Post for room in the inbox of 1,024 functions, without regard to its own timeout, a goroutine and a connection each. A call that had found room ended with "unknown" (302) and was executed once the thread went on, when its caller was gone.

PostContext waits no longer than the caller. A request that the control thread has not begun when its caller gives up is never executed, so "not run" (701) is said truly; one that has begun stays unknown. What holds whoever waits (reports, greetings, exit notices, documents, waves) is still recorded late: a leader that is only slow would otherwise take its servers for silent. A follower names the leader also while its own inbox is full.

--- a/internal/control/dispatch/ask.go
+++ b/internal/control/dispatch/ask.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"gypsumreel/internal/api/inner"
@@ -27,17 +28,39 @@
 // deposed.
 var errDeposed = code.New(code.LeaderTimeout, "the leader changed before the request was committed; its outcome is unknown")
 
+// errNotBegun is returned when the control thread did not begin a request before its caller
+// gave up. The request is not executed later.
+var errNotBegun = code.New(code.NoLeader, "the leader did not begin the request before its timeout")
+
 // runOnLeader runs fn on the control thread if this replica leads, and waits for the reply.
 // fn calls reply once, immediately or later. A request without a reply fails with
-// deposedErr when the replica is deposed.
+// deposedErr when the replica is deposed. A request that has not begun when ctx ends is not
+// executed: callers may have been told that it did not run, and nobody waits for it.
 func runOnLeader[T any](ctx context.Context, d *Dispatcher, deposedErr *code.Error, fn func(reply func(T))) (T, *code.Error) {
+	return callLeader(ctx, d, deposedErr, false, fn)
+}
+
+// recordOnLeader is runOnLeader for what holds whether or not its sender still waits, such as
+// reports and configuration documents. It is executed also after ctx has ended: at a leader
+// that is only slow, processes would otherwise count as silent and no document would get through.
+func recordOnLeader[T any](ctx context.Context, d *Dispatcher, deposedErr *code.Error, fn func(reply func(T))) (T, *code.Error) {
+	return callLeader(ctx, d, deposedErr, true, fn)
+}
+
+func callLeader[T any](ctx context.Context, d *Dispatcher, deposedErr *code.Error, beginsLate bool, fn func(reply func(T))) (T, *code.Error) {
 	type result struct {
 		value T
 		err   *code.Error
 	}
 	var zero T
+	// settled is set by the first of the two: the control thread begins the request, or its
+	// caller gives up.
+	var settled atomic.Bool
 	answered := make(chan result, 1)
-	ok := d.Host.Post(func() {
+	queued := d.Host.PostContext(ctx, func() {
+		if !beginsLate && ctx.Err() != nil || !settled.CompareAndSwap(false, true) {
+			return
+		}
 		if d.leader == nil || !d.Host.Leads() {
 			answered <- result{err: errNotLeading}
 			return
@@ -53,13 +76,16 @@
 			}
 		})
 	})
-	if !ok {
-		return zero, errNotLeading
+	if !queued {
+		return zero, errNotBegun
 	}
 	select {
 	case r := <-answered:
 		return r.value, r.err
 	case <-ctx.Done():
+		if !beginsLate && settled.CompareAndSwap(false, true) {
+			return zero, errNotBegun
+		}
 		return zero, code.New(code.LeaderTimeout, "no decision before the timeout of the request")
 	}
 }
@@ -248,7 +274,7 @@
 		return err
 	}
 	receivedAt := d.Now()
-	_, err := runOnLeader(ctx, d, errDeposed, func(reply func(struct{})) {
+	_, err := recordOnLeader(ctx, d, errDeposed, func(reply func(struct{})) {
 		currentVersion := d.Host.Flows().Config().GetVersion()
 		if doc.GetVersion() > currentVersion {
 			d.applyOrLog(&record.Flow{What: &record.Flow_Document{Document: doc}})
--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -108,6 +108,9 @@
 	// Post queues fn to run on the control thread. It returns false if the thread has
 	// stopped.
 	Post(fn func()) bool
+	// PostContext is Post for a caller that waits until ctx ends at most. It returns false if
+	// fn was not queued.
+	PostContext(ctx context.Context, fn func()) bool
 }
 
 // Backends makes calls to backend servers. The dispatcher calls it from separate
--- a/internal/control/dispatch/harness_test.go
+++ b/internal/control/dispatch/harness_test.go
@@ -138,6 +138,17 @@
 	}
 }
 
+func (h *fakeHost) PostContext(ctx context.Context, fn func()) bool {
+	select {
+	case h.postedFuncs <- fn:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-h.stopped:
+		return false
+	}
+}
+
 func (h *fakeHost) now() time.Duration { return time.Since(h.startedAt) + time.Hour }
 
 // run is the loop of the control thread.
@@ -295,7 +306,7 @@
 	addresses := slices.Sorted(maps.Keys(w.holders))
 	w.mu.Unlock()
 	for _, address := range addresses {
-		w.dispatcher.RegisterProcess(&inner.Greeting{Address: address, Replica: address + "/1", Zone: zoneOf(address), Holds: 10_000})
+		w.dispatcher.RegisterProcess(w.t.Context(), &inner.Greeting{Address: address, Replica: address + "/1", Zone: zoneOf(address), Holds: 10_000})
 	}
 }
 
--- a/internal/control/dispatch/helper.go
+++ b/internal/control/dispatch/helper.go
@@ -33,7 +33,7 @@
 // Greet registers a process and returns which replica leads. It is safe for concurrent use.
 func (d *Dispatcher) Greet(ctx context.Context, g *inner.Greeting) *inner.Welcome {
 	receivedAt := d.Now()
-	welcome, err := runOnLeader(ctx, d, errNotLeading, func(reply func(*inner.Welcome)) {
+	welcome, err := recordOnLeader(ctx, d, errNotLeading, func(reply func(*inner.Welcome)) {
 		d.registerProcess(g, receivedAt)
 		message := d.welcomeMessage()
 		d.Host.AfterCommit(func() { reply(message) })
@@ -45,10 +45,11 @@
 }
 
 // RegisterProcess registers a process that greeted this replica while another one leads. If
-// this replica is elected next, it has its helpers immediately.
-func (d *Dispatcher) RegisterProcess(g *inner.Greeting) {
+// this replica is elected next, it has its helpers immediately. A greeting for which there is
+// no room until ctx ends is left out, because the next one follows soon.
+func (d *Dispatcher) RegisterProcess(ctx context.Context, g *inner.Greeting) {
 	receivedAt := d.Now()
-	d.Host.Post(func() { d.registerProcess(g, receivedAt) })
+	d.Host.PostContext(ctx, func() { d.registerProcess(g, receivedAt) })
 }
 
 // registerProcess registers a process from its greeting.
--- a/internal/control/dispatch/server.go
+++ b/internal/control/dispatch/server.go
@@ -30,7 +30,7 @@
 // report are committed. After it is acknowledged, a server that is shutting down gets no new tasks.
 func (d *Dispatcher) AcceptReport(ctx context.Context, r Report) *code.Error {
 	receivedAt := d.Now()
-	refusal, err := runOnLeader(ctx, d, errDeposed, func(reply func(*code.Error)) {
+	refusal, err := recordOnLeader(ctx, d, errDeposed, func(reply func(*code.Error)) {
 		d.handleReport(r, reply)
 		d.applyToSession(r, receivedAt)
 	})
@@ -44,7 +44,7 @@
 // their results in the same order.
 func (d *Dispatcher) AcceptReports(ctx context.Context, reports []Report) ([]*code.Error, *code.Error) {
 	receivedAt := d.Now()
-	return runOnLeader(ctx, d, errDeposed, func(reply func([]*code.Error)) {
+	return recordOnLeader(ctx, d, errDeposed, func(reply func([]*code.Error)) {
 		results, missing := make([]*code.Error, len(reports)), len(reports)
 		for i, r := range reports {
 			d.handleReport(r, func(err *code.Error) {
@@ -69,7 +69,7 @@
 // report says, so that acknowledging it takes no decision. It is safe for concurrent use.
 func (d *Dispatcher) KnowsReport(ctx context.Context, r Report) bool {
 	known := make(chan bool, 1)
-	ok := d.Host.Post(func() {
+	ok := d.Host.PostContext(ctx, func() {
 		b, found := d.Host.Flows().Server(r.GetId())
 		known <- found && !b.Ended && !b.ShuttingDown && r.Number >= b.LastReport && isUnchanged(b, r.FlowServer) && !d.extendsSlowStart(b, r.FlowServer)
 	})
@@ -183,7 +183,7 @@
 // answers a hold sent after the notice. The server's runs count as running until their end
 // is proved.
 func (d *Dispatcher) AcceptExitNotice(ctx context.Context, id string) *code.Error {
-	_, err := runOnLeader(ctx, d, errDeposed, func(reply func(struct{})) {
+	_, err := recordOnLeader(ctx, d, errDeposed, func(reply func(struct{})) {
 		b, known := d.Host.Flows().Server(id)
 		expected := known && b.ShuttingDown
 		if s := d.leader.sessions[id]; s != nil && !expected {
--- a/internal/control/dispatch/takeover_test.go
+++ b/internal/control/dispatch/takeover_test.go
@@ -128,7 +128,7 @@
 	runWithDirectCalls(t, 1, func(t *testing.T, w *testCluster) {
 		w.runAndWait(func() { w.isLeader = false; w.dispatcher.OnDeposed() })
 		for _, address := range []string{"entry1", "entry2"} {
-			w.dispatcher.RegisterProcess(&inner.Greeting{Address: address})
+			w.dispatcher.RegisterProcess(t.Context(), &inner.Greeting{Address: address})
 		}
 		w.runAndWait(func() {
 			w.term++
--- a/internal/control/dispatch/wave.go
+++ b/internal/control/dispatch/wave.go
@@ -50,7 +50,7 @@
 
 // StartWave adds a maintenance wave to the ledger and returns when it is committed.
 func (d *Dispatcher) StartWave(ctx context.Context, w *record.Wave) *code.Error {
-	refusal, err := runOnLeader(ctx, d, errDeposed, func(reply func(*code.Error)) {
+	refusal, err := recordOnLeader(ctx, d, errDeposed, func(reply func(*code.Error)) {
 		if err := d.Host.ApplyCommand(&record.Flow{What: &record.Flow_Wave{Wave: w}}); err != nil {
 			reply(err)
 			return
--- a/internal/control/dispatch/zone.go
+++ b/internal/control/dispatch/zone.go
@@ -13,15 +13,11 @@
 )
 
 // SetZoneDrain starts or ends the drain of an availability zone. It returns when the change is
-// committed. From the commit of a drain on, no leader starts a task in the zone.
+// committed. From the commit of a drain on, no leader starts a task in the zone. An order whose
+// sender has given up is not executed: the sender may have sent the opposite order to another
+// replica, and executing this one now would undo the newer one.
 func (d *Dispatcher) SetZoneDrain(ctx context.Context, zone string, drain bool) *code.Error {
 	refusal, err := runOnLeader(ctx, d, errDeposed, func(reply func(*code.Error)) {
-		if ctx.Err() != nil {
-			// The sender has given up and may have sent the opposite order to another
-			// replica. Executing this order now would undo the newer one.
-			reply(errNotLeading)
-			return
-		}
 		if !d.Host.HasZone(zone) {
 			err := code.New(code.NotFound, "zone %q", zone)
 			event.LogError(d.Log, event.ZoneRefused, err, "zone", zone, "drain", drain)
--- a/internal/control/flows/flows.go
+++ b/internal/control/flows/flows.go
@@ -21,6 +21,10 @@
 // budget.
 const maxRequestTime = 5 * time.Second
 
+// registerTimeout is the timeout of the registration of a process at a replica that does not
+// lead. It is short, because the process waits to hear which replica leads.
+const registerTimeout = 100 * time.Millisecond
+
 // Server implements inner.Flows. The exported fields must be set before use.
 type Server struct {
 	Cell       string
@@ -111,7 +115,9 @@
 		return nil, err
 	}
 	if status := s.Leader.Status(); !status.Leads {
-		s.Dispatcher.RegisterProcess(g)
+		ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+		defer cancel()
+		s.Dispatcher.RegisterProcess(ctx, g)
 		return &inner.Welcome{Leader: status.Address, Term: status.Term}, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
--- a/internal/control/flows/flows_test.go
+++ b/internal/control/flows/flows_test.go
@@ -1,7 +1,9 @@
 package flows_test
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gypsumreel/internal/api/inner"
@@ -17,7 +19,7 @@
 	postCount int
 }
 
-func (t *fakeHost) Post(fn func()) bool {
+func (t *fakeHost) PostContext(_ context.Context, fn func()) bool {
 	t.postCount++
 	fn()
 	return true
@@ -49,3 +51,27 @@
 		t.Error("a call for another cell was answered")
 	}
 }
+
+// standingHost is a control thread that stands and whose inbox is full.
+type standingHost struct{ dispatch.Host }
+
+func (standingHost) PostContext(ctx context.Context, _ func()) bool {
+	<-ctx.Done()
+	return false
+}
+
+// Guards against a follower whose control thread stands and that leaves greetings without an
+// answer. The greeting process would not learn which replica leads.
+func TestStandingFollowerNamesTheLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const greetTimeout = 700 * time.Millisecond
+		d := dispatch.New()
+		d.Host, d.Now = standingHost{}, func() time.Duration { return time.Hour }
+		s := &flows.Server{Leader: leader.New(), Dispatcher: d}
+		ctx, cancel := context.WithTimeout(t.Context(), greetTimeout)
+		defer cancel()
+		if _, err := s.Greet(ctx, &inner.Greeting{Address: "entry"}); err != nil || ctx.Err() != nil {
+			t.Errorf("Greet returned %v, want an answer within %v", err, greetTimeout)
+		}
+	})
+}
--- a/internal/control/leader/extension.go
+++ b/internal/control/leader/extension.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -101,6 +102,19 @@
 	}
 }
 
+// PostContext is Post for a caller that does not wait for longer than ctx. It returns false
+// when fn was not queued: ctx ended while the inbox was full, or the control thread has ended.
+func (l *Leader) PostContext(ctx context.Context, fn func()) bool {
+	select {
+	case l.inbox <- fn:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-l.done:
+		return false
+	}
+}
+
 // runCommittedEffects runs the effects whose commands are committed.
 func (l *Leader) runCommittedEffects() {
 	lead := l.leadership
--- a/internal/control/leader/fairness_test.go
+++ b/internal/control/leader/fairness_test.go
@@ -5,6 +5,7 @@
 	"runtime"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gypsumreel/internal/control/leader"
@@ -65,3 +66,18 @@
 	cancel()
 	<-l.Done()
 }
+
+// Guards against a caller that waits for a control thread that stands for longer than it can.
+func TestPostEndsWithItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := leader.New()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		for queued := true; queued; {
+			queued = l.PostContext(ctx, func() {})
+		}
+		if ctx.Err() == nil {
+			t.Error("a function was not queued before the context ended")
+		}
+	})
+}
