Other replicas are told of the step at which a leader stood

In the record, the next leader stood a second after its election: it had the same ledger and planned the same step. Each leader in turn would cost the callers two seconds and an election.

Before the replica abstains, so before another can lead, the watch tells the other members of the step that the plan was at (StepStood of inner.Flows, for at most 200 ms, without the control thread). flows.Server runs its SetAside, which the dispatcher is still to be wired to; until then the call has no effect. An older replica answers the call with an error, which is ignored.

The tests failed with the call, the handler or the end of the context taken out (three mutations). With -race: control/turn, control/flows, control/leader, control/node passed.

--- a/internal/control/flows/flows.go
+++ b/internal/control/flows/flows.go
@@ -15,6 +15,7 @@
 	"gypsumreel/internal/base/code"
 	"gypsumreel/internal/control/dispatch"
 	"gypsumreel/internal/control/leader"
+	"gypsumreel/internal/domain/flow"
 )
 
 // maxRequestTime is the timeout of a request without a budget and the upper bound of any
@@ -26,6 +27,9 @@
 	Cell       string
 	Leader     *leader.Leader
 	Dispatcher *dispatch.Dispatcher
+	// SetAside leaves a step out of plans for some time; it may be nil. It must not wait for the
+	// control thread.
+	SetAside func(id flow.StepID)
 }
 
 var _ inner.Flows = (*Server)(nil)
@@ -119,6 +123,18 @@
 	return s.Dispatcher.Greet(ctx, g), nil
 }
 
+// StepStood sets a step aside at which the plan of another replica did not end. This replica may lead
+// next, and would plan the same.
+func (s *Server) StepStood(_ context.Context, m *inner.StoodStep) (*inner.StoodStepReply, error) {
+	if err := s.checkCell(m.GetCell()); err != nil {
+		return nil, err
+	}
+	if s.SetAside != nil {
+		s.SetAside(flow.StepID{Flow: m.GetFlow(), Turn: m.GetTurn(), Step: m.GetStep()})
+	}
+	return &inner.StoodStepReply{}, nil
+}
+
 func (s *Server) checkCell(cell string) error {
 	if cell != s.Cell {
 		return twirp.NewError(twirp.PermissionDenied, "wrong cell: this is cell "+s.Cell)
--- a/internal/control/flows/flows_test.go
+++ b/internal/control/flows/flows_test.go
@@ -1,14 +1,21 @@
 package flows_test
 
 import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"gypsumreel/internal/api/inner"
 	"gypsumreel/internal/base/code"
 	"gypsumreel/internal/control/dispatch"
 	"gypsumreel/internal/control/flows"
 	"gypsumreel/internal/control/leader"
+	"gypsumreel/internal/domain/flow"
 )
 
 // fakeHost is a control thread that runs posted functions synchronously.
@@ -49,3 +56,42 @@
 		t.Error("a call for another cell was answered")
 	}
 }
+
+// Guards against a next leader that plans a step at which the plan of the leader before did not end, and
+// against a replica of another cell that sets steps aside.
+func TestReplicaSetsTheStepAsideOfWhichItIsTold(t *testing.T) {
+	var aside []flow.StepID
+	s := &flows.Server{Cell: "cell", SetAside: func(id flow.StepID) { aside = append(aside, id) }}
+	server := httptest.NewServer(s.Handler())
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	id := flow.StepID{Flow: "f", Turn: 1, Step: 2}
+	for _, cell := range []string{"cell", "other"} {
+		c := &flows.Client{Cell: cell, HTTPClient: server.Client()}
+		c.TellStood(t.Context(), id, []string{address})
+		c.TellStood(t.Context(), flow.TaskID{StepID: id}, []string{address})
+	}
+	if diff := cmp.Diff([]flow.StepID{id}, aside); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Guards against a replica that does not answer and so keeps all others from the lead.
+func TestTellingASilentReplicaEndsInTime(t *testing.T) {
+	end := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-end }))
+	defer server.Close()
+	defer close(end)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	told := make(chan struct{})
+	go func() {
+		(&flows.Client{HTTPClient: server.Client()}).TellStood(ctx, flow.StepID{Flow: "f"}, []string{strings.TrimPrefix(server.URL, "http://")})
+		close(told)
+	}()
+	select {
+	case <-told:
+	case <-time.After(5 * time.Second):
+		t.Error("telling a replica that does not answer did not end with its context")
+	}
+}
--- a/internal/control/leader/giveup.go
+++ b/internal/control/leader/giveup.go
@@ -87,3 +87,23 @@
 func isOnlyVoter(n group.MembershipChanged) bool {
 	return !slices.ContainsFunc(n.Members, func(m quorum.Member) bool { return m.ID != n.Self && !m.Learner })
 }
+
+// publishMembership stores what is needed of the membership to give up the lead.
+func (l *Leader) publishMembership(n group.MembershipChanged) {
+	l.onlyVoter.Store(isOnlyVoter(n))
+	var addresses []string
+	for _, m := range n.Members {
+		if m.ID != n.Self {
+			addresses = append(addresses, m.Address)
+		}
+	}
+	l.otherAddresses.Store(&addresses)
+}
+
+// OtherAddresses returns the addresses of the other members of the group. It is safe for concurrent use.
+func (l *Leader) OtherAddresses() []string {
+	if addresses := l.otherAddresses.Load(); addresses != nil {
+		return *addresses
+	}
+	return nil
+}
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -200,6 +200,8 @@
 	// while it is the only voter.
 	givenUpTerm atomic.Uint64
 	onlyVoter   atomic.Bool
+	// otherAddresses are the addresses of the other members.
+	otherAddresses atomic.Pointer[[]string]
 
 	// The fields below are used by the control thread only.
 	processorYield   yield.Yielder
--- a/internal/control/leader/notification.go
+++ b/internal/control/leader/notification.go
@@ -35,7 +35,7 @@
 	case group.MembershipChanged:
 		l.logMembership(n)
 		l.membership = n
-		l.onlyVoter.Store(isOnlyVoter(n))
+		l.publishMembership(n)
 	case group.JournalDiskFull:
 		l.logDiskFull(n.Full)
 		l.diskFull = n.Full
--- a/internal/control/node/monitor.go
+++ b/internal/control/node/monitor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -27,6 +28,9 @@
 	maxTickGap = 3 * time.Second
 	// slowSyncThreshold is the duration of an fsync above which it is logged.
 	slowSyncThreshold = 500 * time.Millisecond
+	// tellTimeout limits the time for which nobody leads while the other replicas are told at what
+	// this leader stood.
+	tellTimeout = 200 * time.Millisecond
 )
 
 // onlyReplicas restricts h to processes whose certificate names a control replica, so
@@ -93,7 +97,15 @@
 // watchTurns watches the control thread and gives up the lead if it stands.
 func (n *Node) watchTurns(ctx context.Context) error {
 	replica := watchedReplica{n.Control, n.group.Load()}
-	return (&turn.Watch{Meter: &n.Control.Turns, Thread: controlThread, Replica: replica, Now: n.now, Log: n.Log}).Run(ctx)
+	w := &turn.Watch{Meter: &n.Control.Turns, Thread: controlThread, Replica: replica, Now: n.now, Log: n.Log}
+	if n.TellStood != nil {
+		w.TellStood = func(subject fmt.Stringer) {
+			ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+			defer cancel()
+			n.TellStood(ctx, subject, n.Control.OtherAddresses())
+		}
+	}
+	return w.Run(ctx)
 }
 
 // logCorruption logs err as the given event if it reports a corrupt journal or
--- a/internal/control/node/node.go
+++ b/internal/control/node/node.go
@@ -7,6 +7,7 @@
 	"context"
 	"crypto/rand"
 	"crypto/tls"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -98,6 +99,9 @@
 	MinFreeBytes uint64
 	// AddRoutes registers additional services on Listener; it may be nil.
 	AddRoutes func(mux *http.ServeMux)
+	// TellStood tells the replicas at the addresses what a turn of this leader worked on that did not
+	// end; it may be nil. It must return when ctx ends.
+	TellStood func(ctx context.Context, subject fmt.Stringer, addresses []string)
 	// NewTransport creates the transport to the other replicas, which passes received
 	// messages to receive. Nil means that of package peer.
 	NewTransport func(id string, receive func(from string, data []byte)) Transport
--- a/internal/control/turn/lead.go
+++ b/internal/control/turn/lead.go
@@ -50,9 +50,12 @@
 }
 
 // giveUp lets another replica lead. The lead is given up first, so that this replica does nothing more
-// when the next one begins.
+// when the next one begins, which must not stand at the same.
 func (w *Watch) giveUp(cause progress.Verdict, p Progress) {
 	led := w.Replica.GiveUpLead()
+	if subject := w.Meter.Subject(); led && p.Step == Plan && subject != nil && w.TellStood != nil {
+		w.TellStood(subject)
+	}
 	if !w.abstaining {
 		w.abstaining = true
 		w.Replica.Abstain(true)
--- a/internal/control/turn/turn.go
+++ b/internal/control/turn/turn.go
@@ -104,6 +104,14 @@
 	m.subject.Store(&subject)
 }
 
+// Subject returns what the step works on; nil if that is not known.
+func (m *Meter) Subject() fmt.Stringer {
+	if subject := m.subject.Load(); subject != nil {
+		return *subject
+	}
+	return nil
+}
+
 // SetOldestProposal records when the oldest proposal without a commit was made; 0 if there is
 // none.
 func (m *Meter) SetOldestProposal(at time.Duration) { m.proposedAt.Store(int64(at)) }
@@ -114,8 +122,8 @@
 	p := Progress{Number: m.number.Load(), Step: Step(m.step.Load()), Advances: m.advances.Load()}
 	if p.Step != Idle {
 		p.TurnAge = now - time.Duration(m.begunAt.Load())
-		if subject := m.subject.Load(); subject != nil {
-			p.Subject = (*subject).String()
+		if subject := m.Subject(); subject != nil {
+			p.Subject = subject.String()
 		}
 	}
 	if at := m.proposedAt.Load(); at > 0 {
--- a/internal/control/turn/watch.go
+++ b/internal/control/turn/watch.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"runtime/pprof"
 	"strings"
 	"time"
@@ -23,6 +24,9 @@
 	Meter *Meter
 	// Replica is the replica of the control thread; if it is nil, the watch only logs.
 	Replica Replica
+	// TellStood tells the other replicas what the turn that stood worked on, before one of them can
+	// lead; it may be nil. It must not take long, since nobody leads meanwhile.
+	TellStood func(subject fmt.Stringer)
 	// Thread is the function that the control thread runs, as named in its stack.
 	Thread string
 	Now    func() time.Duration
