An entry passes on what its leader says of a request that it has not begun

Entries told callers "unknown" (302) for requests that a standing leader had never begun: the leader was given the whole timeout of an attempt as its budget, so its "not run" came when the entry had just given the attempt up. A status call in flight to a leader that left a greeting unanswered was held for the whole attempt.

The leader now has 0.85 of the attempt's timeout. A read ends as soon as the leader is lost and then waits for the next one no longer than the usual leader wait; a write goes on until the leader says what became of it or another leader is recorded.

Failed before (mutations that bring back the former lines, each caught): TestLeaderSaysThatARequestWasNotBegun, TestReadEndsWhenItsLeaderIsLost. A first form of the test's fake held its lock while it waited and hung the test; the fake was at fault.

--- a/internal/edge/leader/greet.go
+++ b/internal/edge/leader/greet.go
@@ -52,7 +52,7 @@
 // While no leader is known, greetTargets returns searchFanout of the known addresses in
 // turn.
 func (c *Client) greetTargets(round int) []string {
-	leader, _, _ := c.currentLeader()
+	leader := c.currentLeader().address
 	addresses := c.knownAddresses()
 	if len(addresses) == 0 {
 		return nil
--- a/internal/edge/leader/leader.go
+++ b/internal/edge/leader/leader.go
@@ -30,6 +30,10 @@
 	// attemptTimeout is the timeout of one attempt of a request. It covers a commit on slow
 	// disks.
 	attemptTimeout = 1500 * time.Millisecond
+	// budgetShare is the share of an attempt's timeout that the leader may use. The rest is
+	// left for the transfer of its answer: only the leader can say that a request that
+	// reached it was not executed.
+	budgetShare = 0.85
 	// leaderWait is how long requests wait for a leader after the loss of the previous one
 	// or after the start of the process. A normal election is over by then. During a
 	// longer one callers are told to retry later.
@@ -77,13 +81,14 @@
 	// leaderLostAt is the time at which the last known leader was lost, or at which Run
 	// started if there was none.
 	leaderLostAt time.Duration
-	// leaderChanged is closed and replaced when recordLeader records another leader.
-	leaderChanged chan struct{}
+	// leaderChanged is closed and replaced when recordLeader records another leader,
+	// leaderLost when the known leader is lost.
+	leaderChanged, leaderLost chan struct{}
 }
 
 func (c *Client) init() {
 	c.initOnce.Do(func() {
-		c.done, c.leaderChanged = make(chan struct{}), make(chan struct{})
+		c.done, c.leaderChanged, c.leaderLost = make(chan struct{}), make(chan struct{}), make(chan struct{})
 		c.greetInterval, c.greetingInFlight = minGreetInterval, map[string]bool{}
 		if c.IsLeader == nil {
 			c.IsLeader = func() bool { return false }
@@ -154,15 +159,30 @@
 	defer c.mu.Unlock()
 	if address != "" && c.leader == address {
 		event.Log(c.Log, event.LeaderAway, "replica", address, "term", c.term)
-		c.leader, c.leaderLostAt = "", c.Now()
+		c.forgetLeader()
 	}
 }
 
-// currentLeader returns the address and term of the known leader, and a channel that is
-// closed when another leader is recorded. The address is empty if no leader is known.
-func (c *Client) currentLeader() (leader string, term uint64, leaderChanged <-chan struct{}) {
+// forgetLeader records that no leader is known. The caller holds mu.
+func (c *Client) forgetLeader() {
+	c.leader, c.leaderLostAt = "", c.Now()
+	close(c.leaderLost)
+	c.leaderLost = make(chan struct{})
+}
+
+// leaderView is what a request needs to know of the leader.
+type leaderView struct {
+	// address is empty if no leader is known.
+	address string
+	term    uint64
+	// changed is closed when another leader is recorded, lost when this one is lost.
+	changed, lost <-chan struct{}
+}
+
+// currentLeader returns what is known of the leader.
+func (c *Client) currentLeader() leaderView {
 	c.init()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.leader, c.term, c.leaderChanged
+	return leaderView{c.leader, c.term, c.leaderChanged, c.leaderLost}
 }
--- a/internal/edge/leader/leader_test.go
+++ b/internal/edge/leader/leader_test.go
@@ -32,6 +32,9 @@
 	// unfreeze is set while the replica is frozen. The replica answers once the channel is
 	// closed.
 	unfreeze chan struct{}
+	// stands is true if the replica accepts requests and begins none. It says so when the
+	// budget of a request is used up.
+	stands bool
 	// requests and greetings count the calls received so far.
 	requests          int
 	greetings         int
@@ -77,6 +80,11 @@
 func (r *fakeReplica) Ask(ctx context.Context, a *inner.FlowAsk) (*inner.FlowAnswer, error) {
 	r.update(func() { r.requests++; r.asks = append(r.asks, a) })
 	r.waitWhileFrozen(ctx)
+	stands := false
+	if r.update(func() { stands = r.stands }); stands {
+		time.Sleep(time.Duration(a.GetBudget()) * time.Millisecond)
+		return &inner.FlowAnswer{Code: uint32(code.NoLeader), Leader: r.address()}, nil
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.leads {
@@ -239,6 +247,33 @@
 	}
 }
 
+// Guards against a read that is held until the timeout of its attempt, although the leader
+// has left a greeting without an answer before.
+func TestReadEndsWhenItsLeaderIsLost(t *testing.T) {
+	const attemptTimeout = 1500 * time.Millisecond
+	c := clientOfFrozenLeader(t)
+	startedAt := time.Now()
+	answer := c.Ask(t.Context(), &inner.FlowAsk{Verb: inner.FlowVerb_FLOW_VERB_STATE})
+	if elapsed := time.Since(startedAt); code.Code(answer.GetCode()) != code.NoLeader || answer.GetRetry() == 0 || elapsed >= attemptTimeout {
+		t.Errorf("got answer %v after %v, want NoLeader with a retry hint in less than %v", answer, elapsed, attemptTimeout)
+	}
+}
+
+// Guards against an unknown outcome for a submit of which the leader says that it was not
+// executed, because the entry gives the attempt up just before.
+func TestLeaderSaysThatARequestWasNotBegun(t *testing.T) {
+	replica := newReplica(t)
+	replica.update(func() { replica.leads, replica.term = true, 1 })
+	c := newClient(t, replica)
+	askUntilTerm(t, c, 1, 5*time.Second)
+	replica.update(func() { replica.stands = true })
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	if answer := c.Ask(ctx, &inner.FlowAsk{Verb: inner.FlowVerb_FLOW_VERB_SUBMIT}); code.Code(answer.GetCode()) != code.NoLeader || answer.GetRetry() == 0 {
+		t.Errorf("got answer %v, want NoLeader with a retry hint", answer)
+	}
+}
+
 // Guards against overloading a new leader. It is slow at first because all processes
 // greet it at the same time. Further greetings from processes that have no answer yet
 // would slow it down until it loses its leadership.
--- a/internal/edge/leader/request.go
+++ b/internal/edge/leader/request.go
@@ -37,17 +37,17 @@
 	ctx, cancel := c.withRetryDeadline(ctx)
 	defer cancel()
 	for {
-		leader, term, leaderChanged := c.currentLeader()
-		if leader != "" {
-			request.Term = term
-			answer, attemptArrived := c.attempt(ctx, leader, leaderChanged, request)
+		leader := c.currentLeader()
+		if leader.address != "" {
+			request.Term = leader.term
+			answer, attemptArrived := c.attempt(ctx, leader, request)
 			if answer != nil {
 				return answer
 			}
 			mayHaveArrived = mayHaveArrived || attemptArrived && isWrite(request)
 		}
-		retrySignal := leaderChanged
-		if leader != "" {
+		retrySignal := leader.changed
+		if leader.address != "" {
 			retrySignal = nil // the same leader is tried again after retryInterval
 		}
 		select {
@@ -101,46 +101,48 @@
 	if mayHaveArrived {
 		resultCode = code.LeaderTimeout
 	}
-	event.Log(c.Log, event.CallUnanswered, "flow", path.Base(request.GetPath()), "verb", request.GetVerb().String(), "code", uint32(resultCode), "leader", c.leaderName())
+	event.Log(c.Log, event.CallUnanswered, "flow", path.Base(request.GetPath()), "verb", request.GetVerb().String(), "code", uint32(resultCode), "leader", c.currentLeader().address)
 	return &inner.FlowAnswer{Code: uint32(resultCode), Retry: uint64(retryHint / time.Millisecond)}
 }
 
-func (c *Client) leaderName() string {
-	leader, _, _ := c.currentLeader()
-	return leader
-}
-
 // attempt makes one call to the leader. It returns a nil answer if the request must be
 // sent again. mayHaveArrived reports whether the leader may have processed the request.
 // The call is cancelled when another leader is recorded, because a replaced leader may
-// not answer for seconds.
-func (c *Client) attempt(ctx context.Context, leader string, leaderChanged <-chan struct{}, request *inner.FlowAsk) (answer *inner.FlowAnswer, mayHaveArrived bool) {
+// not answer for seconds. A read is cancelled as soon as the leader is lost: it has no
+// effect, while the leader may still say of a write that it was not executed.
+func (c *Client) attempt(ctx context.Context, leader leaderView, request *inner.FlowAsk) (answer *inner.FlowAnswer, mayHaveArrived bool) {
 	timeout := attemptTimeout
 	if deadline, ok := ctx.Deadline(); ok {
 		timeout = min(timeout, time.Until(deadline))
 	}
-	request.Budget = uint64(max(timeout, 0) / time.Millisecond)
+	request.Budget = uint64(max(timeout, 0).Seconds() * budgetShare * 1000)
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	lost := leader.lost
+	if isWrite(request) {
+		lost = nil
+	}
 	go func() {
 		select {
-		case <-leaderChanged:
+		case <-leader.changed:
+			cancel()
+		case <-lost:
 			cancel()
 		case <-ctx.Done():
 		}
 	}()
-	answer, err := inner.NewFlowsProtobufClient("http://"+leader, c.HTTPClient).Ask(ctx, request)
+	answer, err := inner.NewFlowsProtobufClient("http://"+leader.address, c.HTTPClient).Ask(ctx, request)
 	if err != nil {
 		// A call that ended at the caller's deadline does not show that the leader is
 		// lost.
 		if wire.NeverSent(err) || timeout == attemptTimeout && errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			c.recordLeaderLost(leader)
+			c.recordLeaderLost(leader.address)
 		}
 		return nil, !wire.NeverSent(err)
 	}
 	switch code.Code(answer.GetCode()) {
 	case code.NoLeader:
-		c.recordRedirect(leader, answer.GetLeader())
+		c.recordRedirect(leader.address, answer.GetLeader())
 		return nil, false
 	case code.LeaderTimeout:
 		return nil, true
@@ -160,7 +162,7 @@
 		return
 	}
 	if c.leader = to; to == "" {
-		c.leaderLostAt = c.Now()
+		c.forgetLeader()
 	}
 }
 
