Fence and watch also cover a takeover, and a busy leader learns of commits

Found by review of the parts that were joined: - A leader that stands while it takes over was not fenced: it told the group to abstain, and led in that term once it went on; its judge did not count that it gave up, so slow takeovers could follow one another without end. The term now counts from the beginning of the takeover. - Turns begin with whatever is queued, so a busy leader could leave the news of commits for twenty turns and be taken for one that commits nothing. Each turn now takes waiting notifications first. - A group that shrank to one voter gave a replica the lead back that it had given up, with a deposed extension: it decided nothing for the rest of the term. A lead stays given up in its term; an only voter that has given up is elected anew. - The watch decides before it logs.

--- a/internal/control/leader/giveup.go
+++ b/internal/control/leader/giveup.go
@@ -13,8 +13,8 @@
 // more in the term. It returns false if the replica does not lead, has given up the lead before, or
 // is the only voter, in whose place nobody could lead. GiveUpLead is safe for concurrent use.
 func (l *Leader) GiveUpLead() bool {
-	s := l.status.Load()
-	if !s.Leads || l.onlyVoter.Load() || l.givenUpTerm.Swap(s.Term) == s.Term {
+	term := l.leadTerm.Load()
+	if term == 0 || l.onlyVoter.Load() || l.givenUpTerm.Swap(term) == term {
 		return false
 	}
 	if l.OnDeposed != nil {
@@ -25,15 +25,17 @@
 
 // HasGivenUp reports whether the replica has given up the lead and not yet learned from the group
 // that it no longer leads. It is safe for concurrent use.
-func (l *Leader) HasGivenUp() bool {
-	s := l.status.Load()
-	return s.Leads && l.hasGivenUp(s.Term)
-}
+func (l *Leader) HasGivenUp() bool { return l.hasGivenUp(l.leadTerm.Load()) }
 
-func (l *Leader) hasGivenUp(term uint64) bool {
-	return term > 0 && l.givenUpTerm.Load() == term && !l.onlyVoter.Load()
+// IsLeading reports whether the replica leads, or takes over, and has not given up the lead. It is
+// safe for concurrent use.
+func (l *Leader) IsLeading() bool {
+	term := l.leadTerm.Load()
+	return term > 0 && !l.hasGivenUp(term)
 }
 
+func (l *Leader) hasGivenUp(term uint64) bool { return term > 0 && l.givenUpTerm.Load() == term }
+
 // withdraw drops what the extension keeps of a term in which the lead was given up, so that it sends
 // nothing more. The ledger stays until the group reports who leads. It returns false if the replica
 // leads.
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -57,6 +57,8 @@
 	// maxBatchesPerTurn limits the batches handled in one turn before decisions are
 	// made and proposed.
 	maxBatchesPerTurn = 64
+	// maxNotificationsPerTurn limits the notifications handled before the other work of a turn.
+	maxNotificationsPerTurn = 64
 	// tickInterval is the interval at which expired timers are run.
 	tickInterval = 20 * time.Millisecond
 	// silenceCheckInterval is the interval at which all sessions are checked for
@@ -196,8 +198,9 @@
 	inbox  chan func()
 	done   chan struct{}
 	status atomic.Pointer[Status]
-	// givenUpTerm is the latest term in which this replica gave up the lead, and onlyVoter is true
-	// while it is the only voter.
+	// leadTerm is the term in which this replica leads or takes over; 0 if it follows. givenUpTerm is
+	// the latest term in which it gave up the lead. onlyVoter is true while it is the only voter.
+	leadTerm    atomic.Uint64
 	givenUpTerm atomic.Uint64
 	onlyVoter   atomic.Bool
 	// otherAddresses are the addresses of the other members.
@@ -226,6 +229,9 @@
 // leader's.
 var ErrDiverged = errors.New("this replica's state differs from the leader's state; delete its data folder and add it to the group again")
 
+// errStopped is returned by Run when the group does not run any more.
+var errStopped = errors.New("the replication group has stopped")
+
 // New returns a control thread with the default settings.
 func New() *Leader {
 	l := &Leader{
@@ -313,7 +319,7 @@
 			return nil
 		case n, ok := <-l.Group.Notifications():
 			if !ok {
-				return errors.New("the replication group has stopped")
+				return errStopped
 			}
 			l.Turns.Begin(turn.Notification, l.Now())
 			if err := l.handleNotification(n); err != nil {
@@ -321,10 +327,16 @@
 			}
 		case fn := <-l.inbox:
 			l.Turns.Begin(turn.Function, l.Now())
+			if err := l.handleWaitingNotifications(); err != nil {
+				return err
+			}
 			l.runFunction(fn)
 			l.runQueuedFunctions()
 		case <-ticker.C:
 			l.Turns.Begin(turn.Timers, l.Now())
+			if err := l.handleWaitingNotifications(); err != nil {
+				return err
+			}
 			l.runTimers()
 		}
 		l.finishTurn()
--- a/internal/control/leader/leadership.go
+++ b/internal/control/leader/leadership.go
@@ -112,6 +112,7 @@
 // becomeLeader starts leading. It builds a planner and the lease records from the
 // ledger.
 func (l *Leader) becomeLeader(n group.Leading) {
+	l.leadTerm.Store(n.Term)
 	l.leadership = &leadership{
 		term:              n.Term,
 		electedAt:         n.ElectedAt,
@@ -138,6 +139,9 @@
 			Request: &v1.ChangeRequest{Id: "settings", Change: &v1.ChangeRequest_Grant{Grant: l.RootKey}},
 		}}})
 	}
+	if !l.serving() {
+		return // the takeover took too long
+	}
 	l.status.Store(&Status{Leads: true, Term: n.Term})
 	event.Log(l.Log, event.LeaderElected, "term", n.Term, "index", n.LastIndex)
 	if l.Extension != nil {
@@ -189,6 +193,7 @@
 			event.Log(l.Log, event.QuorumLost, "term", lead.term)
 		}
 		l.leadership = nil
+		l.leadTerm.Store(0)
 		l.ledger.Observer = nil
 		if l.Extension != nil && !lead.withdrawn {
 			l.Extension.OnDeposed()
--- a/internal/control/leader/notification.go
+++ b/internal/control/leader/notification.go
@@ -11,6 +11,25 @@
 	"gypsumreel/internal/replica/quorum"
 )
 
+// handleWaitingNotifications handles the notifications that wait. Under load there is always other
+// work, and a leader has to learn in each turn what is committed.
+func (l *Leader) handleWaitingNotifications() error {
+	for range maxNotificationsPerTurn {
+		select {
+		case n, ok := <-l.Group.Notifications():
+			if !ok {
+				return errStopped
+			}
+			if err := l.handleNotification(n); err != nil {
+				return err
+			}
+		default:
+			return nil
+		}
+	}
+	return nil
+}
+
 // handleNotification handles one notification from the group.
 func (l *Leader) handleNotification(notification group.Notification) error {
 	switch n := notification.(type) {
--- a/internal/control/node/monitor.go
+++ b/internal/control/node/monitor.go
@@ -91,9 +91,6 @@
 	*group.Group
 }
 
-// IsLeading reports whether the replica leads and has not given up the lead.
-func (r watchedReplica) IsLeading() bool { return r.Leader.Status().Leads }
-
 // watchTurns watches the control thread and gives up the lead if it stands.
 func (n *Node) watchTurns(ctx context.Context) error {
 	replica := watchedReplica{n.Control, n.group.Load()}
--- a/internal/control/turn/lead.go
+++ b/internal/control/turn/lead.go
@@ -15,7 +15,7 @@
 // Replica is a replica whose lead the watch gives up. None of the methods may wait for the control
 // thread.
 type Replica interface {
-	// IsLeading reports whether the replica leads and has not given up the lead.
+	// IsLeading reports whether the replica leads, or takes over, and has not given up the lead.
 	IsLeading() bool
 	// GiveUpLead ends what the replica does as the leader. It returns false if there was nothing to
 	// end.
@@ -56,7 +56,7 @@
 	if subject := w.Meter.Subject(); led && p.Step == Plan && subject != nil && w.TellStood != nil {
 		w.TellStood(subject)
 	}
-	if !w.abstaining {
+	if led || !w.abstaining && !w.Replica.IsLeading() { // the only voter goes on leading
 		w.abstaining = true
 		w.Replica.Abstain(true)
 	}
--- a/internal/control/turn/watch.go
+++ b/internal/control/turn/watch.go
@@ -54,10 +54,10 @@
 		case <-ticker.C:
 			now := w.Now()
 			p := w.Meter.Progress(now)
-			w.logLate(p)
 			if err := w.checkLead(p, now); err != nil {
 				return err
 			}
+			w.logLate(p)
 		}
 	}
 }
--- a/internal/replica/quorum/election.go
+++ b/internal/replica/quorum/election.go
@@ -45,7 +45,7 @@
 
 // stepDownIfNoHeir makes an abstaining leader a follower unless a transfer is in progress.
 func (c *Core) stepDownIfNoHeir() {
-	if c.abstaining && c.leaderState.transferee == "" && !c.isOnlyVoter() {
+	if c.abstaining && c.leaderState.transferee == "" {
 		c.changeRole(c.hardState.Term, roleFollower, "")
 	}
 }
--- a/internal/replica/quorum/event.go
+++ b/internal/replica/quorum/event.go
@@ -54,7 +54,7 @@
 
 // Abstain begins or ends the abstention of this replica from leading. A leader hands over, or steps
 // down if that takes too long; a follower does not stand for election. It still votes and
-// acknowledges entries. The only voter does not abstain, since nobody could take over.
+// acknowledges entries. The only voter is elected again, since nobody could take over.
 type Abstain struct{ On bool }
 
 // ReloadState requests that the newest snapshot and all committed entries after it be
