A replica that applies a long log in one turn is not started again for it

The process ended once any turn had lasted 40 s, also one whose parts end. A replica that starts and applies a long log in one turn, with little processor time, would have been started again and again and never have caught up.

Half a minute now counts from the last part that ended; a turn whose parts end has five minutes. With -race: policy/progress passed; the two tests of demo/fault with a leader that stands passed without.

--- a/internal/policy/progress/progress.go
+++ b/internal/policy/progress/progress.go
@@ -22,9 +22,12 @@
 	// uncommittedLooks is the number of looks with the same oldest proposal after which the leader
 	// commits nothing.
 	uncommittedLooks = 20
-	// lostLooks is the number of looks for which the control thread stands before the process has
-	// to start again. What the group reports is kept in memory meanwhile.
+	// lostLooks is the number of looks for which the control thread stands, after the verdict, before
+	// the process has to start again. What the group reports is kept in memory meanwhile.
 	lostLooks = 300
+	// lostTurnLooks is the same for a whole turn. A replica that starts may apply a long log in one
+	// turn, and would have to do so again.
+	lostTurnLooks = 3000
 	// maxDoublings limits how often the three numbers of looks double.
 	maxDoublings = 5
 	// forgetAfter is for how long a leader has to go on well until the doublings are forgotten.
@@ -72,8 +75,8 @@
 	last    Look
 	verdict Verdict
 	// samePart, sameTurn and sameProposal count the looks that saw what the look before saw, and
-	// afterwards those since the verdict.
-	samePart, sameTurn, sameProposal, sinceVerdict int
+	// standingOn those after the verdict that saw the same part.
+	samePart, sameTurn, sameProposal, standingOn int
 	// doublings is how often the leader has given up the lead of late. Slow disks and an overload
 	// that outlasts a leader would otherwise cause election after election.
 	doublings int
@@ -88,10 +91,11 @@
 	sameTurn := l.InTurn && previous.InTurn && l.Number == previous.Number
 	sameProposal := l.ProposedAt > 0 && l.ProposedAt == previous.ProposedAt
 	count(&j.sameTurn, sameTurn, inTime)
-	count(&j.samePart, sameTurn && l.Parts == previous.Parts, inTime)
+	samePart := sameTurn && l.Parts == previous.Parts
+	count(&j.samePart, samePart, inTime)
+	count(&j.standingOn, samePart && j.verdict != Well, inTime)
 	// The control thread learns of commits between turns only.
 	count(&j.sameProposal, sameProposal, inTime && !sameTurn)
-	count(&j.sinceVerdict, j.verdict != Well, inTime)
 	j.verdict = j.judge(sameTurn, sameProposal)
 	j.rememberWell(l)
 	return j.verdict
@@ -110,7 +114,7 @@
 func (j *Judge) judge(sameTurn, sameProposal bool) Verdict {
 	switch j.verdict {
 	case Stands, Endless, Lost:
-		if sameTurn && j.sinceVerdict >= lostLooks {
+		if sameTurn && (j.standingOn >= lostLooks || j.sameTurn >= lostTurnLooks) {
 			return Lost
 		}
 		if sameTurn {
