Property test: decisions about jobs end where servers hold more than their capacity

The loops of policy/cell were read after one of policy/steps had not ended: the ones over delayed and unplaceable units take a unit out of the list in each round, the ones that preempt for a limit mark a task as stopping, and all others end with the limit of decisions or of searches. The new test drives them with drawn changes of capacity (below what runs, and none), limits below the use, losses and failovers; no start may go beyond a server's capacity.

--- a/internal/policy/cell/rapid_test.go
+++ b/internal/policy/cell/rapid_test.go
@@ -44,6 +44,38 @@
 	})
 }
 
+// maxDecideTime is far beyond the time of the decisions of a few servers, also on a busy machine.
+const maxDecideTime = 20 * time.Second
+
+// Guards against decisions that never end, and against starts on servers without room for them,
+// when servers have less capacity than what runs there and teams are above their limits.
+func TestDecisionsEndWhereServersHoldMoreThanTheirCapacity(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		defer time.AfterFunc(maxDecideTime, func() { panic("the decisions have not ended") }).Stop()
+		w := newWorld(6)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			drawStep(t, w)
+			if rapid.Bool().Draw(t, "capacity changes") {
+				drawCapacity(t, w)
+			}
+			w.Run(w.Now() + time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms"))*time.Millisecond)
+		}
+		if diff := cmp.Diff([]string(nil), w.Checker.Violations); diff != "" {
+			t.Fatal(diff)
+		}
+	})
+}
+
+// drawCapacity changes the capacity of a server, also to less than what runs there and to none.
+func drawCapacity(t *rapid.T, w *bench.Simulation) {
+	s := w.Server(rapid.SampledFrom(servers(6)).Draw(t, "changed server").ID)
+	s.Capacity = capacity.Size{
+		CPU: rapid.Int64Range(0, 6).Draw(t, "cores") * taskSize.CPU, Memory: rapid.Int64Range(0, 6).Draw(t, "memory units") * taskSize.Memory,
+		Slots: rapid.Int64Range(0, 6).Draw(t, "slots"),
+	}
+	w.SetServer(s)
+}
+
 // drawStep applies one random event to the simulated cell. It returns the submitted job, if any.
 func drawStep(t *rapid.T, w *bench.Simulation) []uint64 {
 	server := rapid.SampledFrom(servers(6)).Draw(t, "server").ID
