A plan has a budget of work for each item

One loop that does not end makes the leader answer nobody, and the next leader too, since it plans from the same ledger. The loops that are known end by their form; this is for one that is not known.

The planner counts the visits of servers for an item. Beyond 64 for each server of the plan the item is given up from within whatever loop counts them: nothing of it is placed or asked, Plan names it, and the other items follow.

With the mended loop broken again, TestPlanWithAnOvercommittedServerEnds fails because the item is given up, and the plan ends. Without the budget, with a part of a given up item kept, and without the end after several, the new tests fail (mutations).

--- a/internal/policy/steps/attempt.go
+++ b/internal/policy/steps/attempt.go
@@ -142,6 +142,7 @@
 // tasks of an item.
 func (p *planner) othersSuffice(item Item, n int) bool {
 	var slots []slot
+	p.countVisits(len(p.servers))
 	for _, r := range p.servers {
 		if r.Probing || r.heldForSuspect || !eligible(item, r) || p.permission(item, r) == Denied {
 			continue
--- a/internal/policy/steps/headroom.go
+++ b/internal/policy/steps/headroom.go
@@ -45,6 +45,7 @@
 // limitByHeadroom returns how many of n tasks of an item may start on a server without using
 // the headroom. Tasks that use only room too small for an urgent task are not limited.
 func (p *planner) limitByHeadroom(item Item, r *serverState, n int64) int64 {
+	p.countVisits(1)
 	if item.mayUseHeadroom() {
 		return n
 	}
--- a/internal/policy/steps/order.go
+++ b/internal/policy/steps/order.go
@@ -74,6 +74,7 @@
 			return true
 		}
 		slices.SortFunc(batch, func(a, b *serverState) int { return cmp.Or(cmp.Compare(b.free.CPU, a.free.CPU), a.index-b.index) })
+		p.countVisits(1 + len(batch)/sortBatchSize)
 		n := 0
 		for ; n < len(batch) && batch[n].free.CPU >= nextInitialCPU; n++ {
 			if !yield(batch[n]) {
--- a/internal/policy/steps/permission.go
+++ b/internal/policy/steps/permission.go
@@ -34,12 +34,14 @@
 // knownServersFor returns the servers with a known permission for the current item. It reads
 // the permissions once and only when they are needed: with a long backlog, most items are
 // reached when there is no room left, and a large pool has many more servers than there are
-// known permissions.
+// known permissions. It counts as a visit of each of them.
 func (p *planner) knownServersFor(item Item) []*serverState {
 	if !item.NeedsPermit {
+		p.countVisits(len(p.servers))
 		return p.servers
 	}
 	if p.permissionsLoaded {
+		p.countVisits(len(p.knownServers))
 		return p.knownServers
 	}
 	p.permissionsLoaded, p.knownServers = true, p.knownServers[:0]
@@ -49,6 +51,7 @@
 			p.knownServers = append(p.knownServers, r)
 		}
 	}
+	p.countVisits(len(p.knownServers))
 	return p.knownServers
 }
 
--- a/internal/policy/steps/property_test.go
+++ b/internal/policy/steps/property_test.go
@@ -165,9 +165,12 @@
 	})
 }
 
-// checkPlan checks that the placements of a plan fit on their servers, that gangs are whole, that
+// checkPlan checks that no step was given up, that the placements of a plan fit on their servers, that gangs are whole, that
 // no task is placed twice, and that questions are about servers.
 func checkPlan(t *rapid.T, v steps.View, p steps.Plan) {
+	if len(p.GivenUp) > 0 {
+		t.Fatalf("the plan gave up %v", p.GivenUp)
+	}
 	free, placed := map[string]capacity.Size{}, map[flow.TaskID]bool{}
 	for _, s := range v.Servers {
 		free[s.ID] = s.FreeCapacity()
--- a/internal/policy/steps/steps.go
+++ b/internal/policy/steps/steps.go
@@ -52,6 +52,9 @@
 	// permissions of the current item were read.
 	itemNumber        int
 	permissionsLoaded bool
+	// visits counts the visits of servers for the current item, which is given up above
+	// maxVisits.
+	visits, maxVisits int
 	// serversByGroup holds the servers sorted by initial free CPU. It is nil until first
 	// needed.
 	serversByGroup map[serverGroup][]*serverState
@@ -131,6 +134,7 @@
 // Make makes a plan. It places the items in the order of the view, as far as there is room. An
 // item that waits for a permit, or a gang that waits for room, keeps the room that it needs.
 // Otherwise later items could take that room again and again, and the item would never start.
+// An item whose work goes beyond all bounds is given up; after several the plan ends.
 func (m *Planner) Make(v View) Plan {
 	p := m.begin(v)
 	items := slices.Clone(v.Items)
@@ -142,10 +146,9 @@
 		if v.BeginItem != nil {
 			v.BeginItem(item.StepID)
 		}
-		if item.Spec.GetGang() {
-			p.placeGang(item)
-		} else {
-			p.placeSingles(item)
+		p.placeWithinBudget(item)
+		if len(p.plan.GivenUp) == maxGivenUp {
+			break
 		}
 	}
 	return p.plan
@@ -160,7 +163,7 @@
 	m.states = slices.Grow(m.states[:0], len(v.Servers))[:len(v.Servers)]
 	m.servers = m.servers[:0]
 	p := &planner{
-		Planner: m, view: v, customerUsage: map[string]capacity.Size{},
+		Planner: m, view: v, maxVisits: visitsPerServer * (len(v.Servers) + 1), customerUsage: map[string]capacity.Size{},
 		reservedGangs: map[string]int{}, poolSizes: map[string]int{}, earlyRequests: map[string]int{}, maxFreeCPU: map[string]int64{},
 		headrooms: map[string]Headroom{}, spareHeadroom: map[string]int64{}, headroomCapacity: map[string]int64{}, probationSlots: map[string]int{}, racksAssigned: map[string]bool{},
 	}
@@ -268,6 +271,7 @@
 
 // allocate takes the room of n tasks of an item on a server.
 func (p *planner) allocate(item Item, r *serverState, n int64) {
+	p.countVisits(1)
 	size := flow.TaskSize(item.Spec).Times(n)
 	p.spareHeadroom[item.Pool] -= p.headroomCost(item, r, n)
 	r.free, r.used = r.free.Sub(size), true
--- a/internal/policy/steps/view.go
+++ b/internal/policy/steps/view.go
@@ -184,4 +184,7 @@
 type Plan struct {
 	Placements []Placement
 	Questions  []Question
+	// GivenUp holds the steps that were left out because the work for them went beyond all
+	// bounds.
+	GivenUp []GivenUp
 }
