Steps that a plan gives up are set aside for a time

A step whose plan does not end takes the time of all other work of the leader, and of the next leader, which plans the same step. A plan now gives such a step up; dispatch logs it (838, plan-cut: flow, step, visits of servers, pause) and leaves it out of plans for a second, longer with each repetition up to a minute. SetAside does the same from any goroutine, whether this replica leads or not, and the set outlives a term: a replica that hears where the leader stands begins its own term without that step.

The planner is a field of Dispatcher, so that tests can replace it. While a fake one gives up a step, another flow starts and ends, a configuration is put, a flow is cancelled and states are answered; the step is tried 3 to 6 times in half a minute, and is done once it can be planned. A step that was set aside before an election is left out of the first plans.

--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -160,6 +160,7 @@
 	SpeedsUneven      = define(835, "speeds-uneven", Info, "the speeds of the servers of a pool began or ceased to decide where work goes", "None. The fastest quarter of the servers is `ratio` times as fast as the slowest.")
 	HoldersUsed       = define(836, "holders-used", Info, "the leader began or ceased to give backend servers to holders", "None. It follows the number of servers.")
 	HolderLost        = define(837, "holder-lost", Warn, "a process that held backend servers for the leader does not answer; its servers moved", "None at first. If frequent: check the processor of that instance and the network to it.")
+	PlanCut           = define(838, "plan-cut", Warn, "the work to plan a step went beyond all bounds; the step is left out of plans for a time", "Keep the log and a dump and report the error. If the step does not start: cancel its flow.")
 	LinesLost         = define(816, "lines-lost", Warn, "log lines were dropped because the reader is too slow", "Read the logs faster, or log less.")
 )
 
--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -166,6 +166,8 @@
 	MaxOpenFlows int
 	// TargetVoters is the number of voters to which the replication group grows.
 	TargetVoters int
+	// Planner decides which tasks start where.
+	Planner Planner
 	// Options selects the decisions that the deployment asks for.
 	Options Options
 	// Metrics is the set that the metrics are registered in; nil for none.
@@ -173,6 +175,7 @@
 	Log     logr.Logger
 
 	flowMetrics *flowMetrics
+	setAside    setAsideSteps
 	// The fields below are owned by the control thread. leader is nil while this replica
 	// does not lead.
 	leader *leaderState
@@ -189,7 +192,7 @@
 // New returns a dispatcher with default settings.
 func New() *Dispatcher {
 	return &Dispatcher{
-		MaxLease: DefaultMaxLease, MaxStopTime: DefaultMaxStopTime, GangTimeout: DefaultGangTimeout, Retention: DefaultRetention, MaxOpenFlows: DefaultMaxOpenFlows, TargetVoters: DefaultTargetVoters, Log: logr.Discard(),
+		MaxLease: DefaultMaxLease, MaxStopTime: DefaultMaxStopTime, GangTimeout: DefaultGangTimeout, Retention: DefaultRetention, MaxOpenFlows: DefaultMaxOpenFlows, TargetVoters: DefaultTargetVoters, Planner: &steps.Planner{}, Log: logr.Discard(),
 		helperPool: helpers.New(), joiningReplicas: map[string]*joiningReplica{},
 	}
 }
--- a/internal/control/dispatch/lead.go
+++ b/internal/control/dispatch/lead.go
@@ -92,7 +92,6 @@
 	plannedAt  time.Duration
 	planCount  int
 	planPacer  steps.Pacer
-	planner    steps.Planner
 	planView   steps.View
 	planNeeded bool
 	// clockSkewed reports whether this machine's wall clock differs from the agreed time.
--- a/internal/control/dispatch/plan.go
+++ b/internal/control/dispatch/plan.go
@@ -29,13 +29,14 @@
 	d.leader.planView = view // the next plan reuses the slices
 	view.Items = steps.SelectItems(view, d.leader.planCount)
 	view.BeginItem = func(id flow.StepID) { d.Host.SetSubject(id) }
-	result := d.leader.planner.Make(view)
+	result := d.Planner.Make(view)
 	d.Host.SetSubject(nil)
 	for _, placement := range result.Placements {
 		d.recordDemand(placement, now)
 		d.commitPlacement(placement, now)
 	}
 	d.replaceQuestions(result.Questions, now)
+	d.setAsideGivenUp(result.GivenUp, now)
 	elapsed := d.Now() - startedAt
 	d.leader.planPacer.Record(now, elapsed)
 	d.flowMetrics.planSeconds.Update(elapsed.Seconds())
@@ -48,7 +49,7 @@
 	view.Releases = func(server string) []steps.Release { return d.expectedReleases(server, now) }
 	clock := d.Host.LedgerTime()
 	var queuedCPU map[string]int64
-	view.Items, queuedCPU = d.planItems(clock)
+	view.Items, queuedCPU = d.planItems(clock, now)
 	view.Servers = d.planServers(clock, now)
 	view.Headroom = func(pool string) steps.Headroom { return d.headroom(pool, poolCapacity(view.Servers, pool), now) }
 	roomShort := steps.RoomShort(queuedCPU, view.Servers)
@@ -64,12 +65,16 @@
 }
 
 // planItems returns the ready steps of a plan. While customers compete, steps that get only what
-// others leave take turns. queuedCPU is, by pool, the CPU of the queued tasks of all steps, also
+// others leave take turns. Steps that are set aside take no part. queuedCPU is, by pool, the CPU of the queued tasks of all steps, also
 // of those whose turn it is not.
-func (d *Dispatcher) planItems(clock time.Duration) (items []steps.Item, queuedCPU map[string]int64) {
+func (d *Dispatcher) planItems(clock, now time.Duration) (items []steps.Item, queuedCPU map[string]int64) {
 	items, queuedCPU = d.leader.planView.Items[:0], map[string]int64{}
 	use, deferrable := d.customerUse(), 0
+	aside := d.setAside.present(now)
 	for _, s := range d.Host.Flows().ReadySteps() {
+		if aside[s.StepID] {
+			continue
+		}
 		if advice := d.leader.adviceByStep[s.StepID]; advice != nil && advice.pendingQuestions > 0 && len(advice.permits) == 0 {
 			continue // nothing can be placed before the first answer of the adviser
 		}
