A plan of many small tasks beside headroom ends soon

For each server the planner looked for the number of tasks that leaves the headroom for urgent work free, one less at a time. A step may have 10,000 tasks; where they are much smaller than urgent ones, a plan tried 10,000 numbers on each server for each item: a control thread that stands, although the loop ends. The cost of tasks grows with their number, so a binary search finds the same number in 14 steps.

TestPlanOfManySmallTasksBesideHeadroomEnds (128 items of 10,000 tasks, 500 servers) failed before, with no end after 10 s; now the tests of the package take less than a second together.

--- a/internal/policy/steps/end_test.go
+++ b/internal/policy/steps/end_test.go
@@ -1,6 +1,7 @@
 package steps_test
 
 import (
+	"fmt"
 	"iter"
 	"testing"
 	"time"
@@ -48,3 +49,23 @@
 		t.Errorf("the plan asks %v, want a question that begins with the free server", plan.Questions)
 	}
 }
+
+// Guards against a plan that takes minutes: for tasks much smaller than the urgent ones for which
+// room is kept free, it tried each number of tasks on each server.
+func TestPlanOfManySmallTasksBesideHeadroomEnds(t *testing.T) {
+	var servers []steps.Server
+	for i := range 500 {
+		servers = append(servers, server(fmt.Sprintf("s%03d", i), 10000))
+	}
+	servers[0].Capacity.CPU = 10500
+	var items []steps.Item
+	for i := range 128 {
+		spec := tasks(flow.MaxTasksPerTurn, 1)
+		spec.Size.Memory = 0
+		items = append(items, item(fmt.Sprintf("f%03d", i), spec))
+	}
+	v := view(servers, items...)
+	v.Headroom = func(string) steps.Headroom { return steps.Headroom{Size: capacity.Size{CPU: 10000}, Tasks: 1 << 20} }
+	plan := makeInTime(t, v)
+	checkPlaced(t, map[string]int{"f000 on s000": 500}, plan)
+}
--- a/internal/policy/steps/headroom.go
+++ b/internal/policy/steps/headroom.go
@@ -1,6 +1,8 @@
 package steps
 
 import (
+	"sort"
+
 	"gypsumreel/internal/domain/capacity"
 	"gypsumreel/internal/domain/flow"
 )
@@ -49,13 +51,9 @@
 	if item.mayUseHeadroom() {
 		return n
 	}
-	for n > 0 {
-		if cost := p.headroomCost(item, r, n); cost == 0 || cost <= p.spareHeadroom[r.Pool] {
-			break
-		}
-		n--
-	}
-	return n
+	allowed := max(p.spareHeadroom[r.Pool], 0)
+	// The cost grows with the number of tasks.
+	return int64(sort.Search(int(n), func(i int) bool { return p.headroomCost(item, r, int64(i)+1) > allowed }))
 }
 
 // leavesHeadroom reports whether the headroom stays free when a gang starts. It also returns
