--- a/internal/edge/control/client_test.go
+++ b/internal/edge/control/client_test.go
@@ -471,6 +471,26 @@
 	})
 }
 
+// Guards against callers that wait until their deadline while a leader whose control thread
+// stands has given up the lead and no other one is elected: pending requests end at the maximum
+// contact age, and later ones are refused at once.
+func TestRequestsEndAfterTheLeaderGaveUp(t *testing.T) {
+	leader := &scriptedLeader{ignoresItems: true}
+	withClient(t, map[string]*scriptedLeader{"c1": leader}, func(c *testClient) {
+		time.AfterFunc(100*time.Millisecond, func() { leader.setRedirect("nobody") })
+		startedAt := time.Now()
+		const maxWait = control.DefaultMaxContactAge + 200*time.Millisecond
+		if got := c.listCodeWithin(time.Minute); got != code.LeaderTimeout || time.Since(startedAt) > maxWait {
+			t.Errorf("got code %d after %v, want LeaderTimeout within %v", got, time.Since(startedAt), maxWait)
+		}
+		time.Sleep(control.DefaultLeaderWait)
+		startedAt = time.Now()
+		if got := c.listCodeWithin(time.Minute); got != code.ControlUnreachable || time.Since(startedAt) > 0 {
+			t.Errorf("got code %d after %v, want ControlUnreachable at once", got, time.Since(startedAt))
+		}
+	})
+}
+
 // Guards against trusting old data for too long when replies are slow. The contact age
 // counts from the start of the call. Otherwise a withdrawn key would work longer than
 // the limit by the time that a reply takes.
