--- a/internal/replica/quorum/abstain_test.go
+++ b/internal/replica/quorum/abstain_test.go
@@ -75,3 +75,19 @@
 		t.Error("the only replica that does not abstain does not lead")
 	}
 }
+
+// Guards against a new leader that never commits the first entry of its term and keeps the lead on
+// heartbeats alone.
+func TestLeaderThatNeverCommitsItsFirstEntryStepsDown(t *testing.T) {
+	const patience = 10 * time.Second // far beyond any commit that comes at all
+	c := newElectedLeader(t)
+	at := 2 * time.Second
+	for round := uint64(1); at < patience; round++ {
+		c.Step(at, quorum.Tick{})
+		c.Step(at, replyInTerm4(quorum.HeartbeatReply, "b/0", 0, round))
+		at += quorum.DefaultElectionTimeout / 5
+	}
+	if _, leads := c.TermAndLeading(); leads {
+		t.Errorf("the leader still leads after %v without a commit", patience)
+	}
+}
