A plan of gangs of many small tasks ends soon

For a gang that waits for room the planner listed the room for each task on each server: a gang of 10,000 small tasks makes millions of entries, which are then sorted. An entry now holds the number of tasks for which a server has room at a time, so the work grows with servers and releases and not with tasks.

TestPlanOfGangsOfManySmallTasksEnds (14 gangs, 1,000 servers) failed before, with no end after 10 s, and takes 0.25 s now. The mutation of the reservation is adapted and still caught; the tests of the package pass with the race detector.

--- a/internal/policy/steps/ask.go
+++ b/internal/policy/steps/ask.go
@@ -55,7 +55,7 @@
 	for _, r := range p.knownServersFor(item) {
 		if eligible(item, r) && p.permission(item, r) == Stale && !slices.Contains(exclude, r.ID) {
 			if after, ok := p.availableAfter(item, r); ok {
-				slots = append(slots, slot{after, r})
+				slots = append(slots, slot{after, r, 1})
 			}
 		}
 	}
--- a/internal/policy/steps/attempt.go
+++ b/internal/policy/steps/attempt.go
@@ -147,7 +147,8 @@
 		if r.Probing || r.heldForSuspect || !eligible(item, r) || p.permission(item, r) == Denied {
 			continue
 		}
-		if slots = p.findSlots(slots, item, r); len(slots) >= n {
+		slots = p.findSlots(slots[:0], item, r)
+		if n -= slotTasks(slots); n <= 0 {
 			return true
 		}
 	}
--- a/internal/policy/steps/end_test.go
+++ b/internal/policy/steps/end_test.go
@@ -50,6 +50,28 @@
 	}
 }
 
+// Guards against a plan that takes many seconds: for gangs of small tasks that wait for room, it
+// listed the room for each task on each server.
+func TestPlanOfGangsOfManySmallTasksEnds(t *testing.T) {
+	var servers []steps.Server
+	for i := range 1000 {
+		servers = append(servers, server(fmt.Sprintf("s%04d", i), 8))
+	}
+	var items []steps.Item
+	for i := range 14 {
+		spec := gang(flow.MaxTasksPerTurn, 1)
+		spec.Size.Memory = 0
+		items = append(items, item(fmt.Sprintf("f%03d", i), spec))
+	}
+	v := view(servers, items...)
+	v.Releases = func(string) []steps.Release {
+		return []steps.Release{{After: time.Second, Size: capacity.Size{CPU: 1 << 30}}}
+	}
+	if plan := makeInTime(t, v); len(plan.Placements) != 0 {
+		t.Errorf("the plan places %v, want nothing before there is room", placed(plan))
+	}
+}
+
 // Guards against a plan that takes minutes: for tasks much smaller than the urgent ones for which
 // room is kept free, it tried each number of tasks on each server.
 func TestPlanOfManySmallTasksBesideHeadroomEnds(t *testing.T) {
--- a/internal/policy/steps/gang.go
+++ b/internal/policy/steps/gang.go
@@ -121,10 +121,32 @@
 	return out, remaining == 0
 }
 
-// slot is room for one task on a server and the time until that room is free.
+// slot is room for tasks of one size on a server and the time until that room is free.
 type slot struct {
 	after time.Duration
 	*serverState
+	tasks int
+}
+
+// slotTasks returns the number of tasks for which some slots have room.
+func slotTasks(slots []slot) (sum int) {
+	for _, s := range slots {
+		sum += s.tasks
+	}
+	return sum
+}
+
+// takeSlots returns the first slots, with room for n tasks together.
+func takeSlots(slots []slot, n int) (taken []slot) {
+	for _, s := range slots {
+		if n == 0 {
+			break
+		}
+		s.tasks = min(s.tasks, n)
+		n -= s.tasks
+		taken = append(taken, s)
+	}
+	return taken
 }
 
 // compareSlots orders slots by time, then by server.
@@ -144,17 +166,17 @@
 			slots = p.findSlots(slots, item, r)
 		}
 	}
-	if len(slots) < item.QueuedTasks {
+	if slotTasks(slots) < item.QueuedTasks {
 		return // the servers with known permissions can never hold the gang
 	}
 	slices.SortStableFunc(slots, compareSlots)
-	slots = p.earliestEnding(item, slots)[:item.QueuedTasks]
+	slots = takeSlots(p.earliestEnding(item, slots), item.QueuedTasks)
 	p.reservedGangs[item.Pool]++
 	startAfter := slots[len(slots)-1].after
 	var servers []string
 	stale := false
 	for _, s := range slots {
-		s.reserved = s.reserved.Add(flow.TaskSize(item.Spec))
+		s.reserved = s.reserved.Add(flow.TaskSize(item.Spec).Times(int64(s.tasks)))
 		s.reservedUntil = max(s.reservedUntil, startAfter)
 		if !slices.Contains(servers, s.ID) {
 			servers = append(servers, s.ID)
@@ -183,8 +205,9 @@
 	}
 	free, found := r.free.Sub(r.reserved), int64(0)
 	addSlots := func(after time.Duration) {
-		for n := min(fittingTasks(size, free), maxSlots); found < n; found++ {
-			out = append(out, slot{after, r})
+		if n := min(fittingTasks(size, free), maxSlots); found < n {
+			out = append(out, slot{after, r, int(n - found)})
+			found = n
 		}
 	}
 	addSlots(0)
--- a/internal/policy/steps/uneven.go
+++ b/internal/policy/steps/uneven.go
@@ -112,8 +112,8 @@
 }
 
 // earliestEnding returns the slots with which a gang that has no room now ends earliest, without
-// those on slower servers. Both slots and the result are sorted by time, and hold at least one
-// slot for each task.
+// those on slower servers. Both slots and the result are sorted by time, and have room for all
+// tasks.
 func (p *planner) earliestEnding(item Item, slots []slot) []slot {
 	if !p.view.Uneven || item.Demand.Runtime == 0 {
 		return slots
@@ -122,10 +122,10 @@
 	var bestEnd time.Duration
 	for _, slowest := range slotClasses(slots) {
 		fast := slices.DeleteFunc(slices.Clone(slots), func(s slot) bool { return s.speedClass < slowest })
-		if len(fast) < item.QueuedTasks {
+		if slotTasks(fast) < item.QueuedTasks {
 			break
 		}
-		taken := fast[:item.QueuedTasks]
+		taken := takeSlots(fast, item.QueuedTasks)
 		slowestTaken := slices.MinFunc(taken, func(a, b slot) int { return a.speedClass - b.speedClass })
 		end := taken[len(taken)-1].after + item.Demand.On(slowestTaken.Speed)
 		if best == nil || end < bestEnd {
