--- a/internal/control/leader/notification.go
+++ b/internal/control/leader/notification.go
@@ -11,6 +11,25 @@
 	"gypsumreel/internal/replica/quorum"
 )
 
+// handleWaitingNotifications handles the notifications that wait. Under load there is always other
+// work, and a leader has to learn in each turn what is committed.
+func (l *Leader) handleWaitingNotifications() error {
+	for range maxNotificationsPerTurn {
+		select {
+		case n, ok := <-l.Group.Notifications():
+			if !ok {
+				return errStopped
+			}
+			if err := l.handleNotification(n); err != nil {
+				return err
+			}
+		default:
+			return nil
+		}
+	}
+	return nil
+}
+
 // handleNotification handles one notification from the group.
 func (l *Leader) handleNotification(notification group.Notification) error {
 	switch n := notification.(type) {
@@ -35,7 +54,7 @@
 	case group.MembershipChanged:
 		l.logMembership(n)
 		l.membership = n
-		l.onlyVoter.Store(isOnlyVoter(n))
+		l.publishMembership(n)
 	case group.JournalDiskFull:
 		l.logDiskFull(n.Full)
 		l.diskFull = n.Full
--- a/internal/policy/steps/attempt.go
+++ b/internal/policy/steps/attempt.go
@@ -142,11 +142,13 @@
 // tasks of an item.
 func (p *planner) othersSuffice(item Item, n int) bool {
 	var slots []slot
+	p.countVisits(len(p.servers))
 	for _, r := range p.servers {
 		if r.Probing || r.heldForSuspect || !eligible(item, r) || p.permission(item, r) == Denied {
 			continue
 		}
-		if slots = p.findSlots(slots, item, r); len(slots) >= n {
+		slots = p.findSlots(slots[:0], item, r)
+		if n -= slotTasks(slots); n <= 0 {
 			return true
 		}
 	}
