The test of silent servers sends its order once their calls have begun

The order was sent right after 400 calls to silent servers, on goroutines of their own, so with several processors it could find a place before them and pass on the mutated code.

The test now waits until these calls have begun; its check is as it was.

--- a/internal/edge/holder/holder_test.go
+++ b/internal/edge/holder/holder_test.go
@@ -178,6 +178,7 @@
 			r.Calls = append(r.Calls, &inner.HolderCall{Id: id, Call: &inner.ServerCall{Budget: 1000, What: &inner.ServerCall_Hold{Hold: &inner.HoldRuns{}}}})
 		}
 		l.exchange(r)
+		synctest.Wait() // the calls to silent servers have begun
 		l.exchange(&inner.HolderRequest{Calls: []*inner.HolderCall{{Id: 500, Call: &inner.ServerCall{Budget: 1000, What: &inner.ServerCall_Start{Start: &inner.StartRun{}}}}}})
 		time.Sleep(20 * time.Millisecond)
 		if results := l.exchange(&inner.HolderRequest{}).GetResults(); len(results) != 1 || results[0].GetId() != 500 {
