The answer of a leader that stands takes time to arrive in its test

With a share of 1.0 the entry and the leader end an attempt at the same moment, and which of them came first was up to the scheduler: the fake sent its answer in no time. A submit that the leader did not begin could then be told as unanswered without the test seeing it.

The fake now takes 75 ms for its answer, as a network does, so an entry that leaves no time for it always gives up first.

--- a/internal/edge/leader/leader_test.go
+++ b/internal/edge/leader/leader_test.go
@@ -46,6 +46,9 @@
 	asks      []*inner.FlowAsk
 }
 
+// answerTime is how long the answer of a replica that stands is on its way.
+const answerTime = 75 * time.Millisecond
+
 func newReplica(t *testing.T) *fakeReplica {
 	r := &fakeReplica{startedAt: time.Now().Add(-time.Hour)}
 	r.Server = httptest.NewServer(inner.NewFlowsServer(r))
@@ -82,7 +85,7 @@
 	r.waitWhileFrozen(ctx)
 	stands := false
 	if r.update(func() { stands = r.stands }); stands {
-		time.Sleep(time.Duration(a.GetBudget()) * time.Millisecond)
+		time.Sleep(time.Duration(a.GetBudget())*time.Millisecond + answerTime)
 		return &inner.FlowAnswer{Code: uint32(code.NoLeader), Leader: r.address()}, nil
 	}
 	r.mu.Lock()
