A new leader that never commits the first entry of its term steps down

What callers saw: nobody answers while a replica keeps the lead (TestLeaderThatNeverCommitsItsFirst- EntryStepsDown, on the list of known failures since it was written). A leader is known to its control thread from the commit of its first entry on, so the watch of the control thread, which gives the lead up, sees nothing before. Heartbeats need no disk, so the followers keep the leader although their journals, or its own, stand.

A transfer that starts again and again does not count; a replica that catches up does, since the next leader would begin anew (TestLeaderWhoseReplicasCatch- UpKeepsTheLead). The only voter stays, as nobody could follow it. Logged as first-commit-late (223).

--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -38,6 +38,7 @@
 	CommitLate        = define(220, "commit-late", Warn, "a decision of the leader has not been committed for too long", "Check the disks of the control replicas and the network between them.")
 	LeadGivenUp       = define(221, "lead-given-up", Error, "the replica gave up the lead because its control thread made no progress", "Another replica leads. See `cause`, `step`, `subject` and `stack`. Keep the log and a dump and report the error.")
 	ControlBack       = define(222, "control-back", Info, "the control thread goes on; the replica may lead again", "None.")
+	FirstCommitLate   = define(223, "first-commit-late", Warn, "a new leader steps down because the first entry of its term was not committed", "Check the disks of the control replicas and the network between them.")
 	StaleIdentity     = define(217, "stale-identity", Error, "this replica was removed or lost its data and must not vote", "Give the replica a new name and add it with `gypsumreel member add`.")
 )
 
--- a/internal/replica/group/run.go
+++ b/internal/replica/group/run.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"gypsumreel/internal/base/event"
 	"gypsumreel/internal/replica/quorum"
 )
 
@@ -160,8 +161,8 @@
 
 // step passes one event to the core and carries out the effects that the core
 // returns.
-func (g *Group) step(event quorum.Event) {
-	effects := g.core.Step(g.Now(), event)
+func (g *Group) step(e quorum.Event) {
+	effects := g.core.Step(g.Now(), e)
 	if effects.Write != nil {
 		g.journalWrites <- *effects.Write
 	}
@@ -171,6 +172,9 @@
 	if effects.DropJournalUpTo > 0 {
 		g.scheduleJournalCompaction(effects.DropJournalUpTo)
 	}
+	if effects.StalledTerm > 0 {
+		event.Log(g.Log, event.FirstCommitLate, "term", effects.StalledTerm)
+	}
 	g.send(effects.Messages)
 	for _, r := range effects.Reports {
 		g.notifications.put(g.notificationFor(r))
--- a/internal/replica/quorum/abstain_test.go
+++ b/internal/replica/quorum/abstain_test.go
@@ -91,3 +91,23 @@
 		t.Errorf("the leader still leads after %v without a commit", patience)
 	}
 }
+
+// Guards against an election while the replicas still receive what precedes the first entry of a
+// term: the next leader would begin anew.
+func TestLeaderWhoseReplicasCatchUpKeepsTheLead(t *testing.T) {
+	const step = 1500 * time.Millisecond // less than the timeout, of which three steps are a multiple
+	c := newElectedLeader(t)
+	at := 2 * time.Second
+	for round := uint64(1); round <= 45; round++ {
+		at += 3 * step / 45
+		c.Step(at, quorum.Tick{})
+		c.Step(at, replyInTerm4(quorum.HeartbeatReply, "b/0", round/15, round))
+	}
+	if _, leads := c.TermAndLeading(); !leads {
+		t.Error("the leader stepped down although a replica caught up")
+	}
+	c.Step(at, quorum.WriteSynced{Seq: 2})
+	if s := c.Status(); s.Commit != 3 {
+		t.Errorf("commit index %d, want 3", s.Commit)
+	}
+}
--- a/internal/replica/quorum/core.go
+++ b/internal/replica/quorum/core.go
@@ -176,6 +176,7 @@
 	}
 	c.now = max(c.now, now)
 	c.stepDownIfUnconfirmed()
+	c.stepDownIfFirstEntryStalls()
 	switch ev := event.(type) {
 	case Tick:
 		c.tick()
--- a/internal/replica/quorum/effects.go
+++ b/internal/replica/quorum/effects.go
@@ -16,6 +16,9 @@
 	Messages []OutgoingMessage
 	// Reports have to be passed to the control thread, in this order.
 	Reports []Report
+	// StalledTerm is the term in which this replica stops leading because its first entry
+	// was not committed. 0 means none.
+	StalledTerm uint64
 }
 
 // JournalWrite is a batch of changes that the journal writes and syncs together.
--- a/internal/replica/quorum/journal.go
+++ b/internal/replica/quorum/journal.go
@@ -90,7 +90,9 @@
 		return
 	}
 	journal.syncedWriteSeq = seq
-	journal.syncedIndex = max(journal.syncedIndex, journal.inflightIndex)
+	if journal.inflightIndex > journal.syncedIndex {
+		journal.syncedIndex, c.leaderState.syncProgressAt = journal.inflightIndex, c.now
+	}
 	journal.inflightIndex = 0
 	c.sendHeldMessages()
 }
--- a/internal/replica/quorum/leader.go
+++ b/internal/replica/quorum/leader.go
@@ -10,12 +10,24 @@
 	commitIndex uint64
 }
 
+const (
+	// firstCommitTimeout is the shortest time without progress towards the first commit of a
+	// term after which its leader steps down. It allows for a slow sync of the disks.
+	firstCommitTimeout = 2 * time.Second
+	// firstCommitFactor multiplies the election timeout to give the same time while leaders
+	// change in quick succession.
+	firstCommitFactor = 2
+)
+
 // leaderState is the state that exists only on a leader. It is reset when the role changes.
 type leaderState struct {
 	electedAt time.Duration
 	// noOpIndex is the index of the no-op entry that starts the leader's term.
 	noOpIndex uint64
-	peers     map[string]*replicaProgress
+	// syncProgressAt is when a replica last synced more of what leads to the commit of the
+	// no-op entry.
+	syncProgressAt time.Duration
+	peers          map[string]*replicaProgress
 
 	lastRound   uint64
 	nextRoundAt time.Duration
@@ -32,7 +44,7 @@
 
 func (c *Core) becomeLeader() {
 	c.changeRole(c.hardState.Term, roleLeader, c.cfg.ID)
-	c.leaderState.electedAt = c.now
+	c.leaderState.electedAt, c.leaderState.syncProgressAt = c.now, c.now
 	c.leaderState.confirmedRound.startedAt = c.now
 	c.leaderState.peers = map[string]*replicaProgress{}
 	c.leaderState.noOpIndex = c.log.lastIndex() + 1
@@ -57,6 +69,20 @@
 	}
 }
 
+// stepDownIfFirstEntryStalls makes a new leader a follower if its no-op entry is not committed
+// and no replica gets closer to it. The control thread learns from that commit that the replica
+// leads, so it can't give up the lead before.
+func (c *Core) stepDownIfFirstEntryStalls() {
+	state := &c.leaderState
+	if c.role != roleLeader || c.commitIndex >= state.noOpIndex || c.isOnlyVoter() {
+		return
+	}
+	if c.now-state.syncProgressAt > max(firstCommitTimeout, firstCommitFactor*c.electionTimeout()) {
+		c.effects.StalledTerm = c.hardState.Term
+		c.changeRole(c.hardState.Term, roleFollower, "")
+	}
+}
+
 func (c *Core) tickLeader() {
 	if c.leaderState.transferee != "" && c.now >= c.leaderState.transferDeadline {
 		c.leaderState.transferee = ""
--- a/internal/replica/quorum/progress.go
+++ b/internal/replica/quorum/progress.go
@@ -45,6 +45,9 @@
 	snapshot         *Snapshot
 	snapshotChecksum uint64
 	snapshotOffset   uint64
+	// furthestOffset is the highest snapshotOffset in this term. A transfer that starts again
+	// and again does not raise it.
+	furthestOffset uint64
 }
 
 // resendAfterHeartbeats is the number of heartbeat intervals after which an unanswered
@@ -177,6 +180,7 @@
 	}
 	progress := c.progressOf(m.From)
 	progress.heardAt = c.now
+	matchIndex, furthestOffset := progress.matchIndex, progress.furthestOffset
 	switch m.Kind {
 	case HeartbeatReply:
 		progress.answeredRound = max(progress.answeredRound, m.Round)
@@ -187,6 +191,9 @@
 	case SnapshotChunkReply:
 		c.handleSnapshotChunkReply(progress, m)
 	}
+	if progress.matchIndex > matchIndex || progress.furthestOffset > furthestOffset {
+		c.leaderState.syncProgressAt = c.now
+	}
 }
 
 func (c *Core) handleAppendEntriesReply(progress *replicaProgress, m Message) {
--- a/internal/replica/quorum/snapshot.go
+++ b/internal/replica/quorum/snapshot.go
@@ -160,6 +160,7 @@
 		return
 	}
 	progress.snapshotOffset = m.Offset
+	progress.furthestOffset = max(progress.furthestOffset, m.Offset)
 	// After the last chunk, no further chunk is sent. The replica acknowledges the snapshot
 	// once it is saved.
 	progress.awaitingReply = m.Offset == uint64(len(progress.snapshot.State))
