Requests at a leader that gives up the lead end at once

What callers saw: a request that waited at a leader whose control thread stands was answered when its own time was over (up to 1.3 s after the lead was given up), although it was known from that moment on that nobody would begin or commit it there.

Leader.Lead is a context that ends when the lead is given up; a request has that end too. One that was not begun is then "not run" and can't run later, as with a timeout, and its entry tries the next leader; one that was begun has an unknown outcome and is repeated at the next leader by its id.

--- a/internal/control/dispatch/ask.go
+++ b/internal/control/dispatch/ask.go
@@ -30,7 +30,7 @@
 
 // errNotBegun is returned when the control thread did not begin a request before its caller
 // gave up. The request is not executed later.
-var errNotBegun = code.New(code.NoLeader, "the leader did not begin the request before its timeout")
+var errNotBegun = code.New(code.NoLeader, "the leader did not begin the request in time")
 
 // runOnLeader runs fn on the control thread if this replica leads, and waits for the reply.
 // fn calls reply once, immediately or later. A request without a reply fails with
@@ -86,7 +86,7 @@
 		if !beginsLate && settled.CompareAndSwap(false, true) {
 			return zero, errNotBegun
 		}
-		return zero, code.New(code.LeaderTimeout, "no decision before the timeout of the request")
+		return zero, code.New(code.LeaderTimeout, "no decision in time")
 	}
 }
 
--- a/internal/control/flows/flows.go
+++ b/internal/control/flows/flows.go
@@ -42,11 +42,12 @@
 func (s *Server) Handler() http.Handler { return inner.NewFlowsServer(s) }
 
 // Ask answers a caller's request. A replica that does not lead returns the address of the
-// leader.
+// leader. A request without an answer ends when the replica gives up the lead.
 func (s *Server) Ask(ctx context.Context, a *inner.FlowAsk) (*inner.FlowAnswer, error) {
 	if err := s.checkCell(a.GetCell()); err != nil {
 		return nil, err
 	}
+	lead := s.Leader.Lead()
 	status := s.Leader.Status()
 	if !status.Leads {
 		return &inner.FlowAnswer{Code: uint32(code.NoLeader), Leader: status.Address}, nil
@@ -57,6 +58,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	defer context.AfterFunc(lead, cancel)()
 	answer := s.Dispatcher.Ask(ctx, a)
 	if code.Code(answer.GetCode()) == code.NoLeader {
 		answer.Leader = s.Leader.Status().Address
--- a/internal/control/flows/flows_test.go
+++ b/internal/control/flows/flows_test.go
@@ -17,6 +17,9 @@
 	"gypsumreel/internal/control/flows"
 	"gypsumreel/internal/control/leader"
 	"gypsumreel/internal/domain/flow"
+	"gypsumreel/internal/policy/fifo"
+	"gypsumreel/internal/policy/plan"
+	"gypsumreel/internal/replica/group"
 )
 
 // fakeHost is a control thread that runs posted functions synchronously.
@@ -120,3 +123,41 @@
 		t.Error("telling a replica that does not answer did not end with its context")
 	}
 }
+
+// quietGroup is a group without other replicas that commits nothing.
+type quietGroup struct {
+	leader.Group
+	notifications chan group.Notification
+}
+
+func (g *quietGroup) Notifications() <-chan group.Notification { return g.notifications }
+func (g *quietGroup) Propose(group.Proposal) bool              { return true }
+func (g *quietGroup) ConfirmLeadership()                       {}
+
+// Guards against callers that wait for the timeout of a request which nobody will begin or commit,
+// because the leader has given up the lead.
+func TestRequestsEndWhenTheLeadIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		startedAt := time.Now()
+		now := func() time.Duration { return time.Hour + time.Since(startedAt) }
+		g := &quietGroup{notifications: make(chan group.Notification)}
+		d, l := dispatch.New(), leader.New()
+		d.Host, d.Now, l.Now, l.Group, l.Extension, l.NewPlanner = l, now, now, g, d, func() plan.Planner { return fifo.New() }
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = l.Run(ctx) }()
+		g.notifications <- group.Leading{Term: 1, ElectedAt: now()}
+		synctest.Wait()
+		released := make(chan struct{})
+		l.Post(func() { <-released })
+		s := &flows.Server{Leader: l, Dispatcher: d}
+		time.AfterFunc(time.Second, func() { l.GiveUpLead() })
+		answer, err := s.Ask(t.Context(), &inner.FlowAsk{Verb: inner.FlowVerb_FLOW_VERB_SUBMIT})
+		if err != nil || answer.GetCode() != uint32(code.NoLeader) || time.Since(startedAt) > 1100*time.Millisecond {
+			t.Errorf("got answer %v, %v after %v, want NoLeader when the lead is given up after 1 s", answer, err, time.Since(startedAt))
+		}
+		close(released)
+		cancel()
+		<-l.Done()
+	})
+}
--- a/internal/control/leader/giveup.go
+++ b/internal/control/leader/giveup.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"context"
 	"slices"
 
 	"gypsumreel/internal/control/turn"
@@ -8,6 +9,21 @@
 	"gypsumreel/internal/replica/quorum"
 )
 
+// leadContext is the time until this replica gives up the lead for the next time.
+type leadContext struct {
+	context.Context
+	end context.CancelFunc
+}
+
+func newLeadContext() *leadContext {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &leadContext{Context: ctx, end: cancel}
+}
+
+// Lead returns a context that ends when this replica gives up the lead for the next time. It is safe
+// for concurrent use.
+func (l *Leader) Lead() context.Context { return l.currentLead.Load() }
+
 // GiveUpLead ends what this replica does as the leader of the present term, also while the control
 // thread stands: Status reports no leader at once, and the control thread sends and proposes nothing
 // more in the term. It returns false if the replica does not lead, has given up the lead before, or
@@ -17,6 +33,7 @@
 	if term == 0 || l.onlyVoter.Load() || l.givenUpTerm.Swap(term) == term {
 		return false
 	}
+	l.currentLead.Swap(newLeadContext()).end()
 	if l.OnDeposed != nil {
 		l.OnDeposed()
 	}
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -203,6 +203,8 @@
 	leadTerm    atomic.Uint64
 	givenUpTerm atomic.Uint64
 	onlyVoter   atomic.Bool
+	// currentLead ends when this replica gives up the lead.
+	currentLead atomic.Pointer[leadContext]
 	// otherAddresses are the addresses of the other members.
 	otherAddresses atomic.Pointer[[]string]
 
@@ -249,6 +251,7 @@
 		ledger:             state.New(),
 	}
 	l.status.Store(&Status{})
+	l.currentLead.Store(newLeadContext())
 	return l
 }
 
