A candidate waits longer for its votes after several elections in a row

What callers would have met: a leader whose oldest proposal waits for two seconds gives up the lead. With disks that take 0.6 s and more for a sync no election ended afterwards, since a candidate and then its voters sync their votes while the candidate begins anew after an eighth to a quarter of the longest election timeout: nobody led in the minute after one late sync, where the leader that gave up had committed all the time (found by review, on the simulated core).

The deadline of a candidate now doubles with each election beyond the third that comes soon after the last, up to the longest election timeout.

--- a/internal/replica/quorum/core.go
+++ b/internal/replica/quorum/core.go
@@ -303,9 +303,11 @@
 	c.electionDeadline = c.now + c.randomizedTimeout(c.cfg.ElectionTimeout/preVoteRetryDivisor)
 }
 
-// setVoteDeadline schedules the retry of an election that does not succeed.
+// setVoteDeadline schedules the retry of an election that does not succeed. The delay doubles with
+// each election that comes soon after others: on slow disks, the votes take longer to be synced.
 func (c *Core) setVoteDeadline() {
-	c.electionDeadline = c.now + c.randomizedTimeout(max(c.cfg.ElectionTimeout/preVoteRetryDivisor, c.cfg.MaxElectionTimeout/voteRetryDivisor))
+	timeout := max(c.cfg.ElectionTimeout/preVoteRetryDivisor, c.cfg.MaxElectionTimeout/voteRetryDivisor)
+	c.electionDeadline = c.now + c.randomizedTimeout(c.timeoutEstimator.voteTimeout(timeout, c.cfg.MaxElectionTimeout))
 }
 
 const (
--- a/internal/replica/quorum/sim_test.go
+++ b/internal/replica/quorum/sim_test.go
@@ -57,6 +57,8 @@
 	lossProbability      float64
 	duplicateProbability float64
 	maxJitter            time.Duration
+	// syncDelay is the additional time that a sync of a journal takes.
+	syncDelay time.Duration
 	// oneWayDelay is the transmission time of a message.
 	oneWayDelay  time.Duration
 	tickInterval time.Duration
@@ -215,7 +217,7 @@
 	if w := effects.Write; w != nil {
 		n.pendingWrite = w
 		s.trace("write", n)
-		s.scheduleFor(n, syncDuration, func() { s.syncWrite(n, w) })
+		s.scheduleFor(n, syncDuration+s.syncDelay, func() { s.syncWrite(n, w) })
 	}
 	if snapshot := effects.SaveSnapshot; snapshot != nil {
 		n.pendingSnapshot = snapshot
--- a/internal/replica/quorum/timeout.go
+++ b/internal/replica/quorum/timeout.go
@@ -65,6 +65,11 @@
 	e.lastChangeAt = now
 }
 
+// voteTimeout returns the time after which a candidate retries, between minTimeout and maxTimeout.
+func (e *timeoutEstimator) voteTimeout(minTimeout, maxTimeout time.Duration) time.Duration {
+	return min(minTimeout<<max(e.leaderChanges-changesBeforeStorm, 0), max(minTimeout, maxTimeout))
+}
+
 // timeout returns the election timeout, between minTimeout and maxTimeout. It exceeds
 // maxTimeout only during an election storm. If both bounds are equal, the timeout is
 // fixed.
