--- a/internal/replica/quorum/abstain_test.go
+++ b/internal/replica/quorum/abstain_test.go
@@ -111,3 +111,31 @@
 		t.Errorf("commit index %d, want 3", s.Commit)
 	}
 }
+
+// Guards against a leader that never commits the first entry of its term and keeps the lead for as long
+// as a learner catches up: a learner brings nothing closer to its commit.
+func TestLearnerThatCatchesUpDoesNotKeepALeaderWithoutCommits(t *testing.T) {
+	members := []quorum.Member{{ID: "a/0", Address: "a"}, {ID: "b/0", Address: "b"}, {ID: "c/0", Address: "c"}, {ID: "d/0", Address: "d", Learner: true}}
+	entries := []quorum.Entry{{Index: 1, Term: 1, Kind: quorum.EntryMembership, Data: quorum.EncodeMembers(members)}}
+	for i := uint64(2); i <= 20; i++ {
+		entries = append(entries, quorum.Entry{Index: i, Term: 2, Kind: quorum.EntryCommand, Data: []byte("x")})
+	}
+	c := quorum.New(quorum.Config{ID: "a/0", Seed: 1}, quorum.PersistedState{HardState: quorum.HardState{Term: 3}, Entries: entries})
+	at := 2 * time.Second
+	c.Step(at, quorum.Tick{})
+	c.Step(at, replyFromB(quorum.PreVoteReply, 4, 0))
+	c.Step(at, quorum.WriteSynced{Seq: 1})
+	c.Step(at, replyFromB(quorum.VoteReply, 4, 0))
+	if _, leads := c.TermAndLeading(); !leads {
+		t.Fatal("the replica was not elected")
+	}
+	for round := uint64(1); round <= 200; round++ { // 20 s, one entry a second
+		at += 100 * time.Millisecond
+		c.Step(at, quorum.Tick{})
+		c.Step(at, replyInTerm4(quorum.HeartbeatReply, "b/0", 0, round))
+		c.Step(at, replyInTerm4(quorum.AppendEntriesReply, "d/0", round/10, 0))
+	}
+	if _, leads := c.TermAndLeading(); leads {
+		t.Errorf("the leader still leads after %v in which no voter synced anything", at-2*time.Second)
+	}
+}
--- a/internal/replica/quorum/leader.go
+++ b/internal/replica/quorum/leader.go
@@ -24,7 +24,7 @@
 	electedAt time.Duration
 	// noOpIndex is the index of the no-op entry that starts the leader's term.
 	noOpIndex uint64
-	// syncProgressAt is when a replica last synced more of what leads to the commit of the
+	// syncProgressAt is when a voter last synced more of what leads to the commit of the
 	// no-op entry.
 	syncProgressAt time.Duration
 	peers          map[string]*replicaProgress
@@ -70,7 +70,7 @@
 }
 
 // stepDownIfFirstEntryStalls makes a new leader a follower if its no-op entry is not committed
-// and no replica gets closer to it. The control thread learns from that commit that the replica
+// and no voter gets closer to it. The control thread learns from that commit that the replica
 // leads, so it can't give up the lead before.
 func (c *Core) stepDownIfFirstEntryStalls() {
 	state := &c.leaderState
--- a/internal/replica/quorum/progress.go
+++ b/internal/replica/quorum/progress.go
@@ -191,7 +191,7 @@
 	case SnapshotChunkReply:
 		c.handleSnapshotChunkReply(progress, m)
 	}
-	if progress.matchIndex > matchIndex || progress.furthestOffset > furthestOffset {
+	if c.currentMembership().isVoter(m.From) && (progress.matchIndex > matchIndex || progress.furthestOffset > furthestOffset) {
 		c.leaderState.syncProgressAt = c.now
 	}
 }
