A report is known only from a ledger that is committed

A replica that does not lead acknowledges a report of a backend server that its ledger already contains.

--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -90,6 +90,8 @@
 	// Leads reports whether this replica leads and a quorum has confirmed that recently.
 	Leads() bool
 	Flows() *flows.Ledger
+	// LedgerIsCommitted reports whether the ledger contains committed decisions only.
+	LedgerIsCommitted() bool
 	// HasZone reports whether an availability zone of that name exists.
 	HasZone(zone string) bool
 	// LedgerTime returns the current time of the ledger.
--- a/internal/control/dispatch/harness_test.go
+++ b/internal/control/dispatch/harness_test.go
@@ -125,6 +125,7 @@
 func (h *fakeHost) Members() group.MembershipChanged { return testMembers }
 func (h *fakeHost) ChangeMember(quorum.Member, bool) {}
 func (h *fakeHost) HasZone(zone string) bool         { return zone == "x" || zone == "y" }
+func (h *fakeHost) LedgerIsCommitted() bool          { return true }
 func (h *fakeHost) YieldProcessor()                  { h.yieldCount++ }
 func (h *fakeHost) SetSubject(fmt.Stringer)          {}
 func (h *fakeHost) IsSynced(string) bool             { return true }
--- a/internal/control/dispatch/server.go
+++ b/internal/control/dispatch/server.go
@@ -66,12 +66,12 @@
 }
 
 // KnowsReport reports whether the ledger of this replica, leading or not, contains all that a
-// report says, so that acknowledging it takes no decision. It is safe for concurrent use.
+// report says and only what is committed, so that acknowledging it takes no decision. It is safe for concurrent use.
 func (d *Dispatcher) KnowsReport(ctx context.Context, r Report) bool {
 	known := make(chan bool, 1)
 	ok := d.Host.PostContext(ctx, func() {
 		b, found := d.Host.Flows().Server(r.GetId())
-		known <- found && !b.Ended && !b.ShuttingDown && r.Number >= b.LastReport && isUnchanged(b, r.FlowServer) && !d.extendsSlowStart(b, r.FlowServer)
+		known <- d.Host.LedgerIsCommitted() && found && !b.Ended && !b.ShuttingDown && r.Number >= b.LastReport && isUnchanged(b, r.FlowServer) && !d.extendsSlowStart(b, r.FlowServer)
 	})
 	if !ok {
 		return false
--- a/internal/control/flows/flows_test.go
+++ b/internal/control/flows/flows_test.go
@@ -12,6 +12,8 @@
 	"github.com/google/go-cmp/cmp"
 
 	"gypsumreel/internal/api/inner"
+	"gypsumreel/internal/api/record"
+	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/base/code"
 	"gypsumreel/internal/control/dispatch"
 	"gypsumreel/internal/control/flows"
@@ -133,6 +135,7 @@
 func (g *quietGroup) Notifications() <-chan group.Notification { return g.notifications }
 func (g *quietGroup) Propose(group.Proposal) bool              { return true }
 func (g *quietGroup) ConfirmLeadership()                       {}
+func (g *quietGroup) Reload()                                  {}
 
 // Guards against callers that wait for the timeout of a request which nobody will begin or commit,
 // because the leader has given up the lead.
@@ -161,3 +164,47 @@
 		<-l.Done()
 	})
 }
+
+// silentBackends are backend servers that do not answer.
+type silentBackends struct{}
+
+func (silentBackends) Call(context.Context, *inner.ServerCall) *inner.ServerAnswer {
+	return &inner.ServerAnswer{Verdict: inner.Verdict_VERDICT_SILENT}
+}
+
+// Guards against a report that is acknowledged and then lost: until the group reports who leads, the
+// ledger of a replica that has given up the lead contains decisions that nobody may ever commit.
+func TestReportIsNotKnownFromDecisionsOfALeadGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		startedAt := time.Now()
+		now := func() time.Duration { return time.Hour + time.Since(startedAt) }
+		g := &quietGroup{notifications: make(chan group.Notification)}
+		d, l := dispatch.New(), leader.New()
+		d.Host, d.Now, l.Now, l.Group, l.Extension, l.NewPlanner = l, now, now, g, d, func() plan.Planner { return fifo.New() }
+		d.Backends = silentBackends{}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = l.Run(ctx) }()
+		g.notifications <- group.Leading{Term: 1, ElectedAt: now()}
+		g.notifications <- group.LeadershipConfirmed{Term: 1, StartedAt: now()}
+		report := dispatch.Report{FlowServer: &record.FlowServer{Id: "s", Born: 1, Pool: "p", Address: "s", Capacity: &v1.Size{Cpu: 1000, Memory: 1000}}, Number: 1}
+		requestCtx, cancelRequest := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancelRequest()
+		if err := d.AcceptReport(requestCtx, report); err == nil || err.Code != code.LeaderTimeout {
+			t.Errorf("the report that is not committed was answered %v, want LeaderTimeout", err)
+		}
+		if !l.GiveUpLead() {
+			t.Error("the replica did not lead")
+		}
+		report.Number++
+		if d.KnowsReport(t.Context(), report) {
+			t.Error("after it gave up the lead, the replica acknowledges a report that was never committed")
+		}
+		g.notifications <- group.Following{Term: 2}
+		if d.KnowsReport(t.Context(), report) {
+			t.Error("before it has the committed log again, the replica acknowledges a report that was never committed")
+		}
+		cancel()
+		<-l.Done()
+	})
+}
--- a/internal/control/leader/extension.go
+++ b/internal/control/leader/extension.go
@@ -64,6 +64,15 @@
 // Flows returns the flows of the working ledger.
 func (l *Leader) Flows() *flows.Ledger { return l.ledger.Flows() }
 
+// LedgerIsCommitted reports whether the ledger contains committed decisions only. That of a former
+// leader may contain others until the group has delivered the committed log again.
+func (l *Leader) LedgerIsCommitted() bool {
+	if l.leadership != nil {
+		return l.appliedIndex <= l.leadership.commitIndex
+	}
+	return !l.reloading
+}
+
 // LedgerTime returns the ledger's time.
 func (l *Leader) LedgerTime() time.Duration { return l.ledgerTime() }
 
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -209,9 +209,12 @@
 	otherAddresses atomic.Pointer[[]string]
 
 	// The fields below are used by the control thread only.
-	processorYield   yield.Yielder
-	ledger           *state.State
-	appliedIndex     uint64
+	processorYield yield.Yielder
+	ledger         *state.State
+	appliedIndex   uint64
+	// reloading is true until the group delivers the committed log again, without the decisions of a
+	// former leader.
+	reloading        bool
 	snapshotIndex    uint64
 	snapshotProgress snapshotProgress
 	leadership       *leadership
--- a/internal/control/leader/leadership.go
+++ b/internal/control/leader/leadership.go
@@ -200,6 +200,7 @@
 		}
 		if l.appliedIndex > lead.commitIndex {
 			l.abandonSnapshot()
+			l.reloading = true
 			l.Group.Reload()
 		}
 	}
--- a/internal/control/leader/notification.go
+++ b/internal/control/leader/notification.go
@@ -100,6 +100,6 @@
 	}
 	l.abandonSnapshot()
 	l.logRestore(n)
-	l.ledger, l.appliedIndex, l.snapshotIndex = restored, n.Index, n.Index
+	l.ledger, l.appliedIndex, l.snapshotIndex, l.reloading = restored, n.Index, n.Index, false
 	return nil
 }
