The attempt that decides over a crash limit waits for a server that has stood

Cause: the design says that a task for which the next crash decides waits for a server that has stood for ten seconds. The planner only preferred one, only by the count of blamed crashes, and told the age by the clock of the machine. So a sound task that finds room only on a server in a crash loop came back to it at once, and was given up after four crashes of that server.

Evidence: TestServerInACrashLoopDoesNotFailAHealthyFlow brings it about with one server: a run that ended without being listed (count 1), two starts without an answer (2 and 3, blamed 1 and 2), a crash under the task (4, failed).

Mend, without a new record: a task with one crash left, by either limit, starts on no server that started in the last ten seconds. A report of changed room no longer moves it; it is not in the digest and no transition reads it.

--- a/internal/control/dispatch/crash.go
+++ b/internal/control/dispatch/crash.go
@@ -100,12 +100,13 @@
 	}
 }
 
-// recentStartPeriod is the time during which a server counts as recently started. A server in
-// a crash loop crashes again within seconds.
+// recentStartPeriod is the time after its start during which a server counts as recently started.
+// A server in a crash loop crashes again within seconds.
 const recentStartPeriod = 10 * time.Second
 
-// isRecentlyStarted reports whether the server's incarnation started within
-// recentStartPeriod.
+// isRecentlyStarted reports whether the server's incarnation started within recentStartPeriod. The
+// end of its slow start, which is its first report if it has none, is on the ledger's clock. The
+// clock of its machine may differ from that.
 func isRecentlyStarted(b *flows.Server, clock time.Duration) bool {
-	return clock-time.Duration(b.StartedAtMs)*time.Millisecond < recentStartPeriod
+	return clock-b.SlowStartEndsAt < recentStartPeriod
 }
--- a/internal/control/dispatch/crash_test.go
+++ b/internal/control/dispatch/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -61,6 +62,17 @@
 	}
 }
 
+// Guards against a task that crashes the only server and is never given up, because the server is
+// always one that has just started.
+func TestTaskThatCrashesTheOnlyServerFailsItsFlow(t *testing.T) {
+	runWithCluster(t, 1, func(t *testing.T, w *testCluster) {
+		w.crashServersRunning("a")
+		w.submit("a", newStep(1, 1000))
+		w.awaitState("a", stateFailed, 30*time.Second)
+		w.checkCrashCounts(t)
+	})
+}
+
 // Guards against a new leader that restarts the crash count of a task at zero.
 func TestCrashesAreCountedAcrossLeaders(t *testing.T) {
 	runWithCluster(t, 16, func(t *testing.T, w *testCluster) {
@@ -135,6 +147,41 @@
 	})
 }
 
+// Guards against failing a sound flow because the only server that has room for it crashes again
+// and again by itself: of the crashes that count, one came after the run had ended unlisted, two
+// before the start arrived, and one under the task.
+func TestServerInACrashLoopDoesNotFailAHealthyFlow(t *testing.T) {
+	runWithCluster(t, 0, func(_ *testing.T, w *testCluster) {
+		w.runOutcome = func(flow.RunID) (time.Duration, inner.RunEnd) {
+			return 500 * time.Millisecond, inner.RunEnd_RUN_END_DONE
+		}
+		w.submit("a", newStep(1, 500))
+		for incarnation := int64(1); incarnation <= 2*flows.MaxConsecutiveCrashes; incarnation++ {
+			crashed := make(chan struct{})
+			backend := w.startWorker("s1", incarnation)
+			crash := sync.OnceFunc(func() { backend.Crash(); close(crashed) })
+			backend.Fault = func(c *inner.ServerCall) worker.Fault {
+				switch number := c.GetStart().GetRun().GetNumber(); {
+				case incarnation == 1 && c.GetHold().GetWait() > 0:
+					return worker.Fault{LoseReply: true}
+				case number == 2 || number == 3:
+					time.AfterFunc(time.Millisecond, crash)
+					return worker.Fault{Verdict: inner.Verdict_VERDICT_SILENT}
+				case number > 3:
+					time.AfterFunc(400*time.Millisecond, crash)
+				}
+				return worker.Fault{}
+			}
+			w.reportUntilAccepted("s1", incarnation)
+			time.AfterFunc(time.Second, crash)
+			<-crashed
+			time.Sleep(500 * time.Millisecond)
+		}
+		w.addWorker("s1", 2*flows.MaxConsecutiveCrashes+1)
+		w.awaitState("a", stateDone, 20*time.Second)
+	})
+}
+
 // Guards against a task without a bound that crashes each server before the leader that sent its
 // start knows of it: no leader sees a crash of its own.
 func TestCrashUnseenByItsLeaderCounts(t *testing.T) {
--- a/internal/ledger/flows/crash.go
+++ b/internal/ledger/flows/crash.go
@@ -63,6 +63,11 @@
 	}
 }
 
+// HasOneCrashLeft reports whether one more server crash under the task may exceed the limits.
+func (t *Task) HasOneCrashLeft() bool {
+	return t.BlamedCrashes >= MaxBlamedCrashes-1 || t.ConsecutiveCrashes >= MaxConsecutiveCrashes-1
+}
+
 // exceedsCrashLimit reports whether more servers crashed under the task than the limits
 // allow.
 func (t *Task) exceedsCrashLimit() bool {
--- a/internal/ledger/flows/crash_test.go
+++ b/internal/ledger/flows/crash_test.go
@@ -141,3 +141,27 @@
 		}
 	})
 }
+
+// Guards against a server that never counts as one that has stood, and so takes no task with one
+// crash left, because its room changes again and again.
+func TestChangedRoomIsNoStartOfTheServer(t *testing.T) {
+	fixture := newCrashFixture(t, &v1.FlowStep{Count: 1})
+	report := func(incarnation, cpu int64, slowStart uint64) time.Duration {
+		fixture.apply(&record.Flow{What: &record.Flow_Server{Server: &record.FlowServer{Id: "s", Born: incarnation, Pool: "p", Capacity: &v1.Size{Cpu: cpu}, Cold: slowStart}}})
+		b, _ := fixture.ledger.Server("s")
+		return b.SlowStartEndsAt
+	}
+	startedAt := report(1, 4, 0)
+	if got := report(1, 2, 0); got != startedAt {
+		t.Errorf("start of the server moved from %v to %v when its room changed", startedAt, got)
+	}
+	if got := report(1, 4, 1000); got != fixture.now+time.Second {
+		t.Errorf("slow start ends at %v, want %v", got, fixture.now+time.Second)
+	}
+	if got := report(1, 2, 0); got != fixture.now {
+		t.Errorf("slow start ends at %v although the server reported its end at %v", got, fixture.now)
+	}
+	if got := report(2, 2, 0); got != fixture.now {
+		t.Errorf("start of the next incarnation is %v, want %v", got, fixture.now)
+	}
+}
--- a/internal/ledger/flows/run.go
+++ b/internal/ledger/flows/run.go
@@ -35,6 +35,9 @@
 		b.EndCursor, b.Used, b.HeldRuns = old.EndCursor, old.Used, old.HeldRuns
 		b.inheritFailures(old)
 		b.ProvenAt = old.ProvenAt
+		if m.GetCold() == 0 {
+			b.SlowStartEndsAt = min(now, old.SlowStartEndsAt) // a later change is not another start
+		}
 	} else if known {
 		b.inheritFailures(old)
 		// The previous incarnation has ended, and all runs that it held ended with it.
--- a/internal/policy/steps/probation.go
+++ b/internal/policy/steps/probation.go
@@ -29,16 +29,16 @@
 
 // queuedBySuspicion returns at most limit queued tasks of a step, split into tasks that can
 // start anywhere and suspects that start on a server of their own. If no probation slot is
-// left, a task that was blamed for few crashes starts as a normal task. A task that would be
+// left, a task that was blamed for few crashes starts as a normal task. A task that may be
 // given up after one more crash waits for a slot.
 func (p *planner) queuedBySuspicion(item Item, limit int) (normal, suspects []uint32) {
 	next := queuedTasks(item.Step)
 	for range item.QueuedTasks {
 		i := next()
 		switch t := item.Tasks[i]; {
-		case isSuspect(t) && len(suspects) < p.probationSlots[item.Pool]:
+		case (isSuspect(t) || t.HasOneCrashLeft()) && len(suspects) < p.probationSlots[item.Pool]:
 			suspects = append(suspects, i)
-		case t.BlamedCrashes < flows.MaxBlamedCrashes-1:
+		case !t.HasOneCrashLeft():
 			normal = append(normal, i)
 		}
 	}
@@ -51,7 +51,8 @@
 // has just started. It returns the tasks for which there was no such server; the next one to
 // become quiet is kept for the first of them. It prefers servers that have not
 // started recently, since their crash is better evidence against the task, and servers with
-// more free CPU, since fewer other tasks are lost in a crash.
+// more free CPU, since fewer other tasks are lost in a crash. A task with one crash left starts on no
+// other server: one in a crash loop would have it given up without a fault of its own.
 func (p *planner) placeSuspects(placement *stepPlacement, candidates []candidate, tasks []uint32) []uint32 {
 	if len(tasks) == 0 {
 		return nil
@@ -65,7 +66,8 @@
 		if len(tasks) == 0 {
 			break
 		}
-		if p.limitByHeadroom(placement.item, c.serverState, 1) == 0 {
+		next := slices.IndexFunc(tasks, func(i uint32) bool { return !c.RecentlyStarted || !placement.item.Tasks[i].HasOneCrashLeft() })
+		if next < 0 || p.limitByHeadroom(placement.item, c.serverState, 1) == 0 {
 			continue
 		}
 		if c.QuietIn > 0 {
@@ -74,8 +76,8 @@
 			}
 			continue
 		}
-		p.placeTasks(placement, c, tasks[:1])
-		tasks = tasks[1:]
+		p.placeTasks(placement, c, tasks[next:next+1])
+		tasks = slices.Delete(tasks, next, next+1)
 		if c.permission == Granted {
 			p.holdForSuspect(c.serverState)
 		}
--- a/internal/policy/steps/probation_test.go
+++ b/internal/policy/steps/probation_test.go
@@ -7,6 +7,7 @@
 
 	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/domain/capacity"
+	"gypsumreel/internal/ledger/flows"
 	"gypsumreel/internal/policy/steps"
 )
 
@@ -132,6 +133,31 @@
 	checkPlaced(t, map[string]int{"x on b": 1}, steps.Make(view([]steps.Server{a, b}, suspect(item("x", tasks(1, 1000)), 1))))
 }
 
+// Guards against a sound task that is given up because its last attempt starts on a server in a crash
+// loop, which is the only one with room.
+func TestTaskWithOneCrashLeftWaitsForAServerThatHasStood(t *testing.T) {
+	a, b := server("a", 4000), server("b", 4000)
+	a.RecentlyStarted = true
+	for name, mark := range map[string]func(*flows.Task){
+		"blamed":     func(t *flows.Task) { t.BlamedCrashes = flows.MaxBlamedCrashes - 1 },
+		"not blamed": func(t *flows.Task) { t.ConsecutiveCrashes = flows.MaxConsecutiveCrashes - 1 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := item("x", tasks(2, 1000))
+			mark(&x.Tasks[0])
+			checkPlaced(t, map[string]int{"x on a": 1}, steps.Make(view([]steps.Server{a}, x)))
+			checkPlaced(t, map[string]int{"x on a": 1, "x on b": 1}, steps.Make(view([]steps.Server{a, b}, x)))
+			x.Tasks[1].BlamedCrashes = 1 // it does not wait with the other
+			restarted := make([]steps.Server, 16)
+			for i := range restarted {
+				restarted[i] = server(fmt.Sprintf("s%02d", i), 4000)
+				restarted[i].RecentlyStarted = true
+			}
+			checkPlaced(t, map[string]int{"x on s00": 1}, steps.Make(view(restarted, x)))
+		})
+	}
+}
+
 // filling returns a step whose tasks take what CPU is left and so reserve none.
 func filling(count uint32) *v1.FlowStep {
 	s := tasks(count, 0)
