--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -307,6 +307,13 @@
 	d.updateMembership(now)
 }
 
+// yieldAt lets other work run after each entriesPerYield entries of a pass over many.
+func (d *Dispatcher) yieldAt(entry int) {
+	if entry%entriesPerYield == 0 {
+		d.Host.YieldProcessor()
+	}
+}
+
 // postInTerm queues fn to run on the control thread. fn is dropped if the term has ended by
 // then.
 func (d *Dispatcher) postInTerm(term uint64, fn func()) {
--- a/internal/control/dispatch/loadreport.go
+++ b/internal/control/dispatch/loadreport.go
@@ -19,8 +19,8 @@
 	// maxLoadRows is the largest number of customers, and of queues, in a report. An operator
 	// can still read as many, and the metrics by queue stay bounded.
 	maxLoadRows = 64
-	// entriesPerYield is the number of flows, steps or servers after which a report yields to
-	// other work, so that a large backlog does not delay heartbeats.
+	// entriesPerYield is the number of flows, steps or servers after which a pass over many of them
+	// yields to other work, so that a large cell does not delay heartbeats.
 	entriesPerYield = 256
 )
 
@@ -59,9 +59,8 @@
 
 // yield counts an entry, and lets other work run after each entriesPerYield of them.
 func (r *loadReader) yield() {
-	if r.entryCount++; r.entryCount%entriesPerYield == 0 {
-		r.Host.YieldProcessor()
-	}
+	r.entryCount++
+	r.yieldAt(r.entryCount)
 }
 
 // customer returns the row of a customer, and adds it if there is none.
--- a/internal/control/dispatch/plan.go
+++ b/internal/control/dispatch/plan.go
@@ -71,7 +71,10 @@
 	items, queuedCPU = d.leader.planView.Items[:0], map[string]int64{}
 	use, deferrable := d.customerUse(), 0
 	aside := d.setAside.present(now)
+	entry := 0
 	for _, s := range d.Host.Flows().ReadySteps() {
+		entry++
+		d.yieldAt(entry)
 		if aside[s.StepID] {
 			continue
 		}
@@ -97,7 +100,10 @@
 // planServers returns the servers that take new tasks.
 func (d *Dispatcher) planServers(clock, now time.Duration) []steps.Server {
 	servers := d.leader.planView.Servers[:0]
-	for _, s := range d.leader.sortedSessions {
+	for i, s := range d.leader.sortedSessions {
+		if i%sessionsPerYield == 0 {
+			d.Host.YieldProcessor()
+		}
 		b, ok := d.Host.Flows().Server(s.id)
 		if !ok || !d.acceptsTasks(s, b, now) {
 			continue
--- a/internal/control/dispatch/rateuse.go
+++ b/internal/control/dispatch/rateuse.go
@@ -42,7 +42,10 @@
 func (d *Dispatcher) replayAcceptances() {
 	state, ledger := &d.leader.admission, d.Host.Flows()
 	acceptances := map[string][]rate.Acceptance{}
+	entry := 0
 	for id, f := range ledger.Flows() {
+		entry++
+		d.yieldAt(entry)
 		if state.rates[f.Customer] > 0 {
 			acceptances[f.Customer] = append(acceptances[f.Customer], rate.Acceptance{ID: id, At: f.AcceptedAt})
 		}
@@ -50,6 +53,7 @@
 	state.buckets = map[string]rate.Bucket{}
 	clear(d.leader.surplusFlows)
 	for customer, list := range acceptances {
+		d.Host.YieldProcessor()
 		bucket, surplus := rate.Replay(state.rates[customer], list)
 		state.buckets[customer] = bucket
 		for _, id := range surplus {
--- a/internal/control/dispatch/sweep.go
+++ b/internal/control/dispatch/sweep.go
@@ -13,16 +13,21 @@
 // sweep removes what is no longer needed and updates the values that are computed periodically
 // because they depend on all flows or all servers.
 func (d *Dispatcher) sweep(now time.Duration) {
-	d.removeExpired()
-	d.removeStateOfEnded()
-	d.updateRuntimeRatio()
-	d.updateMachineSpeeds()
-	d.updateContention()
-	d.checkForecasts(now)
-	d.chooseUrgentServers()
-	d.removeExpiredProcesses(now)
-	d.flowMetrics.updateGauges(d)
-	d.updateLoad(now)
+	for _, part := range []func(){
+		d.removeExpired,
+		d.removeStateOfEnded,
+		d.updateRuntimeRatio,
+		d.updateMachineSpeeds,
+		d.updateContention,
+		func() { d.checkForecasts(now) },
+		d.chooseUrgentServers,
+		func() { d.removeExpiredProcesses(now) },
+		func() { d.flowMetrics.updateGauges(d) },
+		func() { d.updateLoad(now) },
+	} {
+		part()
+		d.Host.YieldProcessor()
+	}
 }
 
 // removeExpired removes flows whose retention has ended, and servers that are gone, from the
@@ -32,7 +37,10 @@
 	ledger := d.Host.Flows()
 	cutoff := d.Host.LedgerTime() - d.Retention
 	expired := &record.FlowForget{}
+	entry := 0
 	for id, candidate := range ledger.Flows() {
+		entry++
+		d.yieldAt(entry)
 		if candidate.Final() && candidate.EndedAt < cutoff && candidate.HeldRuns == 0 && len(expired.Flows) < maxRemoved {
 			expired.Flows = append(expired.Flows, id)
 		}
--- a/internal/control/leader/notification.go
+++ b/internal/control/leader/notification.go
@@ -94,7 +94,7 @@
 
 // restoreState replaces the ledger by a snapshot.
 func (l *Leader) restoreState(n group.RestoreSnapshot) error {
-	restored, err := state.Decode(n.State)
+	restored, err := state.DecodeYielding(n.State, l.YieldProcessor)
 	if err != nil {
 		return err
 	}
--- a/internal/control/leader/snapshot.go
+++ b/internal/control/leader/snapshot.go
@@ -29,7 +29,7 @@
 func (l *Leader) advanceSnapshot() {
 	progress := &l.snapshotProgress
 	if !progress.inProgress && l.appliedIndex >= l.snapshotIndex+l.SnapshotInterval {
-		progress.inProgress, progress.index, progress.stateCopy = true, l.appliedIndex, l.ledger.BeginSnapshot()
+		progress.inProgress, progress.index, progress.stateCopy = true, l.appliedIndex, l.ledger.BeginSnapshotYielding(l.YieldProcessor)
 		return
 	}
 	if progress.stateCopy == nil || !progress.stateCopy.CopyRecords(recordsPerStep) {
--- a/internal/ledger/flows/snapshot.go
+++ b/internal/ledger/flows/snapshot.go
@@ -21,14 +21,28 @@
 	return cmp.Or(cmp.Compare(a.Flow, b.Flow), cmp.Compare(a.Turn, b.Turn), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
 }
 
+// recordsPerYield is the number of records after which a snapshot lets other work run. They take
+// far less time than callers wait for an answer.
+const recordsPerYield = 256
+
 // Record returns the whole state as a sorted snapshot record. Data that later commands
 // change is copied.
-func (l *Ledger) Record() *record.FlowsRecord {
+func (l *Ledger) Record() *record.FlowsRecord { return l.RecordYielding(func() {}) }
+
+// RecordYielding is Record for a caller that must not compute for long: it calls yield after each
+// few records. The ledger must not change meanwhile.
+func (l *Ledger) RecordYielding(yield func()) *record.FlowsRecord {
 	r := &record.FlowsRecord{Document: l.config.Document, Digest: l.digest}
-	for _, id := range slices.Sorted(maps.Keys(l.flows)) {
+	for i, id := range slices.Sorted(maps.Keys(l.flows)) {
+		if i%recordsPerYield == 0 {
+			yield()
+		}
 		r.Flows = append(r.Flows, flowRecord(l.flows[id]))
 	}
-	for _, id := range slices.Sorted(maps.Keys(l.servers)) {
+	for i, id := range slices.Sorted(maps.Keys(l.servers)) {
+		if i%recordsPerYield == 0 {
+			yield()
+		}
 		r.Servers = append(r.Servers, serverRecord(l.servers[id]))
 	}
 	for _, w := range l.Waves() {
@@ -84,17 +98,29 @@
 // Restore builds a ledger from a record written by Record, including all derived
 // fields.
 func Restore(r *record.FlowsRecord) (*Ledger, *code.Error) {
+	return RestoreYielding(r, func() {})
+}
+
+// RestoreYielding is Restore for a caller that must not compute for long: it calls yield after each
+// few records.
+func RestoreYielding(r *record.FlowsRecord, yield func()) (*Ledger, *code.Error) {
 	l := New()
 	l.digest = r.GetDigest()
 	l.config = flow.NewConfig(r.GetDocument())
-	for _, m := range r.GetFlows() {
+	for i, m := range r.GetFlows() {
+		if i%recordsPerYield == 0 {
+			yield()
+		}
 		f, err := restoreFlow(m)
 		if err != nil {
 			return nil, err
 		}
 		l.flows[f.ID] = f
 	}
-	for _, m := range r.GetServers() {
+	for i, m := range r.GetServers() {
+		if i%recordsPerYield == 0 {
+			yield()
+		}
 		l.restoreServer(m)
 	}
 	for _, m := range r.GetWaves() {
@@ -103,9 +129,11 @@
 	}
 	l.restoreZones(r.GetZones())
 	l.restoreSpeeds(r.GetSpeeds())
+	yield()
 	for _, f := range l.flows {
 		l.restoreDerived(f)
 	}
+	yield()
 	l.restoreRunsToStop()
 	return l, nil
 }
--- a/internal/ledger/state/snapshot.go
+++ b/internal/ledger/state/snapshot.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"gypsumreel/internal/api/record"
@@ -29,6 +30,17 @@
 // maxRecordBytes is the maximum size of one snapshot record in bytes.
 const maxRecordBytes = 64 << 20
 
+const (
+	// recordsPerYield is the number of records after which decoding lets other work run.
+	recordsPerYield = 256
+	// pieceBytes is the size of a piece of the record of all flows. That record grows with the
+	// cell, so it is decoded in pieces.
+	pieceBytes = 256 << 10
+)
+
+// flowsField is the number of the field that holds the record of all flows.
+var flowsField = (*record.Record)(nil).ProtoReflect().Descriptor().Fields().ByName("flows").Number()
+
 // ErrSnapshot is returned for a snapshot that cannot be read.
 var ErrSnapshot = errors.New("snapshot cannot be read")
 
@@ -104,25 +116,37 @@
 }
 
 // Decode reads a state written by Encode. Empty data gives an empty state.
-func Decode(data []byte) (*State, error) {
+func Decode(data []byte) (*State, error) { return DecodeYielding(data, func() {}) }
+
+// DecodeYielding is Decode for a caller that must not compute for long: it calls yield after each
+// few records.
+func DecodeYielding(data []byte, yield func()) (*State, error) {
 	s := New()
 	if len(data) == 0 {
 		return s, nil
 	}
-	reader := bytes.NewReader(data)
 	var digest uint64
-	for reader.Len() > 0 {
-		r := &record.Record{}
-		if err := (protodelim.UnmarshalOptions{MaxSize: maxRecordBytes}).UnmarshalFrom(reader, r); err != nil {
+	for count := 0; len(data) > 0; count++ {
+		if count%recordsPerYield == 0 {
+			yield()
+		}
+		body, n := protowire.ConsumeBytes(data)
+		if n < 0 || len(body) > maxRecordBytes {
+			return nil, errors.Wrap(ErrSnapshot, "length of a record")
+		}
+		data = data[n:]
+		r, err := decodeRecord(body, yield)
+		if err != nil {
 			return nil, errors.Mark(err, ErrSnapshot)
 		}
 		if h := r.GetHeader(); h != nil {
 			digest = h.GetDigest()
 		}
-		if err := s.restoreRecord(r); err != nil {
+		if err := s.restoreRecord(r, yield); err != nil {
 			return nil, err
 		}
 	}
+	yield()
 	s.endedJobs.sort()
 	s.completedChanges.sort()
 	s.goneServers.sort()
@@ -133,7 +157,41 @@
 	return s, nil
 }
 
-func (s *State) restoreRecord(r *record.Record) error {
+// decodeRecord decodes one record.
+func decodeRecord(body []byte, yield func()) (*record.Record, error) {
+	if number, wireType, n := protowire.ConsumeTag(body); n > 0 && number == flowsField && wireType == protowire.BytesType {
+		if all, m := protowire.ConsumeBytes(body[n:]); m > 0 && n+m == len(body) {
+			f, err := decodeFlows(all, yield)
+			return &record.Record{What: &record.Record_Flows{Flows: f}}, err
+		}
+	}
+	r := &record.Record{}
+	return r, proto.Unmarshal(body, r)
+}
+
+// decodeFlows decodes the record of all flows in pieces. A message may be cut between any two
+// fields, since merging the pieces gives the whole.
+func decodeFlows(body []byte, yield func()) (*record.FlowsRecord, error) {
+	f := &record.FlowsRecord{}
+	for len(body) > 0 {
+		end := 0
+		for end < min(pieceBytes, len(body)) {
+			_, _, n := protowire.ConsumeField(body[end:])
+			if n < 0 {
+				return nil, protowire.ParseError(n)
+			}
+			end += n
+		}
+		if err := (proto.UnmarshalOptions{Merge: true}).Unmarshal(body[:end], f); err != nil {
+			return nil, err
+		}
+		body = body[end:]
+		yield()
+	}
+	return f, nil
+}
+
+func (s *State) restoreRecord(r *record.Record, yield func()) error {
 	switch w := r.GetWhat().(type) {
 	case *record.Record_Header:
 		return s.restoreHeader(w.Header)
@@ -154,7 +212,7 @@
 		}
 		s.putTask(taskFromRecord(w.Task))
 	case *record.Record_Flows:
-		l, err := flows.Restore(w.Flows)
+		l, err := flows.RestoreYielding(w.Flows, yield)
 		if err != nil {
 			return errors.Mark(err, ErrSnapshot)
 		}
--- a/internal/ledger/state/snapshot_builder.go
+++ b/internal/ledger/state/snapshot_builder.go
@@ -25,11 +25,15 @@
 // BeginSnapshot starts a snapshot of the current state and cancels the previous
 // snapshot if it is still in progress. The caller calls CopyRecords until it returns
 // true.
-func (s *State) BeginSnapshot() *SnapshotBuilder {
+func (s *State) BeginSnapshot() *SnapshotBuilder { return s.BeginSnapshotYielding(func() {}) }
+
+// BeginSnapshotYielding is BeginSnapshot for a caller that must not compute for long: it calls yield
+// after each few flows, which are copied at once. The state must not change meanwhile.
+func (s *State) BeginSnapshotYielding(yield func()) *SnapshotBuilder {
 	s.snapshotBuilder.Cancel()
 	target := New()
 	target.now, target.nextJobNumber, target.digest, target.table = s.now, s.nextJobNumber, s.digest, s.table
-	target.flowsSnapshot = s.flows.Record()
+	target.flowsSnapshot = s.flows.RecordYielding(yield)
 	s.snapshotBuilder = &SnapshotBuilder{
 		source: s, target: target, keys: newMapCopier(s.keys), changeResults: newMapCopier(s.changeResults),
 		servers: newMapCopier(s.servers), jobs: newMapCopier(s.jobs), tasks: newMapCopier(s.tasks),
