A disk that stands does not hold up a stop

Evidence: with a fake store of which a sync or a save does not return, Run had not returned after a minute of virtual time on the code before; now it returns after 5 s.

The stop returns ErrDiskStands, also where a planned stop dropped the errors of its parts before. Nothing counts as stored that was not synced: the event loop has ended, so no late sync is acknowledged.

Conclusion: a stop is bounded by the process. A kernel that keeps a process whose fsync does not return is beyond it, and no real disk was made to stand.

--- a/internal/control/node/assemble.go
+++ b/internal/control/node/assemble.go
@@ -29,8 +29,12 @@
 // assemble creates the components of the daemon without starting them.
 func (n *Node) assemble(self quorum.Member, data replicaData) *assembly {
 	a := &assembly{handshake: n.newHandshake(self)}
+	var log group.Journal = data.journal
+	if n.WrapJournal != nil {
+		log = n.WrapJournal(log)
+	}
 	a.group = &group.Group{
-		Journal: newMonitoredJournal(data.journal, n.metrics, n.Log), Snapshots: newMonitoredSnapshots(&data.snapshots, n.metrics, n.Log),
+		Journal: newMonitoredJournal(log, n.metrics, n.Log), Snapshots: newMonitoredSnapshots(&data.snapshots, n.metrics, n.Log),
 		Recovered: data.state, Now: n.now, MinFreeBytes: n.MinFreeBytes, Metrics: n.metrics, Log: n.Log,
 	}
 	n.group.Store(a.group)
--- a/internal/control/node/disk_test.go
+++ b/internal/control/node/disk_test.go
@@ -7,16 +7,19 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
 
 	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/base/event"
 	"gypsumreel/internal/control/leader"
 	"gypsumreel/internal/control/node"
 	"gypsumreel/internal/replica/group"
+	"gypsumreel/internal/replica/member"
 	"gypsumreel/internal/replica/quorum"
 )
 
@@ -40,6 +43,59 @@
 	}
 }
 
+// standingJournal is a journal whose syncs do not return while it stands, also the one as it closes.
+type standingJournal struct {
+	group.Journal
+	stands atomic.Bool
+	end    chan struct{}
+}
+
+func (j *standingJournal) Sync() error {
+	if j.stands.Load() {
+		<-j.end
+	}
+	return j.Journal.Sync()
+}
+
+func (j *standingJournal) Close() error {
+	if j.stands.Load() {
+		<-j.end
+	}
+	return j.Journal.Close()
+}
+
+// Guards against a planned stop that a disk holds up without end, that ends as if all was stored, or
+// that lets another process open the journal while the write may still end.
+func TestStopEndsWhileTheDiskStands(t *testing.T) {
+	l, dataDir := listen(t), t.TempDir()
+	journal := &standingJournal{end: make(chan struct{})}
+	defer close(journal.end)
+	n := &node.Node{
+		Cell: "test", Name: "c1", DataDir: dataDir, InitCell: true, Listener: l, Address: l.Addr().String(), Log: logr.Discard(),
+		Replicas: []quorum.Member{{ID: "c1", Address: l.Addr().String()}}, Control: leader.New(),
+		WrapJournal: func(j group.Journal) group.Journal { journal.Journal = j; return journal },
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	runErr := make(chan error, 1)
+	go func() { runErr <- n.Run(ctx) }()
+	for !n.Control.Status().Leads {
+		time.Sleep(time.Millisecond)
+	}
+	journal.stands.Store(true)
+	cancel()
+	select {
+	case err := <-runErr:
+		if !errors.Is(err, group.ErrDiskStands) {
+			t.Errorf("Run returned %v, want %v", err, group.ErrDiskStands)
+		}
+	case <-time.After(time.Minute):
+		t.Fatal("the replica did not stop within a minute")
+	}
+	if _, err := member.AcquireLock(dataDir); !errors.Is(err, member.ErrLocked) {
+		t.Errorf("locking the data folder again returned %v, want %v", err, member.ErrLocked)
+	}
+}
+
 // The disk returns different bytes than were written, before the end of the journal.
 // The replica must not start, and the log must contain the event and the file name.
 func TestCorruptJournalPreventsStart(t *testing.T) {
--- a/internal/control/node/node.go
+++ b/internal/control/node/node.go
@@ -105,6 +105,8 @@
 	// NewTransport creates the transport to the other replicas, which passes received
 	// messages to receive. Nil means that of package peer.
 	NewTransport func(id string, receive func(from string, data []byte)) Transport
+	// WrapJournal returns the journal that the group writes to; nil means the one of the data folder.
+	WrapJournal func(group.Journal) group.Journal
 	// Dial opens connections to other replicas during the founding; nil means TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Abort cancels a pending leadership transfer when it is closed, for example on
@@ -173,14 +175,21 @@
 // Run runs the daemon until ctx ends, then transfers the leadership and stops. It
 // returns an error if this replica cannot continue. The error text says what the
 // operator can do.
-func (n *Node) Run(ctx context.Context) error {
+func (n *Node) Run(ctx context.Context) (err error) {
 	n.init()
 	defer close(n.done)
 	lock, err := member.AcquireLock(n.DataDir)
 	if err != nil {
 		return err
 	}
-	defer func() { _ = lock.Release() }()
+	defer func() {
+		if errors.Is(err, group.ErrDiskStands) {
+			// The write may end at any time, so no other process may open the journal before
+			// this one has ended.
+			err = errors.CombineErrors(err, lock.KeepUntilExit())
+		}
+		_ = lock.Release()
+	}()
 	store := snapshot.Store{Dir: filepath.Join(n.DataDir, "snapshot")}
 	state, err := loadSnapshot(store)
 	if err != nil {
@@ -245,7 +254,7 @@
 }
 
 // serve runs all components until ctx ends or one of them fails.
-func (n *Node) serve(ctx context.Context, self quorum.Member, data replicaData) error {
+func (n *Node) serve(ctx context.Context, self quorum.Member, data replicaData) (err error) {
 	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	parts := n.assemble(self, data)
@@ -254,7 +263,10 @@
 	var wg sync.WaitGroup
 	controlDone := closedChannel()
 	defer func() { n.waitForControl(controlDone) }()
-	defer wg.Wait()
+	defer func() {
+		wg.Wait()
+		err = withStandingDisk(err, failures)
+	}()
 	defer stop()
 	defer func() { _ = parts.httpServer.Close() }()
 	run := func(component string, fn func() error) {
@@ -295,6 +307,24 @@
 	}
 }
 
+// withStandingDisk returns the result of serve, which tells if the disk stood during the stop.
+func withStandingDisk(result error, failures <-chan error) error {
+	for {
+		select {
+		case err := <-failures:
+			switch {
+			case !errors.Is(err, group.ErrDiskStands):
+			case result == nil:
+				result = err
+			default:
+				result = errors.Mark(result, group.ErrDiskStands)
+			}
+		default:
+			return result
+		}
+	}
+}
+
 // waitForControl waits for the end of the control thread, but not for one that stands.
 func (n *Node) waitForControl(done <-chan struct{}) {
 	select {
--- a/internal/replica/group/group_test.go
+++ b/internal/replica/group/group_test.go
@@ -211,6 +211,48 @@
 	})
 }
 
+// Guards against a replica that a disk keeps from stopping: a write or the save of a snapshot does not
+// end. The stop must say that the disk stands, and what was not synced must not count as stored.
+func TestDiskThatStandsDoesNotHoldUpTheStop(t *testing.T) {
+	for name, stall := range map[string]func(*memoryStore, chan struct{}){
+		"sync": func(m *memoryStore, end chan struct{}) { m.syncStall = end },
+		"save": func(m *memoryStore, end chan struct{}) { m.saveStall = end },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r, store := startSingleVoter(t)
+				r.propose("stored")
+				time.Sleep(time.Second)
+				end := make(chan struct{})
+				store.update(func() { stall(store, end) })
+				r.group.Compact(2, []byte("state"))
+				r.propose("late")
+				time.Sleep(time.Second)
+				r.cancel()
+				select {
+				case err := <-r.runErr:
+					if !errors.Is(err, group.ErrDiskStands) {
+						t.Errorf("Run returned %v, want %v", err, group.ErrDiskStands)
+					}
+				case <-time.After(time.Minute):
+					t.Error("Run did not return within a minute")
+				}
+				if got, _ := r.currentState(); name == "sync" && len(got) != 1 {
+					t.Errorf("committed %v, want only what was synced", got)
+				}
+				if name == "sync" && store.isClosed() {
+					t.Error("the journal was closed while a sync had not ended")
+				}
+				close(end)
+				time.Sleep(time.Second)
+				if !store.isClosed() {
+					t.Error("the journal was not closed after the disk went on")
+				}
+			})
+		})
+	}
+}
+
 // Guards against a group that stops, and is restarted again and again, while its
 // disk is full. The group must report the full disk, commit nothing that is not
 // written, and resume when there is free space again.
--- a/internal/replica/group/harness_test.go
+++ b/internal/replica/group/harness_test.go
@@ -22,8 +22,12 @@
 	hardState quorum.HardState
 	entries   []quorum.Entry
 	snapshot  quorum.Snapshot
-	// syncErr is the error that Sync returns.
-	syncErr error
+	// syncErr is the error that Sync returns. syncStall blocks Sync until the channel is closed,
+	// unless it is nil.
+	syncErr   error
+	syncStall chan struct{}
+	// closed is true once the journal is closed.
+	closed bool
 	// appendErr is the error that Append returns.
 	appendErr error
 	freeBytes uint64
@@ -64,6 +68,12 @@
 }
 
 func (m *memoryStore) Sync() error {
+	m.mu.Lock()
+	syncStall := m.syncStall
+	m.mu.Unlock()
+	if syncStall != nil {
+		<-syncStall
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.syncErr
@@ -78,7 +88,15 @@
 	return nil
 }
 
-func (m *memoryStore) Close() error { return nil }
+func (m *memoryStore) Close() error {
+	m.update(func() { m.closed = true })
+	return nil
+}
+
+func (m *memoryStore) isClosed() (closed bool) {
+	m.update(func() { closed = m.closed })
+	return closed
+}
 
 func (m *memoryStore) FreeBytes() (uint64, error) {
 	m.mu.Lock()
--- a/internal/replica/group/run.go
+++ b/internal/replica/group/run.go
@@ -18,23 +18,52 @@
 	err   error
 }
 
+// diskStopTimeout is how long a stop waits for the disk. Slow disks end a write within it, and a
+// planned stop has to end before its supervisor kills the process.
+const diskStopTimeout = 5 * time.Second
+
+// ErrDiskStands is returned by Run when the disk did not end a write in time. What was not acknowledged
+// may or may not be stored, and the journal is not closed: the process must end before another one
+// opens it.
+var ErrDiskStands = errors.New("the disk did not end a write before the stop")
+
 // Run runs the replica until ctx ends or a journal write fails. It closes the
-// journal before it returns.
+// journal before it returns, unless it returns ErrDiskStands.
 func (g *Group) Run(ctx context.Context) error {
 	g.initialize()
 	ctx, cancel := context.WithCancel(ctx)
-	var wg sync.WaitGroup
+	var wg, diskWriters sync.WaitGroup
 	defer close(g.done)
 	defer wg.Wait()
 	defer cancel()
 	wg.Go(func() { g.notifications.run(ctx) })
 	j := journalWriter{Group: g, lastIndex: lastEntryIndex(g.Recovered.Entries)}
-	wg.Go(func() { j.run(ctx) })
-	wg.Go(func() { g.saveSnapshots(ctx) })
+	diskWriters.Go(func() { j.run(ctx) })
+	diskWriters.Go(func() { g.saveSnapshots(ctx) })
 	g.core = quorum.New(g.Config, g.Recovered)
 	g.Recovered = quorum.PersistedState{}
 	g.step(quorum.ReloadState{})
-	return g.runEventLoop(ctx)
+	err := g.runEventLoop(ctx)
+	cancel()
+	if waitAtMost(diskStopTimeout, &diskWriters) {
+		return err
+	}
+	if err == nil {
+		return ErrDiskStands
+	}
+	return errors.Mark(err, ErrDiskStands)
+}
+
+// waitAtMost reports whether all goroutines of wg ended within a time.
+func waitAtMost(limit time.Duration, wg *sync.WaitGroup) bool {
+	ended := make(chan struct{})
+	go func() { wg.Wait(); close(ended) }()
+	select {
+	case <-ended:
+		return true
+	case <-time.After(limit):
+		return false
+	}
 }
 
 // runEventLoop handles events one at a time until ctx ends or a disk operation fails.
--- a/internal/replica/member/lock.go
+++ b/internal/replica/member/lock.go
@@ -38,5 +38,12 @@
 	return &Lock{f}, nil
 }
 
+// KeepUntilExit keeps the folder locked until the process ends, whatever Release does: it copies the
+// descriptor, and the lock lasts as long as one of the two.
+func (l *Lock) KeepUntilExit() error {
+	_, err := unix.FcntlInt(l.file.Fd(), unix.F_DUPFD_CLOEXEC, 0)
+	return errors.Wrap(err, "keep the lock of the data folder")
+}
+
 // Release releases the lock on the data folder.
 func (l *Lock) Release() error { return l.file.Close() }
