A replica that sets a step aside for another one logs it

A leader that gives up the lead in the plan of a step tells the other replicas, which leave the step out of plans for a time. Nothing in their logs said so: 838 is logged only by a plan that gives a step up itself, so whoever looks for the reason of a waiting step found none at the leader.

SetAside logs step-set-aside (839, warn) with flow, step and pause, each time the replica is told.

--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -164,6 +164,7 @@
 	HoldersUsed       = define(836, "holders-used", Info, "the leader began or ceased to give backend servers to holders", "None. It follows the number of servers.")
 	HolderLost        = define(837, "holder-lost", Warn, "a process that held backend servers for the leader does not answer; its servers moved", "None at first. If frequent: check the processor of that instance and the network to it.")
 	PlanCut           = define(838, "plan-cut", Warn, "the work to plan a step went beyond all bounds; the step is left out of plans for a time", "Keep the log and a dump and report the error. If the step does not start: cancel its flow.")
+	StepSetAside      = define(839, "step-set-aside", Warn, "the plan of another replica did not end at a step; the step is left out of plans for a time", "See the event 221 of the replica that led. If the step does not start: cancel its flow.")
 	LinesLost         = define(816, "lines-lost", Warn, "log lines were dropped because the reader is too slow", "Read the logs faster, or log less.")
 )
 
--- a/internal/control/dispatch/setaside.go
+++ b/internal/control/dispatch/setaside.go
@@ -35,9 +35,13 @@
 	return s.set.Present(now)
 }
 
-// SetAside leaves a step out of plans for some time, longer with each repetition. It is for a
-// step whose plan may not end, and safe for concurrent use, also while this replica does not lead.
-func (d *Dispatcher) SetAside(id flow.StepID) { d.setAside.add(id, d.Now()) }
+// SetAside leaves a step out of plans for some time, longer with each repetition, because the plan of
+// another replica did not end at it. It is safe for concurrent use, also while this replica does not
+// lead.
+func (d *Dispatcher) SetAside(id flow.StepID) {
+	pause := d.setAside.add(id, d.Now())
+	event.Log(d.Log, event.StepSetAside, "flow", id.Flow, "step", id.String(), "pause", pause.String())
+}
 
 // setAsideGivenUp sets the steps aside that a plan has given up.
 func (d *Dispatcher) setAsideGivenUp(givenUp []steps.GivenUp, now time.Duration) {
--- a/internal/control/dispatch/setaside_test.go
+++ b/internal/control/dispatch/setaside_test.go
@@ -1,13 +1,17 @@
 package dispatch_test
 
 import (
+	"bytes"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"gypsumreel/internal/api/inner"
 	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/base/event"
+	"gypsumreel/internal/control/dispatch"
 	"gypsumreel/internal/domain/flow"
 	"gypsumreel/internal/policy/steps"
 )
@@ -79,3 +83,20 @@
 		w.awaitState("a", v1.FlowState_FLOW_STATE_DONE, 5*time.Second)
 	})
 }
+
+// Guards against a step that waits for no reason that a log shows: a replica that is told of the step
+// by another one logs it each time, with how long it leaves the step out.
+func TestStepSetAsideForAnotherReplicaIsLogged(t *testing.T) {
+	var log bytes.Buffer
+	now := time.Duration(0)
+	d := dispatch.New()
+	d.Now, d.Log = func() time.Duration { return now }, event.New(&log, "warn")
+	for _, pause := range []string{"1s", "2s"} {
+		log.Reset()
+		d.SetAside(flow.StepID{Flow: "a", Turn: 1, Step: 2})
+		if line := log.String(); !strings.Contains(line, `"event":839`) || !strings.Contains(line, `"flow":"a"`) || !strings.Contains(line, `"step":"a.1.2"`) || !strings.Contains(line, `"pause":"`+pause+`"`) {
+			t.Errorf("logged %q, want event 839 with step a.1.2 and a pause of %s", line, pause)
+		}
+		now += 2 * time.Second
+	}
+}
