--- a/internal/policy/steps/end_test.go
+++ b/internal/policy/steps/end_test.go
@@ -8,6 +8,7 @@
 
 	"pgregory.net/rapid"
 
+	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/domain/capacity"
 	"gypsumreel/internal/domain/flow"
 	"gypsumreel/internal/policy/steps"
@@ -50,20 +51,26 @@
 	}
 }
 
-// Guards against a plan that takes many seconds: for gangs of small tasks that wait for room, it
-// listed the room for each task on each server.
-func TestPlanOfGangsOfManySmallTasksEnds(t *testing.T) {
+// viewOfSmallTasks returns a view of servers with the given CPU and of items with as many tasks as a
+// step may have, each of the smallest size.
+func viewOfSmallTasks(serverCount int, cpu int64, itemCount int, newSpec func(count uint32, cpu int64) *v1.FlowStep) steps.View {
 	var servers []steps.Server
-	for i := range 1000 {
-		servers = append(servers, server(fmt.Sprintf("s%04d", i), 8))
+	for i := range serverCount {
+		servers = append(servers, server(fmt.Sprintf("s%04d", i), cpu))
 	}
 	var items []steps.Item
-	for i := range 14 {
-		spec := gang(flow.MaxTasksPerTurn, 1)
+	for i := range itemCount {
+		spec := newSpec(flow.MaxTasksPerTurn, 1)
 		spec.Size.Memory = 0
 		items = append(items, item(fmt.Sprintf("f%03d", i), spec))
 	}
-	v := view(servers, items...)
+	return view(servers, items...)
+}
+
+// Guards against a plan that takes many seconds: for gangs of small tasks that wait for room, it
+// listed the room for each task on each server.
+func TestPlanOfGangsOfManySmallTasksEnds(t *testing.T) {
+	v := viewOfSmallTasks(1000, 8, 14, gang)
 	v.Releases = func(string) []steps.Release {
 		return []steps.Release{{After: time.Second, Size: capacity.Size{CPU: 1 << 30}}}
 	}
@@ -75,19 +82,9 @@
 // Guards against a plan that takes minutes: for tasks much smaller than the urgent ones for which
 // room is kept free, it tried each number of tasks on each server.
 func TestPlanOfManySmallTasksBesideHeadroomEnds(t *testing.T) {
-	var servers []steps.Server
-	for i := range 500 {
-		servers = append(servers, server(fmt.Sprintf("s%03d", i), 10000))
-	}
-	servers[0].Capacity.CPU = 10500
-	var items []steps.Item
-	for i := range 128 {
-		spec := tasks(flow.MaxTasksPerTurn, 1)
-		spec.Size.Memory = 0
-		items = append(items, item(fmt.Sprintf("f%03d", i), spec))
-	}
-	v := view(servers, items...)
+	v := viewOfSmallTasks(500, 10000, 128, tasks)
+	v.Servers[0].Capacity.CPU = 10500
 	v.Headroom = func(string) steps.Headroom { return steps.Headroom{Size: capacity.Size{CPU: 10000}, Tasks: 1 << 20} }
 	plan := makeInTime(t, v)
-	checkPlaced(t, map[string]int{"f000 on s000": 500}, plan)
+	checkPlaced(t, map[string]int{"f000 on s0000": 500}, plan)
 }
--- a/internal/replica/group/group_test.go
+++ b/internal/replica/group/group_test.go
@@ -61,14 +61,23 @@
 	})
 }
 
+// startThreeReplicas starts the replicas of threeMembers and waits until one of them leads.
+func startThreeReplicas(t *testing.T) (n *network, replicas []*replica, leader *replica) {
+	n = newNetwork()
+	for _, m := range threeMembers() {
+		replicas = append(replicas, startReplica(t, n, m.ID, newMemoryStore(), threeMembers()...))
+	}
+	return n, replicas, waitForLeader(t, replicas...)
+}
+
+// allExcept returns the replicas without one of them.
+func allExcept(one *replica, replicas []*replica) []*replica {
+	return slices.DeleteFunc(slices.Clone(replicas), func(r *replica) bool { return r == one })
+}
+
 func TestThreeReplicasApplySameCommands(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork()
-		var replicas []*replica
-		for _, m := range threeMembers() {
-			replicas = append(replicas, startReplica(t, n, m.ID, newMemoryStore(), threeMembers()...))
-		}
-		leader := waitForLeader(t, replicas...)
+		_, replicas, leader := startThreeReplicas(t)
 		want := numberedCommands("x", 100)
 		if !leader.propose(want...) {
 			t.Fatal("the leader did not accept the proposals")
@@ -89,12 +98,7 @@
 // as the other replicas.
 func TestIsolatedLeaderDropsUncommittedCommands(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork()
-		var replicas []*replica
-		for _, m := range threeMembers() {
-			replicas = append(replicas, startReplica(t, n, m.ID, newMemoryStore(), threeMembers()...))
-		}
-		oldLeader := waitForLeader(t, replicas...)
+		n, replicas, oldLeader := startThreeReplicas(t)
 		oldLeader.propose(numberedCommands("x", 10)...)
 		time.Sleep(time.Second)
 		n.mu.Lock()
@@ -105,13 +109,7 @@
 		if got, leading := oldLeader.currentState(); leading || len(got) != 10 {
 			t.Errorf("isolated for longer than an election timeout: leading is %v, committed %d commands, want false and 10", leading, len(got))
 		}
-		var others []*replica
-		for _, r := range replicas {
-			if r != oldLeader {
-				others = append(others, r)
-			}
-		}
-		newLeader := waitForLeader(t, others...)
+		newLeader := waitForLeader(t, allExcept(oldLeader, replicas)...)
 		newLeader.propose(numberedCommands("y", 10)...)
 		time.Sleep(time.Second)
 		n.mu.Lock()
@@ -130,12 +128,7 @@
 
 func TestLeadershipTransfer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork()
-		var replicas []*replica
-		for _, m := range threeMembers() {
-			replicas = append(replicas, startReplica(t, n, m.ID, newMemoryStore(), threeMembers()...))
-		}
-		leader := waitForLeader(t, replicas...)
+		_, replicas, leader := startThreeReplicas(t)
 		leader.propose(numberedCommands("x", 10)...)
 		time.Sleep(300 * time.Millisecond)
 		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
@@ -158,27 +151,16 @@
 // no notifications.
 func TestLeaderWhoseControlThreadStandsHandsOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork()
-		var replicas []*replica
-		for _, m := range threeMembers() {
-			replicas = append(replicas, startReplica(t, n, m.ID, newMemoryStore(), threeMembers()...))
-		}
-		leader := waitForLeader(t, replicas...)
+		_, replicas, leader := startThreeReplicas(t)
 		leader.propose(numberedCommands("x", 10)...)
 		time.Sleep(300 * time.Millisecond)
 		end := make(chan struct{})
 		leader.stand <- end
-		var others []*replica
-		for _, r := range replicas {
-			if r != leader {
-				others = append(others, r)
-			}
-		}
 		leader.group.Abstain(false)
 		leader.group.Abstain(true)
 		time.Sleep(100 * time.Millisecond)
 		synctest.Wait()
-		next := waitForLeader(t, others...)
+		next := waitForLeader(t, allExcept(leader, replicas)...)
 		next.propose(numberedCommands("y", 10)...)
 		time.Sleep(time.Minute)
 		close(end)
