To give up the lead and to abstain are told apart

Three words stood for parts of one thing: GiveUpLead, withdraw and Abstain. withdraw only told the extension that the lead was given up, and elsewhere the word means keys; it is stopIfGivenUp now, and its flag extensionDeposed. Behaviour is unchanged.

--- a/internal/control/leader/giveup.go
+++ b/internal/control/leader/giveup.go
@@ -26,8 +26,9 @@
 
 // GiveUpLead ends what this replica does as the leader of the present term, also while the control
 // thread stands: Status reports no leader at once, and the control thread sends and proposes nothing
-// more in the term. It returns false if the replica does not lead, has given up the lead before, or
-// is the only voter, in whose place nobody could lead. GiveUpLead is safe for concurrent use.
+// more in the term. The group does not learn of it: its replica goes on as the leader until it abstains
+// (quorum.Abstain). GiveUpLead returns false if the replica does not lead, has given up the lead before,
+// or is the only voter, in whose place nobody could lead. It is safe for concurrent use.
 func (l *Leader) GiveUpLead() bool {
 	term := l.leadTerm.Load()
 	if term == 0 || l.onlyVoter.Load() || l.givenUpTerm.Swap(term) == term {
@@ -53,16 +54,16 @@
 
 func (l *Leader) hasGivenUp(term uint64) bool { return term > 0 && l.givenUpTerm.Load() == term }
 
-// withdraw drops what the extension keeps of a term in which the lead was given up, so that it sends
-// nothing more. The ledger stays until the group reports who leads. It returns false if the replica
-// leads.
-func (l *Leader) withdraw() bool {
+// stopIfGivenUp reports whether the lead was given up in the present term. If it was, the extension is
+// told once, on the control thread, so that it sends nothing more. The ledger stays until the group
+// reports who leads.
+func (l *Leader) stopIfGivenUp() bool {
 	lead := l.leadership
 	if !l.hasGivenUp(lead.term) {
 		return false
 	}
-	if !lead.withdrawn {
-		lead.withdrawn = true
+	if !lead.extensionDeposed {
+		lead.extensionDeposed = true
 		if l.Extension != nil {
 			l.Extension.OnDeposed()
 		}
@@ -71,7 +72,7 @@
 }
 
 // serving reports whether this replica leads and has not given up the lead.
-func (l *Leader) serving() bool { return l.leadership != nil && !l.withdraw() }
+func (l *Leader) serving() bool { return l.leadership != nil && !l.stopIfGivenUp() }
 
 // finishLeaderTurn runs the parts of a turn in which a leader decides, proposes and replies. Each part
 // may take long, and the lead may be given up meanwhile.
--- a/internal/control/leader/leadership.go
+++ b/internal/control/leader/leadership.go
@@ -54,8 +54,8 @@
 	silenceCheckedAt time.Duration
 	promotionTriedAt time.Duration
 	planNeeded       bool
-	// withdrawn is true once the extension was told that the lead was given up.
-	withdrawn bool
+	// extensionDeposed is true once the extension was told that the lead was given up.
+	extensionDeposed bool
 	// inFlightProposals are the proposals whose commit latency is still to be
 	// measured.
 	inFlightProposals []inFlightProposal
@@ -195,7 +195,7 @@
 		l.leadership = nil
 		l.leadTerm.Store(0)
 		l.ledger.Observer = nil
-		if l.Extension != nil && !lead.withdrawn {
+		if l.Extension != nil && !lead.extensionDeposed {
 			l.Extension.OnDeposed()
 		}
 		if l.appliedIndex > lead.commitIndex {
