A forecast over a large backlog counts as progress

Cause: while customers compete, a submission may need a new forecast, which goes over all ready steps in one part of a turn.

Evidence: with 5,000 ready steps and 640 servers a submission with a forecast yielded 10 times, for the servers only; now 29 times.

Conclusion: the part is bounded as the view of a plan is, which goes over the same steps.

--- a/internal/control/dispatch/forecast.go
+++ b/internal/control/dispatch/forecast.go
@@ -117,7 +117,10 @@
 func (d *Dispatcher) forecastBacklog() {
 	state, clock := &d.leader.admission.forecastState, d.Host.LedgerTime()
 	backlogs := map[customerInPool]*forecast.Backlog{}
+	entry := 0
 	for _, s := range d.Host.Flows().ReadySteps() {
+		entry++
+		d.yieldAt(entry)
 		item, ok := d.planItem(s, clock)
 		if !ok || item.Worthless {
 			continue
