A test shows that greetings and reads wait for later commits

Cause: Dispatcher.Greet and Dispatcher.ReadDocument answer by Host.AfterCommit, so after the commit of all that the leader has applied by then, also of decisions that came after the document whose version or text they answer with. While disks stand for longer than the 0.7 s that a greeting waits, entries forget a leader that holds its lead by heartbeats, and end the calls that wait at it.

Conclusion: an answer has to wait for the commit of the document only. The wait itself has a reason: the version in a greeting must be a committed one. Not mended here.

--- a/internal/control/dispatch/dispatch_test.go
+++ b/internal/control/dispatch/dispatch_test.go
@@ -543,6 +543,28 @@
 	})
 }
 
+// Guards against a leader that entries take for lost, and a configuration that cannot be read, while
+// disks stand: both answers waited for decisions that came after the document.
+func TestGreetingsAndReadsDoNotWaitForLaterDecisions(t *testing.T) {
+	runWithCluster(t, 1, func(t *testing.T, w *testCluster) {
+		for name, call := range map[string]func() bool{
+			"greeting": func() bool { return w.dispatcher.Greet(t.Context(), &inner.Greeting{Address: "e"}).GetLeads() },
+			"read": func() bool {
+				text, err := w.dispatcher.ReadDocument(t.Context())
+				return err == nil && string(text) == "one"
+			},
+		} {
+			w.runAndWait(func() {
+				_ = w.ApplyCommand(&record.Flow{What: &record.Flow_Zone{Zone: &record.ZoneMark{Zone: "x", Drain: name == "read"}}})
+			})
+			startedAt := w.now()
+			if answered, took := call(), w.now()-startedAt; !answered || took >= commitDelay {
+				t.Errorf("%s: answered %v after %v, want an answer before the next commit", name, answered, took)
+			}
+		}
+	})
+}
+
 // Guards against a flow that waits for a server that accepts starts but makes no progress.
 func TestHangingRunIsMoved(t *testing.T) {
 	runWithCluster(t, 2, func(t *testing.T, w *testCluster) {
