A test shows that a task runs twice after a start at the next incarnation

Cause: a server restarts under its name, and a start reaches and is answered by the new incarnation before its report or a run list shows the restart. handleStartAnswer takes the answer for one of the incarnation that the session knows, although the answer names its incarnation: mayReachNextIncarnation is set only if the session is being closed already. Then the report arrives, the run is recorded as crashed with its server, and the task is placed again while it runs.

Conclusion: not mended here.

--- a/internal/control/dispatch/dispatch_test.go
+++ b/internal/control/dispatch/dispatch_test.go
@@ -326,6 +326,23 @@
 	})
 }
 
+// Guards against placing a task twice when its server has restarted under the same name and answers
+// a start before its report arrives. The run is not one of the incarnation that has ended.
+func TestStartAnsweredByNextIncarnationIsStopped(t *testing.T) {
+	runWithCluster(t, 2, func(t *testing.T, w *testCluster) {
+		w.runOutcome = func(flow.RunID) (time.Duration, inner.RunEnd) { return 5 * time.Second, inner.RunEnd_RUN_END_DONE }
+		for _, id := range []string{"s1", "s2"} {
+			w.startWorker(id, 2)
+		}
+		w.submit("a", newStep(1, 1000))
+		time.Sleep(100 * time.Millisecond)
+		for id := range w.busyWorkers() {
+			w.reportUntilAccepted(id, 2)
+		}
+		w.awaitState("a", stateDone, 30*time.Second)
+	})
+}
+
 // Guards against leaving the other members of a gang waiting when one member is refused.
 // They must be stopped immediately, and then the whole gang starts again.
 func TestRefusedMemberStopsItsGang(t *testing.T) {
