A start that the next incarnation answers is not taken for one of the incarnation that ended

A server restarts under its name, and a start reaches and is answered by the new incarnation before its report or a list shows the restart. The answer names its incarnation, and handleStartAnswer did not compare it: the run counted as one of the old incarnation, ended with it when the report came, and its task was placed again while it ran.

The run is now one that may have reached the next incarnation, as after a start without an answer: it is looked for and stopped there before its task is placed again.

--- a/internal/control/dispatch/order.go
+++ b/internal/control/dispatch/order.go
@@ -161,7 +161,8 @@
 	}
 	switch verdict {
 	case inner.Verdict_VERDICT_DONE:
-		r.reportedByServer, r.orderAnsweredAt, r.mayReachNextIncarnation = true, receivedAt, s.closeReason != ""
+		r.reportedByServer, r.orderAnsweredAt = true, receivedAt
+		r.mayReachNextIncarnation = s.closeReason != "" || s.answeredByAnother(a)
 		s.refusalsInARow = 0
 		return
 	case inner.Verdict_VERDICT_OLD:
@@ -184,6 +185,13 @@
 	d.withdrawRun(s, r)
 }
 
+// answeredByAnother reports whether an answer comes from another incarnation of the server. A
+// server that restarts may answer before its report arrives. An answer without an incarnation tells
+// nothing.
+func (s *session) answeredByAnother(a *inner.ServerAnswer) bool {
+	return a.GetBorn() != 0 && a.GetBorn() != s.incarnation
+}
+
 // withdrawRun ends a run that did not start. If an earlier attempt may still be executed,
 // the run has to be stopped instead.
 func (d *Dispatcher) withdrawRun(s *session, r *run) {
