--- a/internal/control/dispatch/harness_test.go
+++ b/internal/control/dispatch/harness_test.go
@@ -199,6 +199,8 @@
 	runOutcome func(flow.RunID) (time.Duration, inner.RunEnd)
 	// restarts waits for the crashed workers that are restarting.
 	restarts sync.WaitGroup
+	// isStopped is true once no further worker restarts.
+	isStopped bool
 	// underMaintenance holds the workers under maintenance, maxUnderMaintenance is the
 	// highest number of them at the same time, and interruptedRuns counts the runs that a
 	// maintenance interrupted.
@@ -524,6 +526,11 @@
 	}
 	w.mu.Unlock()
 	backend.Crash()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.isStopped {
+		return
+	}
 	w.restarts.Go(func() {
 		select {
 		case <-w.stopped:
@@ -643,6 +650,9 @@
 // shutDown stops the cluster and checks the invariants.
 func (w *testCluster) shutDown() {
 	w.runAndWait(func() { w.isLeader = false; w.dispatcher.OnDeposed() })
+	w.mu.Lock()
+	w.isStopped = true
+	w.mu.Unlock()
 	close(w.stopped)
 	for _, h := range w.holders {
 		h.Close()
