--- a/internal/control/dispatch/dispatch_test.go
+++ b/internal/control/dispatch/dispatch_test.go
@@ -329,7 +329,7 @@
 // Guards against placing a task twice when its server has restarted under the same name and answers
 // a start before its report arrives. The run is not one of the incarnation that has ended.
 func TestStartAnsweredByNextIncarnationIsStopped(t *testing.T) {
-	runWithCluster(t, 2, func(t *testing.T, w *testCluster) {
+	runWithCluster(t, 2, func(_ *testing.T, w *testCluster) {
 		w.runOutcome = func(flow.RunID) (time.Duration, inner.RunEnd) { return 5 * time.Second, inner.RunEnd_RUN_END_DONE }
 		for _, id := range []string{"s1", "s2"} {
 			w.startWorker(id, 2)
