review: the stand-in builds with the local toolchain only

The scripts are run on a machine without a network, so the build must not look for another toolchain.

--- a/review/build.sh
+++ b/review/build.sh
@@ -12,4 +12,4 @@
 printf 'module stand\n\ngo 1.26\n' >"$dir/go.mod"
 mkdir -p "$root/target"
 cd "$dir"
-GOFLAGS=-mod=mod GOPROXY=off go build -o "$root/target/stand" .
+GOTOOLCHAIN=local GOFLAGS=-mod=mod GOPROXY=off go build -o "$root/target/stand" .
