Runs end by a proof, and a refused connection is none

Cause: handleHoldAnswer took two refused connections in a row for the end of the server's process and closed its session, which ends all its runs. The way to the server was closed, the process ran on. Refused calls were also the only failed ones that were not tried through another process, and a refused stop counted as proof that an earlier start was lost.

Why it works: a session is closed, and its runs end, only with a fact that proves it (endProof; server-gone and attempt-lost name it, a metric counts it). Refused servers are called through other holders and processes like silent ones, so those that entries reach stay in service. Where a crash is real, a better proof than the end of the lease comes sooner: the platform's list of machines, read while servers with runs do not respond, or a later list of another server on the same machine. Servers without runs that are silent for a minute are forgotten, so that those gone for good do not add up.

TestTaskOfCrashedServerIsPlacedImmediately stands as it was; what lets it pass is the list of machines.

--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -78,7 +78,7 @@
 var (
 	ServerAnnounced   = define(500, "server-announced", Info, "backend server announced", "None.")
 	ServerSuspect     = define(501, "server-suspect", Warn, "backend server does not respond; it gets no new work", "None at first. Many at once: check the rack, the switch and the entries.")
-	ServerGone        = define(502, "server-gone", Warn, "lease of a backend server expired; its tasks are placed again", "Check the server. Tasks that must not be repeated end with an unknown outcome.")
+	ServerGone        = define(502, "server-gone", Warn, "a backend server has ended, or its lease has; its tasks are placed again", "Check the server; `proof` tells what shows the end. Tasks that must not be repeated end with an unknown outcome.")
 	ServerBack        = define(503, "server-back", Info, "backend server responds again", "None.")
 	ServerDraining    = define(504, "server-draining", Info, "backend server is draining", "None.")
 	ServerDrained     = define(505, "server-drained", Info, "backend server has no tasks left", "It may be stopped now.")
@@ -165,6 +165,8 @@
 	HolderLost        = define(837, "holder-lost", Warn, "a process that held backend servers for the leader does not answer; its servers moved", "None at first. If frequent: check the processor of that instance and the network to it.")
 	PlanCut           = define(838, "plan-cut", Warn, "the work to plan a step went beyond all bounds; the step is left out of plans for a time", "Keep the log and a dump and report the error. If the step does not start: cancel its flow.")
 	StepSetAside      = define(839, "step-set-aside", Warn, "the plan of another replica did not end at a step; the step is left out of plans for a time", "See the event 221 of the replica that led. If the step does not start: cancel its flow.")
+	MachinesRead      = define(840, "machines-read", Info, "the states of the machines of unresponsive servers were read", "None. `ended` counts the servers that have ended by it; see the events 502.")
+	MachinesUnread    = define(841, "machines-unread", Warn, "the states of the machines of unresponsive servers could not be read; it is tried again", "Check the service that owns the machines. Until then the tasks of crashed servers wait for the end of their leases.")
 	LinesLost         = define(816, "lines-lost", Warn, "log lines were dropped because the reader is too slow", "Read the logs faster, or log less.")
 )
 
--- a/internal/control/dispatch/closing.go
+++ b/internal/control/dispatch/closing.go
@@ -9,29 +9,64 @@
 	"gypsumreel/internal/domain/flow"
 )
 
+// endProof is a fact that proves that the runs of a server have ended. That a call fails proves
+// nothing: a refused connection shows that the way to the server is closed, and silence may be a
+// partition.
+type endProof string
+
+const (
+	// proofLeaseExpired proves the end of the runs only. The server may still be alive.
+	proofLeaseExpired endProof = "its lease expired"
+	// The other proofs are of the end of the incarnation, and so of its runs.
+	proofLaterReport              endProof = "a later incarnation reported"
+	proofOtherIncarnationAnswered endProof = "another incarnation answered"
+	proofOtherServerAnswered      endProof = "another server answers at its address"
+	proofMachineServesAnother     endProof = "another server on its machine answered later"
+	proofMachineListed            endProof = "the owner of its machine lists it as ended"
+	// proofShutDownWithoutRuns is no proof for runs: a server that shuts down gets no new ones.
+	proofShutDownWithoutRuns endProof = "it announced its shutdown and has no runs"
+	// proofForgottenWithoutRuns is no proof for runs either. If the server comes back, it is
+	// announced again.
+	proofForgottenWithoutRuns endProof = "it has not answered for long and has no runs"
+)
+
+// forgetTime is the time without an answer after which a server without runs is forgotten. Servers
+// that are gone for good must not add up.
+const forgetTime = time.Minute
+
 // checkSession handles due holds, expired leases and sessions that are being closed.
 func (d *Dispatcher) checkSession(s *session, now time.Duration) {
-	if s.closeReason != "" {
+	if s.endProof != "" {
 		d.closeWhenSettled(s, now)
 		return
 	}
+	if s.unresponsive && len(s.runs) == 0 && now > s.leaseEndsAt && now-s.unresponsiveSince > forgetTime {
+		d.beginClosing(s, proofForgottenWithoutRuns)
+		return
+	}
 	if s.unresponsive && !s.holdPending && now >= s.nextHoldAt {
 		d.sendHold(s)
 	}
 	if now > s.leaseEndsAt && len(s.runs) > 0 && now-s.heardAt() > d.leaseLength(s) {
-		event.Log(d.Log, event.ServerGone, "server", s.id, "born", s.incarnation, "heard", (now - s.heardAt()).String(), "held", len(s.runs))
-		d.recordLostRuns(s, false)
+		d.logGone(s, proofLeaseExpired)
+		d.recordLostRuns(s, proofLeaseExpired)
 	}
 }
 
+// logGone logs and counts a server whose runs have ended.
+func (d *Dispatcher) logGone(s *session, proof endProof) {
+	event.Log(d.Log, event.ServerGone, "server", s.id, "born", s.incarnation, "machine", s.machine, "proof", string(proof), "heard", (d.Now() - s.heardAt()).String(), "held", len(s.runs))
+	d.flowMetrics.countGoneServer(proof)
+}
+
 // beginClosing starts to close the session of an incarnation that has ended. A start in
 // transit may reach the next incarnation at the same address, so the session stays until no
 // start can be executed any more.
-func (d *Dispatcher) beginClosing(s *session, reason string) {
-	if s.closeReason == "" {
-		s.closeReason, s.closingSince = reason, d.Now()
+func (d *Dispatcher) beginClosing(s *session, proof endProof) {
+	if s.endProof == "" {
+		s.endProof, s.closingSince = proof, d.Now()
 		d.flushWatch(s)
-		event.Log(d.Log, event.ServerGone, "server", s.id, "born", s.incarnation, "cause", reason, "held", len(s.runs))
+		d.logGone(s, proof)
 	}
 	d.closeWhenSettled(s, d.Now())
 }
@@ -54,13 +89,14 @@
 			}
 		}
 	}
-	d.recordLostRuns(s, true)
+	d.recordLostRuns(s, s.endProof)
 	d.removeSession(s)
 }
 
 // recordLostRuns records in the ledger that none of the runs of a session is running any
 // more.
-func (d *Dispatcher) recordLostRuns(s *session, closed bool) {
+func (d *Dispatcher) recordLostRuns(s *session, proof endProof) {
+	closed := proof != proofLeaseExpired
 	command := &record.FlowClear{Id: s.id, Born: s.incarnation, Over: closed}
 	end, otherRuns := inner.RunEnd_RUN_END_LOST, len(s.runs)-1
 	if closed && d.endedUnexpectedly(s) {
@@ -72,7 +108,7 @@
 		if r.checkpoint != "" {
 			command.Saved = append(command.Saved, &record.FlowSaved{Run: r.Message(), Checkpoint: r.checkpoint})
 		}
-		d.logLostRun(s, r, end, closed, otherRuns)
+		d.logLostRun(s, r, end, proof, otherRuns)
 	}
 	if d.applyOrLog(&record.Flow{What: &record.Flow_Clear{Clear: command}}) {
 		d.logFailedFlows(s, wantedBefore)
@@ -95,16 +131,16 @@
 		return
 	}
 	for _, r := range spared {
-		d.logLostRun(s, r, inner.RunEnd_RUN_END_LOST, true, otherRuns)
+		d.logLostRun(s, r, inner.RunEnd_RUN_END_LOST, s.endProof, otherRuns)
 		delete(s.runs, r.TaskID)
 	}
 }
 
 // logLostRun logs and counts a run that was lost with its server, beside the given number of
 // other runs.
-func (d *Dispatcher) logLostRun(s *session, r *run, end inner.RunEnd, closed bool, otherRuns int) {
+func (d *Dispatcher) logLostRun(s *session, r *run, end inner.RunEnd, proof endProof, otherRuns int) {
 	event.Log(d.Log, event.AttemptLost, "flow", r.Flow, "run", r.String(), "server", s.id, "how", end.String(),
-		"checkpoint", r.checkpoint, "over", closed, "age", d.runAge(s, r).String(), "beside", otherRuns, "start", r.startEvidence())
+		"checkpoint", r.checkpoint, "over", proof != proofLeaseExpired, "proof", string(proof), "age", d.runAge(s, r).String(), "beside", otherRuns, "start", r.startEvidence())
 	d.flowMetrics.countRunEnd(end)
 }
 
--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -157,7 +157,8 @@
 	// The other servers are called through helpers. Nil means no limit. It must be safe for
 	// concurrent use.
 	MaxDirectServers func() int
-	// Machines starts the maintenance of machines; nil disables maintenance waves.
+	// Machines is the platform that owns the machines of backend servers; nil if there is none.
+	// Without it there are no maintenance waves.
 	Machines Machines
 	// MaxLease is the longest lease that a backend server grants.
 	MaxLease time.Duration
@@ -296,6 +297,7 @@
 		d.checkSession(s, now)
 		d.inspectRuns(s, now)
 	}
+	d.checkMachines(now)
 	d.advanceWaves(now)
 	if now-d.leader.zonesCheckedAt >= zoneCheckInterval {
 		d.leader.zonesCheckedAt = now
--- a/internal/control/dispatch/dispatch_test.go
+++ b/internal/control/dispatch/dispatch_test.go
@@ -281,8 +281,8 @@
 	})
 }
 
-// Guards against waiting for the end of the lease when the server's process has exited. The
-// connection is refused, so nothing runs there any more.
+// Guards against waiting for the end of the lease when the server's process has exited and the
+// owner of its machine lists that.
 func TestTaskOfCrashedServerIsPlacedImmediately(t *testing.T) {
 	runWithCluster(t, 2, func(t *testing.T, w *testCluster) {
 		w.submit("a", newStep(1, 1000))
--- a/internal/control/dispatch/forecast.go
+++ b/internal/control/dispatch/forecast.go
@@ -80,7 +80,7 @@
 			d.Host.YieldProcessor()
 		}
 		b, ok := ledger.Server(s.id)
-		if !ok || !ledger.AcceptsWork(b) || s.unresponsive || s.closeReason != "" || d.leader.nextForMaintenance[s.id] {
+		if !ok || !ledger.AcceptsWork(b) || s.unresponsive || s.endProof != "" || d.leader.nextForMaintenance[s.id] {
 			continue
 		}
 		pool := state.pools[b.Pool]
--- a/internal/control/dispatch/harness_test.go
+++ b/internal/control/dispatch/harness_test.go
@@ -214,6 +214,15 @@
 	// helper through which each worker was last called.
 	leaderCutOff atomic.Bool
 	lastRelay    map[string]string
+	// refusesReplicas makes all calls that the leader and holders make themselves fail with a
+	// refused connection.
+	refusesReplicas atomic.Bool
+	// ownerIsSilent makes the platform that owns the machines answer no reading.
+	ownerIsSilent atomic.Bool
+	// listDelay is the time that it takes for a reading, in nanoseconds. listsAllStopped makes it
+	// list all machines as stopped.
+	listDelay       atomic.Int64
+	listsAllStopped atomic.Bool
 	// announcedTo lists the processes that received an announcement of a leader.
 	announcedTo   []string
 	adviserAnswer func(r *inner.AdviseRequest) *inner.AdviseReply
@@ -253,6 +262,9 @@
 		<-ctx.Done()
 		return &inner.ServerAnswer{Verdict: inner.Verdict_VERDICT_SILENT}
 	}
+	if w.refusesReplicas.Load() {
+		return &inner.ServerAnswer{Verdict: inner.Verdict_VERDICT_ABSENT}
+	}
 	a := w.callWorker(ctx, c)
 	if ctx.Err() != nil {
 		return &inner.ServerAnswer{Verdict: inner.Verdict_VERDICT_SILENT}
@@ -285,6 +297,9 @@
 
 func (b holderBackends) Call(ctx context.Context, c *inner.ServerCall) *inner.ServerAnswer {
 	b.heldCalls.Add(1)
+	if b.refusesReplicas.Load() {
+		return &inner.ServerAnswer{Verdict: inner.Verdict_VERDICT_ABSENT}
+	}
 	a := b.callWorker(ctx, c)
 	if ctx.Err() != nil {
 		return &inner.ServerAnswer{Verdict: inner.Verdict_VERDICT_SILENT}
@@ -348,6 +363,30 @@
 	return w.callWorker(ctx, c)
 }
 
+// States lists the machines of the workers, unless ownerIsSilent is set.
+func (w *testCluster) States(ctx context.Context, machines []string) (map[string]dispatch.MachineState, error) {
+	if w.ownerIsSilent.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	time.Sleep(time.Duration(w.listDelay.Load()))
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	states := map[string]dispatch.MachineState{}
+	for id, backend := range w.workers {
+		machine := machineOf(id)
+		if !slices.Contains(machines, machine) {
+			continue
+		}
+		if !backend.Crashed() && !w.listsAllStopped.Load() {
+			states[machine] = dispatch.MachineState{Server: id}
+		} else if _, ok := states[machine]; !ok {
+			states[machine] = dispatch.MachineState{Stopped: true}
+		}
+	}
+	return states, nil
+}
+
 // StartMaintenance takes a worker down for two seconds.
 func (w *testCluster) StartMaintenance(_ context.Context, machine string, _, fence uint64) dispatch.MaintenanceResult {
 	id := strings.TrimPrefix(machine, "m-")
@@ -494,10 +533,14 @@
 func (w *testCluster) report(id string, incarnation int64, shuttingDown bool) dispatch.Report {
 	size := &v1.Size{Cpu: w.capacity.CPU, Memory: w.capacity.Memory}
 	return dispatch.Report{FlowServer: &record.FlowServer{
-		Id: id, Born: incarnation, Address: id, Zone: zoneOf(id), Pool: "pool", Machine: "m-" + id, Capacity: size, Leaving: shuttingDown,
+		Id: id, Born: incarnation, Address: id, Zone: zoneOf(id), Pool: "pool", Machine: machineOf(id), Capacity: size, Leaving: shuttingDown,
 	}, Remaining: 2000}
 }
 
+// machineOf returns the machine of a worker. A worker that restarts under another name stays on
+// its machine.
+func machineOf(id string) string { return "m-" + strings.TrimLeft(id, "r") }
+
 // zoneOf returns the zone of a worker. Each zone holds half of the workers.
 func zoneOf(id string) string {
 	if n := id[len(id)-1]; n%2 == 1 {
--- a/internal/control/dispatch/held.go
+++ b/internal/control/dispatch/held.go
@@ -238,7 +238,7 @@
 	s.holdPending = false
 	d.leader.firstHoldQueue.Done(s)
 	switch {
-	case d.leader.sessions[s.id] != s || s.closeReason != "":
+	case d.leader.sessions[s.id] != s || s.endProof != "":
 	case s.link != nil:
 		d.sendHold(s)
 	default:
@@ -249,7 +249,7 @@
 
 // handleWatchUpdate processes an answer to a watch that goes on.
 func (d *Dispatcher) handleWatchUpdate(s *session, a *inner.ServerAnswer, asOf, receivedAt time.Duration) {
-	if d.leader.sessions[s.id] != s || s.closeReason != "" {
+	if d.leader.sessions[s.id] != s || s.endProof != "" {
 		d.flushWatch(s)
 		return
 	}
--- a/internal/control/dispatch/lead.go
+++ b/internal/control/dispatch/lead.go
@@ -80,6 +80,7 @@
 	// drainedZones holds the drained zones as of the last check.
 	drainedZones       map[string]time.Duration
 	maintenanceRetryAt map[string]time.Duration
+	machineCheck       machineCheck
 	wavesCheckedAt     time.Duration
 	zonesCheckedAt     time.Duration
 
--- a/internal/control/dispatch/learn.go
+++ b/internal/control/dispatch/learn.go
@@ -107,7 +107,7 @@
 // placed on another server. It also evacuates servers that are shutting
 // down.
 func (d *Dispatcher) inspectRuns(s *session, now time.Duration) {
-	if s.unresponsive || !s.listReceived || s.closeReason != "" || s.lastAnswerAt == s.inspectedListAt {
+	if s.unresponsive || !s.listReceived || s.endProof != "" || s.lastAnswerAt == s.inspectedListAt {
 		return // no new run list since the last check
 	}
 	s.inspectedListAt = s.lastAnswerAt
--- a/internal/control/dispatch/lease.go
+++ b/internal/control/dispatch/lease.go
@@ -46,7 +46,7 @@
 		if !ok || b.Ended {
 			continue
 		}
-		if d.Host.Flows().AcceptsWork(b) && s.closeReason == "" {
+		if d.Host.Flows().AcceptsWork(b) && s.endProof == "" {
 			servers[b.Pool] = append(servers[b.Pool], shortlease.Server{ID: id, CPU: b.Capacity.CPU, SpeedClass: d.speedClassOf(b)})
 		}
 		for _, r := range s.runs {
--- a/internal/control/dispatch/meter.go
+++ b/internal/control/dispatch/meter.go
@@ -68,6 +68,11 @@
 	m.incrementCounter("ends_total", meter.Label{Name: "how", Value: end.String()})
 }
 
+// countGoneServer counts a server whose runs have ended, by what proves it.
+func (m *flowMetrics) countGoneServer(proof endProof) {
+	m.incrementCounter("servers_gone_total", meter.Label{Name: "proof", Value: string(proof)})
+}
+
 func (m *flowMetrics) observeCall(call string, verdict inner.Verdict, duration time.Duration) {
 	m.incrementCounter("calls_total", meter.Label{Name: "call", Value: call}, meter.Label{Name: "verdict", Value: verdict.String()})
 	m.set.GetOrCreatePrometheusHistogram(meter.Name(metricArea, "call_seconds", meter.Label{Name: "call", Value: call})).Update(duration.Seconds())
--- a/internal/control/dispatch/order.go
+++ b/internal/control/dispatch/order.go
@@ -108,7 +108,7 @@
 	if !ok || !stepKnown || f.Final() || r.stopping || r.reportedByServer {
 		return // a run that is no longer wanted is stopped, or its start is never sent
 	}
-	if s.closeReason != "" {
+	if s.endProof != "" {
 		d.disbandGang(r) // the incarnation has ended; the run's end is recorded when the session is closed
 		return
 	}
@@ -126,7 +126,7 @@
 	// An unresponsive server may still receive calls. A retry must not extend the lease,
 	// because the task cannot be placed on another server before the lease ends.
 	renewLease := r.startAttempts == 1
-	wanted := func() bool { return s.runs[r.TaskID] == r && !r.stopping && s.closeReason == "" && d.mayStartOn(s) }
+	wanted := func() bool { return s.runs[r.TaskID] == r && !r.stopping && s.endProof == "" && d.mayStartOn(s) }
 	d.callServerIf(wanted, s, &inner.ServerCall{What: &inner.ServerCall_Start{Start: start}}, 0, r.startAttempts-1, renewLease, func(a *inner.ServerAnswer, sentAt, receivedAt time.Duration) {
 		r.pendingOrders--
 		switch a.GetVerdict() {
@@ -162,7 +162,7 @@
 	switch verdict {
 	case inner.Verdict_VERDICT_DONE:
 		r.reportedByServer, r.orderAnsweredAt = true, receivedAt
-		r.mayReachNextIncarnation = s.closeReason != "" || s.answeredByAnother(a)
+		r.mayReachNextIncarnation = s.endProof != "" || s.answeredByAnother(a)
 		s.refusalsInARow = 0
 		return
 	case inner.Verdict_VERDICT_OLD:
@@ -225,7 +225,7 @@
 func (d *Dispatcher) retryStart(s *session, r *run) {
 	b, ok := d.Host.Flows().Server(s.id)
 	pastGangLimit := r.placedAt > 0 && d.Now()-r.placedAt > d.GangTimeout/gangRetryDivisor && d.gangStep(r) != nil
-	if r.startAttempts >= maxStartAttempts || pastGangLimit || !ok || !d.Host.Flows().AcceptsWork(b) || s.closeReason != "" {
+	if r.startAttempts >= maxStartAttempts || pastGangLimit || !ok || !d.Host.Flows().AcceptsWork(b) || s.endProof != "" {
 		d.stopRun(s, r)
 		return
 	}
@@ -322,7 +322,8 @@
 			if !s.holdPending {
 				d.sendHold(s)
 			}
-		case inner.Verdict_VERDICT_ABSENT, inner.Verdict_VERDICT_STRANGER:
+		case inner.Verdict_VERDICT_STRANGER:
+			// The start names the server, so the one at the address now refuses it as well.
 			r.mayReachNextIncarnation = false
 			r.nextOrderAt = receivedAt + orderRetryPause
 		default:
--- a/internal/control/dispatch/session.go
+++ b/internal/control/dispatch/session.go
@@ -30,9 +30,9 @@
 	overdueLongPoll = 300 * time.Millisecond
 	// immediateHoldPause is the pause between two holds without a long poll.
 	immediateHoldPause = 10 * time.Millisecond
-	// absentAnswersToClose is the number of consecutive refused connections after which the
-	// incarnation counts as ended. A listener that is reopened must not look like a crash.
-	absentAnswersToClose = 2
+	// failedHoldsOfShutDown is the number of consecutive failed holds after which a server that
+	// announced its shutdown counts as exited.
+	failedHoldsOfShutDown = 2
 )
 
 // session is the leader's state of one incarnation of a backend server. Times are on the
@@ -40,6 +40,8 @@
 type session struct {
 	id   string
 	zone string
+	// machine is the machine that the server runs on; empty if it named none.
+	machine string
 	// incarnation is the start time of the server process in milliseconds since 1970.
 	incarnation int64
 	address     string
@@ -52,8 +54,10 @@
 	serverClockReadAt time.Duration
 	// leaseEndsAt is when the leases of all runs on the server have expired.
 	leaseEndsAt time.Duration
-	// lastAnswerAt is when the server last answered a hold.
-	lastAnswerAt time.Duration
+	// lastAnswerAt is when the server last answered a hold. listMadeAfter is a time before the
+	// server made its latest run list.
+	lastAnswerAt  time.Duration
+	listMadeAfter time.Duration
 
 	// listCount is the number of run lists received from the server.
 	listCount uint64
@@ -72,7 +76,6 @@
 	unresponsive      bool
 	unresponsiveSince time.Duration
 	failedHolds       int
-	absentAnswers     int
 	// nextHoldAt is when the next hold of an unresponsive server is due.
 	nextHoldAt time.Duration
 	// probationUntil is the time until which only the task under probation is placed on the
@@ -116,8 +119,9 @@
 	// after a later answer of the server.
 	exitNoticeAt time.Duration
 
-	// closeReason is why the session is being closed; empty if it is not.
-	closeReason  string
+	// endProof is the fact that proves the end of the incarnation; empty while there is none.
+	// The session is being closed since closingSince.
+	endProof     endProof
 	closingSince time.Duration
 }
 
@@ -227,7 +231,7 @@
 // sendHold sends a hold: a call that renews the lease and requests the run list. At most
 // one hold per server is pending. The call is a long poll that returns when a run ends.
 func (d *Dispatcher) sendHold(s *session) {
-	if s.holdPending || s.closeReason != "" {
+	if s.holdPending || s.endProof != "" {
 		return
 	}
 	s.holdPending = true
@@ -243,7 +247,7 @@
 		s.holdPending = false
 		d.leader.firstHoldQueue.Done(s)
 		defer d.sendFirstHolds()
-		if d.leader.sessions[s.id] != s || s.closeReason != "" {
+		if d.leader.sessions[s.id] != s || s.endProof != "" {
 			return
 		}
 		d.handleHoldAnswer(s, a, sentAt, receivedAt)
@@ -300,11 +304,10 @@
 func (d *Dispatcher) handleHoldAnswer(s *session, a *inner.ServerAnswer, sentAt, receivedAt time.Duration) {
 	switch a.GetVerdict() {
 	case inner.Verdict_VERDICT_DONE:
-	case inner.Verdict_VERDICT_ABSENT, inner.Verdict_VERDICT_STRANGER:
-		s.absentAnswers++
+	case inner.Verdict_VERDICT_STRANGER:
 		d.handleFailedHold(s, a, receivedAt)
-		if s.absentAnswers >= absentAnswersToClose && s.closeReason == "" {
-			d.beginClosing(s, a.GetVerdict().String())
+		if s.endProof == "" {
+			d.beginClosing(s, proofOtherServerAnswered)
 		}
 		return
 	default:
@@ -330,13 +333,13 @@
 // of the server sent it.
 func (d *Dispatcher) acceptList(s *session, a *inner.ServerAnswer, sentAt, receivedAt time.Duration) bool {
 	if a.GetBorn() != 0 && a.GetBorn() != s.incarnation {
-		d.beginClosing(s, "another incarnation answered")
+		d.beginClosing(s, proofOtherIncarnationAnswered)
 		return false
 	}
 	if s.unresponsive {
 		event.Log(d.Log, event.ServerBack, "server", s.id, "born", s.incarnation, "silent", (receivedAt - s.lastAnswerAt).String())
 	}
-	s.lastAnswerAt, s.unresponsive, s.failedHolds, s.absentAnswers = receivedAt, false, 0, 0
+	s.lastAnswerAt, s.listMadeAfter, s.unresponsive, s.failedHolds = receivedAt, sentAt, false, 0
 	isUsableAgain := !s.listReceived
 	s.listReceived = true
 	if s.exitNoticeAt > 0 && sentAt > s.exitNoticeAt {
@@ -369,11 +372,11 @@
 	}
 	s.unresponsive = true
 	s.failedHolds++
-	if s.failedHolds >= failuresBeforeRelay && a.GetVerdict() != inner.Verdict_VERDICT_ABSENT {
+	if s.failedHolds >= failuresBeforeRelay {
 		d.tryOtherWay(s)
 	}
 	if d.hasShutDown(s) {
-		d.beginClosing(s, "it has shut down")
+		d.beginClosing(s, proofShutDownWithoutRuns)
 		return
 	}
 	longest := maxHoldRetryPause
@@ -387,12 +390,12 @@
 // runs. Nothing is lost with its session: it gets no new work in any case.
 func (d *Dispatcher) hasShutDown(s *session) bool {
 	b, ok := d.Host.Flows().Server(s.id)
-	return ok && b.ShuttingDown && len(s.runs) == 0 && s.failedHolds >= absentAnswersToClose
+	return ok && b.ShuttingDown && len(s.runs) == 0 && s.failedHolds >= failedHoldsOfShutDown
 }
 
 // isUsable reports whether new tasks may be placed on the server.
 func (s *session) isUsable(now time.Duration) bool {
-	return s.listReceived && !s.unresponsive && s.exitNoticeAt == 0 && s.closeReason == "" && s.serverClock > 0 && now >= s.avoidUntil && now-s.heardAt() <= maxLongPoll+callTimeout
+	return s.listReceived && !s.unresponsive && s.exitNoticeAt == 0 && s.endProof == "" && s.serverClock > 0 && now >= s.avoidUntil && now-s.heardAt() <= maxLongPoll+callTimeout
 }
 
 func sizeRecord(s capacity.Size) *v1.Size {
--- a/internal/control/dispatch/wave.go
+++ b/internal/control/dispatch/wave.go
@@ -24,8 +24,11 @@
 	maintenanceDuration = 4 * time.Second
 )
 
-// Machines starts the maintenance of machines through the platform that owns them.
+// Machines is the platform that owns the machines of backend servers.
 type Machines interface {
+	// States returns what the platform lists about the named machines. A machine that it does
+	// not list is missing from the result.
+	States(ctx context.Context, machines []string) (map[string]MachineState, error)
 	// StartMaintenance takes a machine down for maintenance. Repeating an order that was already
 	// executed is not an error.
 	StartMaintenance(ctx context.Context, machine string, wave, fence uint64) MaintenanceResult
--- a/internal/fake/worker/worker.go
+++ b/internal/fake/worker/worker.go
@@ -111,6 +111,14 @@
 	w.runs = map[flow.TaskID]*run{}
 }
 
+// Crashed reports whether the worker's process has ended.
+func (w *Worker) Crashed() bool {
+	w.init()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.crashed
+}
+
 // Update calls fn under the worker's lock, to change exported fields while the worker
 // serves calls.
 func (w *Worker) Update(fn func(w *Worker)) {
