A list that may be cut off says nothing of the runs it leaves out

Callers saw tasks run again after their first runs had ended well and these ends were acknowledged (TWICE): 650 tasks ended on one server while it was cut off, 150 of them ran again when it was back.

Cause: a server lists at most 500 ends at a time. applyRunList recorded a run as lost if its start had been answered before the list was made and the list did not name it, also when the list was only the first page.

The next list comes after the acknowledgement of this one, so the pages are read one after the other until one is complete, also by a new leader, through a holder, and after a stop that brings the same page again.

The stand-in internal/fake/worker listed all ends at once, so no test could meet this. It lists 500 now, or what a test sets.

--- a/internal/control/dispatch/lists.go
+++ b/internal/control/dispatch/lists.go
@@ -9,7 +9,8 @@
 	"gypsumreel/internal/domain/flow"
 )
 
-// applyRunList processes a server's list of running and ended runs.
+// applyRunList processes a server's list of running and ended runs. A run that is missing in a
+// partial list may have ended all the same.
 func (d *Dispatcher) applyRunList(s *session, a *inner.ServerAnswer, sentAt, receivedAt time.Duration) {
 	s.listCount++
 	for _, entry := range a.GetRunning() {
@@ -34,6 +35,20 @@
 		s.lastEndReceived = entry.GetNumber()
 		ends.Ends = append(ends.Ends, &record.FlowEnd{Run: entry.GetRun(), How: entry.GetHow(), Checkpoint: entry.GetCheckpoint()})
 	}
+	if !a.GetPartial() {
+		ends.Ends = append(ends.Ends, d.settleMissingRuns(s, sentAt)...)
+	}
+	if len(ends.Ends) == 0 {
+		return
+	}
+	ends.Cursor = s.lastEndReceived
+	d.recordEnds(s, ends, receivedAt)
+}
+
+// settleMissingRuns handles the runs that the latest run list, a complete one, does not contain.
+// It returns the ends of those that do not exist and cannot start any more. The list was made after
+// sentAt.
+func (d *Dispatcher) settleMissingRuns(s *session, sentAt time.Duration) (ends []*record.FlowEnd) {
 	for _, r := range s.runs {
 		if r.lastListNumber == s.listCount {
 			continue
@@ -47,14 +62,10 @@
 		// The server answered the start or the stop before it made this list, and does not
 		// list the run. The run does not exist and cannot start any more.
 		if r.orderAnsweredAt > 0 && r.orderAnsweredAt < sentAt {
-			ends.Ends = append(ends.Ends, &record.FlowEnd{Run: r.Message(), How: inner.RunEnd_RUN_END_LOST, Checkpoint: r.checkpoint})
+			ends = append(ends, &record.FlowEnd{Run: r.Message(), How: inner.RunEnd_RUN_END_LOST, Checkpoint: r.checkpoint})
 		}
 	}
-	if len(ends.Ends) == 0 {
-		return
-	}
-	ends.Cursor = s.lastEndReceived
-	d.recordEnds(s, ends, receivedAt)
+	return ends
 }
 
 // recordEnds records run ends in the ledger and removes the runs from the session.
--- a/internal/control/dispatch/order.go
+++ b/internal/control/dispatch/order.go
@@ -60,7 +60,7 @@
 	// nextIncarnationStoppedAt is when a run that might have reached a later incarnation
 	// was stopped there, or 0.
 	nextIncarnationStoppedAt time.Duration
-	// orderAnsweredAt is when the server answered a start or a stop, or 0. A run list made
+	// orderAnsweredAt is when the server answered a start or a stop, or 0. A complete run list made
 	// after that time without the run proves that it does not run.
 	orderAnsweredAt time.Duration
 	// lastListNumber is the number of the latest run list that contains the run as running
--- a/internal/fake/worker/worker.go
+++ b/internal/fake/worker/worker.go
@@ -15,6 +15,9 @@
 	"gypsumreel/internal/domain/flow"
 )
 
+// defaultListedEnds is the default of Worker.ListedEnds.
+const defaultListedEnds = 500
+
 // Fault describes the fault to inject into one call.
 type Fault struct {
 	// Verdict is returned without passing the call to the worker; zero for no fault.
@@ -41,6 +44,9 @@
 	// MaxLease is the longest lease, and StopDuration the time that stopping a run takes.
 	MaxLease     time.Duration
 	StopDuration time.Duration
+	// ListedEnds is the largest number of ended runs in one list; 0 for 500. The others follow when
+	// these are acknowledged.
+	ListedEnds int
 	// RunOutcome returns the duration of a run and the reason for which it ends. A run
 	// whose reason is unspecified never ends and reports 100 percent from its start.
 	RunOutcome func(r flow.RunID) (time.Duration, inner.RunEnd)
@@ -254,7 +260,9 @@
 
 func (w *Worker) listRuns(a *inner.ServerAnswer, ack uint64) {
 	w.endedRuns = slices.DeleteFunc(w.endedRuns, func(e *inner.EndedRun) bool { return e.GetNumber() <= ack })
-	a.Ended = slices.Clone(w.endedRuns)
+	listed := cmp.Or(w.ListedEnds, defaultListedEnds)
+	a.Ended = slices.Clone(w.endedRuns[:min(len(w.endedRuns), listed)])
+	a.Partial = len(a.Ended) == listed
 	for _, r := range w.runs {
 		percent := 100 * float64(time.Since(r.startedAt)) / float64(max(r.duration, 1))
 		if r.endReason == inner.RunEnd_RUN_END_UNSPECIFIED {
