A lasting task is not given up because its servers crash

Callers saw a lasting job shown as failed with no end failed, and its task never ran again, after the only server with its label had crashed four times (LOST). Before the last crash the task also waited for 10 s beside a server that was up and empty.

Cause: four crashes in a row give a task up, whatever their cause, and before the last it starts only on a server that has stood for ten seconds.

Why it works: a crash later than the start of a lasting task is no evidence against it (sparedRuns), so it neither counts nor makes the task wait. Crashes at the start, of which a task is blamed, still count: three give it up, as TestTaskThatCrashesServersFailsItsFlow/lasting shows. The ledger's transitions are unchanged.

--- a/internal/control/dispatch/crash.go
+++ b/internal/control/dispatch/crash.go
@@ -45,29 +45,41 @@
 }
 
 // sparedRuns returns the runs on a crashed server against which the crash is no evidence. A run
-// that the server has reported was there, and a blamed one may have caused the crash. Of the
+// that the server has reported was there, and a blamed one may have caused the crash. A lasting task
+// that is not blamed is spared all the same: it has to be started again however it ends. Of the
 // others it is not known whether their start arrived: the order was not sent, not answered, or
 // sent by another leader. A crash counts against such a run only if its task is already suspected
 // or if no other run on the server is in doubt. Without that, a task that crashes each server
 // before its start is answered would be started for ever.
 func (d *Dispatcher) sparedRuns(s *session, blamed []*inner.Run) (spared []*run) {
 	var unreported []*run
+	isBlamed := func(r *run) bool {
+		return slices.ContainsFunc(blamed, func(m *inner.Run) bool { return flow.RunIDFromMessage(m) == r.RunID })
+	}
 	for _, r := range s.runs {
-		if !r.reportedByServer {
+		switch {
+		case !r.reportedByServer:
 			unreported = append(unreported, r)
+		case d.isLasting(r) && !isBlamed(r):
+			spared = append(spared, r)
 		}
 	}
 	for _, r := range unreported {
 		t, _ := d.currentTask(r)
-		isBlamed := slices.ContainsFunc(blamed, func(m *inner.Run) bool { return flow.RunIDFromMessage(m) == r.RunID })
 		mayHaveCaused := !r.neverSent() && (t.BlamedCrashes > 0 || len(unreported) == 1)
-		if !isBlamed && !mayHaveCaused {
+		if !isBlamed(r) && !mayHaveCaused {
 			spared = append(spared, r)
 		}
 	}
 	return spared
 }
 
+// isLasting reports whether a run's task lasts until its flow is cancelled.
+func (d *Dispatcher) isLasting(r *run) bool {
+	step, ok := d.Host.Flows().Step(r.StepID)
+	return ok && step.Spec.GetLasting()
+}
+
 // neverSent reports whether this leader placed the run and has not sent its start.
 func (r *run) neverSent() bool { return r.placedAt > 0 && r.startSentAt == 0 }
 
--- a/internal/control/dispatch/crash_test.go
+++ b/internal/control/dispatch/crash_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -182,6 +184,27 @@
 	})
 }
 
+// Guards against giving up a lasting task, or making it wait, because its servers crash again and
+// again long after its start.
+func TestLastingTaskOutlivesCrashesOfItsServers(t *testing.T) {
+	runWithCluster(t, 1, func(t *testing.T, w *testCluster) {
+		w.makeRunsLasting()
+		step := newStep(1, 1000)
+		step.Lasting = true
+		w.submit("a", step)
+		for crashes := range 2 * flows.MaxConsecutiveCrashes {
+			time.Sleep(3500 * time.Millisecond) // its server has been up for 3 s at least
+			busy := slices.Collect(maps.Keys(w.busyWorkers()))
+			if len(busy) != 1 || w.flowState("a") != stateRunning {
+				t.Fatalf("after %d crashes: task on %v, flow %v", crashes, busy, w.flowState("a"))
+			}
+			w.crashWorker(busy[0], nil)
+			time.Sleep(3 * time.Second)
+		}
+		time.Sleep(time.Second)
+	})
+}
+
 // Guards against a task without a bound that crashes each server before the leader that sent its
 // start knows of it: no leader sees a crash of its own.
 func TestCrashUnseenByItsLeaderCounts(t *testing.T) {
