A wave counts an upkeep only when the platform confirms it

Operators saw a wave completed although a machine that stays had not begun its upkeep (MIXED): its server had crashed before its turn, the order was refused as busy, and the restart of the server counted as the return. In the same way one upkeep completed two waves that named one machine.

Cause: checkMachineReturned took a later incarnation of the server for the return from the upkeep. That a server starts again does not say why.

Why it works: the 200 to an order of the wave proves that the upkeep has begun, and a list that a server on the machine made after that proves that the machine is back. The order is repeated until then; a later leader gets the 200 at once.

--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -219,7 +219,7 @@
 		urgentDemand: map[string]*startDemand{}, urgentServers: map[string]*shortlease.Selection{}, recurringFlows: map[string]bool{},
 		rateBuckets: map[string]*rateBucket{}, surplusFlows: map[string]bool{},
 		serverSpeeds: map[string]*serverSpeed{}, stepTimes: map[flow.StepID]steps.Timing{}, avoidedServers: map[flow.StepID]map[string]bool{}, attemptWaits: attemptWaits{}, failedPlaces: map[flow.StepID]*failedPlaces{},
-		pendingRequests: map[uint64]func(){}, nextForMaintenance: map[string]bool{}, maintenanceRetryAt: map[string]time.Duration{},
+		pendingRequests: map[uint64]func(){}, nextForMaintenance: map[string]bool{}, maintenanceRetryAt: map[string]time.Duration{}, maintenanceConfirmedAt: map[maintenanceID]time.Duration{},
 	}
 	d.loadMachineSpeeds()
 	ledger := d.Host.Flows()
--- a/internal/control/dispatch/dispatch_test.go
+++ b/internal/control/dispatch/dispatch_test.go
@@ -815,6 +815,67 @@
 	})
 }
 
+// awaitWave waits until a wave is complete.
+func (w *testCluster) awaitWave(number uint64, within time.Duration) {
+	w.t.Helper()
+	for end := time.Now().Add(within); ; time.Sleep(20 * time.Millisecond) {
+		complete, err := w.dispatcher.WaveState(w.t.Context(), number)
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		if complete {
+			return
+		}
+		if time.Now().After(end) {
+			w.t.Fatalf("wave %d is not complete after %v", number, within)
+		}
+	}
+}
+
+// Guards against taking the restart of a crashed server for the return of its machine from a
+// maintenance that was refused.
+func TestCrashIsNoMaintenance(t *testing.T) {
+	runWithCluster(t, 3, func(t *testing.T, w *testCluster) {
+		wave := &record.Wave{Number: 1, Machines: []string{"m-s1", "m-s2", "m-s3"}, Duration: 60_000, Cap: 1}
+		if err := w.dispatcher.StartWave(t.Context(), wave); err != nil {
+			t.Fatal(err)
+		}
+		for !w.hasBegunMaintenance("m-s1 in wave 1") {
+			time.Sleep(20 * time.Millisecond)
+		}
+		w.crashWorker("s2", nil)
+		w.awaitWave(1, time.Minute)
+		for _, machine := range wave.GetMachines() {
+			if !w.hasBegunMaintenance(machine + " in wave 1") {
+				t.Errorf("the wave is complete without the maintenance of %s", machine)
+			}
+		}
+		if w.maxUnderMaintenance != 1 {
+			t.Errorf("%d machines were down at the same time, want 1", w.maxUnderMaintenance)
+		}
+	})
+}
+
+// Guards against taking the maintenance of a machine in one wave for that in another.
+func TestEachWaveMaintainsItsMachines(t *testing.T) {
+	runWithCluster(t, 3, func(t *testing.T, w *testCluster) {
+		for number := uint64(1); number <= 2; number++ {
+			wave := &record.Wave{Number: number, Machines: []string{"m-s1", "m-s2"}, Duration: 60_000, Cap: 1}
+			if err := w.dispatcher.StartWave(t.Context(), wave); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for number := uint64(1); number <= 2; number++ {
+			w.awaitWave(number, time.Minute)
+			for _, machine := range []string{"m-s1", "m-s2"} {
+				if !w.hasBegunMaintenance(fmt.Sprintf("%s in wave %d", machine, number)) {
+					t.Errorf("wave %d is complete without the maintenance of %s", number, machine)
+				}
+			}
+		}
+	})
+}
+
 // Guards against two leaders that order maintenance at the same time. The order of a replaced
 // leader may still be in transit. An order of the new leader within that time would make
 // two duty holders alternate on a platform that does not check fencing tokens.
--- a/internal/control/dispatch/harness_test.go
+++ b/internal/control/dispatch/harness_test.go
@@ -204,7 +204,9 @@
 	// underMaintenance holds the workers under maintenance, maxUnderMaintenance is the
 	// highest number of them at the same time, and interruptedRuns counts the runs that a
 	// maintenance interrupted.
-	underMaintenance    map[string]bool
+	underMaintenance map[string]bool
+	// begunMaintenance holds the machines and waves whose maintenance has begun.
+	begunMaintenance    map[string]bool
 	maxUnderMaintenance int
 	interruptedRuns     int
 	// firstMaintenanceOrders holds the time of the first maintenance order for each
@@ -223,6 +225,8 @@
 	// list all machines as stopped.
 	listDelay       atomic.Int64
 	listsAllStopped atomic.Bool
+	// refusesMaintenance makes the platform refuse orders of maintenance.
+	refusesMaintenance atomic.Bool
 	// announcedTo lists the processes that received an announcement of a leader.
 	announcedTo   []string
 	adviserAnswer func(r *inner.AdviseRequest) *inner.AdviseReply
@@ -388,17 +392,26 @@
 }
 
 // StartMaintenance takes a worker down for two seconds.
-func (w *testCluster) StartMaintenance(_ context.Context, machine string, _, fence uint64) dispatch.MaintenanceResult {
-	id := strings.TrimPrefix(machine, "m-")
+func (w *testCluster) StartMaintenance(_ context.Context, machine string, wave, fence uint64) dispatch.MaintenanceResult {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if _, ok := w.firstMaintenanceOrders[fence]; !ok {
 		w.firstMaintenanceOrders[fence] = w.now()
 	}
-	if w.underMaintenance[id] {
+	begun := fmt.Sprintf("%s in wave %d", machine, wave)
+	if w.begunMaintenance[begun] {
 		return dispatch.MaintenanceStarted
 	}
-	w.underMaintenance[id] = true
+	id := ""
+	for candidate, backend := range w.workers {
+		if machineOf(candidate) == machine && !backend.Crashed() {
+			id = candidate
+		}
+	}
+	if id == "" || w.refusesMaintenance.Load() {
+		return dispatch.MaintenanceBusy
+	}
+	w.begunMaintenance[begun], w.underMaintenance[id] = true, true
 	downCount := 0
 	for _, down := range w.underMaintenance {
 		if down {
@@ -419,6 +432,13 @@
 	return dispatch.MaintenanceStarted
 }
 
+// hasBegunMaintenance reports whether the maintenance of a machine in a wave has begun.
+func (w *testCluster) hasBegunMaintenance(name string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.begunMaintenance[name]
+}
+
 var keyHash = sha256.Sum256([]byte("key"))
 
 func testDocument() *v1.Document {
@@ -445,7 +465,7 @@
 func newTestCluster(t *testing.T, n int) *testCluster {
 	w := &testCluster{
 		fakeHost: &fakeHost{t: t, startedAt: time.Now(), postedFuncs: make(chan func(), 1024), stopped: make(chan struct{}), ledger: flows.New()},
-		workers:  map[string]*worker.Worker{}, holders: map[string]*holder.Server{}, lostHolders: map[string]bool{}, crashCounts: map[flow.TaskID]int{}, startCounts: map[flow.RunID]int{}, underMaintenance: map[string]bool{}, lastRelay: map[string]string{}, lastDirectCall: map[string]time.Duration{}, firstMaintenanceOrders: map[uint64]time.Duration{},
+		workers:  map[string]*worker.Worker{}, holders: map[string]*holder.Server{}, lostHolders: map[string]bool{}, crashCounts: map[flow.TaskID]int{}, startCounts: map[flow.RunID]int{}, underMaintenance: map[string]bool{}, begunMaintenance: map[string]bool{}, lastRelay: map[string]string{}, lastDirectCall: map[string]time.Duration{}, firstMaintenanceOrders: map[uint64]time.Duration{},
 		runOutcome: func(flow.RunID) (time.Duration, inner.RunEnd) { return time.Second, inner.RunEnd_RUN_END_DONE },
 		capacity:   capacity.Size{CPU: 4000, Memory: 4000},
 	}
--- a/internal/control/dispatch/lead.go
+++ b/internal/control/dispatch/lead.go
@@ -77,6 +77,9 @@
 	// get no new tasks. maintenanceRetryAt holds, by machine name, the time at which an
 	// unanswered maintenance order is sent again.
 	nextForMaintenance map[string]bool
+	// maintenanceConfirmedAt holds when the platform confirmed to this leader that a maintenance
+	// has begun.
+	maintenanceConfirmedAt map[maintenanceID]time.Duration
 	// drainedZones holds the drained zones as of the last check.
 	drainedZones       map[string]time.Duration
 	maintenanceRetryAt map[string]time.Duration
--- a/internal/control/dispatch/wave.go
+++ b/internal/control/dispatch/wave.go
@@ -115,16 +115,35 @@
 	}
 }
 
-// checkMachineReturned completes the maintenance of a machine when a later incarnation of its
-// server has reported, and repeats the order if it is due.
+// maintenanceID names the maintenance of one machine in one wave.
+type maintenanceID struct {
+	wave    uint64
+	machine string
+}
+
+// checkMachineReturned completes the maintenance of a machine when it is confirmed to have begun
+// and a server on the machine has answered since. Until it is confirmed, the order is repeated: it
+// may have been refused, its answer may be lost, or another leader may have sent it.
 func (d *Dispatcher) checkMachineReturned(w *flows.Wave, m *flows.Machine, now time.Duration) {
-	if b, ok := d.Host.Flows().ServerOnMachine(m.Name); ok && b.StartedAtMs > m.ServerStartedAtMs {
-		d.recordMaintenanceDone(w, m)
+	if confirmedAt, ok := d.leader.maintenanceConfirmedAt[maintenanceID{w.Number, m.Name}]; ok {
+		if d.hasAnsweredSince(m.Name, confirmedAt) {
+			d.recordMaintenanceDone(w, m)
+		}
 		return
 	}
 	if now-d.leader.electedAt >= maintenanceHandoverDelay && now >= d.leader.maintenanceRetryAt[m.Name] {
-		d.orderMaintenance(w, m, now) // the answer may be lost, or the leader that sent the order may have been replaced
+		d.orderMaintenance(w, m, now)
+	}
+}
+
+// hasAnsweredSince reports whether a server on the machine has made a run list after a time.
+func (d *Dispatcher) hasAnsweredSince(machine string, since time.Duration) bool {
+	b, ok := d.Host.Flows().ServerOnMachine(machine)
+	if !ok {
+		return false
 	}
+	s := d.leader.sessions[b.ID]
+	return s != nil && s.listReceived && s.listMadeAfter > since
 }
 
 func (d *Dispatcher) recordMaintenanceDone(w *flows.Wave, m *flows.Machine) {
@@ -202,7 +221,10 @@
 		result := d.Machines.StartMaintenance(ctx, name, number, term)
 		d.postInTerm(term, func() {
 			event.Log(d.Log, event.MachineOrdered, "wave", number, "machine", name, "outcome", int(result))
-			if result == MaintenanceUnknownMachine {
+			switch result {
+			case MaintenanceStarted:
+				d.leader.maintenanceConfirmedAt[maintenanceID{number, name}] = d.Now()
+			case MaintenanceUnknownMachine:
 				d.recordMaintenanceDone(w, m)
 			}
 		})
