Tasks are kept off a machine until its upkeep is done

Cause: a machine was kept free only until the beginning of its upkeep was recorded, which is before the order is answered.

Why it works: until the upkeep is confirmed the machine is emptied and kept free as before the first order, and no order leaves while a lasting task runs there; from the confirmation to the record of its end nothing is placed.

--- a/internal/control/dispatch/dispatch_test.go
+++ b/internal/control/dispatch/dispatch_test.go
@@ -876,6 +876,29 @@
 	})
 }
 
+// Guards against placing lasting tasks on a machine whose maintenance was refused and is ordered
+// again.
+func TestRefusedMaintenanceKeepsTasksOffTheMachine(t *testing.T) {
+	runWithCluster(t, 2, func(t *testing.T, w *testCluster) {
+		w.makeRunsLasting()
+		w.refusesMaintenance.Store(true)
+		wave := &record.Wave{Number: 1, Machines: []string{"m-s1"}, Duration: 60_000, Cap: 1}
+		if err := w.dispatcher.StartWave(t.Context(), wave); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(5 * time.Second)
+		lasting := newStep(4, 1000)
+		lasting.Lasting = true
+		w.submit("a", lasting)
+		time.Sleep(time.Second)
+		w.refusesMaintenance.Store(false)
+		w.awaitWave(1, time.Minute)
+		if w.interruptedRuns > 0 {
+			t.Errorf("%d runs were interrupted by the maintenance, want none", w.interruptedRuns)
+		}
+	})
+}
+
 // Guards against two leaders that order maintenance at the same time. The order of a replaced
 // leader may still be in transit. An order of the new leader within that time would make
 // two duty holders alternate on a platform that does not check fencing tokens.
--- a/internal/control/dispatch/wave.go
+++ b/internal/control/dispatch/wave.go
@@ -126,12 +126,14 @@
 // may have been refused, its answer may be lost, or another leader may have sent it.
 func (d *Dispatcher) checkMachineReturned(w *flows.Wave, m *flows.Machine, now time.Duration) {
 	if confirmedAt, ok := d.leader.maintenanceConfirmedAt[maintenanceID{w.Number, m.Name}]; ok {
+		d.keepTasksOff(m)
 		if d.hasAnsweredSince(m.Name, confirmedAt) {
 			d.recordMaintenanceDone(w, m)
 		}
 		return
 	}
-	if now-d.leader.electedAt >= maintenanceHandoverDelay && now >= d.leader.maintenanceRetryAt[m.Name] {
+	isEmptied := d.isEmptied(w, m)
+	if isEmptied && now-d.leader.electedAt >= maintenanceHandoverDelay && now >= d.leader.maintenanceRetryAt[m.Name] {
 		d.orderMaintenance(w, m, now)
 	}
 }
@@ -151,21 +153,9 @@
 	d.applyOrLog(&record.Flow{What: &record.Flow_Upkeep{Upkeep: &record.WaveStep{Wave: w.Number, Machine: m.Name, Done: true}}})
 }
 
-// emptyMachine moves runs off a machine. It takes the machine down when no run is left, or
-// when waiting longer would make the wave exceed its duration. It always waits while a
-// lasting task runs on the machine.
+// emptyMachine moves runs off a machine and takes it down when it is emptied.
 func (d *Dispatcher) emptyMachine(w *flows.Wave, m *flows.Machine, now time.Duration) {
-	b, ok := d.Host.Flows().ServerOnMachine(m.Name)
-	if ok {
-		d.leader.nextForMaintenance[b.ID] = true
-		if s := d.leader.sessions[b.ID]; s != nil {
-			d.stopMovableRuns(s)
-			if len(s.runs) > 0 && (d.hasLastingTask(s) || !d.isWaveLate(w)) {
-				return
-			}
-		}
-	}
-	if now-d.leader.electedAt < maintenanceHandoverDelay {
+	if !d.isEmptied(w, m) || now-d.leader.electedAt < maintenanceHandoverDelay {
 		return
 	}
 	if !d.applyOrLog(&record.Flow{What: &record.Flow_Upkeep{Upkeep: &record.WaveStep{Wave: w.Number, Machine: m.Name}}}) {
@@ -174,6 +164,29 @@
 	d.Host.AfterCommit(func() { d.orderMaintenance(w, m, d.Now()) })
 }
 
+// isEmptied keeps new tasks off a machine, moves its runs and reports whether it may be taken down:
+// when no run is left, or when waiting longer would make the wave exceed its duration. A machine
+// with a lasting task always waits.
+func (d *Dispatcher) isEmptied(w *flows.Wave, m *flows.Machine) bool {
+	s := d.keepTasksOff(m)
+	if s == nil {
+		return true
+	}
+	d.stopMovableRuns(s)
+	return len(s.runs) == 0 || !d.hasLastingTask(s) && d.isWaveLate(w)
+}
+
+// keepTasksOff keeps new tasks off a machine until the next check of the waves, and returns the
+// session of its server; nil if there is none.
+func (d *Dispatcher) keepTasksOff(m *flows.Machine) *session {
+	b, ok := d.Host.Flows().ServerOnMachine(m.Name)
+	if !ok {
+		return nil
+	}
+	d.leader.nextForMaintenance[b.ID] = true
+	return d.leader.sessions[b.ID]
+}
+
 // stopMovableRuns stops runs that continue from a checkpoint on another server, and lasting
 // tasks as far as their flow can miss them.
 func (d *Dispatcher) stopMovableRuns(s *session) {
