--- a/internal/fake/worker/worker.go
+++ b/internal/fake/worker/worker.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -75,6 +76,8 @@
 	// endedRuns holds the ends of runs that the leader has not acknowledged.
 	endedRuns     []*inner.EndedRun
 	lastEndNumber uint64
+	// lapsedEnds is the number of the latest end before the lease last expired.
+	lapsedEnds uint64
 }
 
 // run is a run in progress.
@@ -125,6 +128,16 @@
 	return w.crashed
 }
 
+// LapsedEnds returns the number of the latest end before the lease last expired. An end up to it
+// that is acknowledged later may have been replaced by another run.
+func (w *Worker) LapsedEnds() uint64 {
+	w.init()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.endDueRuns()
+	return w.lapsedEnds
+}
+
 // Update calls fn under the worker's lock, to change exported fields while the worker
 // serves calls.
 func (w *Worker) Update(fn func(w *Worker)) {
@@ -279,22 +292,24 @@
 // endDueRuns ends the runs whose lease, stop time or duration has passed, in the order of
 // their names.
 func (w *Worker) endDueRuns() {
-	now := time.Now()
-	runs := make([]*run, 0, len(w.runs))
+	now, leaseExpired := time.Now(), w.leaseUntil > 0 && w.clock() >= w.leaseUntil
+	reasons := map[*run]inner.RunEnd{}
 	for _, r := range w.runs {
-		runs = append(runs, r)
-	}
-	slices.SortFunc(runs, func(a, b *run) int { return cmp.Compare(a.String(), b.String()) })
-	for _, r := range runs {
 		switch {
-		case w.leaseUntil > 0 && w.clock() >= w.leaseUntil:
-			w.endRun(r, inner.RunEnd_RUN_END_LAPSED)
+		case leaseExpired:
+			reasons[r] = inner.RunEnd_RUN_END_LAPSED
 		case !r.stopAt.IsZero() && !now.Before(r.stopAt):
-			w.endRun(r, inner.RunEnd_RUN_END_STOPPED)
+			reasons[r] = inner.RunEnd_RUN_END_STOPPED
 		case r.endReason != inner.RunEnd_RUN_END_UNSPECIFIED && now.Sub(r.startedAt) >= r.duration:
-			w.endRun(r, r.endReason)
+			reasons[r] = r.endReason
 		}
 	}
+	for _, r := range slices.SortedFunc(maps.Keys(reasons), func(a, b *run) int { return cmp.Compare(a.String(), b.String()) }) {
+		w.endRun(r, reasons[r])
+	}
+	if leaseExpired {
+		w.lapsedEnds = w.lastEndNumber
+	}
 }
 
 func (w *Worker) endRun(r *run, reason inner.RunEnd) {
