A member of a gang that is done gives its room back

Cause: the end of one member ends the gang, and the others are not stopped. A member whose start had had no answer was neither started again nor stopped, so its server kept its room and its customer its share of the limit. In a flow with more steps its start was sent again, to a gang that was done.

Why it works: sendStart withdraws a run whose task is no longer placed with it: a run that was never sent ends as lost, one that may have arrived is stopped and settled by a list.

--- a/internal/control/dispatch/dispatch_test.go
+++ b/internal/control/dispatch/dispatch_test.go
@@ -423,6 +423,42 @@
 	})
 }
 
+// Guards against keeping room for a member of a gang whose start had no answer, and against sending
+// the start again, when another member has ended the gang.
+func TestUnansweredStartOfADoneGangKeepsNoRoom(t *testing.T) {
+	after := newStep(1, 500)
+	after.After, after.Runtime = []uint32{0}, 10_000
+	for name, rest := range map[string][]*v1.FlowStep{"only step": nil, "first step": {after}} {
+		t.Run(name, func(t *testing.T) {
+			runWithCluster(t, 2, func(t *testing.T, w *testCluster) {
+				lateStarts := atomic.Int64{}
+				w.changeWorkers(func(id string, backend *worker.Worker) {
+					backend.RunOutcome = func(r flow.RunID) (time.Duration, inner.RunEnd) {
+						if r.Step > 0 {
+							return 10 * time.Second, inner.RunEnd_RUN_END_DONE
+						}
+						return 20 * time.Millisecond, inner.RunEnd_RUN_END_DONE
+					}
+					backend.Fault = func(c *inner.ServerCall) worker.Fault {
+						if run := c.GetStart().GetRun(); id == "s2" && run.GetFlow() == "a" && run.GetStep() == 0 {
+							lateStarts.Add(1)
+							return worker.Fault{Delay: time.Hour}
+						}
+						return worker.Fault{}
+					}
+				})
+				w.submit("a", append([]*v1.FlowStep{newGangStep(2, 3000)}, rest...)...)
+				time.Sleep(time.Second)
+				w.submit("b", newGangStep(2, 3500)) // needs both workers
+				w.awaitState("b", stateDone, 5*time.Second)
+				if n := lateStarts.Load(); n != 1 {
+					t.Errorf("the start of the member was sent %d times, want once", n)
+				}
+			})
+		})
+	}
+}
+
 // Guards against starting or continuing tasks of a flow after its cancellation was
 // acknowledged.
 func TestCancelStopsRunningTasks(t *testing.T) {
--- a/internal/control/dispatch/order.go
+++ b/internal/control/dispatch/order.go
@@ -104,9 +104,13 @@
 // sendStart sends the start of a run whose placement is committed.
 func (d *Dispatcher) sendStart(s *session, r *run) {
 	f, ok := d.Host.Flows().Flow(r.Flow)
-	step, stepKnown := d.Host.Flows().Step(r.StepID)
-	if !ok || !stepKnown || f.Final() || r.stopping || r.reportedByServer {
-		return // a run that is no longer wanted is stopped, or its start is never sent
+	if s.runs[r.TaskID] != r || r.stopping || r.reportedByServer {
+		return
+	}
+	t, isLatest := d.currentTask(r)
+	if !ok || !isLatest || f.Final() || t.Phase != flows.Placed {
+		d.withdrawRun(s, r) // it is no longer wanted
+		return
 	}
 	if s.endProof != "" {
 		d.disbandGang(r) // the incarnation has ended; the run's end is recorded when the session is closed
@@ -122,7 +126,7 @@
 		r.startSentAt = d.Now()
 		d.recordStart(s, r, r.startSentAt)
 	}
-	start := &inner.StartRun{Run: r.Message(), Input: f.Spec.GetInput(), Checkpoint: step.Tasks[r.Index].Checkpoint, Permit: r.permit}
+	start := &inner.StartRun{Run: r.Message(), Input: f.Spec.GetInput(), Checkpoint: t.Checkpoint, Permit: r.permit}
 	// An unresponsive server may still receive calls. A retry must not extend the lease,
 	// because the task cannot be placed on another server before the lease ends.
 	renewLease := r.startAttempts == 1
