--- a/review/stand2/cell.go
+++ b/review/stand2/cell.go
@@ -47,6 +47,8 @@
 	network                 string // the first three bytes of the addresses
 	client                  *http.Client
 	hasCloud                bool
+	// otherKind is the number of backend servers, the first ones, that are of the kind "b".
+	otherKind int
 
 	mu        sync.Mutex
 	processes []*process
@@ -155,6 +157,14 @@
 	return file, os.WriteFile(file, []byte(text), 0o600)
 }
 
+// kindOf returns the kind of the n-th backend server.
+func (c *cell) kindOf(n int) string {
+	if n < c.otherKind {
+		return "b"
+	}
+	return "a"
+}
+
 // start starts the processes, and the given number of backend servers, and puts the first
 // configuration.
 func (c *cell) start(ctx context.Context, serverCount int) error {
--- a/review/stand2/server.go
+++ b/review/stand2/server.go
@@ -65,6 +65,7 @@
 	zone    string
 	machine string
 	rack    string
+	kind    string
 	cpu     int
 	memory  int
 	// outcome tells how long a run works and how it ends.
@@ -82,7 +83,7 @@
 // startServer starts a backend server that reports itself.
 func (c *cell) startServer(ctx context.Context, n int) (*server, error) {
 	s := &server{
-		c: c, id: fmt.Sprintf("i-%06d", n), address: c.ip(100+n) + ":" + serverPort, zone: zones[n%len(zones)], machine: fmt.Sprintf("m-%d", n), rack: fmt.Sprintf("r1-%d", n/4),
+		c: c, id: fmt.Sprintf("i-%06d", n), address: c.ip(100+n) + ":" + serverPort, zone: zones[n%len(zones)], machine: fmt.Sprintf("m-%d", n), rack: fmt.Sprintf("r1-%d", n/4), kind: c.kindOf(n),
 		cpu: 16000, memory: 32768,
 		outcome: func(string, int) (time.Duration, string) { return time.Second, "done" },
 	}
@@ -184,7 +185,7 @@
 		}
 		body, _ := json.Marshal(map[string]any{
 			word("service"): "pool", word("address"): s.address, word("zone"): s.zone, word("version"): "v1", word("slots"): 8, word("state"): state, word("cold"): 0,
-			word("capacity"): map[string]int{word("cpu"): s.cpu, word("memory"): s.memory, word("accelerators"): 0}, word("labels"): []string{"a", s.rack},
+			word("capacity"): map[string]int{word("cpu"): s.cpu, word("memory"): s.memory, word("accelerators"): 0}, word("labels"): []string{s.kind, s.rack},
 			word("clock"): l.clock(), word("sequence"): l.sequence, word("born"): l.born, word("machine"): s.machine,
 		})
 		over := l.over
