Review case 5: a short job waits for the closed servers as well

The case now hands in a short job for the two servers that the wave has closed, 2 s after the wave. It is accepted and never started (LOST), as the stopped task of the service is not.

--- a/review/stand2/wave.go
+++ b/review/stand2/wave.go
@@ -30,9 +30,11 @@
 
 func init() { cases["wave"] = playWave }
 
-// playWave hands a service in that runs on the servers of one kind and can miss one of its tasks. With
-// the disruption, the operator asks for the upkeep of all machines, two at a time at most.
+// playWave hands a service in that runs on the servers of one kind and can miss one of its tasks, and
+// then a short job for the same servers. With the disruption, the operator asks in between for the
+// upkeep of all machines, two at a time at most.
 func playWave(ctx context.Context, c *cell, trouble bool) error {
+	const id, batch = "00000000000000a7", "00000000000000a8"
 	c.otherKind = waveKind
 	o, err := c.startCloud()
 	if err != nil {
@@ -43,9 +45,13 @@
 		return err
 	}
 	for _, s := range c.servers {
-		s.outcome = func(string, int) (time.Duration, string) { return 0, "" }
+		s.outcome = func(task string, _ int) (time.Duration, string) {
+			if jobOf(task) == batch {
+				return time.Second, "done"
+			}
+			return 0, ""
+		}
 	}
-	const id = "00000000000000a7"
 	if err := c.submit(ctx, builderKey, "/quick/"+id, []map[string]any{{
 		word("count"): waveTasks, word("cpu"): 2000, word("memory"): 512, word("lasting"): true, word("requirement"): "b", word("mayMiss"): 1, word("apart"): waveApart,
 	}}); err != nil {
@@ -75,8 +81,16 @@
 	for i := range waveTasks {
 		lastRun[fmt.Sprintf("%s.0.0.%d", id, i)] = time.Now()
 	}
-	traffic := time.Now() // nothing is sent any more
+	time.Sleep(2 * time.Second)
+	if err := c.submit(ctx, builderKey, "/plan/"+batch, []map[string]any{{word("count"): 1, word("cpu"): 1000, word("memory"): 256, word("estimate"): 1000, word("requirement"): "b"}}); err != nil {
+		return err
+	}
+	traffic, toldBatch := time.Now(), false // nothing is sent any more
 	for end := traffic.Add(watchTime); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(50 * time.Millisecond) {
+		if time.Since(traffic) > finishTime+awayTime && !c.hasBegun(batch) && !toldBatch {
+			toldBatch = true
+			c.broken("LOST: job %s, accepted %.1f s ago, has nothing running, while the %d servers of the kind that it needs are up and sound and have room for it:%s", batch, time.Since(traffic).Seconds(), waveKind, c.use())
+		}
 		for task, last := range lastRun {
 			for _, s := range c.servers {
 				if _, _, ok := s.has(task); ok {
