--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -5,4 +5,4 @@
 for program in target/gypsumnode target/stand2; do
   [ -x "$program" ] || { echo "$program is not built"; exit 2; }
 done
-exec target/stand2 -case pending -record review/6/record.txt -trouble "${TROUBLE:-1}"
+exec target/stand2 -case hopeless -record review/6/record.txt -trouble "${TROUBLE:-1}"
