--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -2,7 +2,7 @@
 # Plays case 5 on loopback addresses. It needs the build of the deploy file and review/build-2.sh.
 # Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
-for program in target/gypsumnode target/stand2; do
+for program in target/gypsumnode target/standin-3; do
   [ -x "$program" ] || { echo "$program is not built"; exit 2; }
 done
-exec target/stand2 -case wave -record review/5/record.txt -trouble "${TROUBLE:-1}"
+exec target/standin-3 foreign-report target/gypsumnode review/5/record.txt
