Calls for a former incarnation are settled in the one that executes them

Seen by callers: a task ran twice at once.

Cause: an answer to a start names no incarnation, and the leader took it for one of the incarnation that it knew; a list that named the run was taken for proof that no attempt of its start was still on its way. A server that has restarted has seen no fencing token and executes all of it.

Each session of a server now has a fencing token of its own, the term with a number in the low bits. It rises when a hold fails and when the session is closed; an incarnation that has answered a call with it refuses all calls sent before. Before a session is closed because a later incarnation is known, that one lists its runs: those of the session are stopped there and their ends recorded, the others cannot start any more. Whether the known incarnation answered a start is read from the clock in the answer, or from a later list.

The fake of a backend server named its incarnation in every answer and executed delayed calls itself, which the platform's servers don't; it is as strict as they are now. With it, and before the change, these failed on both ways of calling: TestStartAnsweredByNextIncarnationIsStopped ("task ran twice at the same time: a.0.0.0#2 on s2 and a.0.0.0#1 on s1") and both cases of TestLateAttemptOfAStartInTheNextIncarnation ("task ran twice", "run a.0.0.0#1 was started 2 times").

--- a/internal/control/dispatch/closing.go
+++ b/internal/control/dispatch/closing.go
@@ -19,6 +19,7 @@
 	proofLeaseExpired endProof = "its lease expired"
 	// The other proofs are of the end of the incarnation, and so of its runs.
 	proofLaterReport              endProof = "a later incarnation reported"
+	proofReportFromElsewhere      endProof = "a later incarnation reported another address"
 	proofOtherIncarnationAnswered endProof = "another incarnation answered"
 	proofOtherServerAnswered      endProof = "another server answers at its address"
 	proofMachineServesAnother     endProof = "another server on its machine answered later"
@@ -59,40 +60,38 @@
 	d.flowMetrics.countGoneServer(proof)
 }
 
-// beginClosing starts to close the session of an incarnation that has ended. A start in
-// transit may reach the next incarnation at the same address, so the session stays until no
-// start can be executed any more.
+// beginClosing starts to close the session of an incarnation that has ended. A start may reach the
+// next incarnation at the same address, so the session stays until its runs are settled there.
 func (d *Dispatcher) beginClosing(s *session, proof endProof) {
 	if s.endProof == "" {
-		s.endProof, s.closingSince = proof, d.Now()
+		s.endProof, s.closingSince, s.fence = proof, d.Now(), d.leader.nextFence()
 		d.flushWatch(s)
 		d.logGone(s, proof)
 	}
 	d.closeWhenSettled(s, d.Now())
 }
 
-// closeWhenSettled closes a session when no start sent to it can still be executed. An
-// unconfirmed start is stopped at the server's address, unless its time limit passes first.
-// If the stop reaches the next incarnation, a run there may continue for MaxStopTime.
+// closeWhenSettled closes a session when a list of the next incarnation has shown that no run of the
+// session is there, or when the lease of such a run has expired.
 func (d *Dispatcher) closeWhenSettled(s *session, now time.Duration) {
-	if now < s.closingSince+d.MaxLease+2*callTimeout {
-		for _, r := range s.runs {
-			if r.pendingOrders > 0 {
-				return
-			}
-			if r.mayReachNextIncarnation {
-				d.sendStop(s, r)
-				return
-			}
-			if r.nextIncarnationStoppedAt > 0 && now < r.nextIncarnationStoppedAt+d.MaxStopTime+leaseMargin {
-				return
-			}
-		}
+	if now < s.closingSince+d.longestLease()+2*callTimeout && !s.isSettled(now) {
+		d.listNextIncarnation(s, now)
+		return
 	}
 	d.recordLostRuns(s, s.endProof)
 	d.removeSession(s)
 }
 
+// isSettled reports whether no run of a session that is being closed may be executed any more.
+func (s *session) isSettled(now time.Duration) bool {
+	for _, r := range s.runs {
+		if r.pendingOrders > 0 || s.mayReachNext(r, now) {
+			return false
+		}
+	}
+	return true
+}
+
 // recordLostRuns records in the ledger that none of the runs of a session is running any
 // more.
 func (d *Dispatcher) recordLostRuns(s *session, proof endProof) {
@@ -101,7 +100,7 @@
 	end, otherRuns := inner.RunEnd_RUN_END_LOST, len(s.runs)-1
 	if closed && d.endedUnexpectedly(s) {
 		end, command.Blamed = inner.RunEnd_RUN_END_CRASHED, d.blamedRuns(s)
-		d.recordSparedRuns(s, d.sparedRuns(s, command.Blamed))
+		d.recordSparedRuns(s, d.sparedRuns(s, command.Blamed), proof)
 	}
 	wantedBefore := d.wantedRuns(s)
 	for _, r := range s.runs {
@@ -117,9 +116,9 @@
 	}
 }
 
-// recordSparedRuns records the ends of runs on a crashed server as lost, so that the crash does not
-// count against their tasks.
-func (d *Dispatcher) recordSparedRuns(s *session, spared []*run) {
+// recordSparedRuns records the ends of some runs on a server as lost, so that a crash does not count
+// against their tasks.
+func (d *Dispatcher) recordSparedRuns(s *session, spared []*run, proof endProof) {
 	if len(spared) == 0 {
 		return
 	}
@@ -131,7 +130,7 @@
 		return
 	}
 	for _, r := range spared {
-		d.logLostRun(s, r, inner.RunEnd_RUN_END_LOST, s.endProof, otherRuns)
+		d.logLostRun(s, r, inner.RunEnd_RUN_END_LOST, proof, otherRuns)
 		delete(s.runs, r.TaskID)
 	}
 }
--- a/internal/control/dispatch/harness_test.go
+++ b/internal/control/dispatch/harness_test.go
@@ -492,6 +492,11 @@
 	backend := &worker.Worker{ID: id, Incarnation: incarnation, StopDuration: 50 * time.Millisecond}
 	backend.RunOutcome = w.runOutcome
 	backend.OnStart = func(r flow.RunID) { w.recordStart(id, r) }
+	backend.Current = func() *worker.Worker {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return w.workers[id]
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.workers[id] = backend
--- a/internal/control/dispatch/held.go
+++ b/internal/control/dispatch/held.go
@@ -205,9 +205,7 @@
 	l := s.link
 	isWatch := c.GetHold().GetWait() > 0
 	id := l.Call(c, isWatch, wanted, func(a *inner.ServerAnswer, asOf, receivedAt time.Duration, watching bool) {
-		if a.GetClock() > 0 {
-			s.observeClock(a.GetClock(), receivedAt)
-		}
+		defer s.observeAnswer(a, sentAt, receivedAt)
 		if watching {
 			d.handleWatchUpdate(s, a, asOf, receivedAt)
 			return
@@ -220,7 +218,7 @@
 			d.flushIfListExpected(s)
 			return
 		}
-		if a.GetVerdict() != inner.Verdict_VERDICT_DONE && s.link != l {
+		if a.GetVerdict() != inner.Verdict_VERDICT_DONE && s.link != l && s.endProof == "" {
 			// The server was moved to another holder meanwhile, so this is no sign of a fault
 			// of the server.
 			d.repeatHold(s)
--- a/internal/control/dispatch/lead.go
+++ b/internal/control/dispatch/lead.go
@@ -19,6 +19,8 @@
 	callPool  *callPool
 
 	sessions map[string]*session
+	// fences is the number of fencing tokens given in this term.
+	fences uint64
 	// sortedSessions holds the sessions ordered by server id. Each plan iterates over all
 	// of them.
 	sortedSessions []*session
--- a/internal/control/dispatch/order.go
+++ b/internal/control/dispatch/order.go
@@ -53,13 +53,15 @@
 	startAttempts int
 	stopAttempts  int
 	// startUnconfirmed reports whether a start may have arrived without an answer.
-	// mayReachNextIncarnation reports whether that start may be executed by a later
-	// incarnation of the server.
-	startUnconfirmed        bool
-	mayReachNextIncarnation bool
-	// nextIncarnationStoppedAt is when a run that might have reached a later incarnation
-	// was stopped there, or 0.
-	nextIncarnationStoppedAt time.Duration
+	startUnconfirmed bool
+	// unansweredStartAt is when the latest start without an answer was given up, or 0.
+	unansweredStartAt time.Duration
+	// unprovenStartAt is when a start was answered by an incarnation that is not known to be the
+	// session's, or 0.
+	unprovenStartAt time.Duration
+	// settledInNext reports whether a list of the next incarnation has shown that the run is not
+	// there and cannot start there.
+	settledInNext bool
 	// orderAnsweredAt is when the server answered a start or a stop, or 0. A complete run list made
 	// after that time without the run proves that it does not run.
 	orderAnsweredAt time.Duration
@@ -97,7 +99,7 @@
 	case r.progressChangedAt == 0 || percent != math.Floor(r.progressPercent):
 		r.progressChangedAt = now
 	}
-	r.reportedByServer, r.startUnconfirmed, r.mayReachNextIncarnation = true, false, false
+	r.reportedByServer, r.startUnconfirmed, r.unprovenStartAt = true, false, 0
 	r.progressPercent, r.load, r.progressReportedAt = entry.GetPercent(), entry.GetLoad(), now
 }
 
@@ -131,6 +133,7 @@
 	// because the task cannot be placed on another server before the lease ends.
 	renewLease := r.startAttempts == 1
 	wanted := func() bool { return s.runs[r.TaskID] == r && !r.stopping && s.endProof == "" && d.mayStartOn(s) }
+	fence := s.fence
 	d.callServerIf(wanted, s, &inner.ServerCall{What: &inner.ServerCall_Start{Start: start}}, 0, r.startAttempts-1, renewLease, func(a *inner.ServerAnswer, sentAt, receivedAt time.Duration) {
 		r.pendingOrders--
 		switch a.GetVerdict() {
@@ -141,7 +144,7 @@
 		}
 		d.flowMetrics.observeCall("start", a.GetVerdict(), receivedAt-sentAt)
 		if d.leader.sessions[s.id] == s && s.runs[r.TaskID] == r {
-			d.handleStartAnswer(s, r, a, receivedAt)
+			d.handleStartAnswer(s, r, a, startAnswer{fence: fence, sentAt: sentAt, receivedAt: receivedAt})
 		}
 	})
 }
@@ -152,9 +155,15 @@
 	return !s.unresponsive && !(ok && (d.Host.Flows().ZoneDrained(b.Zone) || !b.Used.Fits(b.Capacity)))
 }
 
+// startAnswer is when a start was sent and its answer received, and the fencing token that it had.
+type startAnswer struct {
+	fence              uint64
+	sentAt, receivedAt time.Duration
+}
+
 // handleStartAnswer processes the answer to a start.
-func (d *Dispatcher) handleStartAnswer(s *session, r *run, a *inner.ServerAnswer, receivedAt time.Duration) {
-	verdict := a.GetVerdict()
+func (d *Dispatcher) handleStartAnswer(s *session, r *run, a *inner.ServerAnswer, at startAnswer) {
+	verdict, receivedAt := a.GetVerdict(), at.receivedAt
 	if verdict != inner.Verdict_VERDICT_DONE {
 		event.Log(d.Log, event.StartRefused, "flow", r.Flow, "run", r.String(), "server", s.id, "verdict", verdict.String(), "detail", a.GetDetail(), "try", r.startAttempts)
 	}
@@ -166,7 +175,9 @@
 	switch verdict {
 	case inner.Verdict_VERDICT_DONE:
 		r.reportedByServer, r.orderAnsweredAt = true, receivedAt
-		r.mayReachNextIncarnation = s.endProof != "" || s.answeredByAnother(a)
+		if s.endProof != "" || s.answererOf(a, at.sentAt, receivedAt) != sameIncarnation {
+			r.unprovenStartAt = receivedAt
+		}
 		s.refusalsInARow = 0
 		return
 	case inner.Verdict_VERDICT_OLD:
@@ -176,10 +187,14 @@
 		// The server may be gone. Further tasks placed on it would have to wait for the end
 		// of its lease.
 		s.avoidUntil = max(s.avoidUntil, receivedAt+minAvoidTime)
-		r.startUnconfirmed, r.mayReachNextIncarnation = true, true
+		r.startUnconfirmed, r.unansweredStartAt = true, receivedAt
 		d.retryStart(s, r)
 		return
 	case inner.Verdict_VERDICT_FENCED:
+		if at.fence < s.fence {
+			d.retryStart(s, r) // this leader has raised the session's fencing token meanwhile
+			return
+		}
 		// A later leader sends orders to this server. This replica will notice soon that it
 		// is deposed.
 		r.startUnconfirmed = true
@@ -189,13 +204,6 @@
 	d.withdrawRun(s, r)
 }
 
-// answeredByAnother reports whether an answer comes from another incarnation of the server. A
-// server that restarts may answer before its report arrives. An answer without an incarnation tells
-// nothing.
-func (s *session) answeredByAnother(a *inner.ServerAnswer) bool {
-	return a.GetBorn() != 0 && a.GetBorn() != s.incarnation
-}
-
 // withdrawRun ends a run that did not start. If an earlier attempt may still be executed,
 // the run has to be stopped instead.
 func (d *Dispatcher) withdrawRun(s *session, r *run) {
@@ -319,16 +327,13 @@
 		d.flowMetrics.observeCall("stop", a.GetVerdict(), receivedAt-sentAt)
 		switch a.GetVerdict() {
 		case inner.Verdict_VERDICT_DONE, inner.Verdict_VERDICT_OLD:
-			if r.mayReachNextIncarnation {
-				r.nextIncarnationStoppedAt = receivedAt
-			}
-			r.orderAnsweredAt, r.mayReachNextIncarnation = receivedAt, false
+			r.orderAnsweredAt = receivedAt
 			if !s.holdPending {
 				d.sendHold(s)
 			}
 		case inner.Verdict_VERDICT_STRANGER:
 			// The start names the server, so the one at the address now refuses it as well.
-			r.mayReachNextIncarnation = false
+			r.settledInNext = true
 			r.nextOrderAt = receivedAt + orderRetryPause
 		default:
 			r.nextOrderAt = receivedAt + orderRetryPause
--- a/internal/control/dispatch/server.go
+++ b/internal/control/dispatch/server.go
@@ -124,7 +124,7 @@
 	case s != nil && s.incarnation < r.GetBorn():
 		// The previous incarnation has ended. Calls in transit to it could reach the new
 		// one, so the new one is accepted only when they are settled.
-		d.beginClosing(s, proofLaterReport)
+		d.beginClosing(s, proofOfLaterReport(s, r))
 		if d.leader.sessions[r.GetId()] != nil {
 			reply(code.New(code.MembershipChangePending, "the session of the previous incarnation is still being closed"))
 			return
--- a/internal/control/dispatch/session.go
+++ b/internal/control/dispatch/session.go
@@ -45,6 +45,8 @@
 	// incarnation is the start time of the server process in milliseconds since 1970.
 	incarnation int64
 	address     string
+	// fence is the fencing token of the calls.
+	fence uint64
 	// reportNumber is the number of the latest report.
 	reportNumber uint64
 
@@ -52,6 +54,9 @@
 	// clock showed at least this value at serverClockReadAt.
 	serverClock       int64
 	serverClockReadAt time.Duration
+	// firstClock is the first known value of the server's clock. The clock of another incarnation
+	// starts below it.
+	firstClock int64
 	// leaseEndsAt is when the leases of all runs on the server have expired.
 	leaseEndsAt time.Duration
 	// lastAnswerAt is when the server last answered a hold. listMadeAfter is a time before the
@@ -123,6 +128,11 @@
 	// The session is being closed since closingSince.
 	endProof     endProof
 	closingSince time.Duration
+	// nextListPending reports whether a list of the next incarnation was asked for, nextListAt when
+	// it may be asked for again, and nextListFailures counts the failed calls.
+	nextListPending  bool
+	nextListAt       time.Duration
+	nextListFailures int
 }
 
 // applyReport updates the session from a report of the server.
@@ -138,11 +148,21 @@
 
 // observeClock records that the server's clock showed at least serverTime at readAt.
 func (s *session) observeClock(serverTime int64, readAt time.Duration) {
+	if s.serverClock == 0 {
+		s.firstClock = serverTime
+	}
 	if readAt > s.serverClockReadAt {
 		s.serverClock, s.serverClockReadAt = serverTime, readAt
 	}
 }
 
+// observeAnswer records the clock of an answer, unless another incarnation gave it.
+func (s *session) observeAnswer(a *inner.ServerAnswer, sentAt, receivedAt time.Duration) {
+	if a.GetClock() > 0 && s.answererOf(a, sentAt, receivedAt) != otherIncarnation {
+		s.observeClock(a.GetClock(), receivedAt)
+	}
+}
+
 // leaseEndOnServerClock converts the end of a lease to the server's clock. The result is
 // reached no later than leaseEnd even if the server's clock is slow. It is 0 if the
 // server's clock is unknown.
@@ -180,7 +200,7 @@
 // of the server can be told of it.
 func (d *Dispatcher) callServerIf(wanted func() bool, s *session, c *inner.ServerCall, wait time.Duration, attempts int, renewLease bool, handle callHandler) {
 	sentAt := d.Now()
-	c.Cell, c.Server, c.Address, c.Fence = d.Cell, s.id, s.address, d.leader.term
+	c.Cell, c.Server, c.Address, c.Fence = d.Cell, s.id, s.address, s.fence
 	if length := d.leaseLength(s); renewLease && length > 0 && d.Host.Leads() {
 		c.Until = d.grantLease(s, length, sentAt)
 	} else if c.GetStart() != nil {
@@ -208,10 +228,8 @@
 		}
 		receivedAt := d.Now()
 		d.postInTerm(term, func() {
-			if a.GetClock() > 0 {
-				s.observeClock(a.GetClock(), receivedAt)
-			}
 			handle(a, sentAt, receivedAt)
+			s.observeAnswer(a, sentAt, receivedAt)
 		})
 	})
 }
@@ -367,7 +385,7 @@
 // handleFailedHold records a failed hold and schedules the next one.
 func (d *Dispatcher) handleFailedHold(s *session, a *inner.ServerAnswer, receivedAt time.Duration) {
 	if !s.unresponsive {
-		s.unresponsiveSince = receivedAt
+		s.unresponsiveSince, s.fence = receivedAt, d.leader.nextFence()
 		event.Log(d.Log, event.ServerSuspect, "server", s.id, "born", s.incarnation, "verdict", a.GetVerdict().String(), "detail", a.GetDetail(), "held", len(s.runs), "lease", (s.leaseEndsAt - s.unresponsiveSince).String())
 	}
 	s.unresponsive = true
--- a/internal/control/dispatch/sessions.go
+++ b/internal/control/dispatch/sessions.go
@@ -13,7 +13,7 @@
 // openSession creates the session of a server from its state in the ledger.
 func (d *Dispatcher) openSession(b *flows.Server) *session {
 	s := &session{
-		id: b.ID, zone: b.Zone, machine: b.Machine, incarnation: b.StartedAtMs, address: b.Address, lastEndCommitted: b.EndCursor, lastEndReceived: b.EndCursor,
+		id: b.ID, zone: b.Zone, machine: b.Machine, incarnation: b.StartedAtMs, address: b.Address, fence: d.leader.nextFence(), lastEndCommitted: b.EndCursor, lastEndReceived: b.EndCursor,
 		lastAnswerAt: d.Now(), runs: map[flow.TaskID]*run{}, pacePercent: pace.Full, paceInherited: len(b.HeldRuns) > 0,
 	}
 	for id, allocation := range b.HeldRuns {
--- a/internal/fake/worker/worker.go
+++ b/internal/fake/worker/worker.go
@@ -61,6 +61,9 @@
 	ReportedLoad func(r flow.RunID, paces map[flow.TaskID]uint32) float64
 	// OnStart is called for each run that starts; may be nil.
 	OnStart func(r flow.RunID)
+	// Current returns the incarnation at the worker's address, which executes delayed calls; nil for
+	// this one.
+	Current func() *Worker
 
 	initOnce     sync.Once
 	mu           sync.Mutex
@@ -176,7 +179,7 @@
 	case crashed:
 		return &inner.ServerAnswer{Verdict: inner.Verdict_VERDICT_ABSENT}
 	case f.Delay > 0:
-		time.AfterFunc(f.Delay, func() { w.execute(c) })
+		time.AfterFunc(f.Delay, func() { w.executeLate(c) })
 		<-ctx.Done()
 		return &inner.ServerAnswer{Verdict: inner.Verdict_VERDICT_SILENT}
 	}
@@ -191,6 +194,16 @@
 	return a
 }
 
+// executeLate executes a call in the incarnation that is at the worker's address now.
+func (w *Worker) executeLate(c *inner.ServerCall) {
+	current := w
+	if w.Current != nil {
+		current = w.Current()
+	}
+	current.init()
+	current.execute(c)
+}
+
 // waitForEnd delays a reply until a run ends, at most for longPollWait.
 func (w *Worker) waitForEnd(ctx context.Context, c *inner.ServerCall, longPollWait time.Duration, a *inner.ServerAnswer) *inner.ServerAnswer {
 	const checkInterval = 5 * time.Millisecond
@@ -217,7 +230,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.endDueRuns()
-	a := &inner.ServerAnswer{Clock: w.clock(), Born: w.Incarnation, Verdict: inner.Verdict_VERDICT_DONE}
+	a := &inner.ServerAnswer{Clock: w.clock(), Verdict: inner.Verdict_VERDICT_DONE}
 	if w.crashed {
 		a.Verdict = inner.Verdict_VERDICT_ABSENT
 		return a
@@ -271,7 +284,9 @@
 	w.endDueRuns()
 }
 
+// listRuns adds the lists of runs to an answer. Only they name the incarnation.
 func (w *Worker) listRuns(a *inner.ServerAnswer, ack uint64) {
+	a.Born = w.Incarnation
 	w.endedRuns = slices.DeleteFunc(w.endedRuns, func(e *inner.EndedRun) bool { return e.GetNumber() <= ack })
 	listed := cmp.Or(w.ListedEnds, defaultListedEnds)
 	a.Ended = slices.Clone(w.endedRuns[:min(len(w.endedRuns), listed)])
