A lease counts as extended by any call that a server may have executed

Cause: the end of a lease is a time on the server's clock, which starts anew. A call for the former incarnation extends the lease of the next one up to the longest lease, for all that runs there, while the leader only knew what the present session had granted (2 s for urgent tasks) and placed them again then.

The first list of a session of a server that had one before, or that was opened soon after an election, now counts as a grant of the longest lease: from that answer on the server refuses older calls, so nothing can extend it further. A run whose start was answered by an incarnation that is not known to be the session's lasts as long when the server falls silent. A server under an id that was never seen pays nothing.

--- a/internal/control/dispatch/closing.go
+++ b/internal/control/dispatch/closing.go
@@ -49,11 +49,27 @@
 		d.sendHold(s)
 	}
 	if now > s.leaseEndsAt && len(s.runs) > 0 && now-s.heardAt() > d.leaseLength(s) {
-		d.logGone(s, proofLeaseExpired)
-		d.recordLostRuns(s, proofLeaseExpired)
+		d.recordExpiredRuns(s, now)
 	}
 }
 
+// recordExpiredRuns records the ends of the runs on a server whose lease has expired. Runs that
+// another incarnation may have started may go on longer.
+func (d *Dispatcher) recordExpiredRuns(s *session, now time.Duration) {
+	var expired []*run
+	for _, r := range s.runs {
+		if now > d.runEndsBy(s, r) {
+			expired = append(expired, r)
+		}
+	}
+	if len(expired) < len(s.runs) {
+		d.recordSparedRuns(s, expired, proofLeaseExpired)
+		return
+	}
+	d.logGone(s, proofLeaseExpired)
+	d.recordLostRuns(s, proofLeaseExpired)
+}
+
 // logGone logs and counts a server whose runs have ended.
 func (d *Dispatcher) logGone(s *session, proof endProof) {
 	event.Log(d.Log, event.ServerGone, "server", s.id, "born", s.incarnation, "machine", s.machine, "proof", string(proof), "heard", (d.Now() - s.heardAt()).String(), "held", len(s.runs))
--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -214,7 +214,7 @@
 		term: term, electedAt: electedAt, ctx: ctx, cancel: cancel, callPool: newCallPool(ctx), planNeeded: true,
 		// Until latencies are measured, orders use the timeout of holds.
 		usualLatency: minHoldTimeout / latencyTimeoutFactor,
-		sessions:     map[string]*session{}, pendingStops: map[*run]*session{},
+		sessions:     map[string]*session{}, sessionsClosedAt: map[string]time.Duration{}, pendingStops: map[*run]*session{},
 		adviceByStep: map[flow.StepID]*stepAdvice{}, permitShares: map[string]float64{},
 		urgentDemand: map[string]*startDemand{}, urgentServers: map[string]*shortlease.Selection{}, recurringFlows: map[string]bool{},
 		rateBuckets: map[string]*rateBucket{}, surplusFlows: map[string]bool{},
@@ -223,12 +223,14 @@
 	}
 	d.loadMachineSpeeds()
 	ledger := d.Host.Flows()
+	d.leader.hasPredecessor = len(ledger.Servers()) > 0
 	for _, b := range ledger.Servers() {
 		if b.Ended {
+			d.leader.sessionsClosedAt[b.ID] = d.Now()
 			continue
 		}
 		d.Host.YieldProcessor()
-		s := d.openSession(b)
+		s := d.openSession(b, true)
 		// The previous leader may have renewed leases until its last proof of leadership
 		// expired. That proof expires at most maxLeadershipProofAge from now.
 		s.leaseEndsAt = d.Now() + maxLeadershipProofAge + d.MaxLease + leaseMargin
--- a/internal/control/dispatch/incarnation.go
+++ b/internal/control/dispatch/incarnation.go
@@ -11,12 +11,13 @@
 
 // A server may start again under its id and address. The new incarnation has seen no fencing token
 // and executes calls that were sent to the previous one, also late ones. Its answers to orders do
-// not name it. Two things bound what such calls may do:
+// not name it. Three things bound what such calls may do:
 //
 //   - Each session has its own fencing token, and gets a higher one when a hold fails and when it
 //     is closed. Once an incarnation has answered a call with it, calls sent before are refused.
 //   - The previous session is closed when a list of the new incarnation, made after that, shows
 //     which of its runs are there.
+//   - Until then such a call may have extended the lease of the new incarnation to the longest one.
 
 const (
 	// fenceBits is the number of low bits of a fencing token that distinguish the sessions of one
@@ -92,6 +93,14 @@
 	return r.unprovenStartAt > 0 && r.unprovenStartAt >= s.listMadeAfter
 }
 
+// runEndsBy returns the time by which a run on an unresponsive server has ended.
+func (d *Dispatcher) runEndsBy(s *session, r *run) time.Duration {
+	if s.isUnproven(r) {
+		return max(s.leaseEndsAt, r.unprovenStartAt+d.longestLease())
+	}
+	return s.leaseEndsAt
+}
+
 // mayReachNext reports whether a run of a session that is being closed may be executed by the next
 // incarnation. One start without an answer is enough: that the run was listed shows only that one of
 // them was executed.
@@ -169,6 +178,15 @@
 	}
 }
 
+// mayHaveFormer reports whether calls sent to an earlier incarnation of a server that is not in the
+// ledger may still be executed. A new leader does not know what its predecessor sent.
+func (d *Dispatcher) mayHaveFormer(id string) bool {
+	if closedAt, ok := d.leader.sessionsClosedAt[id]; ok && d.Now()-closedAt < lateCallTime {
+		return true
+	}
+	return d.leader.hasPredecessor && d.Now()-d.leader.electedAt < lateCallTime
+}
+
 // proofOfLaterReport returns the proof that the report of a later incarnation gives.
 func proofOfLaterReport(s *session, r Report) endProof {
 	if r.GetAddress() != s.address {
--- a/internal/control/dispatch/incarnation_test.go
+++ b/internal/control/dispatch/incarnation_test.go
@@ -6,12 +6,16 @@
 	"time"
 
 	"gypsumreel/internal/api/inner"
+	"gypsumreel/internal/domain/flow"
 	"gypsumreel/internal/fake/worker"
 )
 
 // restartDelay is the time for which a worker in these tests is down between two incarnations.
 const restartDelay = 300 * time.Millisecond
 
+// longUptime is long enough that the clock of a worker tells its incarnation from the next one.
+const longUptime = time.Minute
+
 // restart ends a worker silently and starts its next incarnation under the same id and address.
 func (w *testCluster) restart(id string) *worker.Worker {
 	w.mu.Lock()
@@ -22,6 +26,11 @@
 	return w.startWorker(id, former.Incarnation+1)
 }
 
+// endAfter returns the outcome of runs that are done after a time.
+func endAfter(duration time.Duration) func(flow.RunID) (time.Duration, inner.RunEnd) {
+	return func(flow.RunID) (time.Duration, inner.RunEnd) { return duration, inner.RunEnd_RUN_END_DONE }
+}
+
 // delayFirstStart delays the first start that any worker receives.
 func (w *testCluster) delayFirstStart(delay time.Duration) {
 	var isDelayed atomic.Bool
@@ -54,3 +63,76 @@
 		})
 	}
 }
+
+// Guards against placing a task again while its server, which is cut off, may still run it: a call
+// for the previous incarnation has extended the lease beyond what this session granted.
+func TestLeaseExtendedByACallForTheFormerIncarnation(t *testing.T) {
+	runWithCluster(t, 1, func(t *testing.T, w *testCluster) {
+		w.putUrgentQueue()
+		var held atomic.Pointer[inner.ServerCall]
+		w.changeWorkers(func(_ string, backend *worker.Worker) {
+			backend.Fault = func(c *inner.ServerCall) worker.Fault {
+				if c.GetHold() != nil && c.GetUntil() > 0 {
+					held.Store(c)
+				}
+				return worker.Fault{}
+			}
+		})
+		time.Sleep(longUptime)
+		w.submitLong("a", 10*time.Second)
+		time.Sleep(3 * time.Second)
+		w.restart("s1").Call(t.Context(), held.Load())
+		w.reportUntilAccepted("s1", 2)
+		time.Sleep(500 * time.Millisecond)
+		busy := w.busyWorkers()
+		if len(busy) != 1 {
+			t.Fatalf("%d busy workers, want one", len(busy))
+		}
+		w.addWorker("s2", 1)
+		stop := w.refuseCalls(busy)
+		w.awaitState("a", stateDone, 30*time.Second)
+		stop()
+	})
+}
+
+// Guards against placing a task again while another incarnation of its server than the known one
+// may run it. Its lease is longer than the start was to grant, since its clock has started anew.
+func TestStartExecutedByAnUnknownIncarnationThatIsCutOff(t *testing.T) {
+	for name, uptime := range map[string]time.Duration{"clock tells": longUptime, "clock does not tell": 0} {
+		t.Run(name, func(t *testing.T) {
+			runWithCluster(t, 2, func(t *testing.T, w *testCluster) {
+				w.putUrgentQueue()
+				w.runOutcome = endAfter(10 * time.Second)
+				time.Sleep(uptime)
+				formers := []*worker.Worker{w.replaceWorker("s1"), w.replaceWorker("s2")}
+				w.submit("a", newStep(1, 1000))
+				time.Sleep(20 * time.Millisecond)
+				busy := w.busyWorkers()
+				if len(busy) != 1 {
+					t.Fatalf("%d busy workers, want one", len(busy))
+				}
+				for _, former := range formers {
+					former.Crash()
+				}
+				stop := w.refuseCalls(busy)
+				for _, id := range []string{"s1", "s2"} {
+					if busy[id] == nil {
+						w.reportUntilAccepted(id, 2)
+					}
+				}
+				w.awaitState("a", stateDone, 40*time.Second)
+				stop()
+			})
+		})
+	}
+}
+
+// replaceWorker starts the next incarnation of a worker and returns the former one. Calls that the
+// former one has received go on there.
+func (w *testCluster) replaceWorker(id string) (former *worker.Worker) {
+	w.mu.Lock()
+	former = w.workers[id]
+	w.mu.Unlock()
+	w.startWorker(id, former.Incarnation+1)
+	return former
+}
--- a/internal/control/dispatch/lead.go
+++ b/internal/control/dispatch/lead.go
@@ -19,6 +19,10 @@
 	callPool  *callPool
 
 	sessions map[string]*session
+	// sessionsClosedAt holds when the latest session of a server was closed, by id. hasPredecessor
+	// reports whether an earlier leader had servers.
+	sessionsClosedAt map[string]time.Duration
+	hasPredecessor   bool
 	// fences is the number of fencing tokens given in this term.
 	fences uint64
 	// sortedSessions holds the sessions ordered by server id. Each plan iterates over all
--- a/internal/control/dispatch/server.go
+++ b/internal/control/dispatch/server.go
@@ -147,7 +147,7 @@
 	}
 	current, _ := ledger.Server(r.GetId())
 	if s := d.leader.sessions[r.GetId()]; s == nil {
-		d.openSession(current)
+		d.openSession(current, known || d.mayHaveFormer(r.GetId()))
 		d.sendFirstHolds()
 		event.Log(d.Log, event.ServerAnnounced, "server", r.GetId(), "born", r.GetBorn(), "pool", r.GetPool(), "address", r.GetAddress(), "cpu", current.Capacity.CPU, "memory", current.Capacity.Memory)
 	} else {
--- a/internal/control/dispatch/session.go
+++ b/internal/control/dispatch/session.go
@@ -57,8 +57,10 @@
 	// firstClock is the first known value of the server's clock. The clock of another incarnation
 	// starts below it.
 	firstClock int64
-	// leaseEndsAt is when the leases of all runs on the server have expired.
+	// leaseEndsAt is when the leases of all runs on the server have expired. hasFormer reports
+	// whether calls to an earlier incarnation may have extended them.
 	leaseEndsAt time.Duration
+	hasFormer   bool
 	// lastAnswerAt is when the server last answered a hold. listMadeAfter is a time before the
 	// server made its latest run list.
 	lastAnswerAt  time.Duration
@@ -360,6 +362,10 @@
 	s.lastAnswerAt, s.listMadeAfter, s.unresponsive, s.failedHolds = receivedAt, sentAt, false, 0
 	isUsableAgain := !s.listReceived
 	s.listReceived = true
+	if s.hasFormer {
+		// From now on the incarnation refuses the calls of earlier sessions.
+		s.hasFormer, s.leaseEndsAt = false, max(s.leaseEndsAt, receivedAt+d.longestLease())
+	}
 	if s.exitNoticeAt > 0 && sentAt > s.exitNoticeAt {
 		s.exitNoticeAt, isUsableAgain = 0, true
 	}
--- a/internal/control/dispatch/sessions.go
+++ b/internal/control/dispatch/sessions.go
@@ -10,10 +10,11 @@
 	"gypsumreel/internal/policy/recovery"
 )
 
-// openSession creates the session of a server from its state in the ledger.
-func (d *Dispatcher) openSession(b *flows.Server) *session {
+// openSession creates the session of a server from its state in the ledger. hasFormer reports whether
+// the server, or an earlier incarnation of it, had a session before.
+func (d *Dispatcher) openSession(b *flows.Server, hasFormer bool) *session {
 	s := &session{
-		id: b.ID, zone: b.Zone, machine: b.Machine, incarnation: b.StartedAtMs, address: b.Address, fence: d.leader.nextFence(), lastEndCommitted: b.EndCursor, lastEndReceived: b.EndCursor,
+		id: b.ID, zone: b.Zone, machine: b.Machine, incarnation: b.StartedAtMs, address: b.Address, fence: d.leader.nextFence(), hasFormer: hasFormer, lastEndCommitted: b.EndCursor, lastEndReceived: b.EndCursor,
 		lastAnswerAt: d.Now(), runs: map[flow.TaskID]*run{}, pacePercent: pace.Full, paceInherited: len(b.HeldRuns) > 0,
 	}
 	for id, allocation := range b.HeldRuns {
@@ -46,6 +47,7 @@
 	d.countLink(s.link, -1)
 	s.link = nil
 	delete(d.leader.sessions, s.id)
+	d.leader.sessionsClosedAt[s.id] = d.Now()
 	if index, ok := slices.BinarySearchFunc(d.leader.sortedSessions, s.id, compareSessionID); ok {
 		d.leader.sortedSessions = slices.Delete(d.leader.sortedSessions, index, index+1)
 	}
--- a/internal/control/dispatch/sweep.go
+++ b/internal/control/dispatch/sweep.go
@@ -76,6 +76,8 @@
 			delete(d.leader.surplusFlows, id)
 		}
 	}
+	now := d.Now()
+	maps.DeleteFunc(d.leader.sessionsClosedAt, func(_ string, closedAt time.Duration) bool { return now-closedAt >= lateCallTime })
 	d.removeAttemptState()
 }
 
