Each end is acknowledged once, and none while holds fail

Cause: each hold repeated the number of the last acknowledged end. The numbers of the next incarnation start anew, so a hold for the former one made it forget ends that nobody had read, and its list did not show them.

A hold acknowledges only ends that the server was not told of before, and none before the first list or after a failed hold. A holder that repeats a hold acknowledges with the first answered one only.

TestEndInTheNextIncarnationIsRead failed before ("run b.0.0.0#2 was started, want one run for each task", both ways of calling). What remains: a hold that acknowledges ends for the first time and is on its way during the restart.

--- a/internal/control/dispatch/incarnation_test.go
+++ b/internal/control/dispatch/incarnation_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -136,3 +137,34 @@
 	w.startWorker(id, former.Incarnation+1)
 	return former
 }
+
+// Guards against running a task again that is done in the next incarnation of its server: a hold for
+// the previous one must not acknowledge ends that nobody has read.
+func TestEndInTheNextIncarnationIsRead(t *testing.T) {
+	runWithCluster(t, 1, func(t *testing.T, w *testCluster) {
+		w.submitLong("a", 100*time.Millisecond)
+		w.awaitState("a", stateDone, 5*time.Second)
+		time.Sleep(2 * time.Second)
+		var isRestarted atomic.Bool
+		var restart sync.WaitGroup
+		w.changeWorkers(func(id string, backend *worker.Worker) {
+			backend.Fault = func(c *inner.ServerCall) worker.Fault {
+				if c.GetStart() == nil || isRestarted.Swap(true) {
+					return worker.Fault{}
+				}
+				restart.Go(func() {
+					w.runOutcome = endAfter(20 * time.Millisecond)
+					backend.Crash()
+					w.startWorker(id, 2).Call(t.Context(), c)
+					time.Sleep(1500 * time.Millisecond)
+					w.reportUntilAccepted(id, 2)
+				})
+				return worker.Fault{Verdict: inner.Verdict_VERDICT_SILENT}
+			}
+		})
+		w.submit("b", newStep(1, 1000))
+		time.Sleep(time.Second)
+		restart.Wait()
+		w.checkNoneRanAgain("b")
+	})
+}
--- a/internal/control/dispatch/session.go
+++ b/internal/control/dispatch/session.go
@@ -75,9 +75,11 @@
 	// listReceived reports whether the server has sent a run list in this term.
 	listReceived bool
 	// lastEndReceived is the number of the latest run end received in a list, lastEndCommitted
-	// the number of the latest one that is committed.
-	lastEndReceived  uint64
-	lastEndCommitted uint64
+	// the number of the latest one that is committed, and lastEndAcknowledged of the latest one that
+	// the server was told to forget.
+	lastEndReceived     uint64
+	lastEndCommitted    uint64
+	lastEndAcknowledged uint64
 	// unresponsive reports whether the latest hold failed. unresponsiveSince is when the
 	// first of the consecutive failures occurred.
 	unresponsive      bool
@@ -260,7 +262,8 @@
 	if !s.listReceived || s.serverClock == 0 || s.unresponsive || s.exitNoticeAt > 0 || s.expectsListChange() {
 		wait = 0
 	}
-	c := &inner.ServerCall{What: &inner.ServerCall_Hold{Hold: &inner.HoldRuns{Ack: s.lastEndCommitted, Wait: uint64(wait / time.Millisecond)}}}
+	ack := s.endToAcknowledge()
+	c := &inner.ServerCall{What: &inner.ServerCall_Hold{Hold: &inner.HoldRuns{Ack: ack, Wait: uint64(wait / time.Millisecond)}}}
 	// An unresponsive server may still receive calls. If each attempt renewed its lease,
 	// its tasks could never be placed on another server.
 	d.callServer(s, c, wait, s.failedHolds, !s.unresponsive, func(a *inner.ServerAnswer, sentAt, receivedAt time.Duration) {
@@ -270,10 +273,23 @@
 		if d.leader.sessions[s.id] != s || s.endProof != "" {
 			return
 		}
+		if s.answererOf(a, sentAt, receivedAt) == sameIncarnation {
+			s.lastEndAcknowledged = max(s.lastEndAcknowledged, ack)
+		}
 		d.handleHoldAnswer(s, a, sentAt, receivedAt)
 	})
 }
 
+// endToAcknowledge returns the number up to which the next hold acknowledges ends; 0 for none. The
+// numbers of another incarnation start anew, and it would forget ends that nobody has read. So each
+// end is acknowledged once, and none while it is not known whether the incarnation goes on.
+func (s *session) endToAcknowledge() uint64 {
+	if !s.listReceived || s.unresponsive || s.lastEndCommitted <= s.lastEndAcknowledged {
+		return 0
+	}
+	return s.lastEndCommitted
+}
+
 // holdWait returns the longest time for which a server may delay its answer to a hold.
 func (d *Dispatcher) holdWait(s *session) time.Duration {
 	wait := maxLongPoll
--- a/internal/edge/holder/link.go
+++ b/internal/edge/holder/link.go
@@ -45,6 +45,9 @@
 	until   int64
 	wait    uint64
 	flushed bool
+	// acknowledged reports whether a hold has acknowledged the ends that the leader named. The
+	// numbers of another incarnation of the server start anew, so it is done once.
+	acknowledged bool
 	// answerTime is the time that the server may take for an answer in addition to wait.
 	answerTime time.Duration
 }
@@ -168,9 +171,13 @@
 	if w.flushed {
 		wait = 0
 	}
+	ack := w.call.GetHold().GetAck()
+	if w.acknowledged {
+		ack = 0
+	}
 	c := &inner.ServerCall{
 		Cell: w.call.GetCell(), Server: w.call.GetServer(), Address: w.call.GetAddress(), Fence: w.call.GetFence(), Until: w.until,
-		What: &inner.ServerCall_Hold{Hold: &inner.HoldRuns{Ack: w.call.GetHold().GetAck(), Wait: wait}},
+		What: &inner.ServerCall_Hold{Hold: &inner.HoldRuns{Ack: ack, Wait: wait}},
 	}
 	return c, time.Duration(wait)*time.Millisecond + w.answerTime
 }
@@ -180,6 +187,7 @@
 func (l *link) endWatch(w *watch, ends bool, r *inner.HolderResult) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	w.acknowledged = w.acknowledged || r.GetAnswer().GetVerdict() == inner.Verdict_VERDICT_DONE
 	if !ends && !w.flushed {
 		return false
 	}
