Times in milliseconds from outside do not wrap around

Milliseconds were multiplied to nanoseconds, which overflows from the year 2262 on, so the time was in the past.

Package millis converts such numbers and stops at the end of the range; all conversions of values from reports, jobs, waves, configurations and adviser's answers in the core use it.

--- a/internal/control/dispatch/admission.go
+++ b/internal/control/dispatch/admission.go
@@ -10,6 +10,7 @@
 	"gypsumreel/internal/base/code"
 	"gypsumreel/internal/base/event"
 	"gypsumreel/internal/base/meter"
+	"gypsumreel/internal/base/millis"
 	"gypsumreel/internal/domain/flow"
 	"gypsumreel/internal/policy/admission"
 	"gypsumreel/internal/policy/forecast"
@@ -101,7 +102,7 @@
 	if a.GetBegunTerm() != d.leader.term {
 		return 0
 	}
-	return time.Duration(a.GetBegun()) * time.Millisecond
+	return millis.Duration(a.GetBegun())
 }
 
 // canBeLate reports whether the end of the flow has an objective that counts from now.
@@ -145,7 +146,7 @@
 		if w.TaskCPU == 0 || cpu < w.TaskCPU {
 			w.TaskCPU = cpu
 		}
-		w.Runtime = max(w.Runtime, time.Duration(s.GetRuntime())*time.Millisecond)
+		w.Runtime = max(w.Runtime, millis.Duration(s.GetRuntime()))
 	}
 	if w.TaskCPU > 0 {
 		w.Tasks = (total + w.TaskCPU - 1) / w.TaskCPU
--- a/internal/control/dispatch/dispatch_test.go
+++ b/internal/control/dispatch/dispatch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -1019,3 +1020,23 @@
 		time.Sleep(3 * time.Second)
 	})
 }
+
+// Guards against a recurring flow that starts at once because its time is beyond what clocks count.
+func TestFlowThatIsDueBeyondAllClocksDoesNotStart(t *testing.T) {
+	runWithCluster(t, 1, func(t *testing.T, w *testCluster) {
+		for id, spec := range map[string]*v1.FlowSpec{
+			"year 9999": {Times: 3, First: 253402300799000, Every: 60000},
+			"largest":   {Times: 3, First: math.MaxInt64, Every: math.MaxUint64},
+		} {
+			spec.Id, spec.Steps = id, []*v1.FlowStep{newStep(1, 100)}
+			a := &inner.FlowAsk{Verb: inner.FlowVerb_FLOW_VERB_SUBMIT, Host: "host", Path: "/q/" + id, Key: keyHash[:], Spec: spec}
+			if answer := w.dispatcher.Ask(t.Context(), a); answer.GetCode() != 0 {
+				t.Fatalf("submit of flow %s returned %v", id, answer)
+			}
+		}
+		time.Sleep(3 * time.Second)
+		if starts := w.runStarts(); len(starts) > 0 {
+			t.Errorf("runs started: %v, want none", starts)
+		}
+	})
+}
--- a/internal/control/dispatch/learn.go
+++ b/internal/control/dispatch/learn.go
@@ -5,6 +5,7 @@
 
 	"gypsumreel/internal/api/inner"
 	"gypsumreel/internal/base/event"
+	"gypsumreel/internal/base/millis"
 	"gypsumreel/internal/ledger/flows"
 	"gypsumreel/internal/policy/pace"
 	"gypsumreel/internal/policy/watchdog"
@@ -74,7 +75,7 @@
 // typicalRuntime returns the expected runtime of a run on a healthy server: the declared
 // runtime, corrected by the average ratio of actual to declared runtimes.
 func (d *Dispatcher) typicalRuntime(s *flows.Step) time.Duration {
-	declared := time.Duration(s.Spec.GetRuntime()) * time.Millisecond
+	declared := millis.Duration(s.Spec.GetRuntime())
 	return time.Duration(float64(declared) * max(d.leader.runtimeRatio, 1))
 }
 
--- a/internal/control/dispatch/plan.go
+++ b/internal/control/dispatch/plan.go
@@ -6,6 +6,7 @@
 	"gypsumreel/internal/api/record"
 	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/base/event"
+	"gypsumreel/internal/base/millis"
 	"gypsumreel/internal/domain/capacity"
 	"gypsumreel/internal/domain/flow"
 	"gypsumreel/internal/ledger/flows"
@@ -203,7 +204,7 @@
 // ledger's clock.
 func startOfTurn(s *flows.Step) time.Duration {
 	if s.Flow.Spec.GetTimes() > 0 {
-		return time.Duration(s.Flow.Spec.GetFirst()+int64(s.Turn)*int64(s.Flow.Spec.GetEvery())) * time.Millisecond
+		return millis.At(s.Flow.Spec.GetFirst(), s.Turn, s.Flow.Spec.GetEvery())
 	}
 	return s.Flow.AcceptedAt
 }
--- a/internal/control/dispatch/server.go
+++ b/internal/control/dispatch/server.go
@@ -8,6 +8,7 @@
 	"gypsumreel/internal/api/record"
 	"gypsumreel/internal/base/code"
 	"gypsumreel/internal/base/event"
+	"gypsumreel/internal/base/millis"
 	"gypsumreel/internal/domain/capacity"
 	"gypsumreel/internal/ledger/flows"
 	"gypsumreel/internal/policy/ranges"
@@ -166,7 +167,7 @@
 // extendsSlowStart reports whether the server announces a longer slow start than the ledger
 // has.
 func (d *Dispatcher) extendsSlowStart(b *flows.Server, r *record.FlowServer) bool {
-	return d.Host.LedgerTime()+time.Duration(r.GetCold())*time.Millisecond > max(b.SlowStartEndsAt, d.Host.LedgerTime())+slowStartMargin
+	return d.Host.LedgerTime()+millis.Duration(r.GetCold()) > max(b.SlowStartEndsAt, d.Host.LedgerTime())+slowStartMargin
 }
 
 // isUnchanged reports whether the report equals the server's state in the ledger.
--- a/internal/control/dispatch/session.go
+++ b/internal/control/dispatch/session.go
@@ -7,6 +7,7 @@
 	"gypsumreel/internal/api/inner"
 	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/base/event"
+	"gypsumreel/internal/base/millis"
 	"gypsumreel/internal/control/holders"
 	"gypsumreel/internal/domain/capacity"
 	"gypsumreel/internal/domain/flow"
@@ -146,7 +147,7 @@
 		s.observeClock(r.Clock, receivedAt)
 	}
 	if r.GetLeaving() {
-		s.exitsAt = receivedAt + time.Duration(r.Remaining)*time.Millisecond
+		s.exitsAt = receivedAt + millis.Duration(r.Remaining)
 	}
 }
 
--- a/internal/control/dispatch/speeds.go
+++ b/internal/control/dispatch/speeds.go
@@ -10,6 +10,7 @@
 	"gypsumreel/internal/api/record"
 	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/base/event"
+	"gypsumreel/internal/base/millis"
 	"gypsumreel/internal/domain/flow"
 	"gypsumreel/internal/ledger/flows"
 	"gypsumreel/internal/policy/speed"
@@ -63,7 +64,7 @@
 	}
 	return &measurement{
 		Run:      speed.Run{Machine: b.SpeedKey(), Kind: kindOf(step), Step: r.StepID, Tasks: len(step.Tasks)},
-		declared: time.Duration(step.Spec.GetRuntime()) * time.Millisecond,
+		declared: millis.Duration(step.Spec.GetRuntime()),
 	}
 }
 
@@ -221,7 +222,7 @@
 	if !d.isUneven(item.Pool) || item.Spec.GetLasting() || item.Spec.GetRuntime() == 0 {
 		return
 	}
-	declared := time.Duration(item.Spec.GetRuntime()) * time.Millisecond
+	declared := millis.Duration(item.Spec.GetRuntime())
 	item.Demand = speed.Step{Runtime: declared, Budget: item.Slack + declared, Gang: item.Spec.GetGang() && item.Spec.GetCount() > 1}
 }
 
--- a/internal/control/dispatch/sweep.go
+++ b/internal/control/dispatch/sweep.go
@@ -6,6 +6,7 @@
 
 	"gypsumreel/internal/api/record"
 	"gypsumreel/internal/base/event"
+	"gypsumreel/internal/base/millis"
 	"gypsumreel/internal/domain/flow"
 	"gypsumreel/internal/policy/steps"
 )
@@ -90,7 +91,7 @@
 			delete(d.leader.recurringFlows, id)
 			continue
 		}
-		due := time.Duration(f.Spec.GetFirst()+int64(f.NextTurn)*int64(f.Spec.GetEvery())) * time.Millisecond
+		due := millis.At(f.Spec.GetFirst(), f.NextTurn, f.Spec.GetEvery())
 		if due <= d.Host.LedgerTime() {
 			event.Log(d.Log, event.TurnBegun, "flow", id, "turn", f.NextTurn, "late", (d.Host.LedgerTime() - due).String())
 			d.applyOrLog(&record.Flow{What: &record.Flow_Due{Due: &record.FlowDue{Id: id}}})
--- a/internal/ledger/flows/run.go
+++ b/internal/ledger/flows/run.go
@@ -7,6 +7,7 @@
 	"gypsumreel/internal/api/record"
 	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/base/millis"
 	"gypsumreel/internal/domain/capacity"
 	"gypsumreel/internal/domain/flow"
 	"gypsumreel/internal/ledger/chart"
@@ -22,7 +23,7 @@
 	}
 	b := &Server{
 		ID: m.GetId(), StartedAtMs: m.GetBorn(), Address: m.GetAddress(), Zone: m.GetZone(), Pool: m.GetPool(), Machine: m.GetMachine(),
-		Capacity: sizeFromMessage(m.GetCapacity()), Labels: m.GetLabels(), ShuttingDown: m.GetLeaving(), LastReport: m.GetCall(), SlowStartEndsAt: now + time.Duration(m.GetCold())*time.Millisecond, HeldRuns: map[flow.TaskID]*HeldRun{},
+		Capacity: sizeFromMessage(m.GetCapacity()), Labels: m.GetLabels(), ShuttingDown: m.GetLeaving(), LastReport: m.GetCall(), SlowStartEndsAt: now + millis.Duration(m.GetCold()), HeldRuns: map[flow.TaskID]*HeldRun{},
 	}
 	if known && m.GetBorn() == old.StartedAtMs {
 		if old.Ended {
--- a/internal/ledger/flows/wave.go
+++ b/internal/ledger/flows/wave.go
@@ -7,6 +7,7 @@
 
 	"gypsumreel/internal/api/record"
 	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/base/millis"
 )
 
 // Wave is a set of machines that go through maintenance together.
@@ -73,7 +74,7 @@
 	if m.GetCap() == 0 || len(m.GetMachines()) == 0 {
 		return code.New(code.Malformed, "wave %d has no machines, or a limit of 0 machines down", m.GetNumber())
 	}
-	w := &Wave{Number: m.GetNumber(), MaxDown: int(m.GetCap()), Duration: time.Duration(m.GetDuration()) * time.Millisecond, RequestedAt: now}
+	w := &Wave{Number: m.GetNumber(), MaxDown: int(m.GetCap()), Duration: millis.Duration(m.GetDuration()), RequestedAt: now}
 	for _, name := range m.GetMachines() {
 		w.Machines = append(w.Machines, &Machine{Name: name})
 	}
@@ -135,7 +136,7 @@
 func restoreWave(r *record.WaveRecord) *Wave {
 	w := &Wave{
 		Number: r.GetWave().GetNumber(), MaxDown: int(r.GetWave().GetCap()),
-		Duration: time.Duration(r.GetWave().GetDuration()) * time.Millisecond, RequestedAt: time.Duration(r.GetBegan()),
+		Duration: millis.Duration(r.GetWave().GetDuration()), RequestedAt: time.Duration(r.GetBegan()),
 	}
 	for _, m := range r.GetMachines() {
 		w.Machines = append(w.Machines, &Machine{Name: m.GetMachine(), MaintenanceStarted: m.GetBegun(), MaintenanceDone: m.GetDone(), ServerStartedAtMs: m.GetBorn()})
--- a/internal/policy/simulator/plan.go
+++ b/internal/policy/simulator/plan.go
@@ -12,6 +12,7 @@
 
 	"gypsumreel/internal/api/record"
 	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/base/millis"
 	"gypsumreel/internal/domain/capacity"
 	"gypsumreel/internal/domain/flow"
 	"gypsumreel/internal/ledger/flows"
@@ -72,7 +73,7 @@
 		timing = steps.TimingOf(s, queue)
 		m.timings[s.StepID] = timing
 	}
-	runtime := time.Duration(float64(s.Spec.GetRuntime()) * max(m.runtimeRatio, 1) * float64(time.Millisecond))
+	runtime := millis.Scale(float64(s.Spec.GetRuntime()) * max(m.runtimeRatio, 1))
 	item := steps.Item{
 		Step: s, Pool: pool, Priority: queue.GetPriority(), Urgent: queue.GetPriority() == 0, ExpectedRuntime: runtime,
 		QuestionSize: m.questionSize(queue.GetAdvice(), runtime), NeedsPermit: true, AdviserAsked: m.advice[s.StepID] != nil,
@@ -154,7 +155,7 @@
 func (m *Simulation) releases(id string) []steps.Release {
 	var out []steps.Release
 	for _, r := range m.servers[id].runs {
-		runtime := time.Duration(float64(r.step.Spec.GetRuntime()) * m.runtimeRatio * float64(time.Millisecond))
+		runtime := millis.Scale(float64(r.step.Spec.GetRuntime()) * m.runtimeRatio)
 		out = append(out, steps.Release{After: max(r.startedAt+runtime-m.now, 0), Size: flow.TaskSize(r.step.Spec)})
 	}
 	slices.SortFunc(out, func(a, b steps.Release) int {
--- a/internal/policy/steps/deadline.go
+++ b/internal/policy/steps/deadline.go
@@ -4,6 +4,7 @@
 	"time"
 
 	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/base/millis"
 	"gypsumreel/internal/ledger/flows"
 )
 
@@ -53,7 +54,7 @@
 	total := float64(criticalPath(spec, nil))
 	return Timing{
 		Objective: objective(q, total), TolerantObjective: objective(q, runtimeTolerance*total),
-		Remaining: time.Duration(criticalPath(spec, turn)) * time.Millisecond,
+		Remaining: millis.Duration(criticalPath(spec, turn)),
 	}
 }
 
@@ -71,7 +72,7 @@
 // objective returns the time within which a flow should end whose critical path has the given
 // run time in milliseconds.
 func objective(q *v1.Queue, runtime float64) time.Duration {
-	return time.Duration((q.GetFactor()*runtime + float64(q.GetTarget())) * float64(time.Millisecond))
+	return millis.Scale(q.GetFactor()*runtime + float64(q.GetTarget()))
 }
 
 // criticalPath returns the declared run time in milliseconds of the longest chain of dependent
--- a/internal/policy/steps/question.go
+++ b/internal/policy/steps/question.go
@@ -4,12 +4,13 @@
 	"time"
 
 	v1 "gypsumreel/internal/api/v1"
+	"gypsumreel/internal/base/millis"
 )
 
 // QuestionDuration returns the expected duration of a question about the given number of
 // servers.
 func QuestionDuration(a *v1.Advice, servers int) time.Duration {
-	return time.Duration((a.GetBase() + a.GetEach()*float64(servers)) * float64(time.Millisecond))
+	return millis.Scale(a.GetBase() + a.GetEach()*float64(servers))
 }
 
 // questionTimeDivisor limits the duration of a question that is larger than necessary to one
