An odd value from outside is refused where it enters and ends no process

A replica that doesn't lead loses the whole batch of reports with it. One odd entry makes a whole list of machines or permits unreadable; a task of 2^63 millicores wraps around in sums and fits anywhere.

Cause: the adapter checked the types of a report and not its values; command.Encode panicked on the control thread, after the command was applied.

An odd report under the id of a sound server changes nothing of it.

--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -168,6 +168,7 @@
 	MachinesRead          = define(840, "machines-read", Info, "the states of the machines of unresponsive servers were read", "None. `ended` counts the servers that have ended by it; see the events 502.")
 	MachinesUnread        = define(841, "machines-unread", Warn, "the states of the machines of unresponsive servers could not be read; it is tried again", "Check the service that owns the machines. Until then the tasks of crashed servers wait for the end of their leases.")
 	NextIncarnationListed = define(842, "next-incarnation-listed", Info, "a server that has restarted under its name listed the runs that starts for its previous incarnation left there", "None. `running` of them are stopped before their tasks are placed again.")
+	CommandRefused        = define(843, "command-refused", Error, "a decision holds a value that cannot be stored; it was refused", "Report the error with the log: such values are to be refused where they arrive.")
 	LinesLost             = define(816, "lines-lost", Warn, "log lines were dropped because the reader is too slow", "Read the logs faster, or log less.")
 )
 
--- a/internal/control/flows/flows.go
+++ b/internal/control/flows/flows.go
@@ -13,6 +13,7 @@
 	"gypsumreel/internal/api/inner"
 	"gypsumreel/internal/api/record"
 	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/base/millis"
 	"gypsumreel/internal/control/dispatch"
 	"gypsumreel/internal/control/leader"
 	"gypsumreel/internal/domain/flow"
@@ -53,7 +54,7 @@
 		return &inner.FlowAnswer{Code: uint32(code.NoLeader), Leader: status.Address}, nil
 	}
 	limit := maxRequestTime
-	if b := time.Duration(a.GetBudget()) * time.Millisecond; b > 0 {
+	if b := millis.Duration(a.GetBudget()); b > 0 {
 		limit = min(limit, b)
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
@@ -89,13 +90,20 @@
 	if err := s.checkCell(batch.GetCell()); err != nil {
 		return nil, err
 	}
-	reports := make([]dispatch.Report, len(batch.GetReports()))
+	codes := make([]uint32, len(batch.GetReports()))
+	var reports []dispatch.Report
+	var positions []int // of the reports in the batch
 	for i, r := range batch.GetReports() {
 		server := &record.FlowServer{}
 		if err := proto.Unmarshal(r.GetServer(), server); err != nil {
-			return nil, twirp.InvalidArgumentError("server", err.Error())
+			codes[i] = uint32(code.Malformed) // the other reports hold
+			continue
 		}
-		reports[i] = dispatch.Report{FlowServer: server, Number: r.GetNumber(), Clock: r.GetClock(), Remaining: max(r.GetRemaining()-int64(r.GetAge()), 0)}
+		positions = append(positions, i)
+		reports = append(reports, dispatch.Report{FlowServer: server, Number: r.GetNumber(), Clock: r.GetClock(), Remaining: max(r.GetRemaining()-int64(r.GetAge()), 0)})
+	}
+	if len(reports) == 0 {
+		return &inner.ReportBatchReply{Codes: codes}, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
@@ -103,15 +111,12 @@
 	if err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
 	}
-	reply := &inner.ReportBatchReply{}
-	for _, result := range results {
-		c := code.OK
+	for i, result := range results {
 		if result != nil {
-			c = result.Code
+			codes[positions[i]] = uint32(result.Code)
 		}
-		reply.Codes = append(reply.Codes, uint32(c))
 	}
-	return reply, nil
+	return &inner.ReportBatchReply{Codes: codes}, nil
 }
 
 // Greet registers a process with the leader. A replica that does not lead returns the
--- a/internal/control/leader/leadership.go
+++ b/internal/control/leader/leadership.go
@@ -236,17 +236,33 @@
 	return time.Duration(l.WallClock().UnixNano())
 }
 
-// applyAndQueue applies a command to the working ledger and queues it for the log.
+// applyAndQueue applies a command to the working ledger and queues it for the log. A command that
+// cannot be encoded is refused and changes nothing.
 func (l *Leader) applyAndQueue(c *record.Command) state.Result {
-	c.At = int64(l.ledgerTime())
+	encoded, refusal := l.encode(c)
+	if refusal != nil {
+		return *refusal
+	}
 	r := l.ledger.Apply(c)
-	l.queueCommand(c)
+	l.queueCommand(encoded)
 	return r
 }
 
+// encode stamps a command with the ledger's time and encodes it. It returns a refusal if that fails:
+// a follower could not read the command either.
+func (l *Leader) encode(c *record.Command) ([]byte, *state.Result) {
+	c.At = int64(l.ledgerTime())
+	encoded, err := command.Encode(c)
+	if err != nil {
+		event.LogError(l.Log, event.CommandRefused, err, "term", l.leadership.term)
+		return nil, &state.Result{Code: code.Malformed, Detail: err.Error()}
+	}
+	return encoded, nil
+}
+
 // queueCommand appends an applied command to the commands to be proposed.
-func (l *Leader) queueCommand(c *record.Command) {
-	l.leadership.pendingCommands = append(l.leadership.pendingCommands, command.Encode(c))
+func (l *Leader) queueCommand(encoded []byte) {
+	l.leadership.pendingCommands = append(l.leadership.pendingCommands, encoded)
 	l.leadership.lastIndex++
 	l.appliedIndex = l.leadership.lastIndex
 }
@@ -255,10 +271,13 @@
 // it only if the ledger accepts it. A refused command changes nothing and need not
 // be logged.
 func (l *Leader) applyIfAccepted(c *record.Command) state.Result {
-	c.At = int64(l.ledgerTime())
+	encoded, refusal := l.encode(c)
+	if refusal != nil {
+		return *refusal
+	}
 	r := l.ledger.Apply(c)
 	if r.Code == code.OK {
-		l.queueCommand(c)
+		l.queueCommand(encoded)
 	}
 	return r
 }
--- a/internal/control/reports/reports.go
+++ b/internal/control/reports/reports.go
@@ -75,7 +75,8 @@
 	if len(batch) == 0 {
 		return
 	}
-	codes := f.send(batch)
+	batch, message := f.encode(batch)
+	codes := f.send(message)
 	for i, waiting := range batch {
 		switch {
 		case i >= len(codes):
@@ -88,27 +89,35 @@
 	}
 }
 
-// send sends a batch and returns the results, or nil if there is no answer.
-func (f *Forwarder) send(batch []*waitingReport) []uint32 {
-	leader := f.Leader()
-	if leader == "" {
-		return nil
-	}
-	message := &inner.ReportBatch{Cell: f.Cell}
+// encode returns the reports of a batch that can be encoded, and their message. The others are
+// answered.
+func (f *Forwarder) encode(batch []*waitingReport) (sound []*waitingReport, message *inner.ReportBatch) {
+	message = &inner.ReportBatch{Cell: f.Cell}
 	for _, waiting := range batch {
-		encoded, err := proto.Marshal(waiting.report.FlowServer)
+		r := waiting.report
+		encoded, err := proto.Marshal(r.FlowServer)
 		if err != nil {
-			return nil
+			waiting.answer <- code.New(code.Malformed, "%v", err)
+			continue
 		}
-		r := waiting.report
+		sound = append(sound, waiting)
 		message.Reports = append(message.Reports, &inner.ServerReport{
 			Server: encoded, Number: r.Number, Clock: r.Clock, Remaining: r.Remaining, Age: uint64(time.Since(waiting.receivedAt) / time.Millisecond),
 		})
 	}
+	return sound, message
+}
+
+// send sends a batch and returns the results, or nil if there is no answer.
+func (f *Forwarder) send(message *inner.ReportBatch) []uint32 {
+	leader := f.Leader()
+	if leader == "" || len(message.GetReports()) == 0 {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
 	defer cancel()
 	reply, err := inner.NewFlowsProtobufClient("http://"+leader, f.HTTPClient).Report(ctx, message)
-	if err != nil || len(reply.GetCodes()) != len(batch) {
+	if err != nil || len(reply.GetCodes()) != len(message.GetReports()) {
 		return nil
 	}
 	return reply.GetCodes()
--- a/internal/domain/capacity/capacity.go
+++ b/internal/domain/capacity/capacity.go
@@ -7,6 +7,10 @@
 // Unlimited marks a field of a limit that is not limited.
 const Unlimited = -1
 
+// MaxAmount is the largest value of a field of a task's size or of a server's capacity. The sums over
+// all tasks and servers of a cell do not overflow.
+const MaxAmount = 1 << 32
+
 // Dimensions is the number of fields of a Size.
 const Dimensions = 4
 
@@ -61,6 +65,11 @@
 	return s.CPU >= 0 && s.Memory >= 0 && s.Accel >= 0 && s.Slots >= 0
 }
 
+// InRange reports whether every field is from 0 to MaxAmount.
+func (s Size) InRange() bool {
+	return s.Valid() && s.Fits(Size{MaxAmount, MaxAmount, MaxAmount, MaxAmount})
+}
+
 // IsZero reports whether every field is zero.
 func (s Size) IsZero() bool { return s == Size{} }
 
--- a/internal/domain/flow/document.go
+++ b/internal/domain/flow/document.go
@@ -54,6 +54,9 @@
 		}
 		names[c.GetName()] = true
 		for _, k := range c.GetKeys() {
+			if len(k) != sha256.Size {
+				return code.New(code.Malformed, "customer %s has a key digest of %d bytes", c.GetName(), len(k))
+			}
 			digest := [sha256.Size]byte(k)
 			if owner, ok := ownerByDigest[digest]; ok && owner != c.GetName() {
 				return code.New(code.Malformed, "customers %s and %s share a key", owner, c.GetName())
--- a/internal/ledger/command/command.go
+++ b/internal/ledger/command/command.go
@@ -17,15 +17,11 @@
 // deterministicMarshal encodes the same message to the same bytes on every replica.
 var deterministicMarshal = proto.MarshalOptions{Deterministic: true}
 
-// Encode returns the bytes of a message. Equal messages give equal bytes.
-func Encode(m proto.Message) []byte {
+// Encode returns the bytes of a message. Equal messages give equal bytes. It fails if a string of
+// the message is not valid UTF-8.
+func Encode(m proto.Message) ([]byte, error) {
 	b, err := deterministicMarshal.Marshal(m)
-	if err != nil {
-		// Marshal fails only on invalid UTF-8, which the servers refuse when a request
-		// arrives.
-		panic(errors.Wrap(err, "encode"))
-	}
-	return b
+	return b, errors.Wrap(err, "encode")
 }
 
 // Decode decodes a command from a log entry.
--- a/internal/ledger/state/bench_test.go
+++ b/internal/ledger/state/bench_test.go
@@ -16,9 +16,13 @@
 	const changes = 100_000
 	var log [][]byte
 	appendChange := func(base uint64, edits ...*v1.Edit) {
-		log = append(log, command.Encode(&record.Command{At: int64(base), What: &record.Command_Change{Change: &record.Change{
+		encoded, err := command.Encode(&record.Command{At: int64(base), What: &record.Command_Change{Change: &record.Change{
 			By: "op", Request: &v1.ChangeRequest{Id: fmt.Sprint(base), Change: &v1.ChangeRequest_Table{Table: &v1.TableChange{Base: base, Edits: edits}}},
-		}}}))
+		}}})
+		if err != nil {
+			b.Fatal(err)
+		}
+		log = append(log, encoded)
 	}
 	limit := &v1.Size{Cpu: -1, Memory: -1, Accel: -1, Slots: -1}
 	var rows []*v1.Edit
--- a/internal/ledger/state/state_test.go
+++ b/internal/ledger/state/state_test.go
@@ -42,7 +42,11 @@
 	c.At = pair.now
 	pair.sent = append(pair.sent, c)
 	// The second replica decodes the command from its bytes, as from the log.
-	d, err := command.Decode(command.Encode(c))
+	encoded, err := command.Encode(c)
+	if err != nil {
+		panic(err)
+	}
+	d, err := command.Decode(encoded)
 	if err != nil {
 		panic(err)
 	}
--- a/internal/ledger/state/store.go
+++ b/internal/ledger/state/store.go
@@ -19,8 +19,15 @@
 // the derived counts and the digest. The digest is the exclusive or of the hashes of
 // all records, so a change of one record costs one hash.
 
-// hashMessage returns the hash of a message.
-func hashMessage(m proto.Message) uint64 { return xxhash.Sum64(command.Encode(m)) }
+// hashMessage returns the hash of a message whose strings come from a command. A command is applied
+// only after it was encoded or decoded, so they are valid.
+func hashMessage(m proto.Message) uint64 {
+	b, err := command.Encode(m)
+	if err != nil {
+		panic(err)
+	}
+	return xxhash.Sum64(b)
+}
 
 // hashSpec returns the hash that distinguishes a resend of a job from a different job
 // with the same id. It covers the normalized form that snapshots store, so that a field
