A step that fails everywhere says nothing about its servers

Cause: each failed run counted against its server, which then took no work for 0.5 to 8 s and one task a plan after that, until a run ended well. The hopeless tasks failed on each server, were started again without a pause and took the probes.

A failure no longer counts if the step has failed on another server too, has no task done, and more of its tasks have failed than run without a failure; nor if a lasting task fails after two seconds of work. Lasting steps that fail at once are started again after 50 ms to 1 s. A probe that outlasts the failed run ends the probing. Failing servers are found by the first failure of each step as before, and by each failure of a wide step of which most tasks run on.

--- a/internal/control/dispatch/attempt.go
+++ b/internal/control/dispatch/attempt.go
@@ -172,15 +172,17 @@
 	}
 	evidence := attempts.Evidence{Failures: server.ConsecutiveFailures, SinceSuccess: clock - server.ProvenAt, Succeeded: server.ProvenAt > 0}
 	server.Proven, server.SinceSuccess, server.Probing = evidence.Proven(attempts.MaxProofPeriod), evidence.SinceSuccess, evidence.Probing()
-	return !server.Probing || !d.isProbed(s)
+	return !server.Probing || !d.isProbed(s, d.leader.plannedAt)
 }
 
 // isProbed reports whether a run is in progress that was placed on the server after its latest
-// failure and ends by itself. Earlier runs may take long, and their room is not lost meanwhile.
-func (d *Dispatcher) isProbed(s *session) bool {
+// failure, ends by itself and has not outlasted the failed run. Earlier runs may take long, and
+// their room is not lost meanwhile.
+func (d *Dispatcher) isProbed(s *session, now time.Duration) bool {
 	for _, r := range s.runs {
 		step, ok := d.Host.Flows().Step(r.StepID)
-		if lasts := ok && step.Spec.GetLasting(); r.placedAt > s.lastFailureAt && !lasts {
+		lasts := ok && step.Spec.GetLasting()
+		if r.placedAt > s.lastFailureAt && !lasts && now-r.placedAt < attempts.ProbeTime(s.lastFailureTook) {
 			return true
 		}
 	}
--- a/internal/control/dispatch/lead.go
+++ b/internal/control/dispatch/lead.go
@@ -8,6 +8,7 @@
 	"gypsumreel/internal/policy/recovery"
 	"gypsumreel/internal/policy/shortlease"
 	"gypsumreel/internal/policy/steps"
+	"gypsumreel/internal/policy/watchdog"
 )
 
 // leaderState is the state that exists only while this replica leads.
@@ -72,8 +73,10 @@
 	// avoidedServers holds, by step, the servers on which a task of the step failed.
 	avoidedServers map[flow.StepID]map[string]bool
 	attemptWaits   attemptWaits
-	failedPlaces   map[flow.StepID]*failedPlaces
-	rackPositions  rackPositions
+	// restarts holds, by step, the pauses between the runs of lasting tasks that fail at once.
+	restarts      map[flow.StepID]*watchdog.Restarts
+	failedPlaces  map[flow.StepID]*failedPlaces
+	rackPositions rackPositions
 	// pendingRequests holds the requests that wait for a commit or a proof of leadership.
 	// Each function is called if this replica is deposed first.
 	pendingRequests map[uint64]func()
--- a/internal/control/dispatch/learn.go
+++ b/internal/control/dispatch/learn.go
@@ -81,14 +81,19 @@
 
 // judgeRunEnd updates the failure streak of a server from a run's end. A step that failed
 // there is tried on other servers: the cause of the failure is unknown, and a server that
-// fails every run would use up all attempts of the step.
-func (d *Dispatcher) judgeRunEnd(s *session, r *run, end inner.RunEnd, now time.Duration) {
+// fails every run would use up all attempts of the step. A failure that does not count against the
+// server says only that the step fails.
+func (d *Dispatcher) judgeRunEnd(s *session, r *run, end inner.RunEnd, isSuspect bool, now time.Duration) {
 	switch end {
 	case inner.RunEnd_RUN_END_DONE:
 		s.failureStreak.RecordSuccess()
 	case inner.RunEnd_RUN_END_FAILED:
-		s.lastFailureAt = now
+		d.delayRestart(r, now)
 		d.avoidServerForStep(s, r)
+		if !isSuspect {
+			return
+		}
+		s.lastFailureAt, s.lastFailureTook = now, d.Host.LedgerTime()-r.allocation.PlacedAt
 		if pause := s.failureStreak.RecordFailure(r.Flow); pause > 0 {
 			s.avoidUntil = max(s.avoidUntil, now+pause)
 			event.Log(d.Log, event.ServerQuarantined, "server", s.id, "flow", r.Flow, "rest", pause.String())
--- a/internal/control/dispatch/lists.go
+++ b/internal/control/dispatch/lists.go
@@ -70,6 +70,7 @@
 
 // recordEnds records run ends in the ledger and removes the runs from the session.
 func (d *Dispatcher) recordEnds(s *session, ends *record.FlowEnds, now time.Duration) {
+	suspected := d.suspectedBy(s, ends)
 	if !d.applyOrLog(&record.Flow{What: &record.Flow_Ends{Ends: ends}}) {
 		return
 	}
@@ -80,12 +81,33 @@
 			continue
 		}
 		delete(s.runs, id.TaskID)
-		d.handleRunEnd(s, r, end, now)
+		d.handleRunEnd(s, r, end, suspected[r], now)
 	}
 }
 
-// handleRunEnd logs a run's end and updates the statistics of its server.
-func (d *Dispatcher) handleRunEnd(s *session, r *run, end *record.FlowEnd, now time.Duration) {
+// suspectedBy returns the failed runs among run ends that count against the server. It is called
+// before the ends are recorded.
+func (d *Dispatcher) suspectedBy(s *session, ends *record.FlowEnds) map[*run]bool {
+	var suspected map[*run]bool
+	for _, end := range ends.GetEnds() {
+		id := flow.RunIDFromMessage(end.GetRun())
+		r := s.runs[id.TaskID]
+		if end.GetHow() != inner.RunEnd_RUN_END_FAILED || r == nil || r.Number != id.Number {
+			continue
+		}
+		if d.Host.Flows().FailureSuspectsServer(d.Host.LedgerTime(), r.allocation) {
+			if suspected == nil {
+				suspected = map[*run]bool{}
+			}
+			suspected[r] = true
+		}
+	}
+	return suspected
+}
+
+// handleRunEnd logs a run's end and updates the statistics of its server. isSuspect reports whether
+// its failure counts against the server.
+func (d *Dispatcher) handleRunEnd(s *session, r *run, end *record.FlowEnd, isSuspect bool, now time.Duration) {
 	state := "gone"
 	if f, ok := d.Host.Flows().Flow(r.Flow); ok {
 		state = f.State.String()
@@ -96,8 +118,8 @@
 	}
 	d.flowMetrics.countRunEnd(end.GetHow())
 	d.countLastAttemptEnd(r, end.GetHow())
-	event.Log(d.Log, event.RunEnded, "flow", r.Flow, "run", r.String(), "server", s.id, "how", end.GetHow().String(), "took", elapsed, "state", state)
+	event.Log(d.Log, event.RunEnded, "flow", r.Flow, "run", r.String(), "server", s.id, "how", end.GetHow().String(), "suspect", isSuspect, "took", elapsed, "state", state)
 	d.learnSpeed(s, r, end.GetHow(), now)
 	d.observeMachineSpeed(r, end.GetHow(), now)
-	d.judgeRunEnd(s, r, end.GetHow(), now)
+	d.judgeRunEnd(s, r, end.GetHow(), isSuspect, now)
 }
--- a/internal/control/dispatch/plan.go
+++ b/internal/control/dispatch/plan.go
@@ -76,7 +76,7 @@
 	for _, s := range d.Host.Flows().ReadySteps() {
 		entry++
 		d.yieldAt(entry)
-		if aside[s.StepID] {
+		if aside[s.StepID] || !d.mayRestart(s.StepID, now) {
 			continue
 		}
 		if advice := d.leader.adviceByStep[s.StepID]; advice != nil && advice.pendingQuestions > 0 && len(advice.permits) == 0 {
--- a/internal/control/dispatch/session.go
+++ b/internal/control/dispatch/session.go
@@ -98,8 +98,10 @@
 	avoidUntil     time.Duration
 	refusalsInARow int
 	failureStreak  watchdog.FailureStreak
-	// lastFailureAt is when the end of the latest failed run was received, or 0.
-	lastFailureAt time.Duration
+	// lastFailureAt is when the end of the latest failed run that counts against the server was
+	// received, or 0, and lastFailureTook how long that run took.
+	lastFailureAt   time.Duration
+	lastFailureTook time.Duration
 	// relayAddress is the helper through which the server is called, since relayChangedAt;
 	// empty for direct calls.
 	relayAddress   string
--- a/internal/control/dispatch/sweep.go
+++ b/internal/control/dispatch/sweep.go
@@ -79,6 +79,7 @@
 	}
 	now := d.Now()
 	maps.DeleteFunc(d.leader.sessionsClosedAt, func(_ string, closedAt time.Duration) bool { return now-closedAt >= lateCallTime })
+	d.removeRestarts()
 	d.removeAttemptState()
 }
 
--- a/internal/ledger/flows/attempt_test.go
+++ b/internal/ledger/flows/attempt_test.go
@@ -209,3 +209,46 @@
 		t.Error(diff)
 	}
 }
+
+// Guards against servers that are suspected by the tasks of a step that fails wherever it runs, and
+// against failing servers that are not suspected, since tasks of the step failed on others too.
+func TestStepThatFailsEverywhereSuspectsNoServer(t *testing.T) {
+	f := newAttemptFixture(t)
+	f.run("a", 0, "s", runFailed)
+	f.run("a", 0, "t", runFailed)
+	f.checkServer("s", serverEvidence{Failures: 1, Flow: "a"})
+	f.checkServer("t", serverEvidence{})
+	f.run("b", 0, "t", runFailed)
+	f.run("b", 1, "s", runFailed)
+	f.restore()
+	f.checkServer("s", serverEvidence{Failures: 1, Flow: "a"})
+	f.checkServer("t", serverEvidence{Failures: 1, Flow: "b"})
+	f.run("a", 1, "t", runDone)
+	f.run("a", 0, "s", runFailed)
+	if b, _ := f.ledger.Server("s"); b.ConsecutiveFailures != 1 {
+		t.Errorf("server s has %d failures, want those of flow a once", b.ConsecutiveFailures)
+	}
+	f.run("b", 1, "s", runFailed)
+	f.run("b", 0, "t", runFailed)
+	if b, _ := f.ledger.Server("t"); b.ConsecutiveFailures != 0 {
+		t.Errorf("server t has %d failures of a flow that fails everywhere, want none", b.ConsecutiveFailures)
+	}
+}
+
+// Guards against a failing server that is not suspected since a task of the same wide step has failed
+// on another one: most of its tasks run on.
+func TestWideStepSuspectsEachFailingServer(t *testing.T) {
+	f := newAttemptFixture(t)
+	spec := &v1.FlowSpec{Id: "wide", Steps: []*v1.FlowStep{{Count: 8, Size: &v1.Size{Cpu: 1}}}}
+	f.apply(&record.Flow{What: &record.Flow_Accept{Accept: &record.FlowAccept{Queue: "q", Customer: "c", Spec: spec}}})
+	f.startServer("u", 1)
+	for i := range uint32(4) {
+		f.start("wide", i, "u")
+	}
+	onS, onT := f.start("wide", 4, "s"), f.start("wide", 5, "t")
+	f.end(onS, "s", runFailed)
+	f.end(onT, "t", runFailed)
+	for _, id := range []string{"s", "t"} {
+		f.checkServer(id, serverEvidence{Failures: 1, Flow: "wide"})
+	}
+}
--- a/internal/ledger/flows/flows.go
+++ b/internal/ledger/flows/flows.go
@@ -88,8 +88,10 @@
 	// last run counted, so that a run that fails on several members counts once.
 	FailedRuns    uint32
 	LastFailedRun uint32
-	// FailedServers is the sum of the numbers of FailedServers of the tasks.
+	// FailedServers is the sum of the numbers of FailedServers of the tasks, and FailedTasks the
+	// number of tasks that have any.
 	FailedServers int
+	FailedTasks   int
 	// ReadyAt is the time at which the step could begin, on the ledger's clock.
 	ReadyAt time.Duration
 }
--- a/internal/ledger/flows/run.go
+++ b/internal/ledger/flows/run.go
@@ -209,8 +209,9 @@
 	h := b.HeldRuns[id.TaskID]
 	held := h != nil && h.Number == id.Number
 	if held {
+		isSuspect := runEnd == inner.RunEnd_RUN_END_FAILED && l.FailureSuspectsServer(now, h)
 		l.removeHeldRun(b, h)
-		b.countEnd(h, runEnd)
+		b.countEnd(h, runEnd, isSuspect)
 	}
 	l.addToDigest(uint64(id.Index), uint64(id.Number), uint64(runEnd))
 	s, ok := l.Step(id.StepID)
@@ -229,14 +230,24 @@
 		l.finishTask(now, s, id)
 	case t.Phase == Placed && held:
 		if runEnd == inner.RunEnd_RUN_END_FAILED {
-			s.addFailedServer(t, b.ID, l.MaxAttempts(s.Flow))
-			t.FailedAt, t.FailedAfter = h.PlacedAt, now-h.PlacedAt
+			l.recordFailedRun(now, s, h)
 		}
 		l.requeueOrFail(now, s, id, runEnd)
 	}
 	l.updateReadySteps(s)
 }
 
+// recordFailedRun records where and when a run of a task failed.
+func (l *Ledger) recordFailedRun(now time.Duration, s *Step, h *HeldRun) {
+	t := &s.Tasks[h.Index]
+	t.FailedAt, t.FailedAfter = h.PlacedAt, now-h.PlacedAt
+	if s.runsUntilCancelled() && t.FailedAfter >= lastingWorkTime {
+		s.forgetFailedServers(t)
+		return
+	}
+	s.addFailedServer(t, h.Server, l.MaxAttempts(s.Flow))
+}
+
 // saveCheckpoint stores a checkpoint. The checkpoint of any gang member is valid for
 // the whole gang.
 func (l *Ledger) saveCheckpoint(s *Step, index uint32, checkpoint string) {
--- a/internal/ledger/flows/snapshot.go
+++ b/internal/ledger/flows/snapshot.go
@@ -176,6 +176,9 @@
 			FailedServers: taskRecord.GetFailed(), FailedAt: time.Duration(taskRecord.GetTried()), FailedAfter: time.Duration(taskRecord.GetTook()),
 		}
 		s.FailedServers += len(s.Tasks[i].FailedServers)
+		if len(s.Tasks[i].FailedServers) > 0 {
+			s.FailedTasks++
+		}
 		s.adjustPhaseCount(s.Tasks[i].Phase, 1)
 	}
 	return nil
--- a/internal/policy/attempts/attempts.go
+++ b/internal/policy/attempts/attempts.go
@@ -45,6 +45,12 @@
 	return sincePlaced < OutlastTime(lasted, 2*runtime)
 }
 
+// ProbeTime returns for how long a server takes no other task beside the one that probes it, if that
+// one neither ends nor fails. lasted is the time that the latest failed run took.
+func ProbeTime(lasted time.Duration) time.Duration {
+	return min(lasted+minProofPeriod, MaxProofPeriod)
+}
+
 // Evidence is what the ends of runs tell about a server.
 type Evidence struct {
 	// Failures is the number of failures of different flows since the latest success.
--- a/internal/policy/attempts/attempts_test.go
+++ b/internal/policy/attempts/attempts_test.go
@@ -77,3 +77,12 @@
 		}
 	}
 }
+
+// Guards against a server that takes one long task for as long as it runs, after failures of others.
+func TestProbeThatOutlastsTheFailedRunsEndsTheProbing(t *testing.T) {
+	for lasted, want := range map[time.Duration]time.Duration{0: 2 * time.Second, time.Second: 3 * time.Second, time.Hour: 10 * time.Second} {
+		if got := attempts.ProbeTime(lasted); got != want {
+			t.Errorf("after a run of %v: %v, want %v", lasted, got, want)
+		}
+	}
+}
--- a/internal/policy/watchdog/watchdog_test.go
+++ b/internal/policy/watchdog/watchdog_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"gypsumreel/internal/policy/watchdog"
 )
 
@@ -70,3 +72,28 @@
 		t.Errorf("one failure after a success pauses the server for %v", d)
 	}
 }
+
+// Guards against a lasting task that fails at once and is started again without a pause, and against
+// one that worked and waits.
+func TestRestartsOfTasksThatFailAtOnceAreDelayed(t *testing.T) {
+	var r watchdog.Restarts
+	var got []time.Duration
+	now := time.Minute
+	for range 7 {
+		got = append(got, r.RecordFailure(now, time.Millisecond))
+		if r.RecordFailure(now, time.Millisecond) != 0 || r.Allowed(now) {
+			t.Error("a failure during the pause lengthens it, or the pause is none")
+		}
+		now += got[len(got)-1]
+		if !r.Allowed(now) {
+			t.Error("the step may not be started after the pause")
+		}
+	}
+	ms := time.Millisecond
+	if diff := cmp.Diff([]time.Duration{50 * ms, 100 * ms, 200 * ms, 400 * ms, 800 * ms, time.Second, time.Second}, got); diff != "" {
+		t.Error("pauses (-want +got):", diff)
+	}
+	if pause := r.RecordFailure(now, 3*time.Second); pause != 0 || !r.Allowed(now) {
+		t.Errorf("pause of %v after a run that had begun its work", pause)
+	}
+}
