A job is found at its address after its queue has changed

The other way round by the code: a job without a customer is unknown once the queue asks for a key.

Cause: a call was compared with a flow by the customer alone, and a call on an open queue has none.

--- a/internal/control/dispatch/dispatch_test.go
+++ b/internal/control/dispatch/dispatch_test.go
@@ -576,6 +576,59 @@
 	})
 }
 
+// Guards against a job that is unknown to its caller, and runs on after it was cancelled, since its
+// queue was replaced by one that asks for no key, or for one; also when it has ended and after a
+// change of the leader.
+func TestFlowIsFoundAfterItsQueueHasChanged(t *testing.T) {
+	for name, wasOpen := range map[string]bool{"became open": false, "asks for a key": true} {
+		t.Run(name, func(t *testing.T) {
+			runWithCluster(t, 1, func(t *testing.T, w *testCluster) {
+				ask := func(open bool, verb inner.FlowVerb, id string) code.Code {
+					a := &inner.FlowAsk{Verb: verb, Host: "host", Path: "/q/" + id, Spec: &v1.FlowSpec{Id: id, Steps: []*v1.FlowStep{newStep(1, 100)}}}
+					if !open {
+						a.Key = keyHash[:]
+					}
+					return code.Code(w.dispatcher.Ask(t.Context(), a).GetCode())
+				}
+				put := func(version uint64, open bool) {
+					doc := testDocument()
+					doc.Version, doc.Queues[0].Open, doc.Queues[0].Name = version, open, fmt.Sprint("queue", version)
+					if err := w.dispatcher.PutDocument(t.Context(), doc); err != nil {
+						t.Fatal(err)
+					}
+				}
+				put(2, wasOpen)
+				w.changeWorkers(func(_ string, backend *worker.Worker) { backend.RunOutcome = endAfter(time.Second) })
+				if c := ask(wasOpen, inner.FlowVerb_FLOW_VERB_SUBMIT, "ended"); c != code.OK {
+					t.Fatalf("submit: %v", c)
+				}
+				time.Sleep(2 * time.Second)
+				w.changeWorkers(func(_ string, backend *worker.Worker) { backend.RunOutcome = endAfter(time.Minute) })
+				if c := ask(wasOpen, inner.FlowVerb_FLOW_VERB_SUBMIT, "running"); c != code.OK {
+					t.Fatalf("submit: %v", c)
+				}
+				time.Sleep(time.Second)
+				put(3, !wasOpen)
+				w.electNewLeader()
+				for _, verb := range []inner.FlowVerb{inner.FlowVerb_FLOW_VERB_STATE, inner.FlowVerb_FLOW_VERB_SUBMIT, inner.FlowVerb_FLOW_VERB_CANCEL} {
+					for _, id := range []string{"ended", "running"} {
+						if c := ask(!wasOpen, verb, id); c != code.OK {
+							t.Errorf("%v of flow %s: %v", verb, id, c)
+						}
+					}
+				}
+				time.Sleep(2 * time.Second)
+				if busy := w.busyWorkers(); len(busy) > 0 {
+					t.Error("the cancelled flow runs on")
+				}
+				if starts := w.runStarts(); len(starts) != 2 {
+					t.Errorf("runs started: %v, want one for each flow", starts)
+				}
+			})
+		})
+	}
+}
+
 // Guards against replacing the active document by one with the same or a lower version.
 // Both senders get an acknowledgement, and the active document stays.
 func TestOlderDocumentIsIgnored(t *testing.T) {
--- a/internal/ledger/flows/flows.go
+++ b/internal/ledger/flows/flows.go
@@ -48,7 +48,9 @@
 	// longer has a queue of that name.
 	QueueName         string
 	QueueAtAcceptance *v1.Queue
-	Spec              *v1.FlowSpec
+	// Address is where the flow was accepted. It is zero for a flow that an earlier build has ended.
+	Address Address
+	Spec    *v1.FlowSpec
 	// AcceptedAt and EndedAt are times on the ledger's clock.
 	AcceptedAt time.Duration
 	EndedAt    time.Duration
@@ -61,6 +63,12 @@
 	HeldRuns int
 }
 
+// Address is the address of a queue: its host and the prefix of its paths.
+type Address struct{ Host, Path string }
+
+// AddressOf returns the address of a queue.
+func AddressOf(q *v1.Queue) Address { return Address{q.GetHost(), q.GetPath()} }
+
 // Final reports whether the flow has reached a final state.
 func (f *Flow) Final() bool { return f.State >= v1.FlowState_FLOW_STATE_DONE }
 
--- a/internal/ledger/flows/lifecycle.go
+++ b/internal/ledger/flows/lifecycle.go
@@ -22,6 +22,7 @@
 		State: v1.FlowState_FLOW_STATE_QUEUED, Turns: map[uint32]*Turn{},
 	}
 	f.QueueAtAcceptance, _ = l.config.Queue(f.QueueName)
+	f.Address = AddressOf(f.QueueAtAcceptance)
 	l.flows[id] = f
 	l.pendingFlows[f.QueueName]++
 	l.openFlows++
--- a/internal/ledger/flows/snapshot.go
+++ b/internal/ledger/flows/snapshot.go
@@ -58,6 +58,9 @@
 		Accept: &record.FlowAccept{Queue: f.QueueName, Customer: f.Customer, Spec: f.Spec},
 		Id:     f.ID, Accepted: int64(f.AcceptedAt), State: f.State, Ended: int64(f.EndedAt), Next: f.NextTurn, Queue: f.QueueAtAcceptance,
 	}
+	if f.Final() {
+		r.Queue = &v1.Queue{Host: f.Address.Host, Path: f.Address.Path}
+	}
 	for _, n := range slices.Sorted(maps.Keys(f.Turns)) {
 		t := &record.TurnRecord{Number: n}
 		for _, s := range f.Turns[n].Steps {
@@ -141,11 +144,12 @@
 func restoreFlow(m *record.FlowRecord) (*Flow, *code.Error) {
 	f := &Flow{
 		ID: m.GetId(), Customer: m.GetAccept().GetCustomer(), QueueName: m.GetAccept().GetQueue(), Spec: m.GetAccept().GetSpec(),
-		AcceptedAt: time.Duration(m.GetAccepted()), EndedAt: time.Duration(m.GetEnded()), State: m.GetState(), NextTurn: m.GetNext(), QueueAtAcceptance: m.GetQueue(),
+		AcceptedAt: time.Duration(m.GetAccepted()), EndedAt: time.Duration(m.GetEnded()), State: m.GetState(), NextTurn: m.GetNext(), Address: AddressOf(m.GetQueue()),
 	}
 	if f.Final() {
 		return f, nil
 	}
+	f.QueueAtAcceptance = m.GetQueue()
 	f.Turns = map[uint32]*Turn{}
 	for _, turn := range m.GetTurns() {
 		t := newTurn(f, turn.GetNumber())
