A wave leaves an open server to all work that it could keep off

Cause: machines were closed without asking what else could take their work, and a task that its service can miss was stopped without asking for room.

A machine is closed only if each label in demand has another open server. A lasting task is stopped only if one has room for it, also beside the others of its step, or if there is no other server at all.

--- a/internal/control/dispatch/dispatch_test.go
+++ b/internal/control/dispatch/dispatch_test.go
@@ -629,6 +629,56 @@
 	}
 }
 
+// Guards against a wave that closes all servers that a service's tasks may run on, stops one of them
+// for good, and lets a short job for these servers wait.
+func TestWaveLeavesAServerForEachLabel(t *testing.T) {
+	runWithCluster(t, 4, func(t *testing.T, w *testCluster) {
+		w.putLabels(map[string][]string{"s1": {"b"}, "s2": {"b"}, "s3": {"a"}, "s4": {"a"}})
+		outcome := func(r flow.RunID) (time.Duration, inner.RunEnd) {
+			if r.Flow == "service" {
+				return 0, inner.RunEnd_RUN_END_UNSPECIFIED
+			}
+			return time.Second, inner.RunEnd_RUN_END_DONE
+		}
+		w.runOutcome = outcome
+		w.changeWorkers(func(_ string, backend *worker.Worker) { backend.RunOutcome = outcome })
+		service := newStep(4, 500)
+		service.Lasting, service.Absent, service.Label, service.Apart = true, 1, "b", 3
+		w.submit("service", service)
+		time.Sleep(2 * time.Second)
+		wave := &record.Wave{Number: 1, Machines: []string{"m-s1", "m-s2", "m-s3", "m-s4"}, Duration: 60_000, Cap: 2}
+		if err := w.dispatcher.StartWave(t.Context(), wave); err != nil {
+			t.Fatal(err)
+		}
+		for i := range 10 {
+			time.Sleep(2 * time.Second)
+			id := fmt.Sprint("short", i)
+			step := newStep(1, 500)
+			step.Label = "b"
+			w.submit(id, step)
+			w.awaitState(id, stateDone, 3*time.Second)
+			atWork := 0
+			for _, backend := range w.busyWorkers() {
+				atWork += len(backend.Running())
+			}
+			if atWork < 3 {
+				t.Errorf("%d of 4 tasks of the service run, at most one may be away", atWork)
+			}
+		}
+	})
+}
+
+// putLabels reports the workers with labels.
+func (w *testCluster) putLabels(labels map[string][]string) {
+	for id, names := range labels {
+		r := w.report(id, 1, false)
+		r.Labels, r.Number = names, 1
+		if err := w.dispatcher.AcceptReport(w.t.Context(), r); err != nil {
+			w.t.Fatal(err)
+		}
+	}
+}
+
 // Guards against replacing the active document by one with the same or a lower version.
 // Both senders get an acknowledgement, and the active document stays.
 func TestOlderDocumentIsIgnored(t *testing.T) {
--- a/internal/control/dispatch/wave.go
+++ b/internal/control/dispatch/wave.go
@@ -8,6 +8,7 @@
 	"gypsumreel/internal/base/code"
 	"gypsumreel/internal/base/event"
 	"gypsumreel/internal/ledger/flows"
+	"gypsumreel/internal/policy/steps"
 )
 
 // Timing of maintenance waves.
@@ -108,13 +109,70 @@
 		case m.MaintenanceDone:
 		case m.MaintenanceStarted:
 			d.checkMachineReturned(w, m, now)
-		case freeSlots > 0:
+		case freeSlots > 0 && d.canSpare(m):
 			freeSlots--
 			d.emptyMachine(w, m, now)
 		}
 	}
 }
 
+// canSpare reports whether tasks may be kept off the server of a machine: what it could take now finds
+// another open server. Servers that are next for maintenance or down are not open. If no other server
+// could ever take it, the machine is not waited for.
+func (d *Dispatcher) canSpare(m *flows.Machine) bool {
+	b, ok := d.Host.Flows().ServerOnMachine(m.Name)
+	if !ok {
+		return true
+	}
+	for label := range d.labelsInDemand(b) {
+		if hasOther, hasOpen := d.otherServers(b, label); hasOther && !hasOpen {
+			return false
+		}
+	}
+	return true
+}
+
+// labelsInDemand returns the labels of a server that work requires which waits or lasts; the empty
+// label stands for any work.
+func (d *Dispatcher) labelsInDemand(b *flows.Server) map[string]bool {
+	labels := map[string]bool{"": true}
+	add := func(step *flows.Step) {
+		if steps.HasLabel(step.Spec.GetLabel(), b) {
+			labels[step.Spec.GetLabel()] = true
+		}
+	}
+	for _, step := range d.Host.Flows().ReadySteps() {
+		add(step)
+	}
+	for id, s := range d.leader.sessions {
+		if id != b.ID && !d.leader.nextForMaintenance[id] {
+			continue
+		}
+		for _, r := range s.runs {
+			if step, ok := d.Host.Flows().Step(r.StepID); ok && step.Spec.GetLasting() {
+				add(step)
+			}
+		}
+	}
+	return labels
+}
+
+// otherServers reports whether the pool of a server has others with a label, and whether one of them
+// is open to new tasks.
+func (d *Dispatcher) otherServers(b *flows.Server, label string) (hasOther, hasOpen bool) {
+	now := d.Now()
+	for _, other := range d.Host.Flows().Servers() {
+		if other.ID == b.ID || other.Ended || other.ShuttingDown || other.Pool != b.Pool || !steps.HasLabel(label, other) {
+			continue
+		}
+		hasOther = true
+		if s := d.leader.sessions[other.ID]; s != nil && d.acceptsTasks(s, other, now) {
+			return true, true
+		}
+	}
+	return hasOther, false
+}
+
 // maintenanceID names the maintenance of one machine in one wave.
 type maintenanceID struct {
 	wave    uint64
@@ -188,19 +246,34 @@
 }
 
 // stopMovableRuns stops runs that continue from a checkpoint on another server, and lasting
-// tasks as far as their flow can miss them.
+// tasks as far as their flow can miss them and another server has room. A lasting task that no other
+// server could ever take is stopped for the maintenance.
 func (d *Dispatcher) stopMovableRuns(s *session) {
 	for _, r := range s.runs {
 		step, ok := d.Host.Flows().Step(r.StepID)
 		if !ok || r.stopping || !r.reportedByServer {
 			continue
 		}
-		if step.Spec.GetSaves() || step.Spec.GetLasting() && d.canMissTask(step) {
+		if step.Spec.GetSaves() || step.Spec.GetLasting() && d.canMissTask(step) && d.hasPlaceBeside(s, step) {
 			d.stopRun(s, r)
 		}
 	}
 }
 
+// hasPlaceBeside reports whether a task of a step that runs on a server has room on another one, or
+// has no other one at all.
+func (d *Dispatcher) hasPlaceBeside(s *session, step *flows.Step) bool {
+	if d.hasServerWithRoom(step) {
+		return true
+	}
+	b, ok := d.Host.Flows().Server(s.id)
+	if !ok {
+		return false
+	}
+	hasOther, _ := d.otherServers(b, step.Spec.GetLabel())
+	return !hasOther
+}
+
 // hasLastingTask reports whether a lasting task runs on the server.
 func (d *Dispatcher) hasLastingTask(s *session) bool {
 	for _, r := range s.runs {
--- a/internal/control/dispatch/zone.go
+++ b/internal/control/dispatch/zone.go
@@ -81,13 +81,28 @@
 	}
 	for _, s := range d.leader.sortedSessions {
 		b, known := ledger.Server(s.id)
-		if known && ledger.AcceptsWork(b) && s.isUsable(now) && b.Pool == q.GetPool() && steps.HasLabel(step.Spec.GetLabel(), b) && flow.TaskSize(step.Spec).Fits(b.FreeCapacity()) {
+		if known && d.acceptsTasks(s, b, now) && b.Pool == q.GetPool() && steps.HasLabel(step.Spec.GetLabel(), b) && flow.TaskSize(step.Spec).Fits(b.FreeCapacity()) && hasRoomApart(step, s.id) {
 			return true
 		}
 	}
 	return false
 }
 
+// hasRoomApart reports whether one more task of a step may run on a server beside the others there.
+func hasRoomApart(step *flows.Step, server string) bool {
+	limit := step.Spec.GetApart()
+	if limit == 0 {
+		return true
+	}
+	placed := uint32(0)
+	for _, t := range step.Tasks {
+		if t.Phase == flows.Placed && t.Server == server {
+			placed++
+		}
+	}
+	return placed < limit
+}
+
 // allZonesDrained reports whether the pool has servers and all of them that could take
 // tasks are in drained zones. A new flow would wait until an operator ends a drain.
 func (d *Dispatcher) allZonesDrained(pool string) bool {
