A flow is pending until a server has confirmed or listed a run of it

Cause: the ledger counts flows of which no task was placed.

The leader counts once a second the flows with placed tasks of which no server has confirmed or listed a run and none has ended, and adds them. A new leader takes them for pending until the servers' lists come.

--- a/internal/control/dispatch/ask.go
+++ b/internal/control/dispatch/ask.go
@@ -155,7 +155,7 @@
 	case inner.FlowVerb_FLOW_VERB_STATE:
 		d.replyState(id, caller, receivedAt, reply)
 	case inner.FlowVerb_FLOW_VERB_PENDING:
-		d.Host.AfterCommit(func() { reply(&inner.FlowAnswer{Pending: uint32(d.Host.Flows().PendingFlows(q.GetName()))}) })
+		d.Host.AfterCommit(func() { reply(&inner.FlowAnswer{Pending: uint32(d.pendingFlows(q.GetName()))}) })
 	default:
 		reply(refusalAnswer(code.New(code.Malformed, "unknown request verb %d", a.GetVerb()), 0))
 	}
--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -218,7 +218,7 @@
 		sessions:     map[string]*session{}, sessionsClosedAt: map[string]time.Duration{}, pendingStops: map[*run]*session{},
 		adviceByStep: map[flow.StepID]*stepAdvice{}, permitShares: map[string]float64{},
 		urgentDemand: map[string]*startDemand{}, urgentServers: map[string]*shortlease.Selection{}, recurringFlows: map[string]bool{},
-		rateBuckets: map[string]*rateBucket{}, surplusFlows: map[string]bool{},
+		rateBuckets: map[string]*rateBucket{}, surplusFlows: map[string]bool{}, begunFlows: map[string]bool{},
 		serverSpeeds: map[string]*serverSpeed{}, stepTimes: map[flow.StepID]steps.Timing{}, avoidedServers: map[flow.StepID]map[string]bool{}, attemptWaits: attemptWaits{}, restarts: map[flow.StepID]*watchdog.Restarts{}, failedPlaces: map[flow.StepID]*failedPlaces{},
 		pendingRequests: map[uint64]func(){}, nextForMaintenance: map[string]bool{}, maintenanceRetryAt: map[string]time.Duration{}, maintenanceConfirmedAt: map[maintenanceID]time.Duration{},
 	}
--- a/internal/control/dispatch/lead.go
+++ b/internal/control/dispatch/lead.go
@@ -51,6 +51,10 @@
 	ranksConfig  *flow.Config
 	urgentRanks  map[queueRank]bool
 	surplusFlows map[string]bool
+	// begunFlows holds the open flows of which a server has confirmed or listed a run to this leader,
+	// and placedPending, by queue, the number of those with placed tasks and no such run.
+	begunFlows    map[string]bool
+	placedPending map[string]int
 	// rateBuckets measures, by customer, the use of the guaranteed rate while customers do not
 	// compete.
 	rateBuckets map[string]*rateBucket
--- a/internal/control/dispatch/lists.go
+++ b/internal/control/dispatch/lists.go
@@ -20,6 +20,7 @@
 			d.stopStrayRun(s, id)
 			continue
 		}
+		d.recordBegun(r.Flow)
 		r.applyListEntry(entry, receivedAt)
 		r.lastListNumber = s.listCount
 	}
@@ -27,6 +28,7 @@
 	for _, entry := range a.GetEnded() {
 		id := flow.RunIDFromMessage(entry.GetRun())
 		if r := s.runs[id.TaskID]; r != nil && r.Number == id.Number {
+			d.recordBegun(r.Flow)
 			r.lastListNumber = s.listCount
 		}
 		if entry.GetNumber() <= s.lastEndReceived {
--- a/internal/control/dispatch/order.go
+++ b/internal/control/dispatch/order.go
@@ -175,6 +175,7 @@
 	switch verdict {
 	case inner.Verdict_VERDICT_DONE:
 		r.reportedByServer, r.orderAnsweredAt = true, receivedAt
+		d.recordBegun(r.Flow)
 		if s.endProof != "" || s.answererOf(a, at.sentAt, receivedAt) != sameIncarnation {
 			r.unprovenStartAt = receivedAt
 		}
--- a/internal/control/dispatch/sweep.go
+++ b/internal/control/dispatch/sweep.go
@@ -17,6 +17,7 @@
 	for _, part := range []func(){
 		d.removeExpired,
 		d.removeStateOfEnded,
+		d.updatePending,
 		d.updateRuntimeRatio,
 		d.updateMachineSpeeds,
 		d.updateContention,
--- a/internal/ledger/flows/flows.go
+++ b/internal/ledger/flows/flows.go
@@ -236,7 +236,7 @@
 // ended.
 func (l *Ledger) CustomerUsage(customer string) capacity.Size { return l.customerUsage[customer] }
 
-// PendingFlows returns the number of a queue's flows without any started task.
+// PendingFlows returns the number of a queue's flows of which no task was ever placed.
 func (l *Ledger) PendingFlows(queue string) int { return l.pendingFlows[queue] }
 
 // OpenFlows returns the number of flows that have not ended.
