--- a/internal/control/dispatch/incarnation_test.go
+++ b/internal/control/dispatch/incarnation_test.go
@@ -168,3 +168,32 @@
 		w.checkNoneRanAgain("b")
 	})
 }
+
+// Guards against an overcommitted server: a run that a late start has left there uses room that the
+// ledger counts as free, until it has stopped.
+func TestServerWithAStrayRunTakesNoTasks(t *testing.T) {
+	runWithCluster(t, 1, func(t *testing.T, w *testCluster) {
+		var fence atomic.Uint64
+		var backend *worker.Worker
+		w.changeWorkers(func(_ string, b *worker.Worker) {
+			backend, b.StopDuration, b.RunOutcome = b, 2*time.Second, endAfter(time.Minute)
+			b.Fault = func(c *inner.ServerCall) worker.Fault { fence.Store(c.GetFence()); return worker.Fault{} }
+		})
+		time.Sleep(2 * time.Second)
+		stray := flow.RunID{TaskID: flow.TaskID{StepID: flow.StepID{Flow: "stray"}}, Number: 1}
+		start := &inner.ServerCall_Start{Start: &inner.StartRun{Run: stray.Message()}}
+		backend.Call(t.Context(), &inner.ServerCall{Fence: fence.Load(), Until: 1 << 40, What: start})
+		time.Sleep(1100 * time.Millisecond) // the next list has it
+		w.submit("a", newStep(1, 1000))
+		for len(backend.Running()) > 0 {
+			if len(backend.Running()) > 1 {
+				t.Fatalf("the server runs %v", backend.Running())
+			}
+			if backend.Running()[0] != stray {
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		w.awaitState("a", stateRunning, 5*time.Second)
+	})
+}
--- a/internal/control/dispatch/lists.go
+++ b/internal/control/dispatch/lists.go
@@ -13,10 +13,12 @@
 // partial list may have ended all the same.
 func (d *Dispatcher) applyRunList(s *session, a *inner.ServerAnswer, sentAt, receivedAt time.Duration) {
 	s.listCount++
+	s.strayRuns = 0
 	for _, entry := range a.GetRunning() {
 		id := flow.RunIDFromMessage(entry.GetRun())
 		r := s.runs[id.TaskID]
 		if r == nil || r.Number != id.Number {
+			s.strayRuns++
 			d.stopStrayRun(s, id)
 			continue
 		}
--- a/internal/control/dispatch/session.go
+++ b/internal/control/dispatch/session.go
@@ -71,6 +71,9 @@
 	listCount uint64
 	// inspectedListAt is the time of the run list that inspectRuns last examined.
 	inspectedListAt time.Duration
+	// strayRuns is the number of runs in the latest run list that the ledger does not have on the
+	// server. They use room that the ledger counts as free.
+	strayRuns int
 	// holdPending reports whether a hold is unanswered.
 	holdPending bool
 	// listReceived reports whether the server has sent a run list in this term.
@@ -438,7 +441,7 @@
 
 // isUsable reports whether new tasks may be placed on the server.
 func (s *session) isUsable(now time.Duration) bool {
-	return s.listReceived && !s.unresponsive && s.exitNoticeAt == 0 && s.endProof == "" && s.serverClock > 0 && now >= s.avoidUntil && now-s.heardAt() <= maxLongPoll+callTimeout
+	return s.listReceived && s.strayRuns == 0 && !s.unresponsive && s.exitNoticeAt == 0 && s.endProof == "" && s.serverClock > 0 && now >= s.avoidUntil && now-s.heardAt() <= maxLongPoll+callTimeout
 }
 
 func sizeRecord(s capacity.Size) *v1.Size {
