--- a/internal/control/dispatch/incarnation.go
+++ b/internal/control/dispatch/incarnation.go
@@ -56,9 +56,9 @@
 )
 
 // answererOf returns the incarnation that answered a call sent at sentAt. Only lists name it. The
-// clock of an incarnation starts anew and never goes back: one that shows less than the known
-// incarnation's must is another's, and one that shows more than that of an incarnation that began
-// after the latest list can is the known one's.
+// clock of an incarnation starts anew and never goes back, so a value below what the clock of the
+// known incarnation must show comes from another one, and a value above what the clock of any
+// incarnation that began after the latest list can show comes from the known one.
 func (s *session) answererOf(a *inner.ServerAnswer, sentAt, receivedAt time.Duration) answerer {
 	switch {
 	case a.GetBorn() == s.incarnation && a.GetBorn() != 0:
