--- a/internal/control/dispatch/pending_test.go
+++ b/internal/control/dispatch/pending_test.go
@@ -26,7 +26,7 @@
 			t.Errorf("%d flows are pending, all have begun", n)
 		}
 		w.changeWorkers(func(_ string, backend *worker.Worker) {
-			backend.Fault = func(c *inner.ServerCall) worker.Fault { return worker.Fault{Delay: time.Hour} }
+			backend.Fault = func(*inner.ServerCall) worker.Fault { return worker.Fault{Delay: time.Hour} }
 		})
 		for i := range waiting {
 			w.submit(fmt.Sprint("waiting", i), newStep(1, 500))
