--- a/internal/control/dispatch/incarnation_test.go
+++ b/internal/control/dispatch/incarnation_test.go
@@ -1,7 +1,6 @@
 package dispatch_test
 
 import (
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -145,26 +144,27 @@
 		w.submitLong("a", 100*time.Millisecond)
 		w.awaitState("a", stateDone, 5*time.Second)
 		time.Sleep(2 * time.Second)
+		w.runOutcome = endAfter(20 * time.Millisecond)
 		var isRestarted atomic.Bool
-		var restart sync.WaitGroup
+		restarted := make(chan struct{})
 		w.changeWorkers(func(id string, backend *worker.Worker) {
 			backend.Fault = func(c *inner.ServerCall) worker.Fault {
 				if c.GetStart() == nil || isRestarted.Swap(true) {
 					return worker.Fault{}
 				}
-				restart.Go(func() {
-					w.runOutcome = endAfter(20 * time.Millisecond)
+				go func() {
+					defer close(restarted)
 					backend.Crash()
 					w.startWorker(id, 2).Call(t.Context(), c)
 					time.Sleep(1500 * time.Millisecond)
 					w.reportUntilAccepted(id, 2)
-				})
+				}()
 				return worker.Fault{Verdict: inner.Verdict_VERDICT_SILENT}
 			}
 		})
 		w.submit("b", newStep(1, 1000))
 		time.Sleep(time.Second)
-		restart.Wait()
+		<-restarted
 		w.checkNoneRanAgain("b")
 	})
 }
