Clients of the platform's listeners hold no more than their room

Callers saw an entry end, or got no answer, beside clients that sent large bodies and stopped short of their end, opened connections and sent nothing more, or did not read their answers. Four causes, one class: bytes of requests had no sum and no time, headers neither; connections without headway kept their places for good; net/http waits for the rest of a body before it sends an answer; a write had no time.

Package base/ingress keeps an account of what clients make the process hold. When another client waits for a connection, an idle one or the one without headway for the longest time is closed.

--- a/internal/base/settings/keys.go
+++ b/internal/base/settings/keys.go
@@ -156,10 +156,10 @@
 
 	forRole(RoleEntry, integerKey("limits.batch", "items", DefaultBatchItems, 1, 65_536, "Maximum number of items in one message to the leader.", func(s *Settings) *int64 { return &s.Limits.BatchItems })),
 	forRole(RoleEntry, integerKey("limits.queue", "requests", DefaultQueuedRequests, 1, 1<<20, "Maximum number of requests that wait at an entry. Further requests are refused as not run.", func(s *Settings) *int64 { return &s.Limits.QueuedRequests })),
-	forRole(RoleEntry, integerKey("limits.connections", "connections", DefaultConnections, 8, 1<<20, "Maximum number of open connections of one listener.", func(s *Settings) *int64 { return &s.Limits.Connections })),
+	forRole(RoleEntry, integerKey("limits.connections", "connections", DefaultConnections, 8, 1<<20, "Maximum number of open connections of one listener. Where limits.memory is set, connections take at most a third of it, at 24 KiB each. When another client waits, idle connections and those without headway are closed for it.", func(s *Settings) *int64 { return &s.Limits.Connections })),
 	forRole(RoleControl, integerKey("limits.snapshot", "entries", DefaultSnapshotEntries, 16, 10_000_000, "Number of journal entries between two snapshots.", func(s *Settings) *int64 { return &s.Limits.SnapshotEntries })),
 	integerKey("limits.dump", "bytes", DefaultDumpBytes, 1<<10, 64<<20, "Maximum size of a state dump. Larger dumps are truncated and marked.", func(s *Settings) *int64 { return &s.Limits.DumpBytes }),
-	integerKey("limits.memory", "MiB", 0, 0, 1<<20, "Memory of the instance, or 0 if unknown. The process limits its heap well below it.", func(s *Settings) *int64 { return &s.Limits.MemoryMiB }),
+	integerKey("limits.memory", "MiB", 0, 0, 1<<20, "Memory of the instance, or 0 if unknown. The process limits its heap well below it. Requests of clients hold at most an eighth of it, as do those of other processes and messages of other control replicas; 64 MiB each if it is unknown. Unfinished requests beyond that are refused as not run.", func(s *Settings) *int64 { return &s.Limits.MemoryMiB }),
 	forRole(RoleControl, integerKey("limits.disk", "MiB", 0, 0, 1<<30, "Size of the disk with the data folder, or 0 if unknown. A part of it is kept free.", func(s *Settings) *int64 { return &s.Limits.DiskMiB })),
 	integerKey("limits.files", "files", 0, 0, 1<<24, "Maximum number of open files and connections of the process, or 0 if unknown.", func(s *Settings) *int64 { return &s.Limits.OpenFiles }),
 
--- a/internal/control/node/assemble.go
+++ b/internal/control/node/assemble.go
@@ -8,6 +8,7 @@
 	"net/http"
 
 	"gypsumreel/internal/base/event"
+	"gypsumreel/internal/base/ingress"
 	"gypsumreel/internal/control/entry"
 	"gypsumreel/internal/policy/cell"
 	"gypsumreel/internal/policy/plan"
@@ -54,7 +55,7 @@
 	if n.AddRoutes != nil {
 		n.AddRoutes(mux)
 	}
-	a.httpServer = n.newHTTPServer(mux, n.ServerTLS)
+	a.httpServer = n.newHTTPServer(n.Gates.Processes, mux, n.ServerTLS)
 	return a
 }
 
@@ -95,12 +96,15 @@
 	}
 }
 
-func (n *Node) newHTTPServer(h http.Handler, cfg *tls.Config) *http.Server {
+// newHTTPServer returns a server whose connections the gate follows.
+func (n *Node) newHTTPServer(gate *ingress.Gate, h http.Handler, cfg *tls.Config) *http.Server {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{Handler: h, Protocols: protocols, ReadHeaderTimeout: headerTimeout, TLSConfig: cfg, ErrorLog: event.HTTPErrorLog(n.Log)}
+	s := &http.Server{Handler: h, Protocols: protocols, ReadHeaderTimeout: headerTimeout, TLSConfig: cfg, ErrorLog: event.HTTPErrorLog(n.Log)}
+	gate.Configure(s)
+	return s
 }
 
 func serveListener(s *http.Server, l net.Listener) error {
--- a/internal/control/node/node.go
+++ b/internal/control/node/node.go
@@ -22,6 +22,7 @@
 
 	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/base/event"
+	"gypsumreel/internal/base/ingress"
 	"gypsumreel/internal/base/meter"
 	"gypsumreel/internal/control/entry"
 	"gypsumreel/internal/control/leader"
@@ -61,6 +62,8 @@
 	ProbeListener net.Listener
 	// ProbeTLS is the TLS configuration of ProbeListener; nil means plain text.
 	ProbeTLS *tls.Config
+	// Gates hold the accounts of what the clients of the listeners make the process hold.
+	Gates ingress.Gates
 	// Address is the address at which other processes reach this replica.
 	Address string
 	// Replicas are all configured control replicas, including this one. Their IDs are
@@ -278,7 +281,7 @@
 	}
 	run("listen", func() error { return serveListener(parts.httpServer, n.Listener) })
 	if n.ProbeListener != nil {
-		probeServer := n.newHTTPServer(n.probeHandler(), n.ProbeTLS)
+		probeServer := n.newHTTPServer(n.Gates.Clients, n.Gates.Clients.Track(0, n.probeHandler()), n.ProbeTLS)
 		defer func() { _ = probeServer.Close() }()
 		run("platform", func() error { return serveListener(probeServer, n.ProbeListener) })
 	}
--- a/internal/edge/platform/platform.go
+++ b/internal/edge/platform/platform.go
@@ -7,6 +7,9 @@
 	"github.com/VictoriaMetrics/metrics"
 )
 
+// MaxConns limits the connections to a listener for health checks or metrics.
+const MaxConns = 64
+
 // Probes serves health, readiness and metrics. The fields are set before Handler is
 // called.
 type Probes struct {
