Calls between processes have a limit and a room of their own

Twirp reads a body of any size, so that one client of an internal address could fill the memory, and sixteen stalled messages took all places for those of other replicas. A body now has a limit (24 MiB, above the largest message of a replica), arrives before its handler is called, and counts against the room of processes or of replicas, which clients from outside do not share. A call whose body found no room is answered with twirp's resource_exhausted, and an entry knows that the leader did not execute it.

--- a/internal/control/node/assemble.go
+++ b/internal/control/node/assemble.go
@@ -10,6 +10,7 @@
 	"gypsumreel/internal/base/event"
 	"gypsumreel/internal/base/ingress"
 	"gypsumreel/internal/control/entry"
+	"gypsumreel/internal/edge/wire"
 	"gypsumreel/internal/policy/cell"
 	"gypsumreel/internal/policy/plan"
 	"gypsumreel/internal/replica/bootstrap"
@@ -49,9 +50,9 @@
 	a.transport = n.newTransport(self.ID, a.group.Receive)
 	a.group.Transport = a.transport
 	mux := http.NewServeMux()
-	mux.Handle("/twirp/gypsumreel.inner.Control/", a.entryService.Handler())
-	mux.Handle("/twirp/gypsumreel.inner.Bootstrap/", n.onlyReplicas(a.handshake.Handler()))
-	mux.Handle("/", n.onlyReplicas(a.transport.Handler()))
+	mux.Handle("/twirp/gypsumreel.inner.Control/", wire.Track(n.Gates.Processes, a.entryService.Handler()))
+	mux.Handle("/twirp/gypsumreel.inner.Bootstrap/", n.onlyReplicas(wire.Track(n.Gates.Peers, a.handshake.Handler())))
+	mux.Handle("/", n.onlyReplicas(wire.Track(n.Gates.Peers, a.transport.Handler())))
 	if n.AddRoutes != nil {
 		n.AddRoutes(mux)
 	}
--- a/internal/edge/leader/leader_test.go
+++ b/internal/edge/leader/leader_test.go
@@ -11,6 +11,7 @@
 	"gypsumreel/internal/base/files"
 
 	"github.com/go-logr/logr"
+	"github.com/twitchtv/twirp"
 
 	"gypsumreel/internal/api/inner"
 	"gypsumreel/internal/base/code"
@@ -35,6 +36,8 @@
 	// stands is true if the replica accepts requests and begins none. It says so when the
 	// budget of a request is used up.
 	stands bool
+	// isFull is true if the replica has no memory for requests.
+	isFull bool
 	// requests and greetings count the calls received so far.
 	requests          int
 	greetings         int
@@ -90,6 +93,9 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.isFull {
+		return nil, twirp.ResourceExhausted.Error("no room")
+	}
 	if !r.leads {
 		return &inner.FlowAnswer{Code: uint32(code.NoLeader), Leader: r.leader}, nil
 	}
@@ -277,6 +283,20 @@
 	}
 }
 
+// Guards against an unknown outcome for a submit that the leader had no memory to read.
+func TestCallThatTheLeaderDidNotReadIsNotRun(t *testing.T) {
+	replica := newReplica(t)
+	replica.update(func() { replica.leads, replica.term = true, 1 })
+	c := newClient(t, replica)
+	askUntilTerm(t, c, 1, 5*time.Second)
+	replica.update(func() { replica.isFull = true })
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	if answer := c.Ask(ctx, &inner.FlowAsk{Verb: inner.FlowVerb_FLOW_VERB_SUBMIT}); code.Code(answer.GetCode()) != code.NoLeader || answer.GetRetry() == 0 {
+		t.Errorf("got answer %v, want NoLeader with a retry hint", answer)
+	}
+}
+
 // Guards against overloading a new leader. It is slow at first because all processes
 // greet it at the same time. Further greetings from processes that have no answer yet
 // would slow it down until it loses its leadership.
--- a/internal/edge/leader/request.go
+++ b/internal/edge/leader/request.go
@@ -138,7 +138,7 @@
 		if wire.NeverSent(err) || timeout == attemptTimeout && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			c.recordLeaderLost(leader.address)
 		}
-		return nil, !wire.NeverSent(err)
+		return nil, !wire.NeverSent(err) && !wire.RefusedUnread(err)
 	}
 	switch code.Code(answer.GetCode()) {
 	case code.NoLeader:
--- a/internal/edge/wire/wire.go
+++ b/internal/edge/wire/wire.go
@@ -10,9 +10,11 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/twitchtv/twirp"
 	"golang.org/x/sys/unix"
 
 	"gypsumreel/internal/base/files"
+	"gypsumreel/internal/base/ingress"
 )
 
 // Timeouts and limits of connections.
@@ -35,6 +37,9 @@
 	// maxConcurrentStreams limits the concurrent calls on one connection. A helper may
 	// relay a pending call to each of some hundred backend servers.
 	maxConcurrentStreams = 1000
+	// MaxRequestBytes limits the body of a call between processes. The largest are messages of
+	// control replicas to each other.
+	MaxRequestBytes = 24 << 20
 )
 
 // idleShareDivisor divides the allowance of a purpose in the file budget to give the
@@ -79,6 +84,24 @@
 	s.HTTP2 = &http.HTTP2Config{MaxConcurrentStreams: maxConcurrentStreams}
 }
 
+// Track wraps the handler of a service for other processes. Its calls count against the account
+// of the gate. The handler is called once the body of a call has arrived.
+func Track(gate *ingress.Gate, h http.Handler) http.Handler {
+	return gate.Track(MaxRequestBytes, ingress.ReadFirst(refuseUnread, h))
+}
+
+// refuseUnread refuses a call whose body was not read.
+func refuseUnread(w http.ResponseWriter, _ *http.Request, err error) {
+	_ = twirp.WriteError(w, twirp.ResourceExhausted.Error(err.Error()))
+}
+
+// RefusedUnread reports whether a call failed because the other process had no memory for its
+// body, so that it was not executed.
+func RefusedUnread(err error) bool {
+	var refusal twirp.Error
+	return errors.As(err, &refusal) && refusal.Code() == twirp.ResourceExhausted
+}
+
 func dial(ctx context.Context, network, address string) (net.Conn, error) {
 	d := net.Dialer{Timeout: DialTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: time.Second, Count: 3}}
 	c, err := d.DialContext(ctx, network, address)
