Clients of the product's own interface hold no more than their room

The same class on the listeners of `gypsumreel entry` and `gypsumreel control`, over HTTP/1.1 and HTTP/2: 40 bodies of 4 MB that stop short took an entry to 209 MiB of 64 without any key, 60 streams on four connections to 287, 60 compressed bodies of 4 KB to 224. They use the same account. A compressed body counts as the largest one while it is decoded, and each stream with 16 KiB beside its bytes. All listeners of an entry share one budget of files and, where limits.memory is set, of memory.

A request that found no room is answered with 302, to be sent again with the same id, and not as "not run": whether it is the first with its id stands in the body.

--- a/internal/cli/control/control.go
+++ b/internal/cli/control/control.go
@@ -13,10 +13,13 @@
 	"gypsumreel/internal/base/clock"
 	"gypsumreel/internal/base/dump"
 	"gypsumreel/internal/base/event"
+	"gypsumreel/internal/base/files"
+	"gypsumreel/internal/base/ingress"
 	"gypsumreel/internal/base/settings"
 	"gypsumreel/internal/cli/verb"
 	"gypsumreel/internal/control/leader"
 	"gypsumreel/internal/control/node"
+	"gypsumreel/internal/edge/platform"
 	"gypsumreel/internal/replica/quorum"
 )
 
@@ -45,7 +48,7 @@
 	}
 	log, flush := verb.StartDaemonLog(env, s.LogLevel)
 	defer flush()
-	n, err := newNode(s)
+	n, err := newNode(s, ingress.NewGates(s.Limits.MemoryMiB, log))
 	if err != nil {
 		event.LogError(log, event.ListenFailed, err)
 		return err
@@ -65,7 +68,7 @@
 }
 
 // newNode opens the listeners and builds the control replica from its settings.
-func newNode(s *settings.Settings) (*node.Node, error) {
+func newNode(s *settings.Settings, gates ingress.Gates) (*node.Node, error) {
 	controlListener, err := net.Listen("tcp", s.Listen.Control)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen.control")
@@ -74,8 +77,11 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen.platform")
 	}
+	budget := files.NewBudget(files.ProcessLimit(s.Limits.OpenFiles))
 	n := &node.Node{
-		Cell: s.Cell, Name: s.Name, DataDir: s.DataDir, Listener: controlListener, ProbeListener: platformListener,
+		Cell: s.Cell, Name: s.Name, DataDir: s.DataDir, Gates: gates,
+		Listener:          gates.Processes.Listen(controlListener, ingress.Limits{Budget: budget, Use: files.Processes}),
+		ProbeListener:     gates.Clients.Listen(platformListener, ingress.Limits{Conns: platform.MaxConns}),
 		HeartbeatInterval: s.Time.HeartbeatInterval, ElectionTimeout: s.Time.ElectionTimeout, MaxElectionTimeout: s.Time.MaxElectionTimeout, Control: leader.New(),
 		MaxDumpBytes: int(s.Limits.DumpBytes), MinFreeBytes: bounds.DiskReserve(s.Limits.DiskMiB), Clock: clock.SinceBoot,
 	}
--- a/internal/cli/entry/entry.go
+++ b/internal/cli/entry/entry.go
@@ -13,6 +13,7 @@
 	"gypsumreel/internal/base/dump"
 	"gypsumreel/internal/base/event"
 	"gypsumreel/internal/base/files"
+	"gypsumreel/internal/base/ingress"
 	"gypsumreel/internal/base/settings"
 	"gypsumreel/internal/cli/verb"
 	"gypsumreel/internal/edge/backend"
@@ -46,7 +47,7 @@
 		event.LogError(log, event.ListenFailed, err)
 		return err
 	}
-	e.Log, e.Abort = log, verb.SecondSignal(ctx)
+	e.Log, e.Abort, e.Gates = log, verb.SecondSignal(ctx), ingress.NewGates(s.Limits.MemoryMiB, log)
 	daemonTLS, err := verb.NewDaemonTLS(ctx, s.TLS, s.ControlReplicas, s.Time.ReloadInterval, e.Log)
 	if err != nil {
 		return err
@@ -68,7 +69,7 @@
 		// A zero ShutdownDelay selects the default of package entry, so a configured delay of 0
 		// is passed as 1 ns.
 		ShutdownDelay:  max(s.Time.DrainDelay, time.Nanosecond),
-		MaxConnections: min(int(s.Limits.Connections), files.NewBudget(files.ProcessLimit(s.Limits.OpenFiles)).Allowance(files.Callers)), MaxPendingRequests: int(s.Limits.QueuedRequests),
+		MaxConnections: int(s.Limits.Connections), Budget: files.NewBudget(bounds.Conns(s.Limits.MemoryMiB, int64(files.ProcessLimit(s.Limits.OpenFiles)))), MaxPendingRequests: int(s.Limits.QueuedRequests),
 	}
 	bounds.LimitHeap(s.Limits.MemoryMiB)
 	for _, l := range []struct {
--- a/internal/edge/codec/codec.go
+++ b/internal/edge/codec/codec.go
@@ -6,10 +6,12 @@
 	"net/http"
 
 	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
 	"gypsumreel/internal/base/code"
+	"gypsumreel/internal/base/ingress"
 )
 
 // Codec names as the Connect protocol defines them.
@@ -41,6 +43,20 @@
 	})
 }
 
+// RefuseUnread answers a request whose body was not read, so that it was not executed. An earlier
+// request with the same id may have been: a refusal for want of room does not say "not run".
+func RefuseUnread(w http.ResponseWriter, r *http.Request, err error) {
+	refusal := connect.NewError(connect.CodeInvalidArgument, code.New(code.Malformed, "%v", err))
+	var sizeError *http.MaxBytesError
+	switch {
+	case errors.Is(err, ingress.ErrNoRoom):
+		refusal = connect.NewError(connect.CodeUnavailable, code.New(code.LeaderTimeout, "%v", err))
+	case errors.As(err, &sizeError):
+		refusal = connect.NewError(connect.CodeResourceExhausted, code.New(code.TooLarge, "%v", err))
+	}
+	_ = connect.NewErrorWriter().Write(w, r, refusal)
+}
+
 // asMalformed returns a decoding error with the result code for malformed input.
 func asMalformed(err error) error {
 	if err == nil {
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -17,10 +17,11 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
-	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
 	"gypsumreel/internal/base/event"
+	"gypsumreel/internal/base/files"
+	"gypsumreel/internal/base/ingress"
 	"gypsumreel/internal/base/meter"
 	"gypsumreel/internal/edge/backend"
 	"gypsumreel/internal/edge/caller"
@@ -84,6 +85,11 @@
 	// Auditor receives the audit records of operators' calls. Nil means the log.
 	Auditor operator.Auditor
 	Log     logr.Logger
+	// Gates hold the accounts of what clients make the entry hold. Zero means those of an instance
+	// of unknown size.
+	Gates ingress.Gates
+	// Budget counts the connections of all listeners together; nil counts nothing.
+	Budget *files.Budget
 	// Abort ends a graceful shutdown immediately when it is closed. It is closed on
 	// the second termination signal.
 	Abort <-chan struct{}
@@ -133,6 +139,9 @@
 		if e.MaxConnections == 0 {
 			e.MaxConnections = DefaultMaxConnections
 		}
+		if e.Gates.Clients == nil {
+			e.Gates = ingress.NewGates(0, e.Log)
+		}
 		if e.Auditor == nil {
 			e.Auditor = logAuditor{e.Log}
 		}
@@ -161,20 +170,20 @@
 func (e *Entry) configuredServices() []service {
 	options := connect.WithHandlerOptions(codec.HandlerOptions(), connect.WithInterceptors(newCallCounter(e.metricSet)), connect.WithCompressMinBytes(minCompressBytes))
 	all := []service{
-		{e.CallerListener, e.newServer(mountWithLimit(caller.MaxRequestSize)((&caller.Handler{Leader: e.leaderClient}).Route(options)))},
-		{e.BackendListener, e.newServer(mountWithLimit(backend.MaxRequestSize)((&backend.Handler{Leader: e.leaderClient, EnrolmentDigests: e.EnrolmentDigests, Log: e.Log}).Route(options)))},
-		{e.OperatorListener, e.newServer(mountWithLimit(operator.MaxRequestSize)((&operator.Handler{Leader: e.leaderClient, Auditor: e.Auditor, EntryName: e.Name, State: e.currentState}).Route(options)))},
-		{e.PlatformListener, e.newServer((&platform.Probes{Ready: e.checkReady, MetricSets: []*metrics.Set{e.metricSet, meter.ProcessMetrics}}).Handler())},
+		{e.CallerListener, e.newServer(e.mountWithLimit(caller.MaxRequestSize)((&caller.Handler{Leader: e.leaderClient}).Route(options)))},
+		{e.BackendListener, e.newServer(e.mountWithLimit(backend.MaxRequestSize)((&backend.Handler{Leader: e.leaderClient, EnrolmentDigests: e.EnrolmentDigests, Log: e.Log}).Route(options)))},
+		{e.OperatorListener, e.newServer(e.mountWithLimit(operator.MaxRequestSize)((&operator.Handler{Leader: e.leaderClient, Auditor: e.Auditor, EntryName: e.Name, State: e.currentState}).Route(options)))},
+		{e.PlatformListener, e.newServer(e.Gates.Clients.Track(0, (&platform.Probes{Ready: e.checkReady, MetricSets: []*metrics.Set{e.metricSet, meter.ProcessMetrics}}).Handler()))},
 	}
 	return slices.DeleteFunc(all, func(s service) bool { return s.listener == nil })
 }
 
 // mountWithLimit returns a function that mounts a handler at its path and limits
 // the size of requests.
-func mountWithLimit(maxRequestBytes int64) func(path string, h http.Handler) http.Handler {
+func (e *Entry) mountWithLimit(maxRequestBytes int64) func(path string, h http.Handler) http.Handler {
 	return func(path string, h http.Handler) http.Handler {
 		mux := http.NewServeMux()
-		mux.Handle(path, codec.LimitRequestSize(maxRequestBytes, h))
+		mux.Handle(path, e.Gates.Clients.Track(maxRequestBytes, codec.LimitRequestSize(maxRequestBytes, ingress.ReadFirst(codec.RefuseUnread, h))))
 		return mux
 	}
 }
@@ -283,18 +292,20 @@
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{
+	s := &http.Server{
 		Handler: closeExpiredConns(h), Protocols: protocols, ConnContext: e.withConnExpiry,
 		ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog:       event.HTTPErrorLog(e.Log),
 		HTTP2:          &http.HTTP2Config{MaxConcurrentStreams: maxStreams, SendPingTimeout: pingIdleTime, PingTimeout: pingTimeout},
 	}
+	e.Gates.Clients.Configure(s)
+	return s
 }
 
 // serveConnections accepts connections of the service until its server is closed.
 func (e *Entry) serveConnections(s service) error {
-	l := netutil.LimitListener(s.listener, e.MaxConnections)
+	l := e.Gates.Clients.Listen(s.listener, ingress.Limits{Conns: e.MaxConnections, Budget: e.Budget, Use: files.Callers})
 	if e.OutsideTLS == nil {
 		return s.server.Serve(l)
 	}
