A request of the own interface has a limited number of elements

4 MB of two-byte messages became two million messages: four such requests took an entry to 767 MiB of 64. Elements are counted before the decoder runs, in messages above 8 KiB; the limit of 131,072 is twice what the largest request that a service accepts has.

--- a/internal/edge/codec/codec.go
+++ b/internal/edge/codec/codec.go
@@ -76,6 +76,9 @@
 
 // Unmarshal decodes a message.
 func (protoCodec) Unmarshal(data []byte, m any) error {
+	if err := checkProtoElements(data, m.(proto.Message)); err != nil {
+		return err
+	}
 	return asMalformed(proto.Unmarshal(data, m.(proto.Message)))
 }
 
@@ -95,5 +98,8 @@
 	if len(data) == 0 {
 		return code.New(code.Malformed, "the request body is empty, expected JSON")
 	}
+	if err := checkJSONElements(data); err != nil {
+		return err
+	}
 	return asMalformed(protojson.UnmarshalOptions{DiscardUnknown: true}.Unmarshal(data, m.(proto.Message)))
 }
