--- a/internal/control/dispatch/ask.go
+++ b/internal/control/dispatch/ask.go
@@ -234,12 +234,20 @@
 	if d.Host.Flows().OpenFlows() >= d.MaxOpenFlows {
 		return code.New(code.Overloaded, "the limit of %d open flows is reached", d.MaxOpenFlows), retryDelay
 	}
+	if !d.hasMemoryFor(flow.SpecBytes(a.GetSpec()) + flow.TurnBytes(a.GetSpec())) {
+		return code.New(code.Overloaded, "the open flows take the memory that they may"), retryDelay
+	}
 	if d.allZonesDrained(q.GetPool()) {
 		return code.New(code.Overloaded, "every zone of pool %s is drained", q.GetPool()), retryDelay
 	}
 	return nil, 0
 }
 
+// hasMemoryFor reports whether flows may take n more bytes.
+func (d *Dispatcher) hasMemoryFor(n int64) bool {
+	return d.MaxOpenBytes == 0 || d.Host.Flows().OpenBytes()+n <= d.MaxOpenBytes
+}
+
 func stateAnswer(f *flows.Flow) *inner.FlowAnswer { return &inner.FlowAnswer{State: f.State} }
 
 // replyState replies with the state of a flow after that state is committed. The reply that
--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -171,6 +171,8 @@
 	Retention   time.Duration
 	// MaxOpenFlows limits the flows that have not ended.
 	MaxOpenFlows int
+	// MaxOpenBytes limits the estimated memory of the flows that have not ended; 0 means no limit.
+	MaxOpenBytes int64
 	// TargetVoters is the number of voters to which the replication group grows.
 	TargetVoters int
 	// Planner decides which tasks start where.
--- a/internal/control/dispatch/meter.go
+++ b/internal/control/dispatch/meter.go
@@ -20,6 +20,7 @@
 	commitSeconds   *metrics.PrometheusHistogram
 	planSeconds     *metrics.PrometheusHistogram
 	openFlows       *metrics.Gauge
+	openBytes       *metrics.Gauge
 	servers         *metrics.Gauge
 	documentVersion *metrics.Gauge
 	drainedZones    *metrics.Gauge
@@ -47,6 +48,7 @@
 		commitSeconds:   set.GetOrCreatePrometheusHistogram(meter.Name(metricArea, "commit_seconds")),
 		planSeconds:     set.GetOrCreatePrometheusHistogram(meter.Name(metricArea, "plan_seconds")),
 		openFlows:       set.GetOrCreateGauge(meter.Name(metricArea, "open"), nil),
+		openBytes:       set.GetOrCreateGauge(meter.Name(metricArea, "open_bytes"), nil),
 		servers:         set.GetOrCreateGauge(meter.Name(metricArea, "servers"), nil),
 		documentVersion: set.GetOrCreateGauge(meter.Name(metricArea, "document_version"), nil),
 		drainedZones:    set.GetOrCreateGauge(meter.Name(metricArea, "drained_zones"), nil),
@@ -90,6 +92,7 @@
 // updateGauges sets the gauges to the current values.
 func (m *flowMetrics) updateGauges(d *Dispatcher) {
 	m.openFlows.Set(float64(d.Host.Flows().OpenFlows()))
+	m.openBytes.Set(float64(d.Host.Flows().OpenBytes()))
 	m.servers.Set(float64(len(d.leader.sessions)))
 	m.drainedZones.Set(float64(len(d.Host.Flows().DrainedZones())))
 	m.heldServers.Set(float64(d.leader.held.sessions))
--- a/internal/control/dispatch/sweep.go
+++ b/internal/control/dispatch/sweep.go
@@ -84,7 +84,7 @@
 	d.removeAttemptState()
 }
 
-// startDueTurns starts the due turns of recurring flows.
+// startDueTurns starts the due turns of recurring flows. A turn waits while there is no memory for it.
 func (d *Dispatcher) startDueTurns() {
 	ledger := d.Host.Flows()
 	for id := range d.leader.recurringFlows {
@@ -94,7 +94,7 @@
 			continue
 		}
 		due := millis.At(f.Spec.GetFirst(), f.NextTurn, f.Spec.GetEvery())
-		if due <= d.Host.LedgerTime() {
+		if due <= d.Host.LedgerTime() && d.hasMemoryFor(flow.TurnBytes(f.Spec)) {
 			event.Log(d.Log, event.TurnBegun, "flow", id, "turn", f.NextTurn, "late", (d.Host.LedgerTime() - due).String())
 			d.applyOrLog(&record.Flow{What: &record.Flow_Due{Due: &record.FlowDue{Id: id}}})
 		}
--- a/internal/ledger/flows/flows.go
+++ b/internal/ledger/flows/flows.go
@@ -37,6 +37,7 @@
 	customerUsage map[string]capacity.Size
 	pendingFlows  map[string]int
 	openFlows     int
+	openBytes     int64
 }
 
 // Flow is one accepted flow.
@@ -61,6 +62,8 @@
 	Turns map[uint32]*Turn
 	// HeldRuns counts the flow's runs that servers may still hold.
 	HeldRuns int
+	// bytes is the flow's part of the ledger's openBytes.
+	bytes int64
 }
 
 // Address is the address of a queue: its host and the prefix of its paths.
@@ -242,6 +245,15 @@
 // OpenFlows returns the number of flows that have not ended.
 func (l *Ledger) OpenFlows() int { return l.openFlows }
 
+// OpenBytes returns the estimated memory of the flows that have not ended.
+func (l *Ledger) OpenBytes() int64 { return l.openBytes }
+
+// addBytes changes the estimated memory of a flow that has not ended.
+func (l *Ledger) addBytes(f *Flow, n int64) {
+	f.bytes += n
+	l.openBytes += n
+}
+
 // QueueOf returns the configuration of a flow's queue from the document in force. If
 // the queue was removed, its accepted flows keep the configuration of their acceptance.
 func (l *Ledger) QueueOf(f *Flow) (*v1.Queue, bool) {
--- a/internal/ledger/flows/flows_test.go
+++ b/internal/ledger/flows/flows_test.go
@@ -194,7 +194,7 @@
 	if diff := cmp.Diff(runsToStop(m.ledger), runsToStop(l)); diff != "" {
 		t.Fatalf("runs to stop (-live +restored):\n%s", diff)
 	}
-	if len(l.ReadySteps()) != len(m.ledger.ReadySteps()) || len(l.RunsToStop()) != len(m.ledger.RunsToStop()) || l.OpenFlows() != m.ledger.OpenFlows() || l.PendingFlows("q") != m.ledger.PendingFlows("q") {
+	if len(l.ReadySteps()) != len(m.ledger.ReadySteps()) || len(l.RunsToStop()) != len(m.ledger.RunsToStop()) || l.OpenFlows() != m.ledger.OpenFlows() || l.OpenBytes() != m.ledger.OpenBytes() || (l.OpenBytes() == 0) != (l.OpenFlows() == 0) || l.PendingFlows("q") != m.ledger.PendingFlows("q") {
 		t.Fatalf("derived state differs, restored and live: ready steps %d %d, runs to stop %d %d, open flows %d %d, pending flows %d %d", len(l.ReadySteps()), len(m.ledger.ReadySteps()),
 			len(l.RunsToStop()), len(m.ledger.RunsToStop()), l.OpenFlows(), m.ledger.OpenFlows(), l.PendingFlows("q"), m.ledger.PendingFlows("q"))
 	}
--- a/internal/ledger/flows/lifecycle.go
+++ b/internal/ledger/flows/lifecycle.go
@@ -26,6 +26,7 @@
 	l.flows[id] = f
 	l.pendingFlows[f.QueueName]++
 	l.openFlows++
+	l.addBytes(f, flow.SpecBytes(f.Spec))
 	l.addTextToDigest(id)
 	if a.GetSpec().GetTimes() == 0 {
 		l.beginTurn(now, f)
@@ -38,6 +39,7 @@
 	t := newTurn(f, f.NextTurn)
 	f.Turns[f.NextTurn] = t
 	f.NextTurn++
+	l.addBytes(f, flow.TurnBytes(f.Spec))
 	for _, s := range t.Steps {
 		s.ReadyAt = now
 		l.updateReadySteps(s)
@@ -92,6 +94,7 @@
 	l.setFlowState(f, finalState)
 	f.EndedAt = now
 	l.openFlows--
+	l.addBytes(f, -f.bytes)
 	stopped := 0
 	for _, t := range f.Turns {
 		for _, s := range t.Steps {
--- a/internal/ledger/flows/run.go
+++ b/internal/ledger/flows/run.go
@@ -296,6 +296,7 @@
 		return
 	}
 	delete(s.Flow.Turns, s.Turn)
+	l.addBytes(s.Flow, -flow.TurnBytes(s.Flow.Spec))
 	if len(s.Flow.Turns) == 0 && s.Flow.NextTurn >= max(s.Flow.Spec.GetTimes(), 1) {
 		l.endFlow(now, s.Flow, v1.FlowState_FLOW_STATE_DONE)
 	}
--- a/internal/ledger/flows/snapshot.go
+++ b/internal/ledger/flows/snapshot.go
@@ -224,6 +224,7 @@
 func (l *Ledger) restoreDerived(f *Flow) {
 	if !f.Final() {
 		l.openFlows++
+		l.addBytes(f, flow.SpecBytes(f.Spec)+int64(len(f.Turns))*flow.TurnBytes(f.Spec))
 	}
 	if f.State == v1.FlowState_FLOW_STATE_QUEUED {
 		l.pendingFlows[f.QueueName]++
