--- a/internal/control/dispatch/admission.go
+++ b/internal/control/dispatch/admission.go
@@ -164,7 +164,7 @@
 	d.countAdmissionRefusal(f)
 	d.logRefusal(f, err)
 	d.answerAfterProof(receivedAt, func() {
-		if accepted, ok := d.Host.Flows().Flow(f.id); ok && (caller{Customer: f.customer, queue: f.queue}).mayAccess(accepted) {
+		if accepted, ok := d.Host.Flows().Flow(f.id); ok && (origin{customer: f.customer, queue: f.queue}).mayAccess(accepted) {
 			answer := stateAnswer(accepted) // a later request was accepted meanwhile
 			d.Host.AfterCommit(func() { reply(answer) })
 			return
--- a/internal/control/dispatch/ask.go
+++ b/internal/control/dispatch/ask.go
@@ -142,18 +142,18 @@
 		refuse(code.New(code.InvalidKey, ""))
 		return
 	}
-	caller := caller{Customer: customer, queue: q}
+	from := origin{customer: customer, queue: q}
 	switch a.GetVerb() {
 	case inner.FlowVerb_FLOW_VERB_SUBMIT:
 		if a.GetSpec().GetId() != id {
 			refuse(code.New(code.Malformed, "flow id %q does not match the id %q in the request path", a.GetSpec().GetId(), id))
 			return
 		}
-		d.submitFlow(a, caller, receivedAt, reply)
+		d.submitFlow(a, from, receivedAt, reply)
 	case inner.FlowVerb_FLOW_VERB_CANCEL:
-		d.cancelFlow(id, caller, receivedAt, reply)
+		d.cancelFlow(id, from, receivedAt, reply)
 	case inner.FlowVerb_FLOW_VERB_STATE:
-		d.replyState(id, caller, receivedAt, reply)
+		d.replyState(id, from, receivedAt, reply)
 	case inner.FlowVerb_FLOW_VERB_PENDING:
 		d.Host.AfterCommit(func() { reply(&inner.FlowAnswer{Pending: uint32(d.pendingFlows(q.GetName()))}) })
 	default:
@@ -161,24 +161,25 @@
 	}
 }
 
-// caller is who makes a call, and the queue of the call.
-type caller struct {
-	// Customer is the customer whose key the call carries; empty if it carries none.
-	Customer string
-	queue    *v1.Queue
+// origin is where a call comes from.
+type origin struct {
+	// customer is the customer whose key the call carries; empty if it carries none.
+	customer string
+	// queue is the queue at the address of the call.
+	queue *v1.Queue
 }
 
 // mayAccess reports whether the caller may see, repeat and cancel a flow.
-func (c caller) mayAccess(f *flows.Flow) bool {
-	return access.Call{Customer: c.Customer, Open: c.queue.GetOpen(), SameAddress: f.Address == flows.AddressOf(c.queue)}.Allows(f.Customer)
+func (o origin) mayAccess(f *flows.Flow) bool {
+	return access.Call{Customer: o.customer, Open: o.queue.GetOpen(), SameAddress: f.Address == flows.AddressOf(o.queue)}.Allows(f.Customer)
 }
 
 // submitFlow accepts or refuses a flow. A repeated submit with the same id is idempotent.
-func (d *Dispatcher) submitFlow(a *inner.FlowAsk, caller caller, receivedAt time.Duration, reply func(*inner.FlowAnswer)) {
-	ledger, q, customer := d.Host.Flows(), caller.queue, caller.Customer
+func (d *Dispatcher) submitFlow(a *inner.FlowAsk, from origin, receivedAt time.Duration, reply func(*inner.FlowAnswer)) {
+	ledger, q, customer := d.Host.Flows(), from.queue, from.customer
 	id := a.GetSpec().GetId()
 	if f, ok := ledger.Flow(id); ok {
-		if !caller.mayAccess(f) {
+		if !from.mayAccess(f) {
 			reply(refusalAnswer(code.New(code.IDReused, "%s", id), 0))
 			return
 		}
@@ -253,8 +254,8 @@
 // replyState replies with the state of a flow after that state is committed. The reply that
 // a flow is unknown requires a proof of leadership: a deposed leader would not know the
 // flows that its successor accepted.
-func (d *Dispatcher) replyState(id string, caller caller, receivedAt time.Duration, reply func(*inner.FlowAnswer)) {
-	d.withFlow(id, caller, receivedAt, reply, func(f *flows.Flow) {
+func (d *Dispatcher) replyState(id string, from origin, receivedAt time.Duration, reply func(*inner.FlowAnswer)) {
+	d.withFlow(id, from, receivedAt, reply, func(f *flows.Flow) {
 		answer := stateAnswer(f)
 		d.Host.AfterCommit(func() { reply(answer) })
 	})
@@ -262,13 +263,13 @@
 
 // withFlow calls fn with the flow if it exists and the caller may access it, and refuses the
 // request otherwise.
-func (d *Dispatcher) withFlow(id string, caller caller, receivedAt time.Duration, reply func(*inner.FlowAnswer), fn func(*flows.Flow)) {
-	if f, ok := d.Host.Flows().Flow(id); ok && caller.mayAccess(f) {
+func (d *Dispatcher) withFlow(id string, from origin, receivedAt time.Duration, reply func(*inner.FlowAnswer), fn func(*flows.Flow)) {
+	if f, ok := d.Host.Flows().Flow(id); ok && from.mayAccess(f) {
 		fn(f)
 		return
 	}
 	d.Host.AfterLeadershipProof(receivedAt, func() {
-		if f, ok := d.Host.Flows().Flow(id); ok && caller.mayAccess(f) {
+		if f, ok := d.Host.Flows().Flow(id); ok && from.mayAccess(f) {
 			fn(f)
 			return
 		}
@@ -278,8 +279,8 @@
 
 // cancelFlow cancels a flow and replies after the commit. No task of the flow is started
 // after the cancellation is applied.
-func (d *Dispatcher) cancelFlow(id string, caller caller, receivedAt time.Duration, reply func(*inner.FlowAnswer)) {
-	d.withFlow(id, caller, receivedAt, reply, func(f *flows.Flow) {
+func (d *Dispatcher) cancelFlow(id string, from origin, receivedAt time.Duration, reply func(*inner.FlowAnswer)) {
+	d.withFlow(id, from, receivedAt, reply, func(f *flows.Flow) {
 		if !f.Final() {
 			event.Log(d.Log, event.FlowCancelled, "flow", id, "held", f.HeldRuns, "term", d.leader.term)
 			d.applyOrLog(&record.Flow{What: &record.Flow_Cancel{Cancel: &record.FlowCancel{Id: id}}})
