--- a/internal/domain/flow/flow.go
+++ b/internal/domain/flow/flow.go
@@ -5,12 +5,17 @@
 
 import (
 	"fmt"
+	"time"
 
 	"gypsumreel/internal/api/inner"
 	v1 "gypsumreel/internal/api/v1"
 	"gypsumreel/internal/domain/capacity"
 )
 
+// LastingStartTime is the time after which a run of a lasting task has begun its work. That it fails
+// later says nothing about its server: such tasks may fail at any time.
+const LastingStartTime = 2 * time.Second
+
 // StepID identifies a step within one turn of a flow. A turn is one execution of all
 // steps; Turn is 0 for a flow that runs once.
 type StepID struct {
--- a/internal/ledger/flows/attempt.go
+++ b/internal/ledger/flows/attempt.go
@@ -5,12 +5,9 @@
 	"time"
 
 	"gypsumreel/internal/api/inner"
+	"gypsumreel/internal/domain/flow"
 )
 
-// lastingWorkTime is the time after which a run of a lasting task has begun its work. That it fails
-// later says nothing about its server: such tasks may fail at any time.
-const lastingWorkTime = 2 * time.Second
-
 // countEnd updates the successes and failures of a server from the end of a run that it held.
 // Other ends say nothing about the server. The values follow from commands that every replica
 // applies. They are not part of the digest and no transition depends on them, so replicas of an
@@ -34,7 +31,7 @@
 	switch {
 	case !ok:
 		return true
-	case s.runsUntilCancelled() && now-h.PlacedAt >= lastingWorkTime:
+	case s.runsUntilCancelled() && now-h.PlacedAt >= flow.LastingStartTime:
 		return false
 	}
 	const failing = 1 // the run that fails is still among the placed ones
--- a/internal/ledger/flows/run.go
+++ b/internal/ledger/flows/run.go
@@ -241,7 +241,7 @@
 func (l *Ledger) recordFailedRun(now time.Duration, s *Step, h *HeldRun) {
 	t := &s.Tasks[h.Index]
 	t.FailedAt, t.FailedAfter = h.PlacedAt, now-h.PlacedAt
-	if s.runsUntilCancelled() && t.FailedAfter >= lastingWorkTime {
+	if s.runsUntilCancelled() && t.FailedAfter >= flow.LastingStartTime {
 		s.forgetFailedServers(t)
 		return
 	}
--- a/internal/policy/watchdog/restart.go
+++ b/internal/policy/watchdog/restart.go
@@ -1,11 +1,13 @@
 package watchdog
 
-import "time"
+import (
+	"time"
+
+	"gypsumreel/internal/domain/flow"
+)
 
 // Parameters of the restarts of lasting tasks.
 const (
-	// beginTime is the time after which a run of a lasting task has begun its work.
-	beginTime = 2 * time.Second
 	// minRestartPause and maxRestartPause limit the pause before the tasks of a step are started
 	// again. It doubles with each run that fails before it has begun its work. A task that can run
 	// again is at work well within the time that its users bear.
@@ -24,7 +26,7 @@
 // RecordFailure records a run that failed after a time, and returns the pause before the next one.
 // Failures during a pause do not lengthen it: they are of runs that were started together.
 func (r *Restarts) RecordFailure(now, lasted time.Duration) time.Duration {
-	if lasted >= beginTime {
+	if lasted >= flow.LastingStartTime {
 		*r = Restarts{}
 		return 0
 	}
