The account costs a call less

The write deadline is set once a second and not for each piece, calls between processes take no copy of their request, and the deadline and the clock are used only where they are needed. The last part of an answer is followed by its end at once, so that a client reads it before the connection closes.

--- a/internal/base/ingress/answer.go
+++ b/internal/base/ingress/answer.go
@@ -50,7 +50,7 @@
 	if !a.started {
 		a.WriteHeader(http.StatusOK)
 	}
-	_ = a.body.controller.Flush()
+	_ = http.NewResponseController(a.ResponseWriter).Flush()
 }
 
 // finish starts the answer if the handler has not.
@@ -72,7 +72,7 @@
 			return true
 		}
 	}
-	_ = b.controller.SetReadDeadline(time.Now().Add(closeTimeout))
+	b.setReadDeadline(time.Now().Add(closeTimeout))
 	return false
 }
 
--- a/internal/base/ingress/body.go
+++ b/internal/base/ingress/body.go
@@ -25,10 +25,10 @@
 // body is the body of a request. Its bytes are charged as they come.
 type body struct {
 	io.ReadCloser
-	gate       *Gate
-	conn       *conn
-	controller *http.ResponseController
-	maxBytes   int64
+	gate     *Gate
+	conn     *conn
+	writer   http.ResponseWriter
+	maxBytes int64
 	// compressed is true if the body may be larger once it is decoded, up to maxBytes.
 	compressed bool
 	// received counts the bytes of the body, and charged what the account holds for the request.
@@ -54,7 +54,6 @@
 // begin starts to account for a body. Streams of HTTP/2 share a connection, so that its limits do
 // not bound them. The server's timeout applies to them.
 func (b *body) begin(r *http.Request) {
-	b.headway.Store(int64(now()))
 	switch {
 	case r.ProtoMajor == 1:
 		b.setDeadline(bodyTimeout)
@@ -63,6 +62,10 @@
 	}
 }
 
+func (b *body) setReadDeadline(t time.Time) {
+	_ = http.NewResponseController(b.writer).SetReadDeadline(t)
+}
+
 // headerSize returns the size of the header of a request in bytes.
 func headerSize(r *http.Request) int64 {
 	n := len(r.RequestURI)
@@ -79,7 +82,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !b.released {
-		_ = b.controller.SetReadDeadline(time.Now().Add(d))
+		b.setReadDeadline(time.Now().Add(d))
 		b.hasDeadline = true
 	}
 }
@@ -109,7 +112,7 @@
 	isFirst := !b.whole
 	b.whole = true
 	if isFirst && b.hasDeadline && !b.released {
-		_ = b.controller.SetReadDeadline(time.Time{})
+		b.setReadDeadline(time.Time{})
 	}
 	b.mu.Unlock()
 	if isFirst {
@@ -133,6 +136,7 @@
 	b.registered = true
 	b.mu.Unlock()
 	if isNew {
+		b.headway.Store(int64(now()))
 		b.gate.mu.Lock()
 		defer b.gate.mu.Unlock()
 		b.gate.bodies[b] = true
@@ -161,7 +165,7 @@
 	b.released = true
 	b.leaving = b.charged.Load()
 	b.gate.leaving.Add(b.leaving)
-	_ = b.controller.SetReadDeadline(time.Unix(1, 0))
+	b.setReadDeadline(time.Unix(1, 0))
 }
 
 func (b *body) wasReleased() bool {
--- a/internal/base/ingress/conn.go
+++ b/internal/base/ingress/conn.go
@@ -17,8 +17,10 @@
 	// headwayBytes is what a client sends for its connection to make headway. A client that sends
 	// single bytes makes none.
 	headwayBytes = 512
-	// writeTimeout is the time in which a client takes one piece of an answer.
-	writeTimeout = 30 * time.Second
+	// writeTimeout is the time in which a client takes one piece of an answer. The deadline of the
+	// connection is set again when a part of that time is over, and not for each piece.
+	writeTimeout     = 30 * time.Second
+	deadlineInterval = time.Second
 	// headerFactor is the memory that a header takes relative to its size.
 	headerFactor = 2
 )
@@ -50,6 +52,8 @@
 	// headway is the time of the last headway, and sinceHeadway the bytes received since.
 	headway      atomic.Int64
 	sinceHeadway atomic.Int64
+	// deadlineSetAt is the time at which the write deadline was set. Only Write uses it.
+	deadlineSetAt time.Duration
 	// headerBytes is what the header of a request is charged for.
 	headerBytes atomic.Int64
 }
@@ -103,13 +107,28 @@
 
 // Write writes to the connection and fails if the client does not take the bytes in time.
 func (c *conn) Write(p []byte) (int, error) {
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	c.makeHeadway()
+	at := now()
+	c.headway.Store(int64(at))
+	if c.deadlineSetAt == 0 || at-c.deadlineSetAt >= deadlineInterval {
+		c.deadlineSetAt = at
+		_ = c.Conn.SetWriteDeadline(startedAt.Add(at + writeTimeout))
+	}
 	c.isWriting.Store(true)
 	defer c.isWriting.Store(false)
 	return c.Conn.Write(p)
 }
 
+// SetWriteDeadline does nothing, because Write sets the deadline.
+func (*conn) SetWriteDeadline(time.Time) error { return nil }
+
+// CloseWrite ends what is sent, so that the client reads the last answer before the connection closes.
+func (c *conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 // Close closes the connection and gives its place back.
 func (c *conn) Close() error {
 	err := net.ErrClosed
--- a/internal/base/ingress/handler.go
+++ b/internal/base/ingress/handler.go
@@ -24,7 +24,7 @@
 			return
 		}
 		b := &body{
-			ReadCloser: r.Body, gate: g, conn: c, controller: http.NewResponseController(w), maxBytes: maxBytes, compressed: isCompressed(r),
+			ReadCloser: r.Body, gate: g, conn: c, writer: w, maxBytes: maxBytes, compressed: !g.Trusted && isCompressed(r),
 		}
 		b.begin(r)
 		defer b.end()
@@ -40,8 +40,11 @@
 
 // serve serves a request with a body.
 func (b *body) serve(next http.Handler, w http.ResponseWriter, r *http.Request) {
-	tracked := new(http.Request)
-	*tracked = *r
+	tracked := r
+	if r.ProtoMajor == 1 { // the server of HTTP/1 looks at the body of its own request
+		tracked = new(http.Request)
+		*tracked = *r
+	}
 	if hasNoBody(r.Method) {
 		tracked.Body, tracked.ContentLength = http.NoBody, 0
 		serveWhole(b.conn, next, w, tracked)
