A stream whose body has arrived holds only its bytes

Each stream of the own interface was charged 16 KiB until it was answered, so that some two thousand long polls would have filled the room of clients on 284 MB, and larger requests would have been refused. The charge for an unfinished stream is given back when its body has arrived.

--- a/internal/base/ingress/body.go
+++ b/internal/base/ingress/body.go
@@ -34,6 +34,8 @@
 	// received counts the bytes of the body, and charged what the account holds for the request.
 	received int64
 	charged  atomic.Int64
+	// unfinished is the part of charged that is for the stream of a body that has not arrived.
+	unfinished int64
 	// headway is the time of the last headway, and headwayAt the size at that time.
 	headway   atomic.Int64
 	headwayAt int64
@@ -58,7 +60,8 @@
 	case r.ProtoMajor == 1:
 		b.setDeadline(bodyTimeout)
 	case !b.gate.Trusted:
-		b.charge(streamBytes + headerSize(r))
+		b.unfinished = streamBytes + headerSize(r)
+		b.charge(b.unfinished)
 	}
 }
 
@@ -116,6 +119,8 @@
 	}
 	b.mu.Unlock()
 	if isFirst {
+		b.charged.Add(-b.unfinished)
+		b.gate.held.Add(-b.unfinished)
 		b.conn.beginAnswer()
 	}
 }
--- a/internal/base/ingress/gate.go
+++ b/internal/base/ingress/gate.go
@@ -1,6 +1,6 @@
 // Package ingress bounds what clients can make a process hold: connections, and the bytes of
-// requests whether whole or not. Clients that make no headway give way to others. All listeners
-// of a process share one Gate.
+// requests whether whole or not. Clients that make no headway give way to others. The listeners of
+// a process share its Gates.
 package ingress
 
 import (
--- a/internal/base/ingress/ingress_test.go
+++ b/internal/base/ingress/ingress_test.go
@@ -29,6 +29,12 @@
 	patience = 20 * time.Second
 )
 
+// held lets a test hold requests back: each tells arrived that its handler has begun, and waits for
+// release.
+type held struct{ arrived, release chan struct{} }
+
+func newHeld() *held { return &held{make(chan struct{}), make(chan struct{})} }
+
 // server is an HTTP server behind a Gate.
 type server struct {
 	t    *testing.T
@@ -36,9 +42,9 @@
 	addr string
 }
 
-// startServer starts a server that answers a whole POST with the size of its body, and tells
-// hold and waits for it if the path is /hold.
-func startServer(t *testing.T, limits ingress.Limits, hold chan struct{}) *server {
+// startServer starts a server that answers a whole POST with the size of its body, and holds it back
+// if the path is /hold.
+func startServer(t *testing.T, limits ingress.Limits, hold *held) *server {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -60,8 +66,8 @@
 			http.Error(w, "broken", http.StatusBadRequest)
 		default:
 			if r.URL.Path == "/hold" {
-				hold <- struct{}{}
-				<-hold
+				hold.arrived <- struct{}{}
+				<-hold.release
 			}
 			_, _ = fmt.Fprint(w, len(text))
 		}
@@ -182,14 +188,14 @@
 
 // Guards against a whole request that is cut off for a later one.
 func TestWholeRequestIsAnswered(t *testing.T) {
-	hold := make(chan struct{})
+	hold := newHeld()
 	s := startServer(t, ingress.Limits{Conns: 4}, hold)
 	whole := s.open(post("/hold", largeBytes, largeBytes))
-	<-hold
+	<-hold.arrived
 	for range 12 {
 		s.open(chunks("/", largeBytes))
 	}
-	hold <- struct{}{}
+	close(hold.release)
 	s.checkAnswer(bufio.NewReader(whole), http.StatusOK, fmt.Sprint(largeBytes))
 }
 
@@ -319,6 +325,34 @@
 	s.checkNothingHeld()
 }
 
+// Guards against long polls over shared connections that fill the room although they hold little.
+func TestWholeStreamsHoldOnlyTheirBytes(t *testing.T) {
+	const calls, size = 20, 100
+	hold := newHeld()
+	s := startServer(t, ingress.Limits{}, hold)
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	client := &http.Client{Transport: &http.Transport{Protocols: protocols}}
+	var wg sync.WaitGroup
+	for range calls {
+		wg.Go(func() {
+			r, _ := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+s.addr+"/hold", bytes.NewReader(make([]byte, size)))
+			if res, err := client.Do(r); err != nil || res.StatusCode != http.StatusOK {
+				t.Errorf("%v, %v", res, err)
+			}
+		})
+	}
+	for range calls {
+		<-hold.arrived
+	}
+	if held := s.gate.Held(); held > calls*2*size {
+		t.Errorf("%d bytes are held for %d requests of %d", held, calls, size)
+	}
+	close(hold.release)
+	wg.Wait()
+	s.checkNothingHeld()
+}
+
 // blockedReader delivers nothing until its context ends.
 type blockedReader struct{ ctx context.Context }
 
