--- a/internal/control/dispatch/crash_test.go
+++ b/internal/control/dispatch/crash_test.go
@@ -160,7 +160,7 @@
 		w.submit("a", newStep(1, 500))
 		for incarnation := int64(1); incarnation <= 2*flows.MaxConsecutiveCrashes; incarnation++ {
 			crashed := make(chan struct{})
-			backend := w.startWorker("s1", incarnation)
+			backend := w.newWorker("s1", incarnation)
 			crash := sync.OnceFunc(func() { backend.Crash(); close(crashed) })
 			backend.Fault = func(c *inner.ServerCall) worker.Fault {
 				switch number := c.GetStart().GetRun().GetNumber(); {
@@ -174,6 +174,7 @@
 				}
 				return worker.Fault{}
 			}
+			w.serve(backend)
 			w.reportUntilAccepted("s1", incarnation)
 			time.AfterFunc(time.Second, crash)
 			<-crashed
--- a/internal/control/dispatch/harness_test.go
+++ b/internal/control/dispatch/harness_test.go
@@ -489,6 +489,13 @@
 
 // startWorker starts an incarnation of a worker at its address.
 func (w *testCluster) startWorker(id string, incarnation int64) *worker.Worker {
+	backend := w.newWorker(id, incarnation)
+	w.serve(backend)
+	return backend
+}
+
+// newWorker returns a worker that is not called yet, so that its fields may be set.
+func (w *testCluster) newWorker(id string, incarnation int64) *worker.Worker {
 	backend := &worker.Worker{ID: id, Incarnation: incarnation, StopDuration: 50 * time.Millisecond}
 	backend.RunOutcome = w.runOutcome
 	backend.OnStart = func(r flow.RunID) { w.recordStart(id, r) }
@@ -497,10 +504,14 @@
 		defer w.mu.Unlock()
 		return w.workers[id]
 	}
+	return backend
+}
+
+// serve passes the calls for a server to the worker.
+func (w *testCluster) serve(backend *worker.Worker) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.workers[id] = backend
-	return backend
+	w.workers[backend.ID] = backend
 }
 
 // reportUntilAccepted sends a worker's report until the leader acknowledges it.
