--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -122,9 +122,9 @@
 	RequestMalformed  = define(709, "request-malformed", Debug, "malformed request refused", "None.")
 	Unready           = define(710, "unready", Warn, "not ready; the load balancer should use other entries", "See the reason in the event.")
 	Ready             = define(711, "ready", Info, "ready", "None.")
-	ConnectionEvicted = define(713, "connection-evicted", Warn, "connection of a client without headway closed because others wait", "See a client that does not behave in OPERATIONS. Raise limits.files or limits.memory if the clients behave.")
-	RequestReleased   = define(714, "request-released", Warn, "unfinished request refused as not run because others need the memory", "See a client that does not behave in OPERATIONS. Raise limits.memory if the clients behave.")
 	ClockJumped       = define(712, "clock-jumped", Warn, "the process did not run for a while", "Check whether the instance is overloaded or was paused.")
+	ConnectionEvicted = define(713, "connection-evicted", Warn, "connection of a client without headway closed because others wait", "See a client that does not behave in OPERATIONS. Raise limits.files or limits.memory if the clients behave.")
+	RequestReleased   = define(714, "request-released", Warn, "unfinished request refused because others need the memory; it was not passed on", "See a client that does not behave in OPERATIONS. Raise limits.memory if the clients behave.")
 )
 
 // Events of flows.
