The account keeps a write deadline that others set

Found while reading the change: the end of a TLS connection sets five seconds for its last message, and the account ignored all deadlines but its own, so that a client that reads nothing could hold a planned stop up for 30 s. A deadline that others set holds now until they take it back.

--- a/internal/base/ingress/conn.go
+++ b/internal/base/ingress/conn.go
@@ -54,6 +54,8 @@
 	sinceHeadway atomic.Int64
 	// deadlineSetAt is the time at which the write deadline was set. Only Write uses it.
 	deadlineSetAt time.Duration
+	// hasOwnDeadline is true while somebody else than Write has set the write deadline.
+	hasOwnDeadline atomic.Bool
 	// headerBytes is what the header of a request is charged for.
 	headerBytes atomic.Int64
 }
@@ -109,7 +111,7 @@
 func (c *conn) Write(p []byte) (int, error) {
 	at := now()
 	c.headway.Store(int64(at))
-	if c.deadlineSetAt == 0 || at-c.deadlineSetAt >= deadlineInterval {
+	if !c.hasOwnDeadline.Load() && (c.deadlineSetAt == 0 || at-c.deadlineSetAt >= deadlineInterval) {
 		c.deadlineSetAt = at
 		_ = c.Conn.SetWriteDeadline(startedAt.Add(at + writeTimeout))
 	}
@@ -118,8 +120,17 @@
 	return c.Conn.Write(p)
 }
 
-// SetWriteDeadline does nothing, because Write sets the deadline.
-func (*conn) SetWriteDeadline(time.Time) error { return nil }
+// SetWriteDeadline sets a deadline that Write leaves as it is, such as the one for the end of a TLS
+// connection. Without one, that is with a zero time, Write sets its own.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	if t.IsZero() && !c.hasOwnDeadline.Load() {
+		return nil
+	}
+	if c.hasOwnDeadline.Store(!t.IsZero()); t.IsZero() {
+		t = time.Now().Add(writeTimeout)
+	}
+	return c.Conn.SetWriteDeadline(t)
+}
 
 // CloseWrite ends what is sent, so that the client reads the last answer before the connection closes.
 func (c *conn) CloseWrite() error {
--- a/internal/base/ingress/ingress_test.go
+++ b/internal/base/ingress/ingress_test.go
@@ -367,6 +367,44 @@
 	s.checkNothingHeld()
 }
 
+// Guards against the end of a TLS connection that waits for a client that reads nothing, and with it
+// a planned stop.
+func TestWriteKeepsADeadlineThatOthersSet(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	wrapped := (&ingress.Gate{Name: t.Name()}).Listen(l, ingress.Limits{})
+	defer func() { _ = wrapped.Close() }()
+	client, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = client.Close() }()
+	conn, err := wrapped.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetWriteDeadline(time.Now().Add(50 * time.Millisecond))
+	failed := make(chan error, 1)
+	go func() {
+		for err := error(nil); err == nil; {
+			if _, err = conn.Write(make([]byte, 1<<20)); err != nil {
+				failed <- err
+			}
+		}
+	}()
+	select {
+	case err := <-failed:
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Error(err)
+		}
+	case <-time.After(patience):
+		t.Error("the write did not end at its deadline")
+	}
+}
+
 // blockedReader delivers nothing until its context ends.
 type blockedReader struct{ ctx context.Context }
 
